--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,16 @@
+# Every library comes from the distribution's packages; tools/packages lists them.
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(tl-expected REQUIRED)
+find_package(tomlplusplus QUIET)
+find_package(CLI11 REQUIRED)
+find_package(doctest REQUIRED)
+
+find_library(NGHTTP2_LIBRARY nghttp2 REQUIRED)
+find_library(LOG4CXX_LIBRARY log4cxx REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+
+add_compile_definitions(MSGPACK_NO_BOOST)
--- /dev/null
+++ b/cmake/FuzzTargets.cmake
@@ -0,0 +1,20 @@
+# Coverage-guided targets for whatever parses outside bytes; only clang has the engine. Each fuzz/NAME_fuzz.cpp has its
+# starting corpus in fuzz/corpus/NAME.
+option(TURMERICPLANK_FUZZ_TARGETS "Build the libFuzzer targets (needs clang)" OFF)
+set(TURMERICPLANK_FUZZ_RUNS 20000 CACHE STRING "Inputs that one bounded run of a target tries")
+
+if(TURMERICPLANK_FUZZ_TARGETS)
+  target_compile_options(turmericplank_decisions PRIVATE -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all)
+  file(GLOB fuzz_sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/fuzz/*_fuzz.cpp")
+  foreach(source IN LISTS fuzz_sources)
+    get_filename_component(name "${source}" NAME_WE)
+    string(REGEX REPLACE "_fuzz$" "" corpus "${name}")
+    add_executable(${name} "${source}")
+    target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/src")
+    target_compile_options(${name} PRIVATE -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=all)
+    target_link_options(${name} PRIVATE -fsanitize=fuzzer,address,undefined)
+    target_link_libraries(${name} PRIVATE turmericplank_decisions)
+    add_test(NAME fuzz.${corpus} COMMAND ${name} -runs=${TURMERICPLANK_FUZZ_RUNS} -seed=20261203 -max_len=4096 -verbosity=0
+                                         "${PROJECT_SOURCE_DIR}/fuzz/corpus/${corpus}")
+  endforeach()
+endif()
--- /dev/null
+++ b/cmake/Library.cmake
@@ -0,0 +1,25 @@
+# One library in two tiers: the decisions are pure and include no socket library, the shells turn bytes into their
+# events and their actions into bytes.
+set(TURMERICPLANK_DECISION_SLICES base platform configuration membership routing requests placement)
+set(TURMERICPLANK_SHELL_SLICES telemetry net peer daemon)
+
+function(turmericplank_slice_sources output)
+  set(sources)
+  foreach(slice IN LISTS ARGN)
+    file(GLOB found CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/src/turmericplank/${slice}/*.cpp")
+    list(FILTER found EXCLUDE REGEX "_test\\.cpp$")
+    list(APPEND sources ${found})
+  endforeach()
+  set(${output} ${sources} PARENT_SCOPE)
+endfunction()
+
+turmericplank_slice_sources(decision_sources ${TURMERICPLANK_DECISION_SLICES})
+add_library(turmericplank_decisions STATIC ${decision_sources})
+target_include_directories(turmericplank_decisions PUBLIC "${PROJECT_SOURCE_DIR}/include" PRIVATE "${PROJECT_SOURCE_DIR}/src")
+target_link_libraries(turmericplank_decisions PUBLIC Boost::headers tl::expected nlohmann_json::nlohmann_json OpenSSL::Crypto
+                                                     ${XXHASH_LIBRARY})
+
+turmericplank_slice_sources(shell_sources ${TURMERICPLANK_SHELL_SLICES})
+add_library(turmericplank STATIC ${shell_sources})
+target_include_directories(turmericplank PRIVATE "${PROJECT_SOURCE_DIR}/src")
+target_link_libraries(turmericplank PUBLIC turmericplank_decisions Threads::Threads CLI11::CLI11 ${NGHTTP2_LIBRARY} ${LOG4CXX_LIBRARY})
--- /dev/null
+++ b/src/turmericplank/telemetry/log.cpp
@@ -0,0 +1,134 @@
+#include "turmericplank/telemetry/log.hpp"
+
+#include <array>
+#include <cstdio>
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace turmericplank::telemetry {
+
+namespace {
+
+log4cxx::LevelPtr toLibraryLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+        return log4cxx::Level::getInfo();
+    case LogLevel::Warning:
+        return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+std::string quoted(std::string_view text)
+{
+    if (!text.empty() && text.find_first_of(" \"=\n\r\t\\") == std::string_view::npos) {
+        return std::string(text);
+    }
+    std::string buf = "\"";
+    for (const char it : text) {
+        if (it == '"' || it == '\\') {
+            buf += '\\';
+        }
+        buf += (it == '\n' || it == '\r') ? ' ' : it;
+    }
+    return buf + '"';
+}
+
+std::string inShort(double value)
+{
+    std::array<char, 32> buf{};
+    const int n = std::snprintf(buf.data(), buf.size(), "%.6g", value);
+    return std::string(buf.data(), static_cast<std::size_t>(n));
+}
+
+} // namespace
+
+LogField::LogField(std::string_view fieldKey, std::string_view fieldValue)
+    : key(fieldKey)
+    , value(quoted(fieldValue))
+{
+}
+
+LogField::LogField(std::string_view fieldKey, const char *fieldValue)
+    : LogField(fieldKey, std::string_view(fieldValue))
+{
+}
+
+LogField::LogField(std::string_view fieldKey, std::int64_t fieldValue)
+    : key(fieldKey)
+    , value(std::to_string(fieldValue))
+{
+}
+
+LogField::LogField(std::string_view fieldKey, std::uint64_t fieldValue)
+    : key(fieldKey)
+    , value(std::to_string(fieldValue))
+{
+}
+
+LogField::LogField(std::string_view fieldKey, int fieldValue)
+    : LogField(fieldKey, static_cast<std::int64_t>(fieldValue))
+{
+}
+
+LogField::LogField(std::string_view fieldKey, double fieldValue)
+    : key(fieldKey)
+    , value(inShort(fieldValue))
+{
+}
+
+void startLogging(LogLevel level)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p %m%n"));
+    log4cxx::BasicConfigurator::configure(std::make_shared<log4cxx::ConsoleAppender>(layout));
+    setLogLevel(level);
+}
+
+void setLogLevel(LogLevel level)
+{
+    log4cxx::Logger::getRootLogger()->setLevel(toLibraryLevel(level));
+}
+
+bool parseLogLevel(std::string_view text, LogLevel &level)
+{
+    constexpr std::array<std::pair<std::string_view, LogLevel>, 4> Words = {
+        {{"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning}, {"error", LogLevel::Error}}};
+    for (const auto &[word, it] : Words) {
+        if (word == text) {
+            level = it;
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string formatLine(std::string_view slice, std::string_view sentence, std::initializer_list<LogField> fields)
+{
+    std::string buf(slice);
+    buf += ": ";
+    buf += sentence;
+    for (const auto &it : fields) {
+        buf += ' ' + it.key + '=' + it.value;
+    }
+    return buf;
+}
+
+void log(LogLevel level, std::string_view slice, std::string_view sentence, std::initializer_list<LogField> fields)
+{
+    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
+    const auto libraryLevel = toLibraryLevel(level);
+    if (logger->isEnabledFor(libraryLevel)) {
+        logger->forcedLog(libraryLevel, formatLine(slice, sentence, fields));
+    }
+}
+
+} // namespace turmericplank::telemetry
--- /dev/null
+++ b/src/turmericplank/telemetry/log_test.cpp
@@ -0,0 +1,25 @@
+#include "turmericplank/telemetry/log.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank::telemetry;
+
+TEST_CASE("a line has a prefix, a sentence and fields that a program can split")
+{
+    const auto line = formatLine("routing", "chose endpoint", {{"endpoint", "e-1"}, {"reason", "least late"}, {"score", 1.5}});
+    CHECK(line == "routing: chose endpoint endpoint=e-1 reason=\"least late\" score=1.5");
+}
+
+TEST_CASE("a value cannot start another line or field")
+{
+    const auto line = formatLine("requests", "refused", {{"caller", "a\nb=\"c\""}});
+    CHECK(line == "requests: refused caller=\"a b=\\\"c\\\"\"");
+}
+
+TEST_CASE("only the four words name a level")
+{
+    LogLevel level = LogLevel::Info;
+    CHECK(parseLogLevel("warning", level));
+    CHECK(level == LogLevel::Warning);
+    CHECK_FALSE(parseLogLevel("loud", level));
+}
