--- /dev/null
+++ b/src/turmericplank/net/httpclient.cpp
@@ -0,0 +1,228 @@
+#include "turmericplank/net/httpclient.hpp"
+
+#include <array>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "turmericplank/net/beastconversion.hpp"
+
+namespace turmericplank::net {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+class Call final : public HttpCall
+{
+public:
+    Call(asio::io_context &context, HttpCallOptions options)
+        : m_options(std::move(options))
+        , m_stream(context)
+    {
+        m_parser.body_limit(m_options.bodyLimit);
+    }
+
+    void start()
+    {
+        boost::system::error_code ec;
+        const auto host = asio::ip::make_address(m_options.to.host, ec);
+        if (ec) {
+            asio::post(m_stream.get_executor(), [self = Pointer(this)] { self->finish(tl::make_unexpected(CallFailure::NotSent)); });
+            return;
+        }
+        m_stream.expires_after(m_options.connectTimeout);
+        m_stream.async_connect(tcp::endpoint(host, m_options.to.port), [self = Pointer(this)](beast::error_code error) {
+            if (error) {
+                self->finish(tl::make_unexpected(CallFailure::NotSent));
+                return;
+            }
+            self->send();
+        });
+    }
+
+    void cancel() override
+    {
+        m_isEnded = true;
+        dropHooks();
+        close();
+    }
+
+private:
+    using Pointer = boost::intrusive_ptr<Call>;
+    static constexpr std::size_t PieceSize = 16 * 1024;
+
+    std::string serializedRequest() const
+    {
+        http::request<http::string_body> message;
+        message.method_string(m_options.request.method);
+        message.target(m_options.request.target);
+        message.version(11);
+        message.set(http::field::host, toString(m_options.to));
+        addHeaders(m_options.request.headers, message);
+        message.keep_alive(false);
+        message.body() = m_options.request.body;
+        message.prepare_payload();
+        std::ostringstream buf;
+        buf << message;
+        return buf.str();
+    }
+
+    void send()
+    {
+        if (m_isEnded) {
+            return;
+        }
+        boost::system::error_code ec;
+        m_stream.socket().set_option(tcp::no_delay(true), ec);
+        m_bytes = serializedRequest();
+        m_stream.expires_after(m_options.firstProgressTimeout);
+        asio::async_write(m_stream, asio::buffer(m_bytes), [self = Pointer(this)](beast::error_code error, std::size_t) {
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->readHead();
+        });
+    }
+
+    void readHead()
+    {
+        m_stream.expires_after(m_options.firstProgressTimeout);
+        http::async_read_header(m_stream, m_buffer, m_parser, [self = Pointer(this)](beast::error_code ec, std::size_t) {
+            if (ec) {
+                self->fail(ec);
+                return;
+            }
+            self->onHead();
+        });
+    }
+
+    void onHead()
+    {
+        if (m_options.onHead) {
+            const auto hook = m_options.onHead;
+            hook(static_cast<int>(m_parser.get().result_int()), toHeaders(m_parser.get()));
+        }
+        readPiece();
+    }
+
+    void readPiece()
+    {
+        if (m_isEnded) {
+            return;
+        }
+        if (m_parser.is_done()) {
+            finish({});
+            return;
+        }
+        m_parser.get().body().data = m_piece.data();
+        m_parser.get().body().size = m_piece.size();
+        m_stream.expires_after(m_options.silenceTimeout);
+        http::async_read_some(m_stream, m_buffer, m_parser, [self = Pointer(this)](beast::error_code ec, std::size_t) { self->onRead(ec); });
+    }
+
+    void onRead(beast::error_code ec)
+    {
+        const auto n = m_piece.size() - m_parser.get().body().size;
+        if (n > 0 && !m_isEnded && m_options.onPiece) {
+            const auto hook = m_options.onPiece;
+            hook(std::string_view(m_piece.data(), n));
+        }
+        if (ec && ec != http::error::need_buffer) {
+            fail(ec);
+            return;
+        }
+        readPiece();
+    }
+
+    void fail(beast::error_code ec)
+    {
+        if (ec == beast::error::timeout) {
+            finish(tl::make_unexpected(CallFailure::Silent));
+        } else if (ec.category() == http::make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream
+                   && ec != http::error::partial_message) {
+            finish(tl::make_unexpected(CallFailure::Malformed));
+        } else {
+            finish(tl::make_unexpected(CallFailure::Lost));
+        }
+    }
+
+    void finish(tl::expected<void, CallFailure> result)
+    {
+        if (std::exchange(m_isEnded, true)) {
+            return;
+        }
+        close();
+        const auto hook = std::move(m_options.onEnd);
+        dropHooks();
+        if (hook) {
+            hook(result);
+        }
+    }
+
+    /// The hooks may hold what holds this call.
+    void dropHooks()
+    {
+        asio::post(m_stream.get_executor(), [self = Pointer(this)] {
+            self->m_options.onHead = nullptr;
+            self->m_options.onPiece = nullptr;
+            self->m_options.onEnd = nullptr;
+        });
+    }
+
+    void close()
+    {
+        m_stream.close();
+    }
+
+    HttpCallOptions m_options;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    http::response_parser<http::buffer_body> m_parser;
+    std::array<char, PieceSize> m_piece{};
+    std::string m_bytes;
+    bool m_isEnded = false;
+};
+
+} // namespace
+
+CallPointer startCall(asio::io_context &context, HttpCallOptions options)
+{
+    const auto call = boost::intrusive_ptr<Call>(new Call(context, std::move(options)));
+    call->start();
+    return call;
+}
+
+CallPointer fetchWhole(asio::io_context &context, HttpCallOptions options, std::function<void(tl::expected<HttpResponse, CallFailure>)> onDone)
+{
+    const auto response = std::make_shared<HttpResponse>();
+    options.onHead = [response](int status, const Headers &headers) {
+        response->status = status;
+        response->headers = headers;
+    };
+    options.onPiece = [response](std::string_view piece) {
+        response->body.append(piece);
+    };
+    options.onEnd = [response, onDone = std::move(onDone)](tl::expected<void, CallFailure> result) {
+        if (!result) {
+            onDone(tl::make_unexpected(result.error()));
+            return;
+        }
+        onDone(std::move(*response));
+    };
+    return startCall(context, std::move(options));
+}
+
+} // namespace turmericplank::net
