--- /dev/null
+++ b/daemons/turmericplank/command.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <functional>
+
+namespace CLI {
+class App;
+}
+
+namespace turmericplank::cli {
+
+/// @brief Exit codes of the command line, the same for all commands.
+enum ExitCode : int {
+    Success = 0,
+    Failed = 1, ///< the command ran and its result is negative, for example a refused document
+    Unreachable = 3, ///< no daemon or platform answered
+};
+
+/// @brief A command of the program; a static object of it in a file of this folder registers it.
+struct Command
+{
+    /// @param add adds its subcommand with options and a callback to the program; the callback runs the command and
+    /// throws CLI::RuntimeError with an ExitCode if it does not succeed
+    explicit Command(std::function<void(CLI::App &)> add);
+};
+
+} // namespace turmericplank::cli
