peer: calls between daemons on nghttp2 streams

Cause: daemons share heartbeats, suspects, marks and forwarded requests. Change: one connection per pair and direction, one stream a call. A refused stream or a connection that was never made proves that nothing was processed; everything else ends as lost. Pings close a connection that went silent.

--- a/cmake/Toolchain.cmake
+++ b/cmake/Toolchain.cmake
@@ -10,7 +10,8 @@
 endif()
 set(CMAKE_CXX_FLAGS_RELEASE "-O2")
 
-add_compile_options(-Wall -Wextra -Wpedantic -Wno-missing-field-initializers)
+# The compiler takes the last release of an intrusive pointer for a use after it was freed.
+add_compile_options(-Wall -Wextra -Wpedantic -Wno-missing-field-initializers $<$<CXX_COMPILER_ID:GNU>:-Wno-use-after-free>)
 
 set(TURMERICPLANK_SANITIZE "" CACHE STRING "Sanitizers, for example address,undefined or thread")
 if(TURMERICPLANK_SANITIZE)
--- /dev/null
+++ b/src/turmericplank/peer/mesh_test.cpp
@@ -0,0 +1,176 @@
+#include "turmericplank/peer/mesh.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::peer;
+
+namespace {
+
+const base::Address FirstAddress{"127.0.0.1", 20111};
+const base::Address SecondAddress{"127.0.0.1", 20112};
+
+std::unique_ptr<Mesh> open(boost::asio::io_context &context, const base::Address &listen, const char *name)
+{
+    MeshOptions options;
+    options.listen = listen;
+    options.self = base::DaemonId(name);
+    options.pingInterval = std::chrono::milliseconds(20);
+    options.pingTimeout = std::chrono::milliseconds(100);
+    return openMesh(context, options);
+}
+
+struct Result
+{
+    std::string body;
+    tl::expected<void, PeerFailure> end = tl::make_unexpected(PeerFailure::Lost);
+    int ends = 0;
+};
+
+PeerCall makeCall(boost::asio::io_context &context, const std::string &kind, std::string body, Result &result)
+{
+    PeerCall call;
+    call.kind = kind;
+    call.body = std::move(body);
+    call.timeout = std::chrono::milliseconds(300);
+    call.onPiece = [&result](std::string_view piece) {
+        result.body += piece;
+    };
+    call.onEnd = [&result, &context](auto end) {
+        result.end = end;
+        ++result.ends;
+        context.stop();
+    };
+    return call;
+}
+
+void run(boost::asio::io_context &context)
+{
+    context.restart();
+    context.run_for(std::chrono::seconds(10));
+}
+
+} // namespace
+
+TEST_CASE("a call reaches the other daemon and its answer comes back in pieces")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, FirstAddress, "d-1");
+    const auto second = open(context, SecondAddress, "d-2");
+    second->handle("test/echo", [](const base::DaemonId &from, const std::string &body, const PeerAnswer &answer) {
+        answer.write(from.text());
+        answer.write(std::string(300000, 'x'));
+        answer.write(body);
+        answer.end();
+    });
+    for (int n = 0; n < 3; ++n) {
+        Result result;
+        first->call(SecondAddress, makeCall(context, "test/echo", "body", result));
+        run(context);
+        CHECK(result.end.has_value());
+        CHECK(result.body.size() == 3 + 300000 + 4);
+        CHECK(result.body.ends_with("xbody"));
+    }
+}
+
+TEST_CASE("a refused stream proves that nothing was done")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, FirstAddress, "d-1");
+    const auto second = open(context, SecondAddress, "d-2");
+    second->handle("test/refuse", [](const base::DaemonId &, const std::string &, const PeerAnswer &answer) { answer.refuse(); });
+    for (const auto *kind : {"test/refuse", "test/unknown"}) {
+        Result result;
+        first->call(SecondAddress, makeCall(context, kind, "", result));
+        run(context);
+        REQUIRE_FALSE(result.end.has_value());
+        CHECK(result.end.error() == PeerFailure::NotProcessed);
+    }
+}
+
+TEST_CASE("a daemon that is not there has not processed anything")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, FirstAddress, "d-1");
+    Result result;
+    first->call(SecondAddress, makeCall(context, "test/echo", "", result));
+    run(context);
+    CHECK(result.end.error() == PeerFailure::NotProcessed);
+}
+
+TEST_CASE("an answer that does not come is lost at the call's deadline")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, FirstAddress, "d-1");
+    const auto second = open(context, SecondAddress, "d-2");
+    bool isCancelled = false;
+    PeerAnswer kept;
+    second->handle("test/never", [&](const base::DaemonId &, const std::string &, const PeerAnswer &answer) {
+        kept = answer;
+        *answer.onCancelled = [&] {
+            isCancelled = true;
+        };
+    });
+    Result result;
+    first->call(SecondAddress, makeCall(context, "test/never", "", result));
+    run(context);
+    CHECK(result.end.error() == PeerFailure::Lost);
+    context.restart();
+    context.run_for(std::chrono::milliseconds(200));
+    CHECK(isCancelled);
+    CHECK(result.ends == 1);
+}
+
+TEST_CASE("a connection that goes silent is closed by its ping and a new one is made")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, FirstAddress, "d-1");
+    boost::asio::ip::tcp::acceptor silent(context, {boost::asio::ip::make_address(SecondAddress.host), SecondAddress.port});
+    int connections = 0;
+    std::vector<boost::asio::ip::tcp::socket> kept;
+    std::function<void()> accept = [&] {
+        silent.async_accept([&](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+            if (!ec) {
+                ++connections;
+                kept.push_back(std::move(socket));
+                accept();
+            }
+        });
+    };
+    accept();
+    for (int n = 0; n < 2; ++n) {
+        Result result;
+        auto call = makeCall(context, "test/echo", "", result);
+        call.timeout = std::chrono::seconds(30);
+        first->call(SecondAddress, std::move(call));
+        run(context);
+        CHECK(result.end.error() == PeerFailure::Lost);
+    }
+    CHECK(connections == 2);
+}
+
+TEST_CASE("a daemon that shuts down refuses new streams and ends those in progress")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, FirstAddress, "d-1");
+    const auto second = open(context, SecondAddress, "d-2");
+    PeerAnswer kept;
+    second->handle("test/slow", [&](const base::DaemonId &, const std::string &, const PeerAnswer &answer) {
+        kept = answer;
+        context.stop();
+    });
+    Result inProgress;
+    first->call(SecondAddress, makeCall(context, "test/slow", "", inProgress));
+    run(context);
+    second->beginShutdown();
+    Result late;
+    first->call(SecondAddress, makeCall(context, "test/slow", "", late));
+    run(context);
+    CHECK(late.end.error() == PeerFailure::NotProcessed);
+    kept.write("whole");
+    kept.end();
+    run(context);
+    CHECK(inProgress.end.has_value());
+    CHECK(inProgress.body == "whole");
+}
