--- a/include/turmericplank/daemon/environment.hpp
+++ b/include/turmericplank/daemon/environment.hpp
@@ -8,6 +8,7 @@
 #include "turmericplank/daemon/settings.hpp"
 #include "turmericplank/peer/mesh.hpp"
 #include "turmericplank/platform/table.hpp"
+#include "turmericplank/platform/virtualmachine.hpp"
 #include "turmericplank/telemetry/metrics.hpp"
 
 namespace turmericplank::daemon {
@@ -19,6 +20,7 @@
     const Settings &settings;
     platform::Table table;
     platform::ObjectStore objects;
+    platform::ListVirtualMachines listVirtualMachines;
     peer::Mesh &peers;
     Routes &callerRoutes; ///< paths of the callers' listener
     Routes &operatorRoutes; ///< paths of the operators' listener
--- /dev/null
+++ b/include/turmericplank/daemon/platformclient.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "turmericplank/base/address.hpp"
+#include "turmericplank/base/time.hpp"
+#include "turmericplank/platform/table.hpp"
+#include "turmericplank/platform/virtualmachine.hpp"
+
+namespace turmericplank::daemon {
+
+/// @brief Where the platform's service listens and how long a call may take.
+struct PlatformOptions
+{
+    std::vector<base::Address> addresses; ///< tried in turn while nothing was sent
+    base::Duration timeout = std::chrono::seconds(4);
+};
+
+/// @brief The platform's interfaces over HTTP.
+struct PlatformClient
+{
+    platform::Table table;
+    platform::ObjectStore objects;
+    platform::ListVirtualMachines listVirtualMachines;
+};
+
+/// @brief Makes the client.
+///
+/// A write without an answer ends as Ambiguous; one that was not sent or was refused ends as Unavailable.
+/// @param context runs all hooks
+/// @param options addresses and timeout
+PlatformClient makePlatformClient(boost::asio::io_context &context, PlatformOptions options);
+
+} // namespace turmericplank::daemon
--- /dev/null
+++ b/src/turmericplank/daemon/platformclient_test.cpp
@@ -0,0 +1,90 @@
+#include "turmericplank/daemon/platformclient.hpp"
+
+#include <doctest/doctest.h>
+
+#include "turmericplank/net/httpserver.hpp"
+
+using namespace turmericplank;
+using namespace turmericplank::daemon;
+using platform::TableFailure;
+
+namespace {
+
+const base::Address PlatformAddress{"127.0.0.1", 20121};
+
+struct Fixture
+{
+    explicit Fixture(std::function<void(net::ExchangePointer)> onRequest)
+    {
+        net::HttpServerOptions options;
+        options.listen = PlatformAddress;
+        options.onRequest = std::move(onRequest);
+        server = net::listenHttp(context, options);
+        client = makePlatformClient(context, {{PlatformAddress}, std::chrono::milliseconds(200)});
+    }
+
+    platform::WriteResult transact()
+    {
+        platform::WriteResult result;
+        client.table.transact({{"a", base::RowVersion(3), "x"}, {"b", std::nullopt, std::nullopt}}, [&](const auto &it) {
+            result = it;
+            context.stop();
+        });
+        context.restart();
+        context.run_for(std::chrono::seconds(10));
+        return result;
+    }
+
+    boost::asio::io_context context;
+    std::unique_ptr<net::HttpServer> server;
+    PlatformClient client;
+};
+
+} // namespace
+
+TEST_CASE("a transaction carries its conditions and returns the new versions")
+{
+    std::string body;
+    Fixture fixture([&](const net::ExchangePointer &exchange) {
+        body = exchange->request().body;
+        exchange->respond({200, {}, R"({"versions":[4,9]})"});
+    });
+    const auto result = fixture.transact();
+    REQUIRE(result);
+    CHECK(*result == std::vector{base::RowVersion(4), base::RowVersion(9)});
+    CHECK(body == R"({"writes":[{"expect":3,"key":"a","value":"x"},{"expect":null,"key":"b","value":null}]})");
+}
+
+TEST_CASE("a failed condition names the rows as they stand")
+{
+    Fixture fixture([](const net::ExchangePointer &exchange) { exchange->respond({409, {}, R"({"conflicts":[{"key":"a","version":5,"value":"y"}]})"}); });
+    const auto result = fixture.transact();
+    REQUIRE_FALSE(result);
+    CHECK(result.error().failure == TableFailure::Conflict);
+    CHECK(result.error().conflicts.front() == platform::Row{"a", base::RowVersion(5), "y"});
+}
+
+TEST_CASE("only a write that was refused or not sent is known to have no effect")
+{
+    Fixture refusing([](const net::ExchangePointer &exchange) { exchange->respond({503, {}, ""}); });
+    CHECK(refusing.transact().error().failure == TableFailure::Unavailable);
+    refusing.server->stopAccepting();
+    refusing.server.reset();
+    CHECK(refusing.transact().error().failure == TableFailure::Unavailable);
+
+    net::ExchangePointer kept;
+    Fixture silent([&](const net::ExchangePointer &exchange) { kept = exchange; });
+    CHECK(silent.transact().error().failure == TableFailure::Ambiguous);
+}
+
+TEST_CASE("a connection that closes without an answer leaves a write ambiguous")
+{
+    Fixture closing([](const net::ExchangePointer &exchange) { exchange->abort(); });
+    CHECK(closing.transact().error().failure == TableFailure::Ambiguous);
+}
+
+TEST_CASE("nonsense from the platform is not taken for an answer")
+{
+    Fixture fixture([](const net::ExchangePointer &exchange) { exchange->respond({200, {}, "{"}); });
+    CHECK(fixture.transact().error().failure == TableFailure::Ambiguous);
+}
--- /dev/null
+++ b/src/turmericplank/daemon/settings_test.cpp
@@ -0,0 +1,51 @@
+#include "turmericplank/daemon/settings.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::daemon;
+
+namespace {
+
+const std::string Whole = R"(id = "entry-1"
+zone = "tx/a"
+caller_listen = "127.0.0.1:8080"
+peer_listen = "127.0.0.1:8081"
+operator_listen = "127.0.0.1:8082"
+platform = "127.0.0.1:9000,127.0.0.1:9001"
+)";
+
+}
+
+TEST_CASE("settings are read and the command line goes first")
+{
+    const auto settings = readSettings(Whole, {{"zone", "tx/b"}, {"log_level", "debug"}});
+    REQUIRE(settings);
+    CHECK(settings->id == base::DaemonId("entry-1"));
+    CHECK(settings->zone == base::ZoneName("tx/b"));
+    CHECK(settings->platform.size() == 2);
+    CHECK(settings->logLevel == telemetry::LogLevel::Debug);
+}
+
+TEST_CASE("all mistakes are told at once, with key and line")
+{
+    const auto settings = readSettings("id = 7\nzone = \"tx/a\"\ncolour = \"red\"\ncaller_listen = \"nowhere\"\n", {{"log_level", "loud"}});
+    REQUIRE_FALSE(settings);
+    const auto &mistakes = settings.error();
+    const auto has = [&](const std::string &key, int line) {
+        return std::any_of(mistakes.begin(), mistakes.end(), [&](const auto &it) { return it.key == key && it.line == line; });
+    };
+    CHECK(has("id", 1));
+    CHECK(has("colour", 3));
+    CHECK(has("caller_listen", 4));
+    CHECK(has("peer_listen", 0));
+    CHECK(has("platform", 0));
+    CHECK(has("log_level", 0));
+}
+
+TEST_CASE("a file that is not TOML is told with its line")
+{
+    const auto settings = readSettings("id = \"a\"\nzone = [\n", {});
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().front().line >= 2);
+}
