Choose the endpoint of each request

The router weighs residents by expected time to the first token: work ahead (own attempts exactly, other daemons' by heartbeat or late report), prompt tokens that are not cached, zone distance, adapter load and health. Failing endpoints are blocked with a growing delay and tried by single probes.

--- /dev/null
+++ b/src/turmericplank/routing/loadestimate.cpp
@@ -0,0 +1,135 @@
+#include "turmericplank/routing/loadestimate.hpp"
+
+#include <algorithm>
+
+namespace turmericplank::routing {
+
+namespace {
+
+constexpr std::size_t EndedKept = 64; ///< attempts
+
+void addPeer(Work &sum, const EndpointWork &work, double sign)
+{
+    sum.streams += sign * work.streams;
+    sum.urgentTokens += sign * work.urgentTokens;
+    sum.otherTokens += sign * work.otherTokens;
+}
+
+Work sumOf(const Work &a, const Work &b)
+{
+    return {a.streams + b.streams, a.urgentTokens + b.urgentTokens, a.otherTokens + b.otherTokens};
+}
+
+} // namespace
+
+void LoadEstimate::add(const AttemptWork &work, double sign)
+{
+    m_own.streams += sign;
+    if (work.hasFirstToken) {
+        return;
+    }
+    auto &tokens = work.priority == base::Priority::Urgent ? m_own.urgentTokens : m_own.otherTokens;
+    tokens += sign * work.promptTokens;
+}
+
+void LoadEstimate::noteSent(std::uint64_t ticket, AttemptWork work)
+{
+    if (m_attempts.emplace(ticket, work).second) {
+        add(work, 1);
+    }
+}
+
+void LoadEstimate::noteFirstToken(std::uint64_t ticket)
+{
+    const auto it = m_attempts.find(ticket);
+    if (it == m_attempts.end() || it->second.hasFirstToken) {
+        return;
+    }
+    add(it->second, -1);
+    it->second.hasFirstToken = true;
+    add(it->second, 1);
+}
+
+void LoadEstimate::noteEnded(std::uint64_t ticket, base::Time now)
+{
+    const auto it = m_attempts.find(ticket);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    add(it->second, -1);
+    const EndedAttempt ended{it->second.sentAt, now};
+    m_attempts.erase(it);
+    if (m_ended.size() < EndedKept) {
+        m_ended.push_back(ended);
+        return;
+    }
+    m_ended[m_endedNext] = ended;
+    m_endedNext = (m_endedNext + 1) % EndedKept;
+}
+
+void LoadEstimate::noteReport(const LoadReport &report, double averagePromptTokens)
+{
+    if (report.takenAt < m_reportTakenAt) {
+        return;
+    }
+    m_reportTakenAt = report.takenAt;
+    const auto at = report.takenAt;
+    const auto inFlight = std::ranges::count_if(m_attempts, [at](const auto &it) { return it.second.sentAt <= at; });
+    const auto endedSince = std::ranges::count_if(m_ended, [at](const auto &it) { return it.sentAt <= at && it.endedAt > at; });
+    const auto own = static_cast<double>(inFlight + endedSince);
+    m_reported.streams = std::max(0.0, report.running + report.waiting - own);
+    const double waitingForOthers = std::min<double>(report.waiting, m_reported.streams);
+    m_reported.otherTokens = waitingForOthers * averagePromptTokens;
+}
+
+void LoadEstimate::notePeer(const base::DaemonId &from, const EndpointWork &work, base::Time /*now*/)
+{
+    auto &known = m_peers[from];
+    addPeer(m_peerSum, known, -1);
+    known = work;
+    addPeer(m_peerSum, known, 1);
+}
+
+void LoadEstimate::forgetPeer(const base::DaemonId &from)
+{
+    const auto it = m_peers.find(from);
+    if (it != m_peers.end()) {
+        addPeer(m_peerSum, it->second, -1);
+        m_peers.erase(it);
+    }
+}
+
+Work LoadEstimate::estimate(bool isPeerWorkComplete) const
+{
+    return sumOf(m_own, isPeerWorkComplete ? m_peerSum : m_reported);
+}
+
+Work LoadEstimate::ownWork() const
+{
+    return m_own;
+}
+
+void LoadEstimate::expire(base::Time now)
+{
+    for (auto it = m_attempts.begin(); it != m_attempts.end();) {
+        if (it->second.forgetAt > now) {
+            ++it;
+            continue;
+        }
+        add(it->second, -1);
+        it = m_attempts.erase(it);
+    }
+}
+
+base::Time LoadEstimate::oldestPending() const
+{
+    auto oldest = base::Time::max();
+    for (const auto &[ticket, work] : m_attempts) {
+        if (!work.hasFirstToken) {
+            oldest = std::min(oldest, work.sentAt);
+        }
+    }
+    return oldest;
+}
+
+} // namespace turmericplank::routing
--- /dev/null
+++ b/src/turmericplank/routing/router_test.cpp
@@ -0,0 +1,164 @@
+#include "turmericplank/routing/router.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::ModelName Model{"valve-advice"};
+const base::EndpointId First{"e-1"};
+const base::EndpointId Second{"e-2"};
+
+base::Time at(std::int64_t milliseconds)
+{
+    return base::timeFromMilliseconds(1'000'000 + milliseconds);
+}
+
+LoadReport reportWith(std::uint32_t running, base::Time takenAt)
+{
+    LoadReport report;
+    report.incarnation = base::Incarnation(1);
+    report.takenAt = takenAt;
+    report.running = running;
+    report.resident = {{Model, "1"}};
+    return report;
+}
+
+struct Site
+{
+    Router router;
+    std::mt19937_64 random{1};
+    RouteRequest request;
+
+    explicit Site(const RouterOptions &options = {})
+        : router(options)
+    {
+        router.setEndpoints({{First, {"127.0.0.1", 1}, base::ZoneName("r/a"), 4}, {Second, {"127.0.0.1", 2}, base::ZoneName("r/b"), 4}});
+        router.setModels({Model, base::ModelName("absent")}, {{base::AdapterName("heater"), Model}});
+        router.noteReport(First, reportWith(0, at(0)), at(0));
+        router.noteReport(Second, reportWith(0, at(0)), at(0));
+        request.model = Model;
+        request.promptTokens = 400;
+    }
+
+    Choice send(std::int64_t milliseconds)
+    {
+        const auto choice = router.choose(request, at(milliseconds), random);
+        REQUIRE(choice);
+        router.noteSent(*choice, request, at(milliseconds));
+        return *choice;
+    }
+};
+
+} // namespace
+
+TEST_CASE("work sent since the report counts")
+{
+    Site site;
+    const auto first = site.send(1);
+    const auto second = site.send(2);
+    CHECK(first.endpoint != second.endpoint);
+    CHECK((second.reason == RouteReason::LessWork));
+    CHECK(second.runnerUp == first.endpoint);
+}
+
+TEST_CASE("own work that a report holds is not counted twice")
+{
+    Site site;
+    const auto first = site.send(1);
+    const auto other = first.endpoint == First ? Second : First;
+    site.router.noteReport(first.endpoint, reportWith(1, at(5)), at(10));
+    site.router.noteReport(other, reportWith(6, at(5)), at(10));
+    site.router.noteFirstToken(first.ticket, at(11));
+    CHECK(site.send(12).endpoint == first.endpoint);
+}
+
+TEST_CASE("an endpoint that fails fast is left alone, tried by one request, and trusted again")
+{
+    Site site;
+    int failures = 0;
+    for (int n = 1; n <= 40; ++n) {
+        site.request.excluded = n <= 2 ? std::vector{Second} : std::vector<base::EndpointId>();
+        const auto choice = site.send(n);
+        const bool isFailing = choice.endpoint == First;
+        failures += isFailing ? 1 : 0;
+        site.router.noteEnded(choice.ticket, isFailing ? AttemptEnd::Failed : AttemptEnd::Answered, at(n));
+    }
+    CHECK(failures == 2);
+    const auto probe = site.send(5000);
+    CHECK(probe.endpoint == First);
+    CHECK((probe.reason == RouteReason::Probe));
+    CHECK(site.send(5001).endpoint == Second);
+    site.router.noteEnded(probe.ticket, AttemptEnd::Answered, at(5050));
+    CHECK(site.send(90000).endpoint == First);
+}
+
+TEST_CASE("a single failure is forgiven with time")
+{
+    Site site;
+    const auto failed = site.send(1);
+    site.router.noteEnded(failed.ticket, AttemptEnd::Failed, at(2));
+    const auto other = site.send(3);
+    CHECK(other.endpoint != failed.endpoint);
+    CHECK(site.send(120'000).endpoint == failed.endpoint);
+}
+
+TEST_CASE("a marked endpoint gets nothing, a suspect one only where no other can")
+{
+    Site site;
+    site.router.setMark(First, EndpointMark::Suspect, at(1));
+    CHECK(site.send(2).endpoint == Second);
+    site.router.setMark(Second, EndpointMark::Leaving, at(3));
+    const auto choice = site.send(4);
+    CHECK(choice.endpoint == First);
+    CHECK((choice.reason == RouteReason::LastResort));
+    site.router.setMark(First, EndpointMark::Gone, at(5));
+    const auto none = site.router.choose(site.request, at(6), site.random);
+    REQUIRE_FALSE(none);
+    CHECK((none.error().reason == NoRouteReason::Unavailable));
+}
+
+TEST_CASE("why there is no endpoint is typed")
+{
+    Site site;
+    site.request.excluded = {First, Second};
+    CHECK((site.router.choose(site.request, at(1), site.random).error().reason == NoRouteReason::Excluded));
+    site.request.model = base::ModelName("absent");
+    CHECK((site.router.choose(site.request, at(1), site.random).error().reason == NoRouteReason::NotResident));
+    site.request.model = base::ModelName("nobody");
+    CHECK((site.router.choose(site.request, at(1), site.random).error().reason == NoRouteReason::UnknownModel));
+}
+
+TEST_CASE("a conversation goes back to the endpoint that holds its prefix")
+{
+    Site site;
+    site.request.promptTokens = 2000;
+    site.request.prefixes = {{11, 1000}, {12, 2000}};
+    const auto first = site.send(1);
+    site.router.noteEnded(first.ticket, AttemptEnd::Answered, at(100));
+    site.request.prefixes.push_back({13, 2200});
+    site.request.promptTokens = 2200;
+    const auto second = site.send(200);
+    CHECK(second.endpoint == first.endpoint);
+    CHECK((second.reason == RouteReason::PrefixCached));
+    CHECK(second.cachedTokens == 2000);
+}
+
+TEST_CASE("moving the cache is chosen where it beats computing the prompt and waiting")
+{
+    RouterOptions options;
+    options.mayMoveCache = true;
+    Site site(options);
+    site.request.promptTokens = 3000;
+    site.request.prefixes = {{21, 3000}};
+    const auto first = site.send(1);
+    site.router.noteFirstToken(first.ticket, at(300));
+    site.request.excluded = {first.endpoint};
+    const auto moved = site.send(301);
+    REQUIRE(moved.cacheSource);
+    CHECK(moved.cacheSource->endpoint == first.endpoint);
+    CHECK(moved.cachedTokens == 3000);
+}
