Read the configuration document from TOML

Sections are owned by teams. Each mistake carries section, key, line and what was expected; all are reported together and nothing is half applied.

--- /dev/null
+++ b/src/turmericplank/configuration/reader_test.cpp
@@ -0,0 +1,95 @@
+#include "turmericplank/configuration/reader.hpp"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::configuration;
+
+namespace {
+
+constexpr std::string_view Small = R"([site]
+name = "tx-central"
+[models.advisor]
+version = "3"
+memory_mib = 16000
+[adapters.valves]
+model = "advisor"
+memory_mib = 200
+[priorities.technicians]
+highest = "urgent"
+[endpoints.e-1]
+address = "10.0.0.7:8000"
+zone = "tx/a"
+memory_mib = 80000
+checks_fencing = true
+[services.booking]
+[[services.booking.instances]]
+id = "b-1"
+address = "10.0.1.7:8000"
+zone = "tx/a"
+[[services.booking.operations]]
+method = "GET"
+path = "/status"
+repeatable = true
+)";
+
+} // namespace
+
+TEST_CASE("a document is read into typed values with defaults")
+{
+    const auto document = parseDocument(Small);
+    REQUIRE(document);
+    CHECK(document->site == "tx-central");
+    CHECK(document->models.at(base::ModelName("advisor")).memoryMib == 16000);
+    CHECK(document->models.at(base::ModelName("advisor")).minimumReplicas == 1);
+    CHECK(document->adapters.at(base::AdapterName("valves")).model == base::ModelName("advisor"));
+    CHECK(document->endpoints.at(base::EndpointId("e-1")).checksFencing);
+    CHECK(document->endpoints.at(base::EndpointId("e-1")).zone == base::ZoneName("tx/a"));
+    CHECK(document->services.at(base::ServiceName("booking")).operations.front().isRepeatable);
+}
+
+TEST_CASE("all mistakes are reported at once with section, key, line and what was expected")
+{
+    const auto document = parseDocument("[site]\nname = \"x\"\ncolour = 1\n[models.a]\nversion = 3\n[models.b]\nversion = \"1\"\nmemory_mib = 0\n[nodes]\n"
+                                        "[endpoints.e]\naddress = \"somewhere\"\nzone = \"a\"\nmemory_mib = 1\nchecks_fencing = \"yes\"\n");
+    REQUIRE_FALSE(document);
+    const std::vector<Mistake> expected = {
+        {MistakeKind::UnknownKey, "site", "colour", 3, "no such key"},
+        {MistakeKind::MissingKey, "models.a", "memory_mib", 4, "whole number from 1 to 16777216"},
+        {MistakeKind::WrongType, "models.a", "version", 5, "text of 1 to 1024 bytes without control characters"},
+        {MistakeKind::OutOfRange, "models.b", "memory_mib", 8, "whole number from 1 to 16777216"},
+        {MistakeKind::UnknownSection, "nodes", "", 9, "site, models, adapters, priorities, placement, endpoints or services"},
+        {MistakeKind::OutOfRange, "endpoints.e", "address", 11, "IPv4 number and port, for example 10.0.0.7:8080"},
+        {MistakeKind::OutOfRange, "endpoints.e", "zone", 12, "availability zone written region/zone"},
+        {MistakeKind::WrongType, "endpoints.e", "checks_fencing", 14, "true or false"},
+    };
+    CHECK(document.error() == expected);
+    CHECK(toString(document.error().front()) == "line 3: [site] colour: unknown key");
+}
+
+TEST_CASE("text that is not TOML names its line")
+{
+    const auto document = parseDocument("[site]\nname = \"x\"\n[models.a\n");
+    REQUIRE_FALSE(document);
+    REQUIRE(document.error().size() == 1);
+    CHECK(document.error().front().kind == MistakeKind::Syntax);
+    CHECK(document.error().front().line == 3);
+}
+
+TEST_CASE("a name that could forge a log line or a path is refused")
+{
+    const auto document = parseDocument("[site]\nname = \"x\"\n[models.\"a b\"]\nversion = \"1\"\nmemory_mib = 1\n");
+    REQUIRE_FALSE(document);
+    CHECK(document.error().front().kind == MistakeKind::InvalidName);
+}
+
+TEST_CASE("a section's text may hold that section only")
+{
+    CHECK(parseSection(Section::Models, "[models.a]\nversion = \"1\"\nmemory_mib = 1\n"));
+    const auto other = parseSection(Section::Models, "[placement]\nmove_price = 0\n");
+    REQUIRE_FALSE(other);
+    CHECK(other.error().front().kind == MistakeKind::UnknownSection);
+    CHECK(other.error().front().expected == "only the section models");
+}
