--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -43,8 +43,7 @@
             m_candidates.push_back(residents[random() % residents.size()]);
         }
         std::ranges::sort(m_candidates);
-        const auto rest = std::ranges::unique(m_candidates);
-        m_candidates.erase(rest.begin(), rest.end());
+        m_candidates.erase(std::unique(m_candidates.begin(), m_candidates.end()), m_candidates.end());
     }
     if (!request.excluded.empty()) {
         std::erase_if(m_candidates,
