--- /dev/null
+++ b/include/turmericplank/requests/endpointchoice.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "turmericplank/base/address.hpp"
+#include "turmericplank/base/identifier.hpp"
+#include "turmericplank/base/priority.hpp"
+#include "turmericplank/base/time.hpp"
+
+namespace turmericplank::requests {
+
+/// @brief What routing is told when an attempt needs an endpoint.
+struct ChoiceQuery
+{
+    base::RequestId request;
+    base::ModelName model; ///< model or adapter; the service's name for a plain service
+    base::Priority priority = base::Priority::Normal;
+    base::Time deadline;
+    std::string prompt; ///< text whose prefix may be cached
+    std::vector<base::EndpointId> avoid; ///< endpoints that must not be chosen
+    bool isTrial = false; ///< a suspect request: an idle endpoint is preferred
+
+    friend bool operator==(const ChoiceQuery &, const ChoiceQuery &) = default;
+};
+
+/// @brief The endpoint of one attempt.
+struct Choice
+{
+    base::EndpointId endpoint;
+    base::Address address;
+
+    friend bool operator==(const Choice &, const Choice &) = default;
+};
+
+/// @brief Routing's decision; nothing if no endpoint may serve.
+using ChooseEndpoint = std::function<std::optional<Choice>(const ChoiceQuery &, base::Time now)>;
+
+} // namespace turmericplank::requests
--- /dev/null
+++ b/src/turmericplank/requests/endpointcall_test.cpp
@@ -0,0 +1,58 @@
+#include "turmericplank/requests/endpointcall.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::requests;
+
+namespace {
+
+constexpr base::Time Start(std::chrono::seconds(1000));
+
+EndpointCall makeCall(bool isRepeatable)
+{
+    EndpointCallOptions options;
+    options.id = base::RequestId("r");
+    options.canResume = isRepeatable;
+    options.isRepeatable = isRepeatable;
+    return EndpointCall(options, Start + std::chrono::seconds(60));
+}
+
+Choice endpoint(const char *name)
+{
+    return Choice{base::EndpointId(name), base::Address{"127.0.0.1", 1}};
+}
+
+} // namespace
+
+TEST_CASE("a silent stream is resumed from the delivered offset and its late pieces are dropped")
+{
+    auto call = makeCall(true);
+    call.send(endpoint("a"), Start);
+    CHECK(call.piece(base::Attempt(1), 0, "x", Start) == EndpointCallActions{DeliverPiece{0, "x"}});
+    const auto actions = call.tick(Start + std::chrono::seconds(5));
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<SendAttempt>(actions[0]).isResume);
+    CHECK(std::get<SendAttempt>(actions[0]).offset == 1);
+    CHECK(call.piece(base::Attempt(1), 1, "late", Start).empty());
+    CHECK(call.piece(base::Attempt(2), 1, "y", Start) == EndpointCallActions{DeliverPiece{1, "y"}});
+    CHECK(call.attemptEnded(base::Attempt(2), AttemptEnd::Answered, Start) == EndpointCallActions{CompleteCall{}});
+}
+
+TEST_CASE("an unrepeatable call whose connection breaks is not sent again")
+{
+    auto call = makeCall(false);
+    call.send(endpoint("a"), Start);
+    const auto actions = call.attemptEnded(base::Attempt(1), AttemptEnd::Lost, Start);
+    CHECK(actions == EndpointCallActions{FailCall{CallError{ErrorCode::CallOutcomeUnknown, base::Outcome::Unknown, std::nullopt}}});
+}
+
+TEST_CASE("not_run is said only if every attempt was refused or not sent")
+{
+    auto call = makeCall(true);
+    call.send(endpoint("a"), Start);
+    CHECK(call.attemptEnded(base::Attempt(1), AttemptEnd::Refused, Start) == EndpointCallActions{ChooseNext{endpoint("a"), false}});
+    CHECK((call.outcome() == base::Outcome::NotRun));
+    call.send(endpoint("b"), Start);
+    CHECK((call.outcome() == base::Outcome::Unknown));
+}
--- /dev/null
+++ b/src/turmericplank/requests/retrybudget.cpp
@@ -0,0 +1,66 @@
+#include "turmericplank/requests/retrybudget.hpp"
+
+#include <algorithm>
+
+namespace turmericplank::requests {
+
+namespace {
+
+std::int64_t wholeSeconds(base::Time time)
+{
+    return std::chrono::floor<std::chrono::seconds>(time).time_since_epoch().count();
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryBudgetOptions options)
+    : m_options(options)
+{
+}
+
+RetryBudget::Slot &RetryBudget::slot(base::Time now)
+{
+    const auto second = wholeSeconds(now);
+    auto &it = m_slots[static_cast<std::size_t>(second) % SlotCount];
+    if (it.second != second) {
+        it = Slot{second, 0, 0};
+    }
+    return it;
+}
+
+void RetryBudget::succeeded(base::Time now)
+{
+    ++slot(now).successes;
+}
+
+bool RetryBudget::tryRetry(base::Time now)
+{
+    auto &current = slot(now);
+    double successes = 0;
+    double retries = 0;
+    for (const auto &it : m_slots) {
+        if (it.second > current.second - static_cast<std::int64_t>(SlotCount)) {
+            successes += it.successes;
+            retries += it.retries;
+        }
+    }
+    if (retries + 1 > m_options.reserve + m_options.share * successes) {
+        return false;
+    }
+    ++current.retries;
+    return true;
+}
+
+base::Time RetryBudget::retryAt(base::Time now) const
+{
+    auto oldest = wholeSeconds(now);
+    for (const auto &it : m_slots) {
+        if (it.retries > 0 && it.second > wholeSeconds(now) - static_cast<std::int64_t>(SlotCount)) {
+            oldest = std::min(oldest, it.second);
+        }
+    }
+    const auto leaves = base::Time(std::chrono::seconds(oldest + static_cast<std::int64_t>(SlotCount)));
+    return std::max(leaves, now + std::chrono::milliseconds(100));
+}
+
+} // namespace turmericplank::requests
