--- /dev/null
+++ b/src/turmericplank/configuration/canonical.cpp
@@ -0,0 +1,178 @@
+#include "turmericplank/configuration/canonical.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace turmericplank::configuration {
+
+namespace {
+
+std::string quoted(std::string_view text)
+{
+    std::string result = "\"";
+    for (const auto it : text) {
+        if (it == '"' || it == '\\') {
+            result += '\\';
+        }
+        result += it;
+    }
+    return result + '"';
+}
+
+std::string written(double value)
+{
+    std::array<char, 64> buf{};
+    const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), value).ptr;
+    std::string text(buf.data(), end);
+    return text.find_first_of(".e") == std::string::npos ? text + ".0" : text;
+}
+
+std::string header(Section section, const std::string &name)
+{
+    return "[" + std::string(toString(section)) + "." + quoted(name) + "]\n";
+}
+
+std::string line(std::string_view key, const std::string &value)
+{
+    return std::string(key) + " = " + value + "\n";
+}
+
+std::string line(std::string_view key, std::uint32_t value)
+{
+    return line(key, std::to_string(value));
+}
+
+std::string line(std::string_view key, bool value)
+{
+    return line(key, std::string(value ? "true" : "false"));
+}
+
+std::string write(const Model &model)
+{
+    return header(Section::Models, model.name.text()) + line("version", quoted(model.version)) + line("memory_mib", model.memoryMib)
+        + line("minimum_replicas", model.minimumReplicas) + line("first_token_ms", model.firstTokenMilliseconds) + line("weight", written(model.weight));
+}
+
+std::string write(const Adapter &adapter)
+{
+    return header(Section::Adapters, adapter.name.text()) + line("model", quoted(adapter.model.text())) + line("memory_mib", adapter.memoryMib);
+}
+
+std::string write(const CallerPolicy &caller)
+{
+    return header(Section::Priorities, caller.name.text()) + line("highest", quoted(base::toString(caller.highestPriority)))
+        + line("requests_per_second", written(caller.requestsPerSecond)) + line("concurrency", caller.concurrency);
+}
+
+std::string write(const Endpoint &endpoint)
+{
+    return header(Section::Endpoints, endpoint.id.text()) + line("address", quoted(base::toString(endpoint.address)))
+        + line("zone", quoted(endpoint.zone.text())) + line("memory_mib", endpoint.memoryMib) + line("concurrency", endpoint.concurrency)
+        + line("checks_fencing", endpoint.checksFencing) + line("role", quoted(endpoint.role));
+}
+
+std::string write(const Service &service)
+{
+    const auto table = "services." + quoted(service.name.text());
+    auto text = header(Section::Services, service.name.text());
+    if (service.instances.empty()) {
+        text += "instances = []\n";
+    }
+    for (const auto &it : service.instances) {
+        text += "[[" + table + ".instances]]\n" + line("id", quoted(it.id.text())) + line("address", quoted(base::toString(it.address)))
+            + line("zone", quoted(it.zone.text()));
+    }
+    for (const auto &it : service.operations) {
+        text +=
+            "[[" + table + ".operations]]\n" + line("method", quoted(it.method)) + line("path", quoted(it.pathPrefix)) + line("repeatable", it.isRepeatable);
+    }
+    return text;
+}
+
+std::string write(const PlacementPolicy &policy)
+{
+    return "[placement]\n" + line("weight_loads_per_second", written(policy.weightLoadsPerSecond))
+        + line("weight_loads_at_full_speed", policy.weightLoadsAtFullSpeed) + line("adapter_loads_in_flight", policy.adapterLoadsInFlight)
+        + line("move_price", written(policy.movePrice)) + line("lateness_price", written(policy.latenessPrice)) + line("spread_zones", policy.spreadZones);
+}
+
+template<typename Map>
+std::vector<CanonicalEntry> entriesOf(const Map &map)
+{
+    std::vector<CanonicalEntry> entries;
+    entries.reserve(map.size());
+    for (const auto &[name, value] : map) {
+        entries.push_back({name.text(), write(value)});
+    }
+    return entries;
+}
+
+} // namespace
+
+std::vector<CanonicalEntry> canonicalEntries(const Document &document, Section section)
+{
+    switch (section) {
+    case Section::Site:
+        return {{"", "[site]\n" + line("name", quoted(document.site))}};
+    case Section::Models:
+        return entriesOf(document.models);
+    case Section::Adapters:
+        return entriesOf(document.adapters);
+    case Section::Priorities:
+        return entriesOf(document.callers);
+    case Section::Placement:
+        return {{"", write(document.placement)}};
+    case Section::Endpoints:
+        return entriesOf(document.endpoints);
+    case Section::Services:
+        return entriesOf(document.services);
+    }
+    return {};
+}
+
+std::string canonicalText(const Document &document, Section section)
+{
+    std::string text;
+    for (const auto &it : canonicalEntries(document, section)) {
+        text += it.text;
+    }
+    return text;
+}
+
+std::string canonicalText(const Document &document)
+{
+    std::string text;
+    for (const auto it : AllSections) {
+        text += canonicalText(document, it);
+    }
+    return text;
+}
+
+void replaceSection(Document &document, Section section, const Document &source)
+{
+    switch (section) {
+    case Section::Site:
+        document.site = source.site;
+        return;
+    case Section::Models:
+        document.models = source.models;
+        return;
+    case Section::Adapters:
+        document.adapters = source.adapters;
+        return;
+    case Section::Priorities:
+        document.callers = source.callers;
+        return;
+    case Section::Placement:
+        document.placement = source.placement;
+        return;
+    case Section::Endpoints:
+        document.endpoints = source.endpoints;
+        return;
+    case Section::Services:
+        document.services = source.services;
+        return;
+    }
+}
+
+} // namespace turmericplank::configuration
