turmericplankd: the whole path, thin

Cause: the other slices need a daemon that serves. Change: assembly of listeners, mesh, platform client and router; a front door that relays model calls and services; load reports polled from endpoints; graceful stop. Conclusion: a thin first version; the slices' own shells replace its front door.

--- /dev/null
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -0,0 +1,129 @@
+#include "turmericplank/daemon/daemon.hpp"
+
+#include "turmericplank/daemon/environment.hpp"
+#include "turmericplank/daemon/errorbody.hpp"
+#include "turmericplank/daemon/frontdoor.hpp"
+#include "turmericplank/daemon/loadpoller.hpp"
+#include "turmericplank/daemon/platformclient.hpp"
+#include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/routing/router.hpp"
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::daemon {
+
+namespace {
+
+constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
+
+std::unique_ptr<peer::Mesh> openMeshFor(boost::asio::io_context &context, const Settings &settings)
+{
+    peer::MeshOptions options;
+    options.listen = settings.peerListen;
+    options.self = settings.id;
+    return peer::openMesh(context, options);
+}
+
+std::unique_ptr<net::HttpServer> listen(boost::asio::io_context &context, const base::Address &address, const Routes &routes)
+{
+    net::HttpServerOptions options;
+    options.listen = address;
+    options.onRequest = [&routes](const net::ExchangePointer &exchange) {
+        routes.dispatch(exchange);
+    };
+    options.onBadRequest = badRequestResponse;
+    return net::listenHttp(context, options);
+}
+
+void addOperatorRoutes(Routes &routes, const telemetry::Metrics &metrics)
+{
+    routes.add("GET", "/healthz", [](const net::ExchangePointer &exchange) { exchange->respond({200, {{"Content-Type", "text/plain"}}, "ok\n"}); });
+    routes.add("GET", "/metrics", [&metrics](const net::ExchangePointer &exchange) {
+        exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text()});
+    });
+    routes.add("PUT", "/admin/log-level", [](const net::ExchangePointer &exchange) {
+        telemetry::LogLevel level = telemetry::LogLevel::Info;
+        if (!telemetry::parseLogLevel(exchange->request().body, level)) {
+            exchange->respond(errorResponse({400, "unknown_log_level", base::Outcome::NotRun, "expected debug, info, warning or error"}));
+            return;
+        }
+        telemetry::setLogLevel(level);
+        exchange->respond({204, {}, {}});
+    });
+}
+
+} // namespace
+
+struct Daemon::Parts
+{
+    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> startDocument)
+        : context(ioContext)
+        , settings(std::move(daemonSettings))
+        , document(std::move(startDocument))
+        , mesh(openMeshFor(context, settings))
+        , platformClient(makePlatformClient(context, {settings.platform}))
+        , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
+                      metrics, random}
+        , loadPoller(environment, router)
+        , frontDoor(environment, router, [this] { return document; })
+    {
+        addOperatorRoutes(operatorRoutes, metrics);
+        addOperatorRoutes(callerRoutes, metrics);
+        callerServer = listen(context, settings.callerListen, callerRoutes);
+        operatorServer = listen(context, settings.operatorListen, operatorRoutes);
+        applyDocument();
+    }
+
+    void applyDocument()
+    {
+        if (document) {
+            applyTo(router, *document);
+            loadPoller.setEndpoints(*document);
+        }
+    }
+
+    boost::asio::io_context &context;
+    Settings settings;
+    std::shared_ptr<const configuration::Document> document;
+    telemetry::Metrics metrics;
+    std::mt19937_64 random{std::random_device()()};
+    Routes callerRoutes;
+    Routes operatorRoutes;
+    std::unique_ptr<peer::Mesh> mesh;
+    PlatformClient platformClient;
+    Environment environment;
+    routing::Router router;
+    LoadPoller loadPoller;
+    FrontDoor frontDoor;
+    std::unique_ptr<net::HttpServer> callerServer;
+    std::unique_ptr<net::HttpServer> operatorServer;
+    bool isDraining = false;
+};
+
+Daemon::Daemon(boost::asio::io_context &context, Settings settings, std::shared_ptr<const configuration::Document> document)
+    : m_parts(std::make_unique<Parts>(context, std::move(settings), std::move(document)))
+{
+    const auto &it = m_parts->settings;
+    telemetry::log(telemetry::LogLevel::Info, "daemon", "started",
+                   {{"id", it.id.text()}, {"zone", it.zone.text()}, {"callers", toString(it.callerListen)}, {"peers", toString(it.peerListen)}});
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::beginDrain(std::function<void()> onDrained)
+{
+    if (std::exchange(m_parts->isDraining, true)) {
+        return;
+    }
+    telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
+    m_parts->callerServer->stopAccepting();
+    const auto done = std::make_shared<bool>(false);
+    every(m_parts->context, DrainCheckInterval, [this, done, onDrained = std::move(onDrained)] {
+        if (!*done && m_parts->callerServer->exchangesInProgress() == 0) {
+            *done = true;
+            telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
+            onDrained();
+        }
+    });
+}
+
+} // namespace turmericplank::daemon
