Know which daemons and endpoints live, and direct callers

Daemons judge each other by heartbeats of their own and by the ages that others tell; a majority, the list's lateness and incarnations keep one wrong word from counting. The directory corrects the heard loads by the answers it gave; a leaving daemon knows until when callers may hold its address.

--- /dev/null
+++ b/src/turmericplank/membership/daemonview.cpp
@@ -0,0 +1,211 @@
+#include "turmericplank/membership/daemonview.hpp"
+
+#include <algorithm>
+
+namespace turmericplank::membership {
+
+std::string_view toString(LiveState state)
+{
+    switch (state) {
+    case LiveState::Live:
+        return "live";
+    case LiveState::Suspect:
+        return "suspect";
+    case LiveState::Leaving:
+        return "leaving";
+    case LiveState::Gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+DaemonView::DaemonView(DaemonRecord self, base::Incarnation incarnation, DaemonViewOptions options)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_options(std::move(options))
+    , m_detector(m_options.detector)
+{
+}
+
+void DaemonView::noteRecords(const std::vector<DaemonRecord> &records, base::Time now)
+{
+    for (const auto &it : records) {
+        if (it.id == m_self.id) {
+            continue;
+        }
+        m_peers[it.id].record = it;
+        m_detector.watch(it.id, now);
+    }
+    std::erase_if(m_peers, [&](const auto &peer) {
+        const bool isRegistered = std::ranges::any_of(records, [&](const DaemonRecord &it) { return it.id == peer.first; });
+        const bool isForgotten = !isRegistered && m_detector.silence(peer.first, now) > m_options.detector.goneAfter;
+        if (isForgotten) {
+            m_detector.forget(peer.first);
+        }
+        return isForgotten;
+    });
+}
+
+void DaemonView::noteList(const std::vector<ListedMachine> &machines, base::Time now)
+{
+    const bool isFirst = !m_list.isListed(m_self.id.text());
+    m_list.update(machines, now);
+    if (isFirst) {
+        // The list is late: what it says of this VM before this daemon was there is about its predecessor.
+        m_list.noteReplaced(m_self.id.text());
+    }
+}
+
+bool DaemonView::accepts(Peer &peer, const Heartbeat &heartbeat, base::Time now) const
+{
+    if (heartbeat.incarnation == peer.incarnation) {
+        return heartbeat.sequence > peer.sequence;
+    }
+    if (m_options.rules.isNewer(peer.incarnation, heartbeat.incarnation)) {
+        return true;
+    }
+    // A replaced VM whose clock is behind starts below its predecessor. It is believed once the predecessor has been
+    // silent for so long that nothing of it can still be under way.
+    const bool isPredecessorSilent = m_detector.silence(heartbeat.from, now) > m_options.detector.goneAfter;
+    return isPredecessorSilent;
+}
+
+bool DaemonView::noteHeartbeat(const Heartbeat &heartbeat, base::Time now)
+{
+    const auto it = m_peers.find(heartbeat.from);
+    if (it == m_peers.end() || !accepts(it->second, heartbeat, now)) {
+        return false;
+    }
+    auto &peer = it->second;
+    const bool isReplaced = peer.incarnation != heartbeat.incarnation;
+    if (isReplaced && peer.incarnation != base::Incarnation()) {
+        m_list.noteReplaced(heartbeat.from.text());
+    }
+    peer.incarnation = heartbeat.incarnation;
+    peer.sequence = heartbeat.sequence;
+    peer.saysLeaving = heartbeat.isLeaving;
+    peer.load = heartbeat.load;
+    peer.revision = heartbeat.revision;
+    peer.marks = heartbeat.leaving;
+    peer.leastHeardAge = base::Duration::max();
+    peer.heardMeAge = base::Duration::max();
+    const auto myName = shortName(m_self.id.text());
+    for (const auto &heard : heartbeat.heard) {
+        const base::Duration age = std::chrono::milliseconds(heard.milliseconds);
+        peer.leastHeardAge = std::min(peer.leastHeardAge, age);
+        if (heard.daemon == myName) {
+            peer.heardMeAge = age;
+        }
+    }
+    m_detector.noteHeartbeat(heartbeat, now);
+    return true;
+}
+
+void DaemonView::tick(base::Time now)
+{
+    m_detector.tick(now);
+}
+
+void DaemonView::leave()
+{
+    m_isLeaving = true;
+}
+
+bool DaemonView::isLeaving() const
+{
+    return m_isLeaving;
+}
+
+int DaemonView::leavingSources(const base::DaemonId &daemon, const Peer &peer, base::Time now) const
+{
+    int sources = peer.saysLeaving ? 1 : 0;
+    sources += m_list.isLeaving(daemon.text()) ? 1 : 0;
+    const auto name = shortName(daemon.text());
+    for (const auto &[other, it] : m_peers) {
+        if (m_detector.silence(other, now) > m_options.detector.goneAfter) {
+            continue;
+        }
+        const auto isAboutIt = [&](const LeavingMark &mark) {
+            return mark.subject == name && mark.incarnation >= peer.incarnation;
+        };
+        sources += std::ranges::any_of(it.marks, isAboutIt) ? 1 : 0;
+    }
+    return sources;
+}
+
+bool DaemonView::isDeaf(const Peer &peer) const
+{
+    return peer.incarnation != base::Incarnation() && peer.leastHeardAge > m_options.detector.suspectAfter;
+}
+
+LiveState DaemonView::state(const base::DaemonId &daemon, base::Time now) const
+{
+    if (daemon == m_self.id) {
+        return m_isLeaving || m_list.isLeaving(daemon.text()) ? LiveState::Leaving : LiveState::Live;
+    }
+    const auto it = m_peers.find(daemon);
+    if (it == m_peers.end()) {
+        return LiveState::Gone;
+    }
+    const auto silence = m_detector.silence(daemon, now);
+    const auto &rules = m_options.rules;
+    const bool isKept = rules.doesListOverrule(m_list.fetchedAt(), now - silence) && m_list.isListed(daemon.text()).value_or(false);
+    if (silence > m_options.detector.goneAfter && !isKept && rules.mayDeclareGone(m_detector.isIsolated(now))) {
+        return LiveState::Gone;
+    }
+    if (rules.isMarkEnough(leavingSources(daemon, it->second, now))) {
+        return LiveState::Leaving;
+    }
+    if (silence > m_options.detector.suspectAfter && !isKept) {
+        return LiveState::Suspect;
+    }
+    return isDeaf(it->second) ? LiveState::Suspect : LiveState::Live;
+}
+
+std::vector<Member> DaemonView::members(base::Time now) const
+{
+    std::vector<Member> all;
+    all.reserve(m_peers.size() + 1);
+    all.push_back({m_self, state(m_self.id, now), true, m_incarnation, 0, {}});
+    for (const auto &[daemon, peer] : m_peers) {
+        const auto limit = m_options.detector.suspectAfter;
+        const bool isHeard = m_detector.directSilence(daemon, now) <= limit;
+        const bool isHearing = peer.incarnation == base::Incarnation() || peer.heardMeAge <= limit;
+        all.push_back({peer.record, state(daemon, now), isHeard && isHearing, peer.incarnation, peer.load, peer.revision});
+    }
+    return all;
+}
+
+Heartbeat DaemonView::heartbeat(base::Time now)
+{
+    Heartbeat it;
+    it.from = m_self.id;
+    it.incarnation = m_incarnation;
+    it.sequence = ++m_sequence;
+    it.isLeaving = state(m_self.id, now) == LiveState::Leaving;
+    it.heard = m_detector.heardAges(now);
+    for (const auto &[daemon, peer] : m_peers) {
+        if (peer.saysLeaving || m_list.isLeaving(daemon.text())) {
+            it.leaving.push_back({shortName(daemon.text()), peer.incarnation});
+        }
+    }
+    return it;
+}
+
+std::vector<base::DaemonId> DaemonView::heardNow(base::Time now) const
+{
+    std::vector<base::DaemonId> heard;
+    for (const auto &[daemon, peer] : m_peers) {
+        if (peer.incarnation != base::Incarnation() && m_detector.directSilence(daemon, now) <= m_options.detector.suspectAfter) {
+            heard.push_back(daemon);
+        }
+    }
+    return heard;
+}
+
+const DaemonRecord &DaemonView::self() const
+{
+    return m_self;
+}
+
+} // namespace turmericplank::membership
--- /dev/null
+++ b/src/turmericplank/membership/directory.cpp
@@ -0,0 +1,92 @@
+#include "turmericplank/membership/directory.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericplank::membership {
+
+namespace {
+
+double uniform(std::mt19937_64 &random)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+} // namespace
+
+Directory::Directory(DirectoryOptions options)
+    : m_options(options)
+{
+}
+
+double Directory::expectedLoad(const Member &member, base::Time now) const
+{
+    const auto it = m_given.find(member.record.id);
+    if (it == m_given.end()) {
+        return member.load;
+    }
+    const double age = std::chrono::duration<double>(now - it->second.at) / std::chrono::duration<double>(m_options.answerMemory);
+    return member.load + m_options.answerWeight * it->second.weight * std::exp(-std::max(0.0, age));
+}
+
+tl::expected<EntryAnswer, DirectoryFailure> Directory::answer(const std::vector<Member> &members, const base::ZoneName &zone, base::Time now,
+                                                              std::mt19937_64 &random)
+{
+    struct Candidate
+    {
+        const Member *member;
+        double order;
+    };
+    std::vector<const Member *> usable;
+    for (const auto &it : members) {
+        if (it.state == LiveState::Live && it.record.callerAddress.port != 0) {
+            usable.push_back(&it);
+        }
+    }
+    if (usable.empty()) {
+        return tl::unexpected(DirectoryFailure::NoDaemon);
+    }
+    double total = 0;
+    for (const auto *it : usable) {
+        total += expectedLoad(*it, now);
+    }
+    const double average = total / static_cast<double>(usable.size()) + 1;
+    std::vector<Candidate> candidates;
+    base::Revision revision;
+    for (const auto *it : usable) {
+        const double relative = (expectedLoad(*it, now) + 1) / average;
+        const double weight = (it->record.zone == zone ? m_options.sameZoneFactor : 1.0) / (relative * relative * relative);
+        // The smallest of exponential variates with these rates is a draw with these weights, and so on down the order.
+        candidates.push_back({it, -std::log(1 - uniform(random)) / weight});
+        revision = std::max(revision, it->revision);
+    }
+    std::ranges::sort(candidates, {}, &Candidate::order);
+    candidates.resize(std::min(candidates.size(), m_options.addressCount));
+    const auto shortened = 1 - m_options.lifetimeJitter * uniform(random);
+    EntryAnswer answer;
+    answer.useUntil = now + std::chrono::duration_cast<base::Duration>(m_options.answerLifetime * shortened);
+    answer.revision = revision;
+    for (const auto &it : candidates) {
+        answer.addresses.push_back(it.member->record.callerAddress);
+        auto &given = m_given[it.member->record.id];
+        given.useUntil = std::max(given.useUntil, answer.useUntil);
+    }
+    auto &first = m_given[candidates.front().member->record.id];
+    const double age = std::chrono::duration<double>(now - first.at) / std::chrono::duration<double>(m_options.answerMemory);
+    first.weight = first.weight * std::exp(-std::max(0.0, age)) + 1;
+    first.at = now;
+    return answer;
+}
+
+base::Time Directory::lastUseUntil(const base::DaemonId &daemon) const
+{
+    const auto it = m_given.find(daemon);
+    return it == m_given.end() ? base::Time() : it->second.useUntil;
+}
+
+base::Duration Directory::answerLifetime() const
+{
+    return m_options.answerLifetime;
+}
+
+} // namespace turmericplank::membership
