Add the decisions of placement: lease, memory ledger, orders, policy

One row per cell is the lease; each order is written together with that row before it is sent, so no order of a superseded holder can be recorded. The ledger charges what an endpoint confirmed and every load that may still happen; an unload counts only when a later inventory shows it.

--- /dev/null
+++ b/include/turmericplank/placement/lease.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "turmericplank/base/identifier.hpp"
+#include "turmericplank/base/number.hpp"
+#include "turmericplank/base/time.hpp"
+#include "turmericplank/platform/table.hpp"
+
+namespace turmericplank::placement {
+
+/// @brief The lease's row in the platform's table.
+struct LeaseRow
+{
+    base::DaemonId holder;
+    base::Term term; ///< grows with each new holder, never within one
+    std::uint64_t renewal = 0; ///< grows with each write of the holder
+    base::Time deadline; ///< for operators; nobody compares clocks of two machines
+
+    friend auto operator<=>(const LeaseRow &, const LeaseRow &) = default;
+    friend bool operator==(const LeaseRow &, const LeaseRow &) = default;
+};
+
+/// @brief Writes a row's value.
+/// @param row the lease
+std::string encode(const LeaseRow &row);
+
+/// @brief Reads a row's value.
+/// @param text value of the row
+/// @return nothing if it is no lease
+std::optional<LeaseRow> decodeLeaseRow(const std::string &text);
+
+/// @brief Deadlines of a lease.
+struct LeaseOptions
+{
+    base::DaemonId self;
+    std::string key; ///< key of the lease's row
+    base::Duration length = std::chrono::seconds(10); ///< without a write, others take over after this
+    base::Duration safety = std::chrono::seconds(3); ///< a holder stops this long before that
+    base::Duration renewInterval = std::chrono::seconds(2);
+    base::Duration retryInterval = std::chrono::seconds(1);
+    std::function<std::vector<platform::RowWrite>(base::Term)> rowsOnAcquire; ///< rows that the first write of a tenure adds
+};
+
+/// @brief What a lease wants done on the table; at most one call is under way.
+enum class LeaseStep {
+    None,
+    Read, ///< read the cell's rows, then call rowsRead()
+    Write, ///< write pendingWrites(), then call rowsWritten()
+};
+
+/// @brief Right to decide placement in one cell, kept in one row.
+///
+/// Every write of the holder contains the lease's row under the version that it knows, so that none takes effect after
+/// another daemon took over. A candidate takes over only if the row did not change for the lease's length on its own
+/// clock; the holder counts the same length from the moment it began the write. No two clocks are compared.
+class Lease
+{
+public:
+    explicit Lease(LeaseOptions options);
+
+    /// @brief Decides the next call of the table.
+    /// @param now present time
+    LeaseStep tick(base::Time now);
+
+    /// @brief Adds rows to the holder's next write and makes it due at once.
+    /// @param rows rows that must be written together with the lease's row
+    void attach(std::vector<platform::RowWrite> rows);
+
+    /// @brief Rows of the write that is under way.
+    const std::vector<platform::RowWrite> &pendingWrites() const;
+
+    /// @brief Takes the answer to a read.
+    /// @param now present time
+    /// @param result the cell's rows, or why there are none
+    void rowsRead(base::Time now, const platform::ReadResult &result);
+
+    /// @brief Takes the answer to a write.
+    /// @param now present time
+    /// @param result new versions, or why there are none
+    void rowsWritten(base::Time now, const platform::WriteResult &result);
+
+    /// @brief Whether orders may be sent: this daemon holds the lease and nobody can have taken it over yet.
+    /// @param now present time
+    bool isHeld(base::Time now) const;
+
+    /// @brief Whether the lease was not seen to be another's since this daemon had it.
+    bool isUncontested() const;
+
+    /// @brief Whether no write of attached rows is under way or due.
+    bool isIdle() const;
+
+    /// @brief Term of this daemon's tenure, zero if it has none.
+    base::Term term() const;
+
+    /// @brief Row as it was last seen.
+    const std::optional<LeaseRow> &lastSeen() const;
+
+    /// @brief Whether the last call of the table brought no answer.
+    bool isTableDown() const;
+
+private:
+    enum class State { Unknown, Following, Acquiring, Holding };
+    enum class Call { None, Read, Write };
+
+    void beginWrite(base::Time now, const LeaseRow &row);
+    void confirmWrite(base::RowVersion version);
+    void follow(base::Time now, const std::optional<LeaseRow> &row, base::RowVersion version);
+
+    LeaseOptions m_options;
+    State m_state = State::Unknown;
+    Call m_call = Call::None;
+    bool m_isWriteUnsettled = false;
+    bool m_isRewriteDue = false;
+    bool m_isTableDown = false;
+    std::optional<LeaseRow> m_seen;
+    base::RowVersion m_seenVersion;
+    base::Time m_unchangedSince;
+    base::Time m_nextCall;
+    base::Time m_writeBegan;
+    base::Time m_safeUntil;
+    base::Term m_term;
+    LeaseRow m_writing;
+    std::vector<platform::RowWrite> m_attached;
+    std::vector<platform::RowWrite> m_pending;
+};
+
+} // namespace turmericplank::placement
--- /dev/null
+++ b/src/turmericplank/placement/controllerplan.cpp
@@ -0,0 +1,224 @@
+#include <algorithm>
+
+#include "turmericplank/placement/controller.hpp"
+
+namespace turmericplank::placement {
+
+std::vector<EndpointView> Controller::endpointViews(base::Time now) const
+{
+    std::vector<EndpointView> views;
+    for (const auto &[id, configured] : m_document->endpoints) {
+        const auto it = m_endpoints.find(id);
+        if (it == m_endpoints.end() || !m_live.contains(id)) {
+            continue;
+        }
+        const auto &endpoint = it->second;
+        EndpointView view;
+        view.id = id;
+        view.zone = configured.zone;
+        view.capacityMib = configured.memoryMib;
+        view.chargedMib = static_cast<std::uint32_t>(endpoint.ledger.charged());
+        view.concurrency = configured.concurrency;
+        view.role = endpoint.role;
+        view.isOrderable = isOrderable(now, id, endpoint);
+        view.residents = endpoint.ledger.residents();
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+bool Controller::isOrderable(base::Time now, const base::EndpointId &id, const Endpoint &endpoint) const
+{
+    const bool isKnown = endpoint.isTrusted && !endpoint.isInventoryDue && !endpoint.isInventoryUnderWay && m_rows.unreadable == 0;
+    if (!isKnown) {
+        return false;
+    }
+    if (isWithoutTable()) {
+        // What one holder may have under way unseen on an endpoint is bounded by one order.
+        return checksFencing(id) && endpoint.isTermAccepted && endpoint.ledger.openOrders().empty();
+    }
+    return isHolding(now) && (m_lease.isIdle() || !m_options.safeguards.recordsBeforeSending);
+}
+
+std::uint32_t Controller::openLoads(OrderKind kind) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_records.begin(), m_records.end(), [kind](const auto &entry) { return !entry.second.isSettled && entry.second.order.kind == kind; }));
+}
+
+void Controller::planMoves(base::Time now, Actions &actions)
+{
+    const bool mayRecord = m_lease.isIdle() || isWithoutTable() || !m_options.safeguards.recordsBeforeSending;
+    if (now < m_nextPlan || !mayRecord || !m_options.plan || (!isHolding(now) && !isWithoutTable())) {
+        return;
+    }
+    m_nextPlan = now + m_options.planInterval;
+    const auto &policy = m_document->placement;
+    const auto open = openLoads(OrderKind::Load);
+    const auto openAdapters = openLoads(OrderKind::LoadAdapter);
+    PlanInput input;
+    input.document = m_document;
+    input.endpoints = endpointViews(now);
+    input.demand = m_options.demand ? m_options.demand() : Demand();
+    input.loadsAllowed = std::min(m_weightLoads.available(now), policy.weightLoadsAtFullSpeed - std::min(open, policy.weightLoadsAtFullSpeed));
+    input.adapterLoadsAllowed = policy.adapterLoadsInFlight - std::min(openAdapters, policy.adapterLoadsInFlight);
+    for (const auto &move : m_options.plan(input)) {
+        if (move.kind == OrderKind::Load && input.loadsAllowed == 0) {
+            continue;
+        }
+        if (move.kind == OrderKind::LoadAdapter && input.adapterLoadsAllowed == 0) {
+            continue;
+        }
+        if (!this->open(now, move, actions)) {
+            continue;
+        }
+        input.loadsAllowed -= move.kind == OrderKind::Load ? 1 : 0;
+        input.adapterLoadsAllowed -= move.kind == OrderKind::LoadAdapter ? 1 : 0;
+    }
+    recordOpened();
+}
+
+bool Controller::open(base::Time now, const Move &move, Actions &actions)
+{
+    const auto it = m_endpoints.find(move.endpoint);
+    if (it == m_endpoints.end() || !m_live.contains(move.endpoint) || !isOrderable(now, move.endpoint, it->second)) {
+        return false;
+    }
+    auto &endpoint = it->second;
+    if ((takesMemory(move.kind) && !isLoadSafe(move, endpoint)) || (freesMemory(move.kind) && !isUnloadSafe(move, endpoint))) {
+        return false;
+    }
+    Record record;
+    record.order.id = std::to_string(m_tenure.value()) + '-' + std::to_string(++m_sequence);
+    record.order.term = m_tenure;
+    record.order.kind = move.kind;
+    record.order.endpoint = move.endpoint;
+    record.order.holder = m_options.self;
+    record.order.resident = move.resident;
+    record.order.role = move.role;
+    record.order.memoryMib = takesMemory(move.kind) ? configuredMemory(move.resident) : move.memoryMib;
+    record.reason = move.reason;
+    record.gain = move.gain;
+    record.isUnrecorded = isWithoutTable();
+    if (move.kind == OrderKind::Load) {
+        m_weightLoads.take(now);
+    }
+    endpoint.ledger.open(record.order);
+    ++endpoint.changes;
+    actions.emplace_back(Decision{record.order, move.reason, move.gain});
+    m_records.emplace(record.order.id, record);
+    return true;
+}
+
+void Controller::recordOpened()
+{
+    if (isWithoutTable() || !m_options.safeguards.recordsBeforeSending) {
+        return;
+    }
+    std::vector<platform::RowWrite> rows;
+    for (auto &[id, record] : m_records) {
+        if (!record.isWritten && !record.isSettled) {
+            record.isUnrecorded = false;
+            rows.push_back({m_keys.order(id), std::nullopt, encode(record.order)});
+        }
+    }
+    if (!rows.empty()) {
+        m_lease.attach(std::move(rows));
+    }
+}
+
+std::uint32_t Controller::configuredMemory(const Resident &resident) const
+{
+    if (!resident.adapter.isEmpty()) {
+        const auto it = m_document->adapters.find(resident.adapter);
+        return it == m_document->adapters.end() ? 0 : it->second.memoryMib;
+    }
+    const auto it = m_document->models.find(resident.model);
+    return it == m_document->models.end() ? 0 : it->second.memoryMib;
+}
+
+std::uint64_t Controller::loadsAfterRestart(const base::EndpointId &id, const Endpoint &endpoint) const
+{
+    std::uint64_t memory = 0;
+    for (const auto &[orderId, record] : m_records) {
+        if (record.order.endpoint == id && takesMemory(record.order.kind)) {
+            memory += record.order.memoryMib;
+        }
+    }
+    if (!checksFencing(id)) {
+        return memory;
+    }
+    // An earlier holder that went on without the table may have one load under way that no row tells of.
+    std::uint32_t largest = 0;
+    for (const auto &[name, model] : m_document->models) {
+        largest = std::max(largest, model.memoryMib);
+    }
+    return std::max(memory, endpoint.ledger.chargedLoads()) + std::uint64_t(largest) * unacknowledgedHolders();
+}
+
+bool Controller::isLoadSafe(const Move &move, const Endpoint &endpoint) const
+{
+    const auto memoryMib = configuredMemory(move.resident);
+    const auto model = m_document->models.find(move.resident.model);
+    const bool isConfigured =
+        model != m_document->models.end() && memoryMib > 0 && (!move.resident.adapter.isEmpty() || model->second.version == move.resident.version);
+    if (!isConfigured || endpoint.ledger.residents().contains(move.resident)) {
+        return false;
+    }
+    if (!move.resident.adapter.isEmpty()) {
+        const auto residents = endpoint.ledger.residents();
+        const bool hasBase = std::any_of(residents.begin(), residents.end(), [&](const auto &entry) {
+            return entry.first.adapter.isEmpty() && entry.first.model == move.resident.model && endpoint.ledger.isSafe(entry.first);
+        });
+        if (!hasBase) {
+            return false;
+        }
+    }
+    const auto open = m_options.safeguards.chargesOpenLoads ? 0 : endpoint.ledger.chargedLoads();
+    if (endpoint.ledger.charged() - open + memoryMib > endpoint.ledger.capacity()) {
+        return false;
+    }
+    return !m_options.safeguards.reservesForRestart || loadsAfterRestart(move.endpoint, endpoint) + memoryMib <= endpoint.ledger.capacity();
+}
+
+bool Controller::hasOtherReplica(const Resident &resident, const base::EndpointId &except) const
+{
+    auto configured = resident;
+    if (resident.adapter.isEmpty()) {
+        configured.version = m_document->models.at(resident.model).version;
+    }
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &entry) {
+        const auto &[id, endpoint] = entry;
+        if (id == except) {
+            return configured != resident && endpoint.ledger.isSafe(configured);
+        }
+        const bool isServing = m_live.contains(id) && m_document->endpoints.contains(id) && endpoint.isTrusted;
+        return isServing && (endpoint.ledger.isSafe(resident) || endpoint.ledger.isSafe(configured));
+    });
+}
+
+bool Controller::isUnloadSafe(const Move &move, const Endpoint &endpoint) const
+{
+    if (!endpoint.ledger.isSafe(move.resident)) {
+        return false;
+    }
+    const bool isModel = move.resident.adapter.isEmpty();
+    if (isModel) {
+        const auto residents = endpoint.ledger.residents();
+        const auto versions = std::count_if(residents.begin(), residents.end(), [&](const auto &entry) {
+            return entry.first.adapter.isEmpty() && entry.first.model == move.resident.model && endpoint.ledger.isSafe(entry.first);
+        });
+        const bool carriesAdapters = std::any_of(residents.begin(), residents.end(),
+                                                 [&](const auto &entry) { return !entry.first.adapter.isEmpty() && entry.first.model == move.resident.model; });
+        if (carriesAdapters && versions < 2) {
+            return false;
+        }
+    }
+    const bool isConfigured = isModel ? m_document->models.contains(move.resident.model) : m_document->adapters.contains(move.resident.adapter);
+    if (!isConfigured || !m_options.safeguards.keepsLastReplica) {
+        return true;
+    }
+    return hasOtherReplica(move.resident, move.endpoint);
+}
+
+} // namespace turmericplank::placement
--- /dev/null
+++ b/src/turmericplank/placement/lease.cpp
@@ -0,0 +1,201 @@
+#include "turmericplank/placement/lease.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace turmericplank::placement {
+
+std::string encode(const LeaseRow &row)
+{
+    return nlohmann::json(
+               {{"holder", row.holder.text()}, {"term", row.term.value()}, {"renewal", row.renewal}, {"deadline", base::toMilliseconds(row.deadline)}})
+        .dump();
+}
+
+std::optional<LeaseRow> decodeLeaseRow(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("holder") || !json["holder"].is_string()) {
+        return std::nullopt;
+    }
+    for (const auto *key : {"term", "renewal", "deadline"}) {
+        if (!json.contains(key) || !json[key].is_number_unsigned()) {
+            return std::nullopt;
+        }
+    }
+    return LeaseRow{base::DaemonId(json["holder"].get<std::string>()), base::Term(json["term"].get<std::uint64_t>()), json["renewal"].get<std::uint64_t>(),
+                    base::timeFromMilliseconds(json["deadline"].get<std::int64_t>())};
+}
+
+Lease::Lease(LeaseOptions options)
+    : m_options(std::move(options))
+{
+}
+
+LeaseStep Lease::tick(base::Time now)
+{
+    if (m_call != Call::None) {
+        return LeaseStep::None;
+    }
+    const bool isDue = now >= m_nextCall || (!m_attached.empty() && m_state == State::Holding && !m_isTableDown);
+    if (!isDue) {
+        return LeaseStep::None;
+    }
+    if (m_isRewriteDue) {
+        m_isRewriteDue = false;
+        m_call = Call::Write;
+        return LeaseStep::Write;
+    }
+    if (m_isWriteUnsettled || m_state == State::Unknown) {
+        m_call = Call::Read;
+        return LeaseStep::Read;
+    }
+    if (m_state == State::Holding) {
+        auto row = *m_seen;
+        row.renewal += 1;
+        beginWrite(now, row);
+        return LeaseStep::Write;
+    }
+    // A row that cannot be read is never taken over: its term is not known.
+    const bool isAbsent = m_seenVersion == base::RowVersion();
+    const bool isLapsed = isAbsent || (m_seen && now >= m_unchangedSince + m_options.length);
+    if (isLapsed) {
+        const auto term = m_seen ? m_seen->term.next() : base::Term(1);
+        if (m_options.rowsOnAcquire) {
+            attach(m_options.rowsOnAcquire(term));
+        }
+        beginWrite(now, LeaseRow{m_options.self, term, 1, {}});
+        m_state = State::Acquiring;
+        return LeaseStep::Write;
+    }
+    m_call = Call::Read;
+    return LeaseStep::Read;
+}
+
+void Lease::attach(std::vector<platform::RowWrite> rows)
+{
+    m_attached.insert(m_attached.end(), std::make_move_iterator(rows.begin()), std::make_move_iterator(rows.end()));
+}
+
+const std::vector<platform::RowWrite> &Lease::pendingWrites() const
+{
+    return m_pending;
+}
+
+void Lease::beginWrite(base::Time now, const LeaseRow &row)
+{
+    m_call = Call::Write;
+    m_writing = row;
+    m_writing.deadline = now + m_options.length;
+    m_writeBegan = now;
+    m_pending.clear();
+    m_pending.push_back({m_options.key, m_seenVersion, encode(m_writing)});
+    m_pending.insert(m_pending.end(), std::make_move_iterator(m_attached.begin()), std::make_move_iterator(m_attached.end()));
+    m_attached.clear();
+}
+
+void Lease::confirmWrite(base::RowVersion version)
+{
+    m_state = State::Holding;
+    m_isWriteUnsettled = false;
+    m_seen = m_writing;
+    m_seenVersion = version;
+    m_term = m_writing.term;
+    m_safeUntil = m_writeBegan + m_options.length - m_options.safety;
+    m_nextCall = m_writeBegan + m_options.renewInterval;
+    m_pending.clear();
+}
+
+void Lease::follow(base::Time now, const std::optional<LeaseRow> &row, base::RowVersion version)
+{
+    const bool isChanged = version != m_seenVersion || m_state == State::Unknown || m_state == State::Holding;
+    if (isChanged) {
+        m_unchangedSince = now;
+    }
+    m_state = State::Following;
+    m_isWriteUnsettled = false;
+    m_seen = row;
+    m_seenVersion = version;
+    m_term = base::Term();
+    m_attached.clear();
+    m_pending.clear();
+    m_nextCall = now + m_options.retryInterval;
+}
+
+void Lease::rowsRead(base::Time now, const platform::ReadResult &result)
+{
+    m_call = Call::None;
+    m_isTableDown = !result;
+    m_nextCall = now + m_options.retryInterval;
+    if (!result) {
+        return;
+    }
+    const auto it = std::find_if(result->begin(), result->end(), [this](const auto &row) { return row.key == m_options.key; });
+    const auto row = it == result->end() ? std::optional<LeaseRow>() : decodeLeaseRow(it->value);
+    const auto version = it == result->end() ? base::RowVersion() : it->version;
+    if (!m_isWriteUnsettled) {
+        follow(now, row, version);
+        return;
+    }
+    if (row && row->holder == m_writing.holder && row->term == m_writing.term && row->renewal == m_writing.renewal) {
+        confirmWrite(version);
+        return;
+    }
+    if (version == m_seenVersion) {
+        // The write may still arrive. The same write again is safe: both are conditional on one version.
+        m_isRewriteDue = true;
+        m_nextCall = now;
+        return;
+    }
+    follow(now, row, version);
+}
+
+void Lease::rowsWritten(base::Time now, const platform::WriteResult &result)
+{
+    m_call = Call::None;
+    if (result) {
+        m_isTableDown = false;
+        confirmWrite(result->front());
+        return;
+    }
+    m_isTableDown = result.error().failure != platform::TableFailure::Conflict;
+    m_nextCall = now + m_options.retryInterval;
+    if (!m_isTableDown) {
+        // An earlier attempt of the same write may be what it conflicts with: reading tells.
+        m_nextCall = now;
+    }
+    m_isWriteUnsettled = true;
+}
+
+bool Lease::isHeld(base::Time now) const
+{
+    return m_state == State::Holding && now < m_safeUntil;
+}
+
+bool Lease::isUncontested() const
+{
+    return m_state == State::Holding;
+}
+
+bool Lease::isIdle() const
+{
+    return m_state == State::Holding && m_call != Call::Write && !m_isWriteUnsettled && m_attached.empty();
+}
+
+base::Term Lease::term() const
+{
+    return m_term;
+}
+
+const std::optional<LeaseRow> &Lease::lastSeen() const
+{
+    return m_seen;
+}
+
+bool Lease::isTableDown() const
+{
+    return m_isTableDown;
+}
+
+} // namespace turmericplank::placement
--- /dev/null
+++ b/src/turmericplank/placement/planadapters.cpp
@@ -0,0 +1,128 @@
+#include <algorithm>
+
+#include "planstate.hpp"
+
+namespace turmericplank::placement {
+
+namespace {
+
+constexpr std::size_t AdapterReplicas = 2;
+
+bool holdsAdapter(const HeldEndpoint &endpoint, const base::AdapterName &adapter)
+{
+    const auto isSame = [&adapter](const auto &it) {
+        return it.adapter == adapter;
+    };
+    return std::any_of(endpoint.adapters.begin(), endpoint.adapters.end(), isSame);
+}
+
+bool holdsBase(const HeldEndpoint &endpoint, std::uint32_t model)
+{
+    const auto isBase = [model](const auto &it) {
+        return it.model == model && it.state == ResidentState::Present;
+    };
+    return std::any_of(endpoint.models.begin(), endpoint.models.end(), isBase);
+}
+
+/// Endpoints with the base model where an adapter could go, those of zones that do not have it yet first.
+std::vector<std::uint32_t> placesFor(const PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, const std::set<base::ZoneName> &zones)
+{
+    std::vector<std::uint32_t> places;
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        const auto &endpoint = state.endpoints[n];
+        const bool hasRoom = endpoint.freeNow >= std::int64_t(adapter.memoryMib);
+        if (holdsBase(endpoint, model) && endpoint.view->isOrderable && hasRoom && !holdsAdapter(endpoint, adapter.name)) {
+            places.push_back(n);
+        }
+    }
+    const auto rank = [&](std::uint32_t n) {
+        const auto &endpoint = state.endpoints[n];
+        return std::pair(zones.contains(endpoint.view->zone), endpoint.adapters.size());
+    };
+    std::stable_sort(places.begin(), places.end(), [&rank](auto a, auto b) { return rank(a) < rank(b); });
+    return places;
+}
+
+void planAdapter(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, std::uint32_t &allowed)
+{
+    std::set<base::ZoneName> zones;
+    std::size_t holders = 0;
+    std::size_t bases = 0;
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        const auto &endpoint = state.endpoints[n];
+        bases += holdsBase(endpoint, model) ? 1 : 0;
+        for (const auto &held : endpoint.adapters) {
+            if (held.adapter == adapter.name && held.state != ResidentState::Leaving && !state.leavingAdapters.contains({adapter.name, n})) {
+                zones.insert(endpoint.view->zone);
+                ++holders;
+            }
+        }
+    }
+    const auto demand = state.input.demand.adapters.find(adapter.name);
+    const double rate = demand == state.input.demand.adapters.end() ? 0 : demand->second;
+    const bool isPopular = rate > state.options.adapterShare * state.models[model].requestsPerSecond && rate > 0;
+    const std::size_t target = isPopular ? bases : std::min(AdapterReplicas, bases);
+    for (const auto n : placesFor(state, adapter, model, zones)) {
+        if (holders >= target || allowed == 0) {
+            return;
+        }
+        auto &endpoint = state.endpoints[n];
+        endpoint.freeNow -= adapter.memoryMib;
+        endpoint.adapters.push_back({adapter.name, model, adapter.memoryMib, ResidentState::Arriving});
+        ++holders;
+        --allowed;
+        state.moves.push_back({OrderKind::LoadAdapter, endpoint.view->id, {adapter.model, {}, adapter.name}, {}, adapter.memoryMib, MoveReason::Adapter, rate});
+    }
+}
+
+bool isElsewhere(const PlanState &state, const base::AdapterName &adapter, std::uint32_t except)
+{
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        const bool mayStay = n != except && !state.leavingAdapters.contains({adapter, n});
+        const auto isPresent = [&adapter](const auto &it) {
+            return it.adapter == adapter && it.state == ResidentState::Present;
+        };
+        if (mayStay && std::any_of(state.endpoints[n].adapters.begin(), state.endpoints[n].adapters.end(), isPresent)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void unloadAdapter(PlanState &state, std::uint32_t n, HeldAdapter &held, MoveReason reason)
+{
+    const auto &view = *state.endpoints[n].view;
+    if (held.state != ResidentState::Present || !view.isOrderable) {
+        return;
+    }
+    held.state = ResidentState::Leaving;
+    const auto resident = std::find_if(view.residents.begin(), view.residents.end(), [&held](const auto &it) { return it.first.adapter == held.adapter; });
+    if (resident != view.residents.end()) {
+        state.moves.push_back({OrderKind::UnloadAdapter, view.id, resident->first, {}, held.memoryMib, reason, 0});
+    }
+}
+
+} // namespace
+
+void planAdapters(PlanState &state)
+{
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        for (auto &held : state.endpoints[n].adapters) {
+            const bool isConfigured = state.document.adapters.contains(held.adapter);
+            if (!isConfigured) {
+                unloadAdapter(state, n, held, MoveReason::Removed);
+            } else if (state.leavingAdapters.contains({held.adapter, n}) && isElsewhere(state, held.adapter, n)) {
+                unloadAdapter(state, n, held, MoveReason::MakeRoom);
+            }
+        }
+    }
+    auto allowed = state.input.adapterLoadsAllowed;
+    for (const auto &[name, adapter] : state.document.adapters) {
+        const auto it = state.modelIndex.find(adapter.model);
+        if (it != state.modelIndex.end()) {
+            planAdapter(state, adapter, it->second, allowed);
+        }
+    }
+}
+
+} // namespace turmericplank::placement
--- /dev/null
+++ b/src/turmericplank/placement/plandemand.cpp
@@ -0,0 +1,149 @@
+#include <algorithm>
+#include <limits>
+
+#include "planstate.hpp"
+
+namespace turmericplank::placement {
+
+namespace {
+
+constexpr unsigned Rounds = 4;
+constexpr double SmallestShortage = 0.05; // streams
+
+struct Candidate
+{
+    std::uint32_t model = 0;
+    std::uint32_t endpoint = 0;
+    Eviction eviction;
+    double value = 0;
+    bool isFound = false;
+};
+
+double slack(const BalanceInput &input, const Balance &spread, std::uint32_t endpoint)
+{
+    return std::max(0.0, input.capacity[endpoint] - spread.load[endpoint]);
+}
+
+/// Streams beyond capacity on the endpoints of a model, its own and those of its neighbours that it could make room for.
+double relief(const BalanceInput &input, const Balance &spread, std::uint32_t model)
+{
+    double streams = input.replicas[model].empty() ? input.demand[model] : 0;
+    for (std::size_t n = 0; n < input.replicas[model].size(); ++n) {
+        const auto endpoint = input.replicas[model][n];
+        const double over = spread.load[endpoint] - input.capacity[endpoint];
+        streams += std::clamp(over, 0.0, spread.shares[model][n]);
+    }
+    return streams;
+}
+
+void consider(const PlanState &state, const BalanceInput &input, const Balance &spread, std::uint32_t model, Candidate &best)
+{
+    const auto &policy = state.document.placement;
+    const double wanted = relief(input, spread, model);
+    if (wanted < SmallestShortage) {
+        return;
+    }
+    for (std::uint32_t endpoint = 0; endpoint < state.endpoints.size(); ++endpoint) {
+        const double saved = std::min(wanted, slack(input, spread, endpoint)) * state.models[model].latePrice;
+        if (saved - policy.movePrice <= std::max(0.0, best.value) || state.isTaken(endpoint, model)) {
+            continue;
+        }
+        Candidate candidate{model, endpoint, {}, saved - policy.movePrice, true};
+        if (state.endpoints[endpoint].freeSoon < state.need(model)) {
+            candidate.eviction = findEviction(state, spread, endpoint, state.need(model));
+            if (!candidate.eviction.isPossible) {
+                continue;
+            }
+            candidate.value -= candidate.eviction.loss;
+        }
+        if (candidate.value > std::max(0.0, best.value)) {
+            best = candidate;
+        }
+    }
+}
+
+} // namespace
+
+Eviction findEviction(const PlanState &state, const Balance &spread, std::uint32_t endpoint, std::int64_t memoryMib)
+{
+    struct Victim
+    {
+        std::size_t held;
+        double loss;
+        std::int64_t memoryMib;
+    };
+    const auto &target = state.endpoints[endpoint];
+    const auto &policy = state.document.placement;
+    std::vector<Victim> victims;
+    for (std::size_t n = 0; n < target.models.size(); ++n) {
+        const auto &held = target.models[n];
+        if (held.model == UINT32_MAX || held.state != ResidentState::Present || held.isPlanned || !target.view->isOrderable) {
+            continue;
+        }
+        auto others = state.replicas(held.model);
+        std::erase(others, endpoint);
+        // A replica that is still arriving does not serve yet.
+        std::size_t present = 0;
+        double room = 0;
+        double share = 0;
+        for (const auto other : others) {
+            const auto &models = state.endpoints[other].models;
+            present +=
+                std::any_of(models.begin(), models.end(), [&held](const auto &it) { return it.model == held.model && it.state == ResidentState::Present; });
+            room += std::max(0.0, state.endpoints[other].view->concurrency - spread.load[other]);
+        }
+        if (present < state.floor(held.model)) {
+            continue;
+        }
+        // Without it the streams on this endpoint have to find room elsewhere.
+        const auto all = state.replicas(held.model);
+        const auto index = static_cast<std::size_t>(std::find(all.begin(), all.end(), endpoint) - all.begin());
+        share = index < spread.shares[held.model].size() ? spread.shares[held.model][index] : 0;
+        double loss = policy.movePrice + std::max(0.0, share - room) * state.models[held.model].latePrice;
+        const bool breaksSpread = state.zones(others) < std::min<std::size_t>(policy.spreadZones, state.zones(all));
+        loss += breaksSpread ? 2 * policy.movePrice : 0;
+        for (const auto &adapter : target.adapters) {
+            loss += adapter.model == held.model ? 2 * policy.movePrice : 0;
+        }
+        victims.push_back({n, loss, state.need(held.model)});
+    }
+    std::sort(victims.begin(), victims.end(), [](const auto &a, const auto &b) { return a.loss < b.loss; });
+    Eviction eviction;
+    auto free = target.freeSoon;
+    for (const auto &victim : victims) {
+        if (free >= memoryMib) {
+            break;
+        }
+        free += victim.memoryMib;
+        eviction.loss += victim.loss;
+        eviction.held.push_back(victim.held);
+    }
+    eviction.isPossible = free >= memoryMib;
+    return eviction;
+}
+
+void planDemand(PlanState &state)
+{
+    auto input = balanceInput(state);
+    auto spread = balance(input, Rounds);
+    while (state.hasMovesLeft()) {
+        Candidate best;
+        for (std::uint32_t model = 0; model < state.models.size(); ++model) {
+            consider(state, input, spread, model, best);
+        }
+        if (!best.isFound || best.value <= 0) {
+            return;
+        }
+        for (const auto held : best.eviction.held) {
+            state.unload(best.endpoint, held, MoveReason::MakeRoom, best.value);
+        }
+        state.load(best.endpoint, best.model, MoveReason::Demand, best.value);
+        input = balanceInput(state);
+        spread = balance(input, Rounds);
+        if (state.loadsLeft == 0) {
+            return;
+        }
+    }
+}
+
+} // namespace turmericplank::placement
--- /dev/null
+++ b/src/turmericplank/placement/planner.cpp
@@ -0,0 +1,228 @@
+#include "turmericplank/placement/planner.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+
+#include "planstate.hpp"
+
+namespace turmericplank::placement {
+
+namespace {
+
+constexpr unsigned Rounds = 3;
+
+struct Site
+{
+    std::uint32_t endpoint = 0;
+    Eviction eviction;
+};
+
+/// Best endpoint for a replica: a zone without one, room as it is, little load.
+std::optional<Site> findSite(const PlanState &state, const Balance &spread, std::uint32_t model, std::int64_t need, bool mayEvict, bool needsNewZone)
+{
+    std::set<base::ZoneName> zones;
+    for (const auto n : state.replicas(model)) {
+        zones.insert(state.endpoints[n].view->zone);
+    }
+    std::optional<Site> best;
+    std::tuple<bool, double, double> bestRank;
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        const auto &endpoint = state.endpoints[n];
+        const bool isOldZone = zones.contains(endpoint.view->zone);
+        if (state.isTaken(n, model) || (needsNewZone && isOldZone)) {
+            continue;
+        }
+        Site site{n, {}};
+        if (endpoint.freeSoon < need) {
+            site.eviction = mayEvict ? findEviction(state, spread, n, need) : Eviction();
+            if (!site.eviction.isPossible) {
+                continue;
+            }
+        }
+        const double capacity = std::max(1U, endpoint.view->concurrency);
+        const double fullness = 1.0 - static_cast<double>(endpoint.freeSoon) / std::max(1U, endpoint.view->capacityMib);
+        const std::tuple rank(isOldZone, site.eviction.loss, spread.load[n] / capacity + fullness);
+        if (!best || rank < bestRank) {
+            best = site;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+void placeAt(PlanState &state, const Site &site, std::uint32_t model, MoveReason reason, double gain)
+{
+    for (const auto held : site.eviction.held) {
+        state.unload(site.endpoint, held, MoveReason::MakeRoom, gain);
+    }
+    state.load(site.endpoint, model, reason, gain);
+}
+
+/// Models in the order in which a missing replica makes most requests late.
+std::vector<std::uint32_t> byLatePrice(const PlanState &state)
+{
+    std::vector<std::uint32_t> order(state.models.size());
+    std::iota(order.begin(), order.end(), 0U);
+    const auto price = [&state](std::uint32_t n) {
+        return state.models[n].streams * state.models[n].latePrice;
+    };
+    std::stable_sort(order.begin(), order.end(), [&price](auto a, auto b) { return price(a) > price(b); });
+    return order;
+}
+
+void planFloor(PlanState &state, MoveReason reason)
+{
+    for (const auto model : byLatePrice(state)) {
+        const auto existing = state.replicas(model);
+        const bool isMissing = reason == MoveReason::Unreachable ? existing.empty() : existing.size() < state.floor(model);
+        if (!isMissing || state.loadsLeft == 0) {
+            continue;
+        }
+        const auto spread = balance(balanceInput(state), 1);
+        const double gain = std::max(1.0, state.models[model].streams) * state.models[model].latePrice;
+        auto site = findSite(state, spread, model, state.need(model), true, false);
+        if (!site && reason == MoveReason::Unreachable) {
+            site = findSite(state, spread, model, state.models[model].model->memoryMib, true, false);
+        }
+        if (site) {
+            placeAt(state, *site, model, reason, gain);
+        }
+    }
+}
+
+void planSpread(PlanState &state)
+{
+    for (const auto model : byLatePrice(state)) {
+        const auto existing = state.replicas(model);
+        if (state.zones(existing) >= state.document.placement.spreadZones || state.loadsLeft == 0) {
+            continue;
+        }
+        const auto site = findSite(state, balance(balanceInput(state), 1), model, state.need(model), false, true);
+        if (site) {
+            placeAt(state, *site, model, MoveReason::Spread, state.models[model].latePrice);
+        }
+    }
+}
+
+struct VersionCount
+{
+    std::size_t current = 0;
+    std::size_t currentPresent = 0;
+    std::vector<std::pair<std::uint32_t, std::size_t>> old; ///< endpoint and index of its models
+};
+
+VersionCount countVersions(const PlanState &state, std::uint32_t model)
+{
+    VersionCount count;
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        for (std::size_t it = 0; it < state.endpoints[n].models.size(); ++it) {
+            const auto &held = state.endpoints[n].models[it];
+            if (held.model != model || held.state == ResidentState::Leaving) {
+                continue;
+            }
+            if (held.isCurrent) {
+                ++count.current;
+                count.currentPresent += held.state == ResidentState::Present ? 1 : 0;
+            } else if (held.state == ResidentState::Present) {
+                count.old.emplace_back(n, it);
+            }
+        }
+    }
+    return count;
+}
+
+/// New resident before the old one leaves; replicas are exchanged one by one.
+void planVersion(PlanState &state, std::uint32_t model)
+{
+    auto count = countVersions(state, model);
+    if (count.old.empty()) {
+        return;
+    }
+    const auto target = std::max(state.floor(model), std::max(count.old.size(), count.current));
+    while (!count.old.empty() && count.currentPresent > 0 && count.old.size() + count.currentPresent > target) {
+        state.unload(count.old.back().first, count.old.back().second, MoveReason::Version, 0);
+        count.old.pop_back();
+    }
+    if (count.current >= target || !state.mayLoad() || count.current > count.currentPresent) {
+        return;
+    }
+    const auto spread = balance(balanceInput(state), 1);
+    auto site = findSite(state, spread, model, state.need(model), true, false);
+    if (!site) {
+        site = findSite(state, spread, model, state.models[model].model->memoryMib, true, false);
+    }
+    if (site) {
+        placeAt(state, *site, model, MoveReason::Version, state.models[model].latePrice);
+    } else if (count.old.size() > 1) {
+        state.unload(count.old.back().first, count.old.back().second, MoveReason::Version, 0);
+    }
+}
+
+void planRemoved(PlanState &state)
+{
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        for (std::size_t held = 0; held < state.endpoints[n].models.size(); ++held) {
+            const auto &it = state.endpoints[n].models[held];
+            if (it.model == UINT32_MAX && it.state == ResidentState::Present) {
+                state.unload(n, held, MoveReason::Removed, 0);
+            }
+        }
+    }
+}
+
+void planRoles(PlanState &state)
+{
+    for (const auto &endpoint : state.endpoints) {
+        const auto it = state.document.endpoints.find(endpoint.view->id);
+        const bool isOther = it != state.document.endpoints.end() && !endpoint.view->role.empty() && endpoint.view->role != it->second.role;
+        if (isOther && endpoint.view->isOrderable) {
+            state.moves.push_back({OrderKind::SetRole, endpoint.view->id, {}, it->second.role, 0, MoveReason::Role, 0});
+        }
+    }
+}
+
+} // namespace
+
+std::string_view toString(MoveReason reason)
+{
+    switch (reason) {
+    case MoveReason::Unreachable:
+        return "unreachable";
+    case MoveReason::Minimum:
+        return "minimum";
+    case MoveReason::Spread:
+        return "spread";
+    case MoveReason::Demand:
+        return "demand";
+    case MoveReason::Version:
+        return "version";
+    case MoveReason::Removed:
+        return "removed";
+    case MoveReason::MakeRoom:
+        return "make_room";
+    case MoveReason::Adapter:
+        return "adapter";
+    case MoveReason::Role:
+        return "role";
+    }
+    return "demand";
+}
+
+std::vector<Move> plan(const PlanInput &input, const PlannerOptions &options)
+{
+    PlanState state(input, options);
+    planRoles(state);
+    planRemoved(state);
+    planFloor(state, MoveReason::Unreachable);
+    planFloor(state, MoveReason::Minimum);
+    for (std::uint32_t model = 0; model < state.models.size(); ++model) {
+        planVersion(state, model);
+    }
+    planDemand(state);
+    planSpread(state);
+    planAdapters(state);
+    return std::move(state.moves);
+}
+
+} // namespace turmericplank::placement
--- /dev/null
+++ b/src/turmericplank/placement/planstate.cpp
@@ -0,0 +1,185 @@
+#include "planstate.hpp"
+
+#include <algorithm>
+
+namespace turmericplank::placement {
+
+namespace {
+
+constexpr double DefaultServiceSeconds = 2.0;
+
+} // namespace
+
+PlanState::PlanState(const PlanInput &planInput, const PlannerOptions &plannerOptions)
+    : input(planInput)
+    , options(plannerOptions)
+    , document(*planInput.document)
+    , loadsLeft(planInput.loadsAllowed)
+{
+    for (const auto &[name, model] : document.models) {
+        modelIndex.emplace(name, static_cast<std::uint32_t>(models.size()));
+        WantedModel wanted;
+        wanted.model = &model;
+        const auto it = input.demand.models.find(name);
+        double serviceSeconds = DefaultServiceSeconds;
+        if (it != input.demand.models.end()) {
+            wanted.streams = it->second.streams * options.headroom;
+            wanted.requestsPerSecond = it->second.requestsPerSecond;
+            serviceSeconds = wanted.requestsPerSecond > 0 ? it->second.streams / wanted.requestsPerSecond : DefaultServiceSeconds;
+        }
+        wanted.latePrice = document.placement.latenessPrice * model.weight * options.horizonSeconds / std::max(serviceSeconds, 1e-3);
+        models.push_back(wanted);
+    }
+    for (const auto &[name, adapter] : document.adapters) {
+        const auto it = modelIndex.find(adapter.model);
+        if (it != modelIndex.end()) {
+            models[it->second].adapterMib += adapter.memoryMib;
+        }
+    }
+    for (const auto &view : input.endpoints) {
+        HeldEndpoint endpoint;
+        endpoint.view = &view;
+        endpoint.freeNow = std::int64_t(view.capacityMib) - view.chargedMib;
+        endpoint.freeSoon = view.capacityMib;
+        for (const auto &[resident, state] : view.residents) {
+            addResident(endpoint, resident, state);
+        }
+        endpoints.push_back(std::move(endpoint));
+    }
+}
+
+void PlanState::addResident(HeldEndpoint &endpoint, const Resident &resident, ResidentState state)
+{
+    const auto it = modelIndex.find(resident.model);
+    if (!resident.adapter.isEmpty()) {
+        const auto adapter = document.adapters.find(resident.adapter);
+        const std::uint32_t memoryMib = adapter == document.adapters.end() ? 0 : adapter->second.memoryMib;
+        endpoint.adapters.push_back({resident.adapter, it == modelIndex.end() ? UINT32_MAX : it->second, memoryMib, state});
+        return;
+    }
+    if (it == modelIndex.end()) {
+        endpoint.models.push_back({UINT32_MAX, resident, 0, state, false, false});
+        return;
+    }
+    const auto &model = *models[it->second].model;
+    const bool isCurrent = model.version == resident.version;
+    endpoint.models.push_back({it->second, resident, model.memoryMib, state, isCurrent, false});
+    if (state != ResidentState::Leaving) {
+        endpoint.freeSoon -= need(it->second);
+    }
+}
+
+std::vector<std::uint32_t> PlanState::replicas(std::uint32_t model) const
+{
+    std::vector<std::uint32_t> found;
+    for (std::uint32_t n = 0; n < endpoints.size(); ++n) {
+        const auto &held = endpoints[n].models;
+        const auto counts = [model](const auto &it) {
+            return it.model == model && it.state != ResidentState::Leaving;
+        };
+        if (std::any_of(held.begin(), held.end(), counts)) {
+            found.push_back(n);
+        }
+    }
+    return found;
+}
+
+bool PlanState::isTaken(std::uint32_t endpoint, std::uint32_t model) const
+{
+    const auto &held = endpoints[endpoint].models;
+    return std::any_of(held.begin(), held.end(), [model](const auto &it) { return it.model == model && it.isCurrent; });
+}
+
+std::size_t PlanState::zones(const std::vector<std::uint32_t> &list) const
+{
+    std::set<base::ZoneName> found;
+    for (const auto n : list) {
+        found.insert(endpoints[n].view->zone);
+    }
+    return found.size();
+}
+
+std::size_t PlanState::floor(std::uint32_t model) const
+{
+    return std::max<std::size_t>(1, models[model].model->minimumReplicas);
+}
+
+std::int64_t PlanState::need(std::uint32_t model) const
+{
+    return std::int64_t(models[model].model->memoryMib) + models[model].adapterMib;
+}
+
+bool PlanState::mayLoad() const
+{
+    return loadsLeft > 0 && hasMovesLeft();
+}
+
+bool PlanState::hasMovesLeft() const
+{
+    return moves.size() < options.movesPerStep;
+}
+
+void PlanState::load(std::uint32_t endpoint, std::uint32_t model, MoveReason reason, double gain)
+{
+    auto &target = endpoints[endpoint];
+    const auto &wanted = *models[model].model;
+    const Resident resident{wanted.name, wanted.version, {}};
+    target.freeSoon -= need(model);
+    target.models.push_back({model, resident, wanted.memoryMib, ResidentState::Arriving, true, true});
+    if (target.view->isOrderable && target.freeNow >= std::int64_t(wanted.memoryMib) && mayLoad()) {
+        target.freeNow -= wanted.memoryMib;
+        --loadsLeft;
+        moves.push_back({OrderKind::Load, target.view->id, resident, {}, wanted.memoryMib, reason, gain});
+    }
+}
+
+void PlanState::unload(std::uint32_t endpoint, std::size_t held, MoveReason reason, double gain)
+{
+    auto &target = endpoints[endpoint];
+    auto &leaving = target.models[held];
+    const auto sameModel = [&leaving](const auto &it) {
+        return it.model == leaving.model && it.state != ResidentState::Leaving;
+    };
+    const bool isLastVersion = std::count_if(target.models.begin(), target.models.end(), sameModel) == 1;
+    bool hasAdapters = false;
+    for (auto &adapter : target.adapters) {
+        if (!isLastVersion || adapter.model != leaving.model) {
+            continue;
+        }
+        hasAdapters = true;
+        leavingAdapters.emplace(adapter.adapter, endpoint);
+    }
+    leaving.state = ResidentState::Leaving;
+    if (leaving.model != UINT32_MAX) {
+        target.freeSoon += need(leaving.model);
+    }
+    if (!hasAdapters && target.view->isOrderable) {
+        moves.push_back({OrderKind::Unload, target.view->id, leaving.resident, {}, leaving.memoryMib, reason, gain});
+    }
+}
+
+BalanceInput balanceInput(const PlanState &state)
+{
+    BalanceInput result;
+    for (const auto &endpoint : state.endpoints) {
+        result.capacity.push_back(std::max(1U, endpoint.view->concurrency));
+    }
+    result.replicas.resize(state.models.size());
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        for (const auto &held : state.endpoints[n].models) {
+            if (held.model == UINT32_MAX || held.state == ResidentState::Leaving) {
+                continue;
+            }
+            auto &list = result.replicas[held.model];
+            if (list.empty() || list.back() != n) {
+                list.push_back(n);
+            }
+        }
+    }
+    for (const auto &model : state.models) {
+        result.demand.push_back(model.streams);
+    }
+    return result;
+}
+
+} // namespace turmericplank::placement
