--- a/include/turmericplank/base/identifier.hpp
+++ b/include/turmericplank/base/identifier.hpp
@@ -34,8 +34,6 @@
         return m_text.empty();
     }
 
-    // The linter takes the zero of the generated comparison for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Identifier &, const Identifier &) = default;
     friend bool operator==(const Identifier &, const Identifier &) = default;
 
--- a/include/turmericplank/base/number.hpp
+++ b/include/turmericplank/base/number.hpp
@@ -32,8 +32,6 @@
         return Number(m_value + 1);
     }
 
-    // The linter takes the zero of the generated comparison for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(const Number &, const Number &) = default;
     friend constexpr bool operator==(const Number &, const Number &) = default;
 
--- a/src/turmericplank/daemon/platformclient_test.cpp
+++ b/src/turmericplank/daemon/platformclient_test.cpp
@@ -10,17 +10,17 @@
 
 namespace {
 
-const base::Address PlatformAddress{"127.0.0.1", 20121};
+const base::Address platformAddress{"127.0.0.1", 20121};
 
 struct Fixture
 {
     explicit Fixture(std::function<void(net::ExchangePointer)> onRequest)
     {
         net::HttpServerOptions options;
-        options.listen = PlatformAddress;
+        options.listen = platformAddress;
         options.onRequest = std::move(onRequest);
         server = net::listenHttp(context, options);
-        client = makePlatformClient(context, {{PlatformAddress}, std::chrono::milliseconds(200)});
+        client = makePlatformClient(context, {{platformAddress}, std::chrono::milliseconds(200)});
     }
 
     platform::WriteResult transact()
--- a/src/turmericplank/daemon/settings_test.cpp
+++ b/src/turmericplank/daemon/settings_test.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const std::string Whole = R"(id = "entry-1"
+const std::string wholeSettings = R"(id = "entry-1"
 zone = "tx/a"
 caller_listen = "127.0.0.1:8080"
 peer_listen = "127.0.0.1:8081"
@@ -19,7 +19,7 @@
 
 TEST_CASE("settings are read and the command line goes first")
 {
-    const auto settings = readSettings(Whole, {{"zone", "tx/b"}, {"log_level", "debug"}});
+    const auto settings = readSettings(wholeSettings, {{"zone", "tx/b"}, {"log_level", "debug"}});
     REQUIRE(settings);
     CHECK(settings->id == base::DaemonId("entry-1"));
     CHECK(settings->zone == base::ZoneName("tx/b"));
--- a/src/turmericplank/net/http_test.cpp
+++ b/src/turmericplank/net/http_test.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-const base::Address TestAddress{"127.0.0.1", 20101};
+const base::Address testAddress{"127.0.0.1", 20101};
 
 struct Served
 {
     explicit Served(std::function<void(ExchangePointer)> onRequest)
     {
         HttpServerOptions options;
-        options.listen = TestAddress;
+        options.listen = testAddress;
         options.headerLimit = 1024;
         options.bodyLimit = 2048;
         options.requestTimeout = std::chrono::milliseconds(100);
@@ -31,7 +31,7 @@
     {
         tl::expected<HttpResponse, CallFailure> result = tl::make_unexpected(CallFailure::NotSent);
         HttpCallOptions options;
-        options.to = TestAddress;
+        options.to = testAddress;
         options.request = std::move(request);
         options.firstProgressTimeout = silenceTimeout;
         options.silenceTimeout = silenceTimeout;
@@ -49,7 +49,7 @@
     {
         boost::asio::ip::tcp::socket socket(context);
         std::string answer;
-        socket.connect({boost::asio::ip::make_address(TestAddress.host), TestAddress.port});
+        socket.connect({boost::asio::ip::make_address(testAddress.host), testAddress.port});
         boost::asio::write(socket, boost::asio::buffer(bytes));
         boost::asio::async_read(socket, boost::asio::dynamic_buffer(answer), [&](boost::system::error_code, std::size_t) { context.stop(); });
         context.restart();
--- a/src/turmericplank/peer/mesh_test.cpp
+++ b/src/turmericplank/peer/mesh_test.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const base::Address FirstAddress{"127.0.0.1", 20111};
-const base::Address SecondAddress{"127.0.0.1", 20112};
+const base::Address firstAddress{"127.0.0.1", 20111};
+const base::Address secondAddress{"127.0.0.1", 20112};
 
 std::unique_ptr<Mesh> open(boost::asio::io_context &context, const base::Address &listen, const char *name)
 {
@@ -56,8 +56,8 @@
 TEST_CASE("a call reaches the other daemon and its answer comes back in pieces")
 {
     boost::asio::io_context context;
-    const auto first = open(context, FirstAddress, "d-1");
-    const auto second = open(context, SecondAddress, "d-2");
+    const auto first = open(context, firstAddress, "d-1");
+    const auto second = open(context, secondAddress, "d-2");
     second->handle("test/echo", [](const base::DaemonId &from, const std::string &body, const PeerAnswer &answer) {
         answer.write(from.text());
         answer.write(std::string(300000, 'x'));
@@ -66,7 +66,7 @@
     });
     for (int n = 0; n < 3; ++n) {
         Result result;
-        first->call(SecondAddress, makeCall(context, "test/echo", "body", result));
+        first->call(secondAddress, makeCall(context, "test/echo", "body", result));
         run(context);
         CHECK(result.end.has_value());
         CHECK(result.body.size() == 3 + 300000 + 4);
@@ -77,12 +77,12 @@
 TEST_CASE("a refused stream proves that nothing was done")
 {
     boost::asio::io_context context;
-    const auto first = open(context, FirstAddress, "d-1");
-    const auto second = open(context, SecondAddress, "d-2");
+    const auto first = open(context, firstAddress, "d-1");
+    const auto second = open(context, secondAddress, "d-2");
     second->handle("test/refuse", [](const base::DaemonId &, const std::string &, const PeerAnswer &answer) { answer.refuse(); });
     for (const auto *kind : {"test/refuse", "test/unknown"}) {
         Result result;
-        first->call(SecondAddress, makeCall(context, kind, "", result));
+        first->call(secondAddress, makeCall(context, kind, "", result));
         run(context);
         REQUIRE_FALSE(result.end.has_value());
         CHECK(result.end.error() == PeerFailure::NotProcessed);
@@ -92,9 +92,9 @@
 TEST_CASE("a daemon that is not there has not processed anything")
 {
     boost::asio::io_context context;
-    const auto first = open(context, FirstAddress, "d-1");
+    const auto first = open(context, firstAddress, "d-1");
     Result result;
-    first->call(SecondAddress, makeCall(context, "test/echo", "", result));
+    first->call(secondAddress, makeCall(context, "test/echo", "", result));
     run(context);
     CHECK(result.end.error() == PeerFailure::NotProcessed);
 }
@@ -102,8 +102,8 @@
 TEST_CASE("an answer that does not come is lost at the call's deadline")
 {
     boost::asio::io_context context;
-    const auto first = open(context, FirstAddress, "d-1");
-    const auto second = open(context, SecondAddress, "d-2");
+    const auto first = open(context, firstAddress, "d-1");
+    const auto second = open(context, secondAddress, "d-2");
     bool isCancelled = false;
     PeerAnswer kept;
     second->handle("test/never", [&](const base::DaemonId &, const std::string &, const PeerAnswer &answer) {
@@ -113,7 +113,7 @@
         };
     });
     Result result;
-    first->call(SecondAddress, makeCall(context, "test/never", "", result));
+    first->call(secondAddress, makeCall(context, "test/never", "", result));
     run(context);
     CHECK(result.end.error() == PeerFailure::Lost);
     context.restart();
@@ -125,8 +125,8 @@
 TEST_CASE("a connection that goes silent is closed by its ping and a new one is made")
 {
     boost::asio::io_context context;
-    const auto first = open(context, FirstAddress, "d-1");
-    boost::asio::ip::tcp::acceptor silent(context, {boost::asio::ip::make_address(SecondAddress.host), SecondAddress.port});
+    const auto first = open(context, firstAddress, "d-1");
+    boost::asio::ip::tcp::acceptor silent(context, {boost::asio::ip::make_address(secondAddress.host), secondAddress.port});
     int connections = 0;
     std::vector<boost::asio::ip::tcp::socket> kept;
     std::function<void()> accept = [&] {
@@ -143,7 +143,7 @@
         Result result;
         auto call = makeCall(context, "test/echo", "", result);
         call.timeout = std::chrono::seconds(30);
-        first->call(SecondAddress, std::move(call));
+        first->call(secondAddress, std::move(call));
         run(context);
         CHECK(result.end.error() == PeerFailure::Lost);
     }
@@ -153,19 +153,19 @@
 TEST_CASE("a daemon that shuts down refuses new streams and ends those in progress")
 {
     boost::asio::io_context context;
-    const auto first = open(context, FirstAddress, "d-1");
-    const auto second = open(context, SecondAddress, "d-2");
+    const auto first = open(context, firstAddress, "d-1");
+    const auto second = open(context, secondAddress, "d-2");
     PeerAnswer kept;
     second->handle("test/slow", [&](const base::DaemonId &, const std::string &, const PeerAnswer &answer) {
         kept = answer;
         context.stop();
     });
     Result inProgress;
-    first->call(SecondAddress, makeCall(context, "test/slow", "", inProgress));
+    first->call(secondAddress, makeCall(context, "test/slow", "", inProgress));
     run(context);
     second->beginShutdown();
     Result late;
-    first->call(SecondAddress, makeCall(context, "test/slow", "", late));
+    first->call(secondAddress, makeCall(context, "test/slow", "", late));
     run(context);
     CHECK(late.end.error() == PeerFailure::NotProcessed);
     kept.write("whole");
