--- a/include/turmericplank/requests/endpointcall.hpp
+++ b/include/turmericplank/requests/endpointcall.hpp
@@ -70,10 +70,11 @@
     friend bool operator==(const DeliverPiece &, const DeliverPiece &) = default;
 };
 
-/// @brief Another endpoint is needed.
+/// @brief An attempt failed; another endpoint is needed unless the call has ended.
 struct ChooseNext
 {
     Choice previous;
+    AttemptEnd end = AttemptEnd::NotSent; ///< how the attempt there ended
     bool isEndpointLost = false; ///< the previous endpoint went down with the call on it
 
     friend bool operator==(const ChooseNext &, const ChooseNext &) = default;
@@ -136,8 +137,7 @@
 
 private:
     EndpointCallActions resume(base::Time now);
-    EndpointCallActions next(bool isEndpointLost, base::Time now);
-    EndpointCallActions stop(EndpointCallActions actions);
+    EndpointCallActions next(AttemptEnd end, bool isEndpointLost);
     void finishAttempt(AttemptEnd end);
 
     EndpointCallOptions m_options;
--- a/include/turmericplank/requests/endpointchoice.hpp
+++ b/include/turmericplank/requests/endpointchoice.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/priority.hpp"
 #include "turmericplank/base/time.hpp"
+#include "turmericplank/requests/attemptend.hpp"
 
 namespace turmericplank::requests {
 
@@ -31,6 +33,7 @@
 {
     base::EndpointId endpoint;
     base::Address address;
+    std::uint64_t ticket = 0; ///< routing's name of the choice, handed back with what became of it
 
     friend bool operator==(const Choice &, const Choice &) = default;
 };
@@ -38,4 +41,13 @@
 /// @brief Routing's decision; nothing if no endpoint may serve.
 using ChooseEndpoint = std::function<std::optional<Choice>(const ChoiceQuery &, base::Time now)>;
 
+/// @brief What routing is told of the attempts that it chose endpoints for; empty hooks are not called.
+struct AttemptFeedback
+{
+    std::function<void(const ChoiceQuery &, const Choice &, base::Time now)> onSent;
+    std::function<void(const Choice &, base::Time now)> onFirstPiece;
+    std::function<void(const Choice &, AttemptEnd, base::Time now)> onEnded; ///< called once per attempt
+    std::function<void(const Choice &, base::Time now)> onCancelled; ///< the caller went away
+};
+
 } // namespace turmericplank::requests
--- /dev/null
+++ b/src/turmericplank/requests/dispatchercall.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "turmericplank/requests/dispatcher.hpp"
+
+namespace turmericplank::requests {
+
+/// @brief One request in progress.
+struct Dispatcher::Call
+{
+    Call(CallArrival callArrival, EndpointCallOptions options)
+        : arrival(std::move(callArrival))
+        , attempts(std::move(options), arrival.deadline)
+    {
+    }
+
+    CallArrival arrival;
+    EndpointCall attempts;
+    std::optional<Choice> running; ///< endpoint that a run is at
+    std::optional<Choice> trial; ///< endpoint that the call's trial is at or asked for
+    std::string answer; ///< a booking's answer before it is stored
+    base::Time dispatchAt; ///< next try of a call that waits for its trial
+    bool isWaiting = false;
+    bool isGranted = false; ///< a booking that this daemon may send
+    bool hasFirstPiece = false;
+    bool isCallerGone = false;
+    bool isOver = false;
+};
+
+} // namespace turmericplank::requests
--- /dev/null
+++ b/src/turmericplank/requests/dispatchercalls.cpp
@@ -0,0 +1,297 @@
+#include "dispatchercall.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericplank::requests {
+
+ChoiceQuery Dispatcher::query(const Call &call, bool isTrial) const
+{
+    ChoiceQuery it;
+    it.request = call.arrival.id;
+    it.model = call.arrival.target;
+    it.priority = call.arrival.priority;
+    it.deadline = call.arrival.deadline;
+    it.prompt = call.arrival.prompt;
+    it.isTrial = isTrial;
+    if (isTrial) {
+        it.avoid = m_suspects.avoid(call.arrival.fingerprint);
+    }
+    const auto &last = call.attempts.lastEndpoint();
+    if (!last.isEmpty() && std::find(it.avoid.begin(), it.avoid.end(), last) == it.avoid.end()) {
+        it.avoid.push_back(last);
+    }
+    return it;
+}
+
+void Dispatcher::dispatch(Call &call, base::Time now, DispatchActions &actions)
+{
+    call.isWaiting = false;
+    const auto fingerprint = call.arrival.fingerprint;
+    switch (m_suspects.standing(fingerprint, now)) {
+    case Standing::Condemned:
+        giveUp(call, ErrorCode::RequestCrashesEndpoints, m_suspects.until(fingerprint, now), now, actions);
+        return;
+    case Standing::Suspect:
+        dispatchSuspect(call, now, actions);
+        return;
+    case Standing::Clear:
+        dispatchClear(call, now, actions);
+        return;
+    }
+}
+
+void Dispatcher::dispatchClear(Call &call, base::Time now, DispatchActions &actions)
+{
+    if (call.arrival.kind == CallKind::Booking && !call.isGranted) {
+        apply(m_bookings.submit(BookingRequest{call.arrival.call, call.arrival.rowKey, call.arrival.bodyDigest, call.arrival.deadline}, now), now, actions);
+        return;
+    }
+    const auto choice = m_options.choose(query(call, false), now);
+    if (!choice) {
+        giveUp(call, ErrorCode::NoEndpoint, now + m_options.comeBack, now, actions);
+        return;
+    }
+    sendTo(call, *choice, now, actions);
+}
+
+void Dispatcher::dispatchSuspect(Call &call, base::Time now, DispatchActions &actions)
+{
+    const auto fingerprint = call.arrival.fingerprint;
+    const auto choice = m_suspects.isTrying(fingerprint) ? std::nullopt : m_options.choose(query(call, true), now);
+    if (!choice) {
+        waitForTrial(call, now, actions);
+        return;
+    }
+    call.trial = choice;
+    m_trials[fingerprint] = call.arrival.call;
+    apply(m_suspects.askTrial(fingerprint, choice->endpoint, now), now, actions);
+}
+
+void Dispatcher::waitForTrial(Call &call, base::Time now, DispatchActions &actions)
+{
+    // A request that never ran is sent back at once; one that was interrupted keeps its caller.
+    if (call.attempts.outcome() == base::Outcome::NotRun && !call.isGranted) {
+        giveUp(call, ErrorCode::SuspectOnTrial, now + m_options.comeBack, now, actions);
+        return;
+    }
+    call.isWaiting = true;
+    call.dispatchAt = now + m_options.dispatchAgain;
+}
+
+void Dispatcher::grantTrial(const TrialGranted &granted, base::Time now, DispatchActions &actions)
+{
+    const auto it = m_trials.find(granted.fingerprint);
+    auto *call = it == m_trials.end() ? nullptr : find(it->second);
+    if (call == nullptr || !call->trial) {
+        apply(m_suspects.trialEnded(granted.fingerprint, false, now), now, actions);
+        return;
+    }
+    if (call->arrival.kind == CallKind::Booking && !call->isGranted) {
+        dispatchClear(*call, now, actions);
+        return;
+    }
+    sendTo(*call, *call->trial, now, actions);
+}
+
+void Dispatcher::sendTo(Call &call, const Choice &choice, base::Time now, DispatchActions &actions)
+{
+    if (now >= call.arrival.deadline) {
+        giveUp(call, ErrorCode::DeadlinePassed, std::nullopt, now, actions);
+        return;
+    }
+    call.running = choice;
+    apply(call, call.attempts.send(choice, now), now, actions);
+}
+
+void Dispatcher::apply(Call &call, EndpointCallActions calls, base::Time now, DispatchActions &actions)
+{
+    for (auto &it : calls) {
+        if (auto *send = std::get_if<SendAttempt>(&it)) {
+            if (!send->isResume) {
+                onSend(call, now);
+            }
+            emit(call, std::move(it), actions);
+        } else if (const auto *next = std::get_if<ChooseNext>(&it)) {
+            onChooseNext(call, *next, now, actions);
+        } else if (std::holds_alternative<CompleteCall>(it)) {
+            onComplete(call, now, actions);
+        } else if (const auto *fail = std::get_if<FailCall>(&it)) {
+            onFail(call, fail->error, now, actions);
+        } else if (auto *piece = std::get_if<DeliverPiece>(&it)) {
+            if (!std::exchange(call.hasFirstPiece, true) && call.running && m_options.feedback.onFirstPiece) {
+                m_options.feedback.onFirstPiece(*call.running, now);
+            }
+            if (call.arrival.kind == CallKind::Booking) {
+                call.answer = piece->text;
+            }
+            emit(call, std::move(it), actions);
+        } else {
+            emit(call, std::move(it), actions);
+        }
+    }
+}
+
+void Dispatcher::onSend(Call &call, base::Time now)
+{
+    m_suspects.attemptBegan(call.arrival.fingerprint);
+    if (m_options.feedback.onSent) {
+        m_options.feedback.onSent(query(call, call.trial.has_value()), *call.running, now);
+    }
+}
+
+void Dispatcher::onChooseNext(Call &call, const ChooseNext &next, base::Time now, DispatchActions &actions)
+{
+    const auto fingerprint = call.arrival.fingerprint;
+    endRun(call, next.end, now);
+    if (next.isEndpointLost) {
+        call.trial.reset();
+        m_trials.erase(fingerprint);
+        apply(m_suspects.endpointLost(fingerprint, next.previous.endpoint, now), now, actions);
+    } else {
+        endTrial(call, false, now, actions);
+    }
+    // An unrepeatable call ends with the error that follows in its own actions.
+    if (call.isOver || call.attempts.isOver()) {
+        return;
+    }
+    if (now >= call.arrival.deadline) {
+        giveUp(call, ErrorCode::DeadlinePassed, std::nullopt, now, actions);
+        return;
+    }
+    if (!call.attempts.hasAttemptsLeft()) {
+        giveUp(call, ErrorCode::EndpointsFailed, now + m_options.comeBack, now, actions);
+        return;
+    }
+    // Trials are bounded by one for each endpoint at a time, other retries by the budget.
+    if (m_suspects.standing(fingerprint, now) == Standing::Clear && !m_retries.tryRetry(now)) {
+        giveUp(call, ErrorCode::RetryBudgetSpent, m_retries.retryAt(now), now, actions);
+        return;
+    }
+    dispatch(call, now, actions);
+}
+
+void Dispatcher::onComplete(Call &call, base::Time now, DispatchActions &actions)
+{
+    endRun(call, AttemptEnd::Answered, now);
+    endTrial(call, true, now, actions);
+    m_retries.succeeded(now);
+    if (call.arrival.kind == CallKind::Booking) {
+        const auto answer = decodeAnswer(call.answer);
+        apply(m_bookings.answered(call.arrival.call, answer.value_or(StoredAnswer()), now), now, actions);
+    }
+    emit(call, CompleteCall{}, actions);
+    finish(call);
+}
+
+void Dispatcher::onFail(Call &call, const CallError &error, base::Time now, DispatchActions &actions)
+{
+    endRun(call, AttemptEnd::Silent, now);
+    endTrial(call, false, now, actions);
+    if (call.isGranted) {
+        apply(m_bookings.failed(call.arrival.call, error, now), now, actions);
+    } else {
+        m_bookings.withdraw(call.arrival.call, now);
+    }
+    emit(call, FailCall{error}, actions);
+    finish(call);
+}
+
+void Dispatcher::endRun(Call &call, AttemptEnd end, base::Time now)
+{
+    const auto running = std::exchange(call.running, std::nullopt);
+    if (!running) {
+        return;
+    }
+    m_suspects.attemptEnded(call.arrival.fingerprint);
+    if (m_options.feedback.onEnded) {
+        m_options.feedback.onEnded(*running, end, now);
+    }
+}
+
+void Dispatcher::endTrial(Call &call, bool isCleared, base::Time now, DispatchActions &actions)
+{
+    if (!std::exchange(call.trial, std::nullopt)) {
+        return;
+    }
+    m_trials.erase(call.arrival.fingerprint);
+    apply(m_suspects.trialEnded(call.arrival.fingerprint, isCleared, now), now, actions);
+}
+
+void Dispatcher::apply(const BookingActions &bookings, base::Time now, DispatchActions &actions)
+{
+    for (const auto &it : bookings) {
+        if (const auto *send = std::get_if<SendBooking>(&it)) {
+            if (auto *call = find(send->call)) {
+                call->isGranted = true;
+                if (call->trial) {
+                    sendTo(*call, *call->trial, now, actions);
+                } else {
+                    dispatchClear(*call, now, actions);
+                }
+            } else {
+                apply(m_bookings.failed(send->call, CallError{}, now), now, actions);
+            }
+        } else if (const auto *replay = std::get_if<ReplayAnswer>(&it)) {
+            if (auto *call = find(replay->call)) {
+                call->attempts.cancel();
+                endTrial(*call, false, now, actions);
+                emit(*call, DeliverPiece{0, encode(replay->answer)}, actions);
+                emit(*call, CompleteCall{}, actions);
+                finish(*call);
+            }
+        } else if (const auto *reject = std::get_if<RejectBooking>(&it)) {
+            if (auto *call = find(reject->call)) {
+                call->attempts.cancel();
+                endTrial(*call, false, now, actions);
+                emit(*call, FailCall{reject->error}, actions);
+                finish(*call);
+            }
+        } else if (const auto *write = std::get_if<WriteRows>(&it)) {
+            actions.emplace_back(*write);
+        } else if (const auto *read = std::get_if<ReadRow>(&it)) {
+            actions.emplace_back(*read);
+        }
+    }
+}
+
+void Dispatcher::apply(const SuspectActions &suspects, base::Time now, DispatchActions &actions)
+{
+    for (const auto &it : suspects) {
+        if (const auto *ask = std::get_if<AskPeer>(&it)) {
+            actions.emplace_back(*ask);
+        } else if (const auto *tell = std::get_if<TellPeer>(&it)) {
+            actions.emplace_back(*tell);
+        } else if (const auto *granted = std::get_if<TrialGranted>(&it)) {
+            grantTrial(*granted, now, actions);
+        } else if (const auto *denied = std::get_if<TrialDenied>(&it)) {
+            const auto asked = m_trials.find(denied->fingerprint);
+            auto *call = asked == m_trials.end() ? nullptr : find(asked->second);
+            if (call == nullptr) {
+                continue;
+            }
+            m_trials.erase(asked);
+            call->trial.reset();
+            if (denied->standing == Standing::Condemned) {
+                giveUp(*call, ErrorCode::RequestCrashesEndpoints, m_suspects.until(denied->fingerprint, now), now, actions);
+            } else {
+                waitForTrial(*call, now, actions);
+            }
+        }
+    }
+}
+
+void Dispatcher::giveUp(Call &call, ErrorCode code, std::optional<base::Time> retryAt, base::Time now, DispatchActions &actions)
+{
+    apply(call, call.attempts.giveUp(code, retryAt), now, actions);
+}
+
+void Dispatcher::emit(const Call &call, EndpointCallAction what, DispatchActions &actions) const
+{
+    const bool isForCaller = std::holds_alternative<DeliverPiece>(what) || std::holds_alternative<CompleteCall>(what) || std::holds_alternative<FailCall>(what);
+    if (!isForCaller || !call.isCallerGone) {
+        actions.emplace_back(CallAction{call.arrival.call, std::move(what)});
+    }
+}
+
+} // namespace turmericplank::requests
--- a/src/turmericplank/requests/endpointcall.cpp
+++ b/src/turmericplank/requests/endpointcall.cpp
@@ -97,7 +97,11 @@
         return {CompleteCall{}};
     }
     if (!m_options.isRepeatable && !m_options.rules.mayRepeat(end)) {
-        auto actions = giveUp(ErrorCode::CallOutcomeUnknown, std::nullopt);
+        EndpointCallActions actions;
+        if (end == AttemptEnd::Lost) {
+            actions.emplace_back(ChooseNext{m_choice, end, true});
+        }
+        append(actions, giveUp(ErrorCode::CallOutcomeUnknown, std::nullopt));
         return actions;
     }
     const bool isBroken = end == AttemptEnd::Lost || end == AttemptEnd::Silent;
@@ -106,15 +110,12 @@
     }
     // An endpoint that broke the connection and then neither accepts a new one nor knows the stream has gone down.
     const bool isGone = wasResume && (end == AttemptEnd::NotSent || end == AttemptEnd::Refused);
-    return next(isGone || end == AttemptEnd::Lost, now);
+    return next(end, isGone || end == AttemptEnd::Lost);
 }
 
-EndpointCallActions EndpointCall::next(bool isEndpointLost, base::Time now)
+EndpointCallActions EndpointCall::next(AttemptEnd end, bool isEndpointLost)
 {
-    if (now >= m_deadline) {
-        return giveUp(ErrorCode::DeadlinePassed, std::nullopt);
-    }
-    return {ChooseNext{m_choice, isEndpointLost}};
+    return {ChooseNext{m_choice, end, isEndpointLost}};
 }
 
 EndpointCallActions EndpointCall::tick(base::Time now)
--- /dev/null
+++ b/src/turmericplank/requests/suspects.cpp
@@ -0,0 +1,314 @@
+#include "turmericplank/requests/suspects.hpp"
+
+#include <algorithm>
+
+namespace turmericplank::requests {
+
+Suspects::Suspects(SuspectOptions options)
+    : m_options(std::move(options))
+{
+}
+
+Standing Suspects::standing(Fingerprint fingerprint, base::Time now) const
+{
+    const auto it = m_entries.find(fingerprint);
+    if (it == m_entries.end() || it->second.expiresAt <= now) {
+        return Standing::Clear;
+    }
+    if (it->second.lost.size() >= m_options.lossLimit || isOrphaned(it->second)) {
+        return Standing::Condemned;
+    }
+    return Standing::Suspect;
+}
+
+bool Suspects::isOrphaned(const Entry &entry) const
+{
+    if (!entry.triedBy) {
+        return false;
+    }
+    const auto present = peers();
+    return std::find(present.begin(), present.end(), *entry.triedBy) == present.end();
+}
+
+base::Time Suspects::until(Fingerprint fingerprint, base::Time now) const
+{
+    const auto it = m_entries.find(fingerprint);
+    return it == m_entries.end() ? now : it->second.expiresAt;
+}
+
+void Suspects::attemptBegan(Fingerprint fingerprint)
+{
+    ++m_running[fingerprint];
+}
+
+void Suspects::attemptEnded(Fingerprint fingerprint)
+{
+    const auto it = m_running.find(fingerprint);
+    if (it != m_running.end() && --it->second == 0) {
+        m_running.erase(it);
+    }
+}
+
+SuspectActions Suspects::endpointLost(Fingerprint fingerprint, const base::EndpointId &endpoint, base::Time now)
+{
+    SuspectActions actions;
+    m_trials.erase(fingerprint);
+    merge(fingerprint, {endpoint}, now);
+    announce(fingerprint, now, actions);
+    return actions;
+}
+
+void Suspects::announce(Fingerprint fingerprint, base::Time now, SuspectActions &actions)
+{
+    const auto present = peers();
+    m_announcements[fingerprint] = Announcement{{present.begin(), present.end()}, now + m_options.askAgain};
+    tellAll(fingerprint, false, actions);
+}
+
+void Suspects::onTold(const base::DaemonId &from, Fingerprint fingerprint)
+{
+    const auto it = m_announcements.find(fingerprint);
+    if (it == m_announcements.end()) {
+        return;
+    }
+    it->second.waitingFor.erase(from);
+    if (it->second.waitingFor.empty()) {
+        m_announcements.erase(it);
+    }
+}
+
+void Suspects::tellAgain(base::Time now, SuspectActions &actions)
+{
+    const auto present = peers();
+    for (auto it = m_announcements.begin(); it != m_announcements.end();) {
+        auto &[fingerprint, announcement] = *it;
+        std::erase_if(announcement.waitingFor, [&present](const auto &peer) { return std::find(present.begin(), present.end(), peer) == present.end(); });
+        if (announcement.waitingFor.empty() || !m_entries.contains(fingerprint)) {
+            it = m_announcements.erase(it);
+            continue;
+        }
+        if (now >= announcement.tellAgainAt) {
+            announcement.tellAgainAt = now + m_options.askAgain;
+            for (const auto &peer : announcement.waitingFor) {
+                actions.emplace_back(TellPeer{peer, TrialVerdict{fingerprint, false, lostWith(fingerprint)}});
+            }
+        }
+        ++it;
+    }
+}
+
+SuspectActions Suspects::askTrial(Fingerprint fingerprint, const base::EndpointId &endpoint, base::Time now)
+{
+    const auto present = standing(fingerprint, now);
+    if (present == Standing::Condemned || isTrying(fingerprint) || m_running.contains(fingerprint)) {
+        return {TrialDenied{fingerprint, present}};
+    }
+    SuspectActions actions;
+    auto &trial = m_trials[fingerprint];
+    trial.endpoint = endpoint;
+    trial.sequence = ++m_lastSequence;
+    trial.askAgainAt = now + m_options.askAgain;
+    for (const auto &it : peers()) {
+        trial.waitingFor.insert(it);
+        actions.emplace_back(AskPeer{it, TrialQuestion{fingerprint, trial.sequence, endpoint, lostWith(fingerprint)}});
+    }
+    const auto granted = grantIfAgreed(fingerprint, trial);
+    actions.insert(actions.end(), granted.begin(), granted.end());
+    return actions;
+}
+
+SuspectActions Suspects::grantIfAgreed(Fingerprint fingerprint, Trial &trial)
+{
+    if (trial.isRunning || !trial.waitingFor.empty()) {
+        return {};
+    }
+    trial.isRunning = true;
+    return {TrialGranted{fingerprint, trial.endpoint}};
+}
+
+SuspectActions Suspects::trialEnded(Fingerprint fingerprint, bool isCleared, base::Time now)
+{
+    SuspectActions actions;
+    m_trials.erase(fingerprint);
+    if (isCleared && standing(fingerprint, now) == Standing::Suspect) {
+        tellAll(fingerprint, true, actions);
+        forget(fingerprint);
+    } else {
+        tellAll(fingerprint, false, actions);
+    }
+    return actions;
+}
+
+bool Suspects::isTrying(Fingerprint fingerprint) const
+{
+    return m_trials.contains(fingerprint);
+}
+
+std::vector<base::EndpointId> Suspects::avoid(Fingerprint fingerprint) const
+{
+    auto endpoints = lostWith(fingerprint);
+    for (const auto &[other, trial] : m_trials) {
+        endpoints.push_back(trial.endpoint);
+    }
+    return endpoints;
+}
+
+bool Suspects::blocks(const base::DaemonId &from, const TrialQuestion &question, SuspectActions &actions)
+{
+    if (m_running.contains(question.fingerprint)) {
+        return true;
+    }
+    std::vector<Fingerprint> yielding;
+    for (const auto &[fingerprint, trial] : m_trials) {
+        if (fingerprint != question.fingerprint && trial.endpoint != question.endpoint) {
+            continue;
+        }
+        // Of two that ask at once, the daemon with the lower name goes first.
+        if (trial.isRunning || m_options.self < from) {
+            return true;
+        }
+        yielding.push_back(fingerprint);
+    }
+    for (const auto it : yielding) {
+        m_trials.erase(it);
+        actions.emplace_back(TrialDenied{it, Standing::Suspect});
+    }
+    return false;
+}
+
+TrialReply Suspects::onQuestion(const base::DaemonId &from, const TrialQuestion &question, base::Time now, SuspectActions &actions)
+{
+    const bool isCondemned = merge(question.fingerprint, question.lost, now) == Standing::Condemned;
+    const bool mayRun = !isCondemned && !blocks(from, question, actions);
+    if (mayRun) {
+        remember(question.fingerprint, now).triedBy = from;
+    }
+    return TrialReply{question.fingerprint, question.sequence, mayRun, lostWith(question.fingerprint)};
+}
+
+SuspectActions Suspects::onReply(const base::DaemonId &from, const TrialReply &reply, base::Time now)
+{
+    const auto it = m_trials.find(reply.fingerprint);
+    const bool isAwaited = it != m_trials.end() && it->second.sequence == reply.sequence && !it->second.isRunning;
+    const auto present = reply.lost.empty() ? standing(reply.fingerprint, now) : merge(reply.fingerprint, reply.lost, now);
+    if (!isAwaited) {
+        return {};
+    }
+    if (present == Standing::Condemned || !reply.mayRun) {
+        SuspectActions actions = {TrialDenied{reply.fingerprint, present}};
+        m_trials.erase(it);
+        // The daemons that agreed must not go on believing that the trial is under way.
+        tellAll(reply.fingerprint, false, actions);
+        return actions;
+    }
+    it->second.waitingFor.erase(from);
+    return grantIfAgreed(reply.fingerprint, it->second);
+}
+
+void Suspects::onVerdict(const base::DaemonId &from, const TrialVerdict &verdict, base::Time now)
+{
+    if (!verdict.isCleared && !verdict.lost.empty()) {
+        merge(verdict.fingerprint, verdict.lost, now);
+    }
+    const auto it = m_entries.find(verdict.fingerprint);
+    if (it == m_entries.end()) {
+        return;
+    }
+    if (it->second.triedBy == from) {
+        it->second.triedBy.reset();
+    }
+    const auto &lost = it->second.lost;
+    const auto isKnown = [&verdict](const base::EndpointId &endpoint) {
+        return std::find(verdict.lost.begin(), verdict.lost.end(), endpoint) != verdict.lost.end();
+    };
+    const bool coversAll = std::all_of(lost.begin(), lost.end(), isKnown);
+    if (verdict.isCleared && coversAll && lost.size() < m_options.lossLimit && !isTrying(verdict.fingerprint)) {
+        forget(verdict.fingerprint);
+    }
+}
+
+SuspectActions Suspects::tick(base::Time now)
+{
+    SuspectActions actions;
+    const auto present = peers();
+    for (auto &[fingerprint, trial] : m_trials) {
+        std::erase_if(trial.waitingFor, [&present](const auto &it) { return std::find(present.begin(), present.end(), it) == present.end(); });
+        const auto granted = grantIfAgreed(fingerprint, trial);
+        actions.insert(actions.end(), granted.begin(), granted.end());
+        if (trial.isRunning || now < trial.askAgainAt) {
+            continue;
+        }
+        trial.askAgainAt = now + m_options.askAgain;
+        for (const auto &it : trial.waitingFor) {
+            actions.emplace_back(AskPeer{it, TrialQuestion{fingerprint, trial.sequence, trial.endpoint, lostWith(fingerprint)}});
+        }
+    }
+    tellAgain(now, actions);
+    while (!m_ages.empty() && m_entries.at(m_ages.front()).expiresAt <= now) {
+        forget(m_ages.front());
+    }
+    return actions;
+}
+
+std::size_t Suspects::size() const
+{
+    return m_entries.size();
+}
+
+Suspects::Entry &Suspects::remember(Fingerprint fingerprint, base::Time now)
+{
+    const auto [it, isNew] = m_entries.try_emplace(fingerprint);
+    if (!isNew) {
+        m_ages.erase(it->second.age);
+    }
+    it->second.age = m_ages.insert(m_ages.end(), fingerprint);
+    it->second.expiresAt = now + m_options.lifetime;
+    if (m_entries.size() > m_options.limit) {
+        forget(m_ages.front());
+    }
+    return it->second;
+}
+
+void Suspects::forget(Fingerprint fingerprint)
+{
+    const auto it = m_entries.find(fingerprint);
+    if (it == m_entries.end()) {
+        return;
+    }
+    m_ages.erase(it->second.age);
+    m_entries.erase(it);
+}
+
+Standing Suspects::merge(Fingerprint fingerprint, const std::vector<base::EndpointId> &lost, base::Time now)
+{
+    auto &entry = remember(fingerprint, now);
+    for (const auto &it : lost) {
+        if (entry.lost.size() < m_options.lossLimit) {
+            entry.lost.insert(it);
+        }
+    }
+    return standing(fingerprint, now);
+}
+
+std::vector<base::EndpointId> Suspects::lostWith(Fingerprint fingerprint) const
+{
+    const auto it = m_entries.find(fingerprint);
+    if (it == m_entries.end()) {
+        return {};
+    }
+    return {it->second.lost.begin(), it->second.lost.end()};
+}
+
+void Suspects::tellAll(Fingerprint fingerprint, bool isCleared, SuspectActions &actions) const
+{
+    for (const auto &it : peers()) {
+        actions.emplace_back(TellPeer{it, TrialVerdict{fingerprint, isCleared, lostWith(fingerprint)}});
+    }
+}
+
+std::vector<base::DaemonId> Suspects::peers() const
+{
+    return m_options.peers ? m_options.peers() : std::vector<base::DaemonId>();
+}
+
+} // namespace turmericplank::requests
