--- a/include/turmericplank/requests/callerror.hpp
+++ b/include/turmericplank/requests/callerror.hpp
@@ -31,6 +31,7 @@
     CallOutcomeUnknown,
     StoreUnavailable,
     Draining,
+    Starting,
     TooLarge,
 };
 
--- a/include/turmericplank/requests/dispatcher.hpp
+++ b/include/turmericplank/requests/dispatcher.hpp
@@ -49,7 +49,7 @@
     friend bool operator==(const CallAction &, const CallAction &) = default;
 };
 
-using DispatchAction = std::variant<CallAction, WriteRows, ReadRow, AskPeer, TellPeer>;
+using DispatchAction = std::variant<CallAction, WriteRows, ReadRow, AskPeer, TellPeer, AskSuspects>;
 using DispatchActions = std::vector<DispatchAction>;
 
 /// @brief Hooks and limits of a daemon's requests.
@@ -66,6 +66,7 @@
     base::Duration serviceSilence = std::chrono::seconds(10); ///< first progress of service calls
     base::Duration dispatchAgain = std::chrono::milliseconds(50); ///< between tries of a call that waits for its trial
     base::Duration comeBack = std::chrono::seconds(1); ///< when a refused caller may ask again
+    base::Duration startAgain = std::chrono::milliseconds(200); ///< when a caller may ask a daemon again that has just started
     bool refusesWhileDraining = true;
 };
 
@@ -97,6 +98,10 @@
     DispatchActions reply(const base::DaemonId &from, const TrialReply &reply, base::Time now);
     /// @brief Another daemon told of a suspect.
     void verdict(const base::DaemonId &from, const TrialVerdict &verdict, base::Time now);
+    /// @brief Another daemon has just started and asks what is remembered of suspects.
+    std::vector<TrialVerdict> suspectsAsked(const base::DaemonId &from);
+    /// @brief What another daemon remembers of suspects.
+    void suspectsTold(const base::DaemonId &from, const std::vector<TrialVerdict> &told, base::Time now);
     /// @brief Another daemon has taken in what it was told.
     void told(const base::DaemonId &from, Fingerprint fingerprint);
     /// @brief Whatever is due; call it every few milliseconds.
--- a/include/turmericplank/requests/endpointcall.hpp
+++ b/include/turmericplank/requests/endpointcall.hpp
@@ -100,7 +100,8 @@
 /// @brief Carries one call over its attempts, so that the caller gets each piece once and in order.
 ///
 /// A broken or silent attempt is resumed on the same endpoint over a new connection; if that fails, the call goes on at
-/// another endpoint from the delivered offset. Pieces of earlier attempts are dropped.
+/// another endpoint from the delivered offset. Pieces of earlier attempts are dropped. An endpoint that broke a stream off
+/// or fell silent, and then does not go on with it over a new connection, counts as lost.
 class EndpointCall
 {
 public:
@@ -152,6 +153,7 @@
     unsigned m_resumes = 0;
     bool m_isRunning = false;
     bool m_isResume = false;
+    bool m_hasProgress = false; ///< the resumption brought a piece
     bool m_isOver = false;
 };
 
--- a/include/turmericplank/requests/suspects.hpp
+++ b/include/turmericplank/requests/suspects.hpp
@@ -76,6 +76,14 @@
     friend bool operator==(const TellPeer &, const TellPeer &) = default;
 };
 
+/// @brief Ask a daemon for all that it remembers, because this one has just started.
+struct AskSuspects
+{
+    base::DaemonId to;
+
+    friend bool operator==(const AskSuspects &, const AskSuspects &) = default;
+};
+
 /// @brief Every daemon agreed: the trial may start.
 struct TrialGranted
 {
@@ -94,7 +102,7 @@
     friend bool operator==(const TrialDenied &, const TrialDenied &) = default;
 };
 
-using SuspectAction = std::variant<AskPeer, TellPeer, TrialGranted, TrialDenied>;
+using SuspectAction = std::variant<AskPeer, TellPeer, AskSuspects, TrialGranted, TrialDenied>;
 using SuspectActions = std::vector<SuspectAction>;
 
 /// @brief Bounds and hooks of the suspects.
@@ -146,6 +154,12 @@
     SuspectActions onReply(const base::DaemonId &from, const TrialReply &reply, base::Time now);
     /// @brief Another daemon's trial ended.
     void onVerdict(const base::DaemonId &from, const TrialVerdict &verdict, base::Time now);
+    /// @brief Another daemon has just started and asks for all that is remembered here.
+    std::vector<TrialVerdict> onSuspectsAsked(const base::DaemonId &from);
+    /// @brief What another daemon remembers.
+    void onSuspects(const base::DaemonId &from, const std::vector<TrialVerdict> &suspects, base::Time now);
+    /// @brief Whether every other daemon has told what it remembers since this one started; until then nothing may run.
+    bool isInformed() const;
     /// @brief Another daemon has taken in what it was told; until then it is told again.
     void onTold(const base::DaemonId &from, Fingerprint fingerprint);
     /// @brief Asks and tells again, and forgets what has expired.
@@ -160,6 +174,7 @@
         std::set<base::EndpointId> lost;
         base::Time expiresAt;
         std::optional<base::DaemonId> triedBy; ///< another daemon asked for a trial whose end is not known
+        bool isOrphaned = false; ///< the daemon that tried it restarted before it told the end
         std::list<Fingerprint>::iterator age;
     };
     struct Trial
@@ -185,6 +200,7 @@
     std::vector<base::EndpointId> lostWith(Fingerprint fingerprint) const;
     void tellAll(Fingerprint fingerprint, bool isCleared, SuspectActions &actions) const;
     void announce(Fingerprint fingerprint, base::Time now, SuspectActions &actions);
+    void askSuspects(base::Time now, SuspectActions &actions);
     void tellAgain(base::Time now, SuspectActions &actions);
     SuspectActions grantIfAgreed(Fingerprint fingerprint, Trial &trial);
     std::vector<base::DaemonId> peers() const;
@@ -195,6 +211,9 @@
     std::map<Fingerprint, Trial> m_trials;
     std::map<Fingerprint, Announcement> m_announcements;
     std::unordered_map<Fingerprint, unsigned> m_running;
+    std::set<base::DaemonId> m_informedBy;
+    base::Time m_askSuspectsAt;
+    bool m_isInformed = false;
     std::uint64_t m_lastSequence = 0;
 };
 
--- a/src/turmericplank/requests/callerror.cpp
+++ b/src/turmericplank/requests/callerror.cpp
@@ -35,6 +35,7 @@
     CodeEntry{ErrorCode::CallOutcomeUnknown, "call_outcome_unknown", 502},
     CodeEntry{ErrorCode::StoreUnavailable, "store_unavailable", 503},
     CodeEntry{ErrorCode::Draining, "draining", 503},
+    CodeEntry{ErrorCode::Starting, "starting", 503},
     CodeEntry{ErrorCode::TooLarge, "too_large", 413},
 };
 
--- a/src/turmericplank/requests/dispatcher.cpp
+++ b/src/turmericplank/requests/dispatcher.cpp
@@ -22,6 +22,8 @@
     const auto standing = m_suspects.standing(arrival.fingerprint, now);
     if (m_isDraining && m_options.refusesWhileDraining) {
         giveUp(call, ErrorCode::Draining, now + m_options.comeBack, now, actions);
+    } else if (!m_suspects.isInformed()) {
+        giveUp(call, ErrorCode::Starting, now + m_options.startAgain, now, actions);
     } else if (standing == Standing::Condemned) {
         giveUp(call, ErrorCode::RequestCrashesEndpoints, m_suspects.until(arrival.fingerprint, now), now, actions);
     } else {
@@ -144,6 +146,16 @@
     m_suspects.onVerdict(from, verdict, now);
 }
 
+std::vector<TrialVerdict> Dispatcher::suspectsAsked(const base::DaemonId &from)
+{
+    return m_suspects.onSuspectsAsked(from);
+}
+
+void Dispatcher::suspectsTold(const base::DaemonId &from, const std::vector<TrialVerdict> &told, base::Time now)
+{
+    m_suspects.onSuspects(from, told, now);
+}
+
 void Dispatcher::told(const base::DaemonId &from, Fingerprint fingerprint)
 {
     m_suspects.onTold(from, fingerprint);
--- a/src/turmericplank/requests/dispatchercalls.cpp
+++ b/src/turmericplank/requests/dispatchercalls.cpp
@@ -262,6 +262,8 @@
             actions.emplace_back(*ask);
         } else if (const auto *tell = std::get_if<TellPeer>(&it)) {
             actions.emplace_back(*tell);
+        } else if (const auto *list = std::get_if<AskSuspects>(&it)) {
+            actions.emplace_back(*list);
         } else if (const auto *granted = std::get_if<TrialGranted>(&it)) {
             grantTrial(*granted, now, actions);
         } else if (const auto *denied = std::get_if<TrialDenied>(&it)) {
--- a/src/turmericplank/requests/endpointcall.cpp
+++ b/src/turmericplank/requests/endpointcall.cpp
@@ -61,6 +61,7 @@
     m_attempt = m_attempt.next();
     m_progressDeadline = now + m_options.firstProgress;
     m_isRunning = true;
+    m_hasProgress = false;
     m_isResume = true;
     ++m_resumes;
     m_record.begin();
@@ -73,6 +74,7 @@
         return {};
     }
     m_progressDeadline = now + m_options.silence;
+    m_hasProgress = true;
     if (m_options.rules.isNext(offset, m_delivered)) {
         m_delivered = offset + 1;
         return {DeliverPiece{offset, std::move(text)}};
@@ -108,9 +110,7 @@
     if (m_options.canResume && isBroken && !wasResume && m_resumes < m_options.resumeLimit) {
         return resume(now);
     }
-    // An endpoint that broke the connection and then neither accepts a new one nor knows the stream has gone down.
-    const bool isGone = wasResume && (end == AttemptEnd::NotSent || end == AttemptEnd::Refused);
-    return next(end, isGone || end == AttemptEnd::Lost);
+    return next(end, end == AttemptEnd::Lost || (wasResume && !m_hasProgress));
 }
 
 EndpointCallActions EndpointCall::next(AttemptEnd end, bool isEndpointLost)
@@ -158,7 +158,11 @@
         return {};
     }
     finishAttempt(AttemptEnd::Silent);
-    return {CancelAttempt{m_attempt, m_choice, m_wireId}};
+    EndpointCallActions actions = {CancelAttempt{m_attempt, m_choice, m_wireId}};
+    if (m_isResume && !m_hasProgress) {
+        actions.emplace_back(ChooseNext{m_choice, AttemptEnd::Silent, true});
+    }
+    return actions;
 }
 
 void EndpointCall::finishAttempt(AttemptEnd end)
--- a/src/turmericplank/requests/suspects.cpp
+++ b/src/turmericplank/requests/suspects.cpp
@@ -23,6 +23,9 @@
 
 bool Suspects::isOrphaned(const Entry &entry) const
 {
+    if (entry.isOrphaned) {
+        return true;
+    }
     if (!entry.triedBy) {
         return false;
     }
@@ -227,9 +230,51 @@
     }
 }
 
+std::vector<TrialVerdict> Suspects::onSuspectsAsked(const base::DaemonId &from)
+{
+    std::vector<TrialVerdict> suspects;
+    for (auto &[fingerprint, entry] : m_entries) {
+        entry.isOrphaned = entry.isOrphaned || entry.triedBy == from;
+        suspects.push_back(TrialVerdict{fingerprint, false, lostWith(fingerprint)});
+    }
+    return suspects;
+}
+
+void Suspects::onSuspects(const base::DaemonId &from, const std::vector<TrialVerdict> &suspects, base::Time now)
+{
+    for (const auto &it : suspects) {
+        merge(it.fingerprint, it.lost, now);
+    }
+    m_informedBy.insert(from);
+}
+
+bool Suspects::isInformed() const
+{
+    if (m_isInformed) {
+        return true;
+    }
+    const auto present = peers();
+    return std::all_of(present.begin(), present.end(), [this](const auto &it) { return m_informedBy.contains(it); });
+}
+
+void Suspects::askSuspects(base::Time now, SuspectActions &actions)
+{
+    m_isInformed = isInformed();
+    if (m_isInformed || now < m_askSuspectsAt) {
+        return;
+    }
+    m_askSuspectsAt = now + m_options.askAgain;
+    for (const auto &it : peers()) {
+        if (!m_informedBy.contains(it)) {
+            actions.emplace_back(AskSuspects{it});
+        }
+    }
+}
+
 SuspectActions Suspects::tick(base::Time now)
 {
     SuspectActions actions;
+    askSuspects(now, actions);
     const auto present = peers();
     for (auto &[fingerprint, trial] : m_trials) {
         std::erase_if(trial.waitingFor, [&present](const auto &it) { return std::find(present.begin(), present.end(), it) == present.end(); });
