--- a/include/turmericplank/membership/failuredetector.hpp
+++ b/include/turmericplank/membership/failuredetector.hpp
@@ -45,7 +45,7 @@
     /// @brief Time since a daemon was last heard by this daemon itself.
     base::Duration directSilence(const base::DaemonId &daemon, base::Time now) const;
 
-    /// @brief Whether this daemon hears fewer than half of those it watches, so that its own word on them counts little.
+    /// @brief Whether this daemon and those that it hears are no majority, so that the others may be right in missing it.
     bool isIsolated(base::Time now) const;
 
     /// @brief What to tell others.
--- a/include/turmericplank/membership/heartbeat.hpp
+++ b/include/turmericplank/membership/heartbeat.hpp
@@ -63,11 +63,11 @@
     friend bool operator==(const WorkDigest &, const WorkDigest &) = default;
 };
 
-/// @brief Share that the sender claims of a limit over all daemons, and what it could use.
+/// @brief Share that the sender reserves of a limit over all daemons, and what it could use.
 struct ShareClaim
 {
     ShortName limit = 0;
-    double share = 0;
+    double reserved = 0;
     double demand = 0;
 
     friend auto operator<=>(const ShareClaim &, const ShareClaim &) = default;
@@ -88,6 +88,7 @@
     std::vector<EndpointOpinion> suspects; ///< endpoints that the sender suspects; it thinks well of all others
     std::vector<WorkDigest> work;
     std::vector<ShareClaim> shares;
+    std::uint64_t receiverSequence = 0; ///< highest sequence that the sender has of the receiver
     base::Time receiverUseUntil; ///< latest time up to which the sender directed a caller to the receiver
 
     friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
--- a/include/turmericplank/membership/platformlist.hpp
+++ b/include/turmericplank/membership/platformlist.hpp
@@ -40,6 +40,9 @@
     /// @brief Whether the list names a machine; nothing if no list has come yet.
     std::optional<bool> isListed(const std::string &id) const;
 
+    /// @brief Whether a machine was listed and is no more: the platform has taken it away.
+    bool isRemoved(const std::string &id) const;
+
     /// @brief When the list that is in use was fetched.
     base::Time fetchedAt() const;
 
@@ -48,6 +51,7 @@
         None,
         Leaving,
         LeavingPredecessor,
+        Removed,
     };
 
     std::map<std::string, Mark> m_marks;
--- a/src/turmericplank/membership/daemonview.cpp
+++ b/src/turmericplank/membership/daemonview.cpp
@@ -4,6 +4,12 @@
 
 namespace turmericplank::membership {
 
+namespace {
+
+constexpr unsigned SequenceBits = 20; ///< of the heartbeats of one incarnation; those above tell incarnations apart
+
+} // namespace
+
 std::string_view toString(LiveState state)
 {
     switch (state) {
@@ -24,6 +30,7 @@
     , m_incarnation(incarnation)
     , m_options(std::move(options))
     , m_detector(m_options.detector)
+    , m_sequence(incarnation.value() << SequenceBits)
 {
 }
 
@@ -150,7 +157,8 @@
     const auto silence = m_detector.silence(daemon, now);
     const auto &rules = m_options.rules;
     const bool isKept = rules.doesListOverrule(m_list.fetchedAt(), now - silence) && m_list.isListed(daemon.text()).value_or(false);
-    if (silence > m_options.detector.goneAfter && !isKept && rules.mayDeclareGone(m_detector.isIsolated(now))) {
+    const bool isMissed = rules.mayDeclareGone(m_detector.isIsolated(now)) || m_list.isRemoved(daemon.text());
+    if (silence > m_options.detector.goneAfter && !isKept && isMissed) {
         return LiveState::Gone;
     }
     if (rules.isMarkEnough(leavingSources(daemon, it->second, now))) {
--- a/src/turmericplank/membership/daemonview_test.cpp
+++ b/src/turmericplank/membership/daemonview_test.cpp
@@ -19,7 +19,7 @@
     return {base::DaemonId(name), base::ZoneName("r/a"), {"127.0.0.1", 1}, {"127.0.0.1", 2}};
 }
 
-const std::vector<DaemonRecord> four = {record("a"), record("b"), record("c"), record("d")};
+const std::vector<DaemonRecord> Four = {record("a"), record("b"), record("c"), record("d")};
 
 /// Drives the view of daemon a; the others beat every half second unless they are silenced.
 struct Cell
@@ -31,9 +31,9 @@
     std::uint64_t sequence = 0;
 
     explicit Cell(const DaemonRules &rules = {})
-        : view(four.front(), base::Incarnation(1), {{}, rules})
+        : view(Four.front(), base::Incarnation(1), {{}, rules})
     {
-        view.noteRecords(four, at(0));
+        view.noteRecords(Four, at(0));
     }
 
     Heartbeat beat(const std::string &name)
@@ -222,3 +222,18 @@
     cell.view.noteList({{"a", true}}, at(300));
     CHECK((cell.state("a", 300) == LiveState::Leaving));
 }
+
+TEST_CASE("a process that ignores its own pause blames everybody")
+{
+    for (const bool isBroken : {false, true}) {
+        DaemonViewOptions options;
+        if (isBroken) {
+            options.detector.pauseAfter = std::chrono::hours(1);
+        }
+        DaemonView view(Four.front(), base::Incarnation(1), options);
+        view.noteRecords(Four, at(0));
+        view.tick(at(0));
+        view.tick(at(9000));
+        CHECK((view.state(base::DaemonId("b"), at(9000)) == (isBroken ? LiveState::Suspect : LiveState::Live)));
+    }
+}
--- a/src/turmericplank/membership/endpointview.cpp
+++ b/src/turmericplank/membership/endpointview.cpp
@@ -109,7 +109,7 @@
     const bool isSuspectedHere = isSuspected(known) && !isKept;
     const bool isAgreedOn = isAgreed(known, heard, isSuspectedHere ? 1 : 0);
     const auto silentSince = std::max(known.answeredAt, known.watchedFrom);
-    const bool isAbsent = !m_list.isListed(endpoint.text()).value_or(true);
+    const bool isAbsent = m_list.isRemoved(endpoint.text());
     if (isSuspectedHere && now - silentSince > m_options.goneAfter && (isAgreedOn || isAbsent)) {
         return LiveState::Gone;
     }
--- a/src/turmericplank/membership/failuredetector.cpp
+++ b/src/turmericplank/membership/failuredetector.cpp
@@ -68,8 +68,8 @@
 bool FailureDetector::isIsolated(base::Time now) const
 {
     const auto heard = std::ranges::count_if(m_daemons, [&](const auto &it) { return directSilence(it.first, now) <= m_options.suspectAfter; });
-    // This daemon counts as one of those that it hears.
-    return static_cast<std::size_t>(heard + 1) * 2 < m_daemons.size() + 1;
+    // This daemon counts as one of those that it hears. Of two halves, neither is the majority.
+    return !m_daemons.empty() && static_cast<std::size_t>(heard + 1) * 2 <= m_daemons.size() + 1;
 }
 
 std::vector<HeardAge> FailureDetector::heardAges(base::Time now) const
--- a/src/turmericplank/membership/heartbeat.cpp
+++ b/src/turmericplank/membership/heartbeat.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::uint32_t OldestVersion = 1;
 constexpr std::uint32_t Version = 1;
-constexpr std::uint32_t FieldCount = 13;
+constexpr std::uint32_t FieldCount = 14;
 constexpr std::uint32_t TokenUnit = 16; ///< tokens are rounded up to this many, which makes them shorter
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
@@ -117,10 +117,11 @@
     it.shares = reader.list<ShareClaim>([](Reader &fields) {
         ShareClaim claim;
         claim.limit = fields.next<ShortName>();
-        claim.share = fields.next<float>();
+        claim.reserved = fields.next<float>();
         claim.demand = fields.next<float>();
         return claim;
     });
+    it.receiverSequence = reader.next<std::uint64_t>();
     it.receiverUseUntil = base::timeFromMilliseconds(reader.next<std::int64_t>());
     return it;
 }
@@ -166,9 +167,10 @@
     packer.pack_array(static_cast<std::uint32_t>(3 * heartbeat.shares.size()));
     for (const auto &it : heartbeat.shares) {
         packer.pack(it.limit);
-        packer.pack(static_cast<float>(it.share));
+        packer.pack(static_cast<float>(it.reserved));
         packer.pack(static_cast<float>(it.demand));
     }
+    packer.pack(heartbeat.receiverSequence);
     packer.pack(base::toMilliseconds(heartbeat.receiverUseUntil));
     return {buf.data(), buf.size()};
 }
--- a/src/turmericplank/membership/heartbeat_test.cpp
+++ b/src/turmericplank/membership/heartbeat_test.cpp
@@ -21,6 +21,7 @@
     it.suspects = {{shortName("e-2"), true}};
     it.work = {{shortName("e-3"), 3, 160, 32}};
     it.shares = {{shortName("loads"), 12.5, 40}};
+    it.receiverSequence = 77;
     it.receiverUseUntil = base::timeFromMilliseconds(1'700'000'009'000);
     return it;
 }
--- a/src/turmericplank/membership/platformlist.cpp
+++ b/src/turmericplank/membership/platformlist.cpp
@@ -11,6 +11,9 @@
         const auto leaving = isStale ? Mark::LeavingPredecessor : Mark::Leaving;
         marks[it.id] = it.isLeaving ? leaving : Mark::None;
     }
+    for (const auto &[id, mark] : m_marks) {
+        marks.try_emplace(id, Mark::Removed);
+    }
     m_marks = std::move(marks);
     m_fetchedAt = now;
 }
@@ -34,7 +37,14 @@
     if (!m_fetchedAt) {
         return std::nullopt;
     }
-    return m_marks.contains(id);
+    const auto it = m_marks.find(id);
+    return it != m_marks.end() && it->second != Mark::Removed;
+}
+
+bool PlatformList::isRemoved(const std::string &id) const
+{
+    const auto it = m_marks.find(id);
+    return it != m_marks.end() && it->second == Mark::Removed;
 }
 
 base::Time PlatformList::fetchedAt() const
--- a/src/turmericplank/routing/router_test.cpp
+++ b/src/turmericplank/routing/router_test.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-const base::ModelName advice{"valve-advice"};
-const base::EndpointId firstEndpoint{"e-1"};
-const base::EndpointId secondEndpoint{"e-2"};
+const base::ModelName Advice{"valve-Advice"};
+const base::EndpointId FirstEndpoint{"e-1"};
+const base::EndpointId SecondEndpoint{"e-2"};
 
 base::Time at(std::int64_t milliseconds)
 {
@@ -23,7 +23,7 @@
     report.incarnation = base::Incarnation(1);
     report.takenAt = takenAt;
     report.running = running;
-    report.resident = {{advice, "1"}};
+    report.resident = {{Advice, "1"}};
     return report;
 }
 
@@ -36,11 +36,11 @@
     explicit Site(const RouterOptions &options = {})
         : router(options)
     {
-        router.setEndpoints({{firstEndpoint, {"127.0.0.1", 1}, base::ZoneName("r/a"), 4}, {secondEndpoint, {"127.0.0.1", 2}, base::ZoneName("r/b"), 4}});
-        router.setModels({advice, base::ModelName("absent")}, {{base::AdapterName("heater"), advice}});
-        router.noteReport(firstEndpoint, reportWith(0, at(0)), at(0));
-        router.noteReport(secondEndpoint, reportWith(0, at(0)), at(0));
-        request.model = advice;
+        router.setEndpoints({{FirstEndpoint, {"127.0.0.1", 1}, base::ZoneName("r/a"), 4}, {SecondEndpoint, {"127.0.0.1", 2}, base::ZoneName("r/b"), 4}});
+        router.setModels({Advice, base::ModelName("absent")}, {{base::AdapterName("heater"), Advice}});
+        router.noteReport(FirstEndpoint, reportWith(0, at(0)), at(0));
+        router.noteReport(SecondEndpoint, reportWith(0, at(0)), at(0));
+        request.model = Advice;
         request.promptTokens = 400;
     }
 
@@ -69,7 +69,7 @@
 {
     Site site;
     const auto first = site.send(1);
-    const auto other = first.endpoint == firstEndpoint ? secondEndpoint : firstEndpoint;
+    const auto other = first.endpoint == FirstEndpoint ? SecondEndpoint : FirstEndpoint;
     site.router.noteReport(first.endpoint, reportWith(1, at(5)), at(10));
     site.router.noteReport(other, reportWith(6, at(5)), at(10));
     site.router.noteFirstToken(first.ticket, at(11));
@@ -81,19 +81,19 @@
     Site site;
     int failures = 0;
     for (int n = 1; n <= 40; ++n) {
-        site.request.excluded = n <= 2 ? std::vector{secondEndpoint} : std::vector<base::EndpointId>();
+        site.request.excluded = n <= 2 ? std::vector{SecondEndpoint} : std::vector<base::EndpointId>();
         const auto choice = site.send(n);
-        const bool isFailing = choice.endpoint == firstEndpoint;
+        const bool isFailing = choice.endpoint == FirstEndpoint;
         failures += isFailing ? 1 : 0;
         site.router.noteEnded(choice.ticket, isFailing ? AttemptEnd::Failed : AttemptEnd::Answered, at(n));
     }
     CHECK(failures == 2);
     const auto probe = site.send(5000);
-    CHECK(probe.endpoint == firstEndpoint);
+    CHECK(probe.endpoint == FirstEndpoint);
     CHECK((probe.reason == RouteReason::Probe));
-    CHECK(site.send(5001).endpoint == secondEndpoint);
+    CHECK(site.send(5001).endpoint == SecondEndpoint);
     site.router.noteEnded(probe.ticket, AttemptEnd::Answered, at(5050));
-    CHECK(site.send(90000).endpoint == firstEndpoint);
+    CHECK(site.send(90000).endpoint == FirstEndpoint);
 }
 
 TEST_CASE("a single failure is forgiven with time")
@@ -109,13 +109,13 @@
 TEST_CASE("a marked endpoint gets nothing, a suspect one only where no other can")
 {
     Site site;
-    site.router.setMark(firstEndpoint, EndpointMark::Suspect, at(1));
-    CHECK(site.send(2).endpoint == secondEndpoint);
-    site.router.setMark(secondEndpoint, EndpointMark::Leaving, at(3));
+    site.router.setMark(FirstEndpoint, EndpointMark::Suspect, at(1));
+    CHECK(site.send(2).endpoint == SecondEndpoint);
+    site.router.setMark(SecondEndpoint, EndpointMark::Leaving, at(3));
     const auto choice = site.send(4);
-    CHECK(choice.endpoint == firstEndpoint);
+    CHECK(choice.endpoint == FirstEndpoint);
     CHECK((choice.reason == RouteReason::LastResort));
-    site.router.setMark(firstEndpoint, EndpointMark::Gone, at(5));
+    site.router.setMark(FirstEndpoint, EndpointMark::Gone, at(5));
     const auto none = site.router.choose(site.request, at(6), site.random);
     REQUIRE_FALSE(none);
     CHECK((none.error().reason == NoRouteReason::Unavailable));
@@ -124,7 +124,7 @@
 TEST_CASE("why there is no endpoint is typed")
 {
     Site site;
-    site.request.excluded = {firstEndpoint, secondEndpoint};
+    site.request.excluded = {FirstEndpoint, SecondEndpoint};
     CHECK((site.router.choose(site.request, at(1), site.random).error().reason == NoRouteReason::Excluded));
     site.request.model = base::ModelName("absent");
     CHECK((site.router.choose(site.request, at(1), site.random).error().reason == NoRouteReason::NotResident));
