Add the stand-ins of an engine, a plain service and the platform

The engine batches continuously by priority, caches prefixes in bounded memory, keeps finished streams for resume and takes orders with memory accounting. Faults are applied by an exchange around the server's own, so that no handler knows of them. An answer's tokens are a function of the model, the messages and the index, in a library that the load command shares.

--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -13,10 +13,19 @@
 turmericplank_program(turmericplank-cli "${PROJECT_SOURCE_DIR}/daemons/turmericplank")
 if(TARGET turmericplank-cli)
   set_target_properties(turmericplank-cli PROPERTIES OUTPUT_NAME turmericplank)
+  target_link_libraries(turmericplank-cli PRIVATE turmericplank_standins)
 endif()
-turmericplank_program(turmericplank-engine "${PROJECT_SOURCE_DIR}/standins/engine")
-turmericplank_program(turmericplank-service "${PROJECT_SOURCE_DIR}/standins/service")
-turmericplank_program(turmericplank-platform "${PROJECT_SOURCE_DIR}/standins/platform")
+
+# What the stand-ins share with the load command, which checks their answers.
+file(GLOB standin_sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/standins/common/*.cpp")
+list(FILTER standin_sources EXCLUDE REGEX "_test\\.cpp$")
+add_library(turmericplank_standins STATIC ${standin_sources})
+target_include_directories(turmericplank_standins PUBLIC "${PROJECT_SOURCE_DIR}/standins")
+target_link_libraries(turmericplank_standins PUBLIC turmericplank)
+foreach(standin engine service platform)
+  turmericplank_program(turmericplank-${standin} "${PROJECT_SOURCE_DIR}/standins/${standin}")
+  target_link_libraries(turmericplank-${standin} PRIVATE turmericplank_standins)
+endforeach()
 turmericplank_program(turmericplank-bench "${PROJECT_SOURCE_DIR}/bench")
 
 file(GLOB example_sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/examples/*.cpp")
--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -38,6 +38,23 @@
   endforeach()
 endif()
 
+# Decisions of the programs themselves: the *_test.cpp files of a program's folder, with all its sources but main.cpp.
+function(turmericplank_program_tests name)
+  set(sources)
+  foreach(folder IN LISTS ARGN)
+    file(GLOB found CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/${folder}/*.cpp")
+    list(FILTER found EXCLUDE REGEX "/main\\.cpp$")
+    list(APPEND sources ${found})
+  endforeach()
+  turmericplank_test_program(${name}_test turmericplank_standins ${sources})
+  add_test(NAME ${name} COMMAND ${name}_test)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
+
+if(NOT TURMERICPLANK_SANITIZE OR TURMERICPLANK_SANITIZE_SHELLS)
+  turmericplank_program_tests(standins standins/common standins/engine standins/platform)
+endif()
+
 # Whole-path tests start real programs from build/bin; each is a script in tests/ that exits non-zero on failure.
 file(GLOB system_tests CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/*_test.sh")
 if(NOT TURMERICPLANK_SANITIZE)
--- a/daemons/turmericplank/command.hpp
+++ b/daemons/turmericplank/command.hpp
@@ -2,9 +2,7 @@
 
 #include <functional>
 
-namespace CLI {
-class App;
-}
+#include <CLI/CLI.hpp>
 
 namespace turmericplank::cli {
 
--- /dev/null
+++ b/standins/common/faultyexchange.cpp
@@ -0,0 +1,112 @@
+#include "common/faultyexchange.hpp"
+
+namespace turmericplank::standins {
+
+FaultyExchange::FaultyExchange(boost::asio::io_context &context, net::ExchangePointer inner, FaultState &state)
+    : m_inner(std::move(inner))
+    , m_state(state)
+    , m_generation(state.generation)
+    , m_timer(context)
+{
+    if (state.faults.loseAnswers > 0) {
+        --state.faults.loseAnswers;
+        m_isLost = true;
+    }
+    m_isDelayed = state.faults.delay > base::Duration::zero();
+}
+
+const net::HttpRequest &FaultyExchange::request() const
+{
+    return m_inner->request();
+}
+
+bool FaultyExchange::isSilenced()
+{
+    const bool startedAfterFault = m_generation == m_state.generation;
+    if (m_state.faults.isSilent && !(startedAfterFault && m_state.faults.isSilentOpenOnly)) {
+        m_state.silenced.insert(m_inner);
+    }
+    return m_state.silenced.count(m_inner) > 0;
+}
+
+void FaultyExchange::startDelay()
+{
+    m_timer.expires_after(m_state.faults.delay);
+    m_timer.async_wait([self = boost::intrusive_ptr<FaultyExchange>(this)](const boost::system::error_code &ec) {
+        if (!ec) {
+            self->performDelayed();
+        }
+    });
+}
+
+void FaultyExchange::performDelayed()
+{
+    m_isDelayed = false;
+    auto steps = std::move(m_delayed);
+    m_delayed.clear();
+    for (const auto &step : steps) {
+        perform(step);
+    }
+}
+
+void FaultyExchange::perform(std::function<void()> step)
+{
+    if (m_isDelayed) {
+        if (m_delayed.empty()) {
+            startDelay();
+        }
+        m_delayed.push_back(std::move(step));
+        return;
+    }
+    if (m_isLost) {
+        m_inner->abort();
+        return;
+    }
+    if (!isSilenced()) {
+        step();
+    }
+}
+
+void FaultyExchange::respond(net::HttpResponse response)
+{
+    perform([inner = m_inner, response = std::move(response)] { inner->respond(response); });
+}
+
+void FaultyExchange::startStream(int status, net::Headers headers)
+{
+    perform([inner = m_inner, status, headers = std::move(headers)] { inner->startStream(status, headers); });
+}
+
+void FaultyExchange::writePiece(std::string piece)
+{
+    perform([inner = m_inner, piece = std::move(piece)] { inner->writePiece(piece); });
+}
+
+void FaultyExchange::endStream()
+{
+    perform([inner = m_inner] { inner->endStream(); });
+}
+
+void FaultyExchange::abort()
+{
+    m_inner->abort();
+}
+
+std::size_t FaultyExchange::queuedBytes() const
+{
+    return m_inner->queuedBytes();
+}
+
+void FaultyExchange::setOnClosed(std::function<void()> onClosed)
+{
+    // What lies between the two ends has lost track of a silent connection, so its closing is not seen either.
+    boost::intrusive_ptr<FaultyExchange> self(this);
+    m_inner->setOnClosed([self, onClosed = std::move(onClosed)] {
+        if (!self->m_isLost && !self->isSilenced()) {
+            onClosed();
+        }
+        self->m_state.silenced.erase(self->m_inner);
+    });
+}
+
+} // namespace turmericplank::standins
--- /dev/null
+++ b/standins/engine/engine.cpp
@@ -0,0 +1,236 @@
+#include "engine/engine.hpp"
+
+#include <charconv>
+
+#include "engine/prefixcache.hpp"
+
+namespace turmericplank::standins::engine {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view StreamsPath = "/v1/streams/";
+constexpr double CachedShareOfFirstToken = 0.8; // saved of the first token's time when the whole prompt is cached
+constexpr std::size_t EventCapacity = 8192;
+
+std::uint64_t readNumber(const std::string &text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+Engine::Engine(Program &program, EngineOptions options)
+    : m_program(program)
+    , m_options(std::move(options))
+    , m_incarnation(base::toMilliseconds(base::now()))
+    , m_scheduler({m_options.concurrency, m_options.waitingLimit, std::chrono::milliseconds(m_options.tokenMilliseconds)})
+    , m_cache(m_options.cacheBlocks)
+    , m_events(std::chrono::milliseconds(m_options.eventLagMilliseconds), EventCapacity, static_cast<std::uint64_t>(m_incarnation))
+    , m_orders(m_options.memoryMib, m_options.checksFencing)
+    , m_timer(program.context())
+{
+}
+
+void Engine::answer(const net::ExchangePointer &exchange)
+{
+    const auto &request = exchange->request();
+    const std::string path(net::path(request.target));
+    const auto route = request.method + ' ' + path;
+    if (route == "POST /v1/chat/completions") {
+        chat(exchange);
+    } else if (path.starts_with(StreamsPath) && request.method == "GET") {
+        resume(exchange, path.substr(StreamsPath.size()));
+    } else if (path.starts_with(StreamsPath) && request.method == "DELETE") {
+        cancel(path.substr(StreamsPath.size()));
+        exchange->respond({204, {}, {}});
+    } else if (route == "GET /load") {
+        exchange->respond(jsonResponse(200, delayedReport()));
+    } else if (route == "GET /inventory") {
+        exchange->respond(jsonResponse(200, inventory()));
+    } else if (route == "POST /orders") {
+        takeOrder(exchange);
+    } else if (route == "GET /cache_events") {
+        exchange->respond(jsonResponse(200, cacheEvents(readNumber(net::queryParameter(request.target, "from")))));
+    } else if (route == "POST /kv/export") {
+        exportCache(exchange);
+    } else if (route == "POST /kv/import") {
+        importCache(exchange);
+    } else {
+        exchange->respond(errorResponse(404, "unknown_path"));
+    }
+}
+
+bool Engine::refusesWork()
+{
+    const auto now = base::now();
+    if (!m_program.faults().faults.isLeaving) {
+        m_refuseFrom.reset();
+    } else if (!m_refuseFrom) {
+        m_refuseFrom = now + std::chrono::milliseconds(m_options.leavingGraceMilliseconds);
+    }
+    return m_refuseFrom && *m_refuseFrom <= now;
+}
+
+void Engine::chat(const net::ExchangePointer &exchange)
+{
+    auto request = readChatRequest(exchange->request());
+    if (!request) {
+        exchange->respond(errorResponse(400, "bad_request"));
+        return;
+    }
+    if (refusesWork()) {
+        exchange->respond(errorResponse(503, "leaving"));
+        return;
+    }
+    const auto resident = m_orders.resolve(request->model);
+    if (!resident) {
+        exchange->respond(errorResponse(404, "model_not_resident"));
+        return;
+    }
+    if (request->id.empty()) {
+        request->id = "unnamed-" + std::to_string(++m_unnamedRequests);
+    }
+    const auto id = request->id;
+    cancel(id);
+    const bool isStreamed = request->isStreamed;
+    const auto offset = request->offset;
+    const Job job{id, request->priority, firstTokenTime(*request), request->end - offset};
+    if (job.tokens > 0 && !m_scheduler.admit(job, base::now())) {
+        exchange->respond(errorResponse(429, "overloaded"));
+        return;
+    }
+    const bool crashes = m_program.faults().faults.crashesOn(exchange->request().body);
+    auto &stream = m_streams.add({std::move(*request), *resident, offset, crashes, {}, 0, false, std::nullopt});
+    cancelWhenClosed(exchange, id);
+    attach(stream, exchange, offset, !isStreamed);
+    armTimer();
+}
+
+base::Duration Engine::firstTokenTime(const ChatRequest &request)
+{
+    const auto prefixes = prefixNames(request.model, request.prompt);
+    const auto cached = static_cast<double>(m_cache.cachedLength(prefixes));
+    const double share = prefixes.empty() ? 0 : cached / static_cast<double>(prefixes.size());
+    cache(prefixes);
+    const double milliseconds = static_cast<double>(m_options.firstTokenMilliseconds) * (1 - CachedShareOfFirstToken * share);
+    return std::chrono::microseconds(static_cast<std::int64_t>(milliseconds * 1000));
+}
+
+void Engine::cache(const std::vector<std::string> &prefixes)
+{
+    for (const auto &it : m_cache.insert(prefixes)) {
+        m_events.record(it, base::now(), m_program.faults().faults.dropEvents);
+    }
+}
+
+void Engine::cancelWhenClosed(const net::ExchangePointer &exchange, const std::string &id)
+{
+    exchange->setOnClosed([this, id, reader = exchange.get()] {
+        const auto *stream = m_streams.find(id);
+        if (stream != nullptr && stream->reader.get() == reader) {
+            cancel(id);
+        }
+    });
+}
+
+void Engine::resume(const net::ExchangePointer &exchange, const std::string &id)
+{
+    auto *stream = m_streams.find(id);
+    if (stream == nullptr) {
+        exchange->respond(errorResponse(404, "unknown_stream"));
+        return;
+    }
+    cancelWhenClosed(exchange, id);
+    const auto from = readNumber(net::queryParameter(exchange->request().target, "from"));
+    attach(*stream, exchange, static_cast<std::uint32_t>(from), false);
+}
+
+void Engine::cancel(const std::string &id)
+{
+    m_scheduler.cancel(id, base::now());
+    m_streams.remove(id);
+    armTimer();
+    finishIdleUnloads();
+}
+
+void Engine::armTimer()
+{
+    const auto due = m_scheduler.nextDue();
+    if (!due || (m_armedFor && *m_armedFor <= *due)) {
+        return;
+    }
+    m_armedFor = due;
+    m_timer.expires_after(*due - base::now());
+    m_timer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec) {
+            m_armedFor.reset();
+            generate();
+        }
+    });
+}
+
+void Engine::generate()
+{
+    for (const auto &it : m_scheduler.advance(base::now())) {
+        auto *stream = m_streams.find(it.id);
+        if (stream == nullptr) {
+            continue;
+        }
+        if (stream->crashes) {
+            crash();
+        }
+        produce(*stream);
+        if (it.isLast) {
+            finishStream(*stream);
+        }
+    }
+    armTimer();
+}
+
+void Engine::finishStream(Stream &stream)
+{
+    const auto now = base::now();
+    stream.forgetAt = now + std::chrono::milliseconds(m_options.keepFinishedMilliseconds);
+    m_streams.forgetFinished(now);
+    finishIdleUnloads();
+}
+
+json Engine::cacheEvents(std::uint64_t from) const
+{
+    json list = json::array();
+    auto next = from;
+    for (const auto &it : m_events.visible(from, base::now())) {
+        list.push_back({{"seq", it.sequence}, {"prefix", it.change.prefix}, {"action", it.change.isAdded ? "added" : "removed"}});
+        next = it.sequence + 1;
+    }
+    return {{"events", list}, {"next", next}};
+}
+
+void Engine::exportCache(const net::ExchangePointer &exchange)
+{
+    const auto body = json::parse(exchange->request().body, nullptr, false);
+    const auto prefix = body.is_object() ? body.value("prefix", std::string()) : std::string();
+    if (!m_cache.contains(prefix)) {
+        exchange->respond(errorResponse(404, "unknown_prefix"));
+        return;
+    }
+    exchange->respond(jsonResponse(200, {{"bytes", "kv:" + prefix}}));
+}
+
+void Engine::importCache(const net::ExchangePointer &exchange)
+{
+    const auto body = json::parse(exchange->request().body, nullptr, false);
+    const auto prefix = body.is_object() ? body.value("prefix", std::string()) : std::string();
+    if (prefix.empty() || body.value("bytes", json()) != "kv:" + prefix) {
+        exchange->respond(errorResponse(400, "bad_request"));
+        return;
+    }
+    cache({prefix});
+    exchange->respond({204, {}, {}});
+}
+
+} // namespace turmericplank::standins::engine
--- /dev/null
+++ b/standins/engine/scheduler_test.cpp
@@ -0,0 +1,56 @@
+#include "engine/scheduler.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::standins::engine;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto Start = base::timeFromMilliseconds(1000);
+
+Job job(const std::string &id, base::Priority priority = base::Priority::Normal, std::uint32_t tokens = 2)
+{
+    return {id, priority, 100ms, tokens};
+}
+
+} // namespace
+
+TEST_CASE("tokens of streams in the batch come interleaved, each at its own times")
+{
+    Scheduler scheduler({2, 4, 20ms});
+    REQUIRE(scheduler.admit(job("a"), Start));
+    REQUIRE(scheduler.admit(job("b"), Start + 10ms));
+    CHECK(scheduler.advance(Start + 99ms).empty());
+    const std::vector<GeneratedToken> expected = {{"a", true, false}, {"b", true, false}, {"a", false, true}, {"b", false, true}};
+    CHECK(scheduler.advance(Start + 200ms) == expected);
+    CHECK(scheduler.running() == 0);
+    CHECK_FALSE(scheduler.nextDue());
+}
+
+TEST_CASE("a waiting stream starts when another ends, urgent ones first")
+{
+    Scheduler scheduler({1, 2, 20ms});
+    REQUIRE(scheduler.admit(job("a", base::Priority::Normal, 1), Start));
+    REQUIRE(scheduler.admit(job("b", base::Priority::Bulk, 1), Start));
+    REQUIRE(scheduler.admit(job("c", base::Priority::Urgent, 1), Start));
+    CHECK_FALSE(scheduler.admit(job("d"), Start));
+    CHECK(scheduler.waiting() == 2);
+    CHECK(scheduler.advance(Start + 100ms) == std::vector<GeneratedToken>{{"a", true, true}});
+    CHECK(scheduler.advance(Start + 200ms) == std::vector<GeneratedToken>{{"c", true, true}});
+    CHECK(scheduler.advance(Start + 300ms) == std::vector<GeneratedToken>{{"b", true, true}});
+}
+
+TEST_CASE("a cancelled stream generates nothing more and makes room")
+{
+    Scheduler scheduler({1, 2, 20ms});
+    REQUIRE(scheduler.admit(job("a"), Start));
+    REQUIRE(scheduler.admit(job("b"), Start));
+    REQUIRE(scheduler.admit(job("c"), Start));
+    scheduler.cancel("b", Start);
+    scheduler.cancel("a", Start + 50ms);
+    CHECK(scheduler.waiting() == 0);
+    CHECK(scheduler.nextDue() == Start + 150ms);
+    CHECK(scheduler.advance(Start + 150ms) == std::vector<GeneratedToken>{{"c", true, false}});
+}
--- /dev/null
+++ b/standins/platform/table.cpp
@@ -0,0 +1,45 @@
+#include "platform/table.hpp"
+
+namespace turmericplank::standins::platform {
+
+Row Table::present(const std::string &key) const
+{
+    const auto it = m_rows.find(key);
+    return it == m_rows.end() ? Row{key, base::RowVersion(0), {}} : it->second;
+}
+
+tl::expected<std::vector<base::RowVersion>, std::vector<Row>> Table::transact(const std::vector<RowWrite> &writes)
+{
+    std::vector<Row> conflicts;
+    for (const auto &it : writes) {
+        const auto row = present(it.key);
+        if (it.expected && *it.expected != row.version) {
+            conflicts.push_back(row);
+        }
+    }
+    if (!conflicts.empty()) {
+        return tl::unexpected(std::move(conflicts));
+    }
+    std::vector<base::RowVersion> versions;
+    for (const auto &it : writes) {
+        m_lastVersion = m_lastVersion.next();
+        versions.push_back(m_lastVersion);
+        if (it.value) {
+            m_rows[it.key] = Row{it.key, m_lastVersion, *it.value};
+        } else {
+            m_rows.erase(it.key);
+        }
+    }
+    return versions;
+}
+
+std::vector<Row> Table::rows(const std::string &prefix) const
+{
+    std::vector<Row> found;
+    for (auto it = m_rows.lower_bound(prefix); it != m_rows.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+        found.push_back(it->second);
+    }
+    return found;
+}
+
+} // namespace turmericplank::standins::platform
