--- a/include/turmericplank/placement/lease.hpp
+++ b/include/turmericplank/placement/lease.hpp
@@ -43,6 +43,7 @@
     base::Duration safety = std::chrono::seconds(3); ///< a holder stops this long before that
     base::Duration renewInterval = std::chrono::seconds(2);
     base::Duration retryInterval = std::chrono::seconds(1);
+    bool isConditional = true; ///< writes depend on the row's version; off only to show what that is for
     std::function<std::vector<platform::RowWrite>(base::Term)> rowsOnAcquire; ///< rows that the first write of a tenure adds
 };
 
--- a/src/turmericplank/placement/controller.cpp
+++ b/src/turmericplank/placement/controller.cpp
@@ -13,6 +13,7 @@
     lease.key = keys.lease();
     lease.length = options.leaseLength;
     lease.safety = options.safeguards.stopsBeforeLapse ? options.leaseSafety : -10 * options.leaseLength;
+    lease.isConditional = options.safeguards.writesUnderLease;
     lease.renewInterval = options.renewInterval;
     lease.retryInterval = options.tableRetryInterval;
     lease.rowsOnAcquire = [keys, self = options.self](base::Term term) {
@@ -59,7 +60,9 @@
     if (purpose == ReadPurpose::Acknowledgements) {
         m_isReadingAcknowledgements = false;
         if (result) {
-            m_rows.holders = readCellRows(m_keys, *result).holders;
+            auto rows = readCellRows(m_keys, *result);
+            m_rows.holders = std::move(rows.holders);
+            m_rows.holderVersions = std::move(rows.holderVersions);
         }
         return tick(now);
     }
--- a/src/turmericplank/placement/controllerorders.cpp
+++ b/src/turmericplank/placement/controllerorders.cpp
@@ -24,6 +24,10 @@
 
 void Controller::sendTerm(base::Time now, const base::EndpointId &id, Endpoint &endpoint, Actions &actions)
 {
+    if (!m_options.safeguards.sendsTermFirst) {
+        endpoint.isTermAccepted = true;
+        return;
+    }
     const bool isAllowed = isHolding(now) || isWithoutTable();
     if (!isAllowed || endpoint.isTermAccepted || endpoint.isTermUnderWay || !endpoint.incarnation || now < endpoint.nextTerm) {
         return;
@@ -192,7 +196,7 @@
     endpoint.ledger.confirm(*inventory);
     endpoint.isInventoryDue = false;
     endpoint.role = inventory->role;
-    const bool isTermKnown = !checksFencing(id) || endpoint.isTermAccepted || !m_options.safeguards.sendsTermFirst;
+    const bool isTermKnown = !checksFencing(id) || endpoint.isTermAccepted;
     endpoint.isTrusted = isTermKnown && !hasOpenInherited(id) && knowsRunningOrders(*inventory);
     return tick(now);
 }
--- a/src/turmericplank/placement/lease.cpp
+++ b/src/turmericplank/placement/lease.cpp
@@ -90,7 +90,8 @@
     m_writing.deadline = now + m_options.length;
     m_writeBegan = now;
     m_pending.clear();
-    m_pending.push_back({m_options.key, m_seenVersion, encode(m_writing)});
+    const auto expected = m_options.isConditional ? std::optional(m_seenVersion) : std::nullopt;
+    m_pending.push_back({m_options.key, expected, encode(m_writing)});
     m_pending.insert(m_pending.end(), std::make_move_iterator(m_attached.begin()), std::make_move_iterator(m_attached.end()));
     m_attached.clear();
 }
