--- a/src/turmericplank/requests/endpointcall.cpp
+++ b/src/turmericplank/requests/endpointcall.cpp
@@ -61,6 +61,7 @@
     m_attempt = m_attempt.next();
     m_progressDeadline = now + m_options.firstProgress;
     m_isRunning = true;
+    m_hasProgress = false;
     m_isResume = true;
     ++m_resumes;
     m_record.begin();
@@ -73,6 +74,7 @@
         return {};
     }
     m_progressDeadline = now + m_options.silence;
+    m_hasProgress = true;
     if (m_options.rules.isNext(offset, m_delivered)) {
         m_delivered = offset + 1;
         return {DeliverPiece{offset, std::move(text)}};
@@ -97,24 +99,23 @@
         return {CompleteCall{}};
     }
     if (!m_options.isRepeatable && !m_options.rules.mayRepeat(end)) {
-        auto actions = giveUp(ErrorCode::CallOutcomeUnknown, std::nullopt);
+        EndpointCallActions actions;
+        if (end == AttemptEnd::Lost) {
+            actions.emplace_back(ChooseNext{m_choice, end, true});
+        }
+        append(actions, giveUp(ErrorCode::CallOutcomeUnknown, std::nullopt));
         return actions;
     }
     const bool isBroken = end == AttemptEnd::Lost || end == AttemptEnd::Silent;
     if (m_options.canResume && isBroken && !wasResume && m_resumes < m_options.resumeLimit) {
         return resume(now);
     }
-    // An endpoint that broke the connection and then neither accepts a new one nor knows the stream has gone down.
-    const bool isGone = wasResume && (end == AttemptEnd::NotSent || end == AttemptEnd::Refused);
-    return next(isGone || end == AttemptEnd::Lost, now);
+    return next(end, end == AttemptEnd::Lost || (wasResume && !m_hasProgress));
 }
 
-EndpointCallActions EndpointCall::next(bool isEndpointLost, base::Time now)
+EndpointCallActions EndpointCall::next(AttemptEnd end, bool isEndpointLost)
 {
-    if (now >= m_deadline) {
-        return giveUp(ErrorCode::DeadlinePassed, std::nullopt);
-    }
-    return {ChooseNext{m_choice, isEndpointLost}};
+    return {ChooseNext{m_choice, end, isEndpointLost}};
 }
 
 EndpointCallActions EndpointCall::tick(base::Time now)
@@ -157,7 +158,11 @@
         return {};
     }
     finishAttempt(AttemptEnd::Silent);
-    return {CancelAttempt{m_attempt, m_choice, m_wireId}};
+    EndpointCallActions actions = {CancelAttempt{m_attempt, m_choice, m_wireId}};
+    if (m_isResume && !m_hasProgress) {
+        actions.emplace_back(ChooseNext{m_choice, AttemptEnd::Silent, true});
+    }
+    return actions;
 }
 
 void EndpointCall::finishAttempt(AttemptEnd end)
