--- a/include/turmericplank/requests/endpointcall.hpp
+++ b/include/turmericplank/requests/endpointcall.hpp
@@ -70,10 +70,11 @@
     friend bool operator==(const DeliverPiece &, const DeliverPiece &) = default;
 };
 
-/// @brief Another endpoint is needed.
+/// @brief An attempt failed; another endpoint is needed unless the call has ended.
 struct ChooseNext
 {
     Choice previous;
+    AttemptEnd end = AttemptEnd::NotSent; ///< how the attempt there ended
     bool isEndpointLost = false; ///< the previous endpoint went down with the call on it
 
     friend bool operator==(const ChooseNext &, const ChooseNext &) = default;
@@ -99,7 +100,8 @@
 /// @brief Carries one call over its attempts, so that the caller gets each piece once and in order.
 ///
 /// A broken or silent attempt is resumed on the same endpoint over a new connection; if that fails, the call goes on at
-/// another endpoint from the delivered offset. Pieces of earlier attempts are dropped.
+/// another endpoint from the delivered offset. Pieces of earlier attempts are dropped. An endpoint that broke a stream off
+/// or fell silent, and then does not go on with it over a new connection, counts as lost.
 class EndpointCall
 {
 public:
@@ -136,8 +138,7 @@
 
 private:
     EndpointCallActions resume(base::Time now);
-    EndpointCallActions next(bool isEndpointLost, base::Time now);
-    EndpointCallActions stop(EndpointCallActions actions);
+    EndpointCallActions next(AttemptEnd end, bool isEndpointLost);
     void finishAttempt(AttemptEnd end);
 
     EndpointCallOptions m_options;
@@ -152,6 +153,7 @@
     unsigned m_resumes = 0;
     bool m_isRunning = false;
     bool m_isResume = false;
+    bool m_hasProgress = false; ///< the resumption brought a piece
     bool m_isOver = false;
 };
 
