Wire membership and routing into the daemon

Daemons register under daemons/CELL/ID, beat once a second and at once when a mark changes, direct callers by /v1/entry, and drain only when no caller can hold their address. Endpoints are polled closely by two daemons each, now and then by all.

--- a/include/turmericplank/daemon/frontdoor.hpp
+++ b/include/turmericplank/daemon/frontdoor.hpp
@@ -9,7 +9,7 @@
 
 namespace turmericplank::daemon {
 
-/// @brief Answers callers: entry questions, model calls and calls of services.
+/// @brief Answers callers: model calls and calls of services.
 class FrontDoor
 {
 public:
@@ -21,7 +21,6 @@
     FrontDoor(Environment &environment, routing::Router &router, DocumentSource document);
 
 private:
-    void answerEntry(const net::ExchangePointer &exchange);
     void relayModelCall(const net::ExchangePointer &exchange);
     void relayServiceCall(const net::ExchangePointer &exchange);
     void relay(const net::ExchangePointer &exchange, const base::Address &to, net::HttpRequest request, std::function<void(bool isWhole)> onEnd);
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -3,10 +3,10 @@
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/frontdoor.hpp"
-#include "turmericplank/daemon/loadpoller.hpp"
+#include "turmericplank/daemon/membershipshell.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
+#include "turmericplank/daemon/routingshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
-#include "turmericplank/routing/router.hpp"
 #include "turmericplank/telemetry/log.hpp"
 
 namespace turmericplank::daemon {
@@ -63,8 +63,9 @@
         , platformClient(makePlatformClient(context, {settings.platform}))
         , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
                       metrics, random}
-        , loadPoller(environment, router)
-        , frontDoor(environment, router, [this] { return document; })
+        , routing(environment)
+        , membership(environment, routing, membershipHooks())
+        , frontDoor(environment, routing.router(), [this] { return document; })
     {
         addOperatorRoutes(operatorRoutes, metrics);
         addOperatorRoutes(callerRoutes, metrics);
@@ -76,11 +77,26 @@
     void applyDocument()
     {
         if (document) {
-            applyTo(router, *document);
-            loadPoller.setEndpoints(*document);
+            routing.apply(*document);
+            membership.applyEndpoints();
         }
     }
 
+    MembershipShellHooks membershipHooks()
+    {
+        MembershipShellHooks hooks;
+        hooks.load = [this] {
+            return callerServer ? static_cast<std::uint32_t>(callerServer->exchangesInProgress()) : 0;
+        };
+        hooks.isRouted = [this](const base::ModelName &model) {
+            return !document || document->models.contains(model) || document->adapters.contains(base::AdapterName(model.text()));
+        };
+        hooks.onDrainAsked = [this] {
+            onDrainAsked();
+        };
+        return hooks;
+    }
+
     boost::asio::io_context &context;
     Settings settings;
     std::shared_ptr<const configuration::Document> document;
@@ -91,11 +107,13 @@
     std::unique_ptr<peer::Mesh> mesh;
     PlatformClient platformClient;
     Environment environment;
-    routing::Router router;
-    LoadPoller loadPoller;
+    RoutingShell routing;
+    MembershipShell membership;
     FrontDoor frontDoor;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
+    std::function<void()> onDrainAsked = [] {
+    };
     bool isDraining = false;
 };
 
@@ -105,6 +123,9 @@
     const auto &it = m_parts->settings;
     telemetry::log(telemetry::LogLevel::Info, "daemon", "started",
                    {{"id", it.id.text()}, {"zone", it.zone.text()}, {"callers", toString(it.callerListen)}, {"peers", toString(it.peerListen)}});
+    m_parts->onDrainAsked = [this, &context] {
+        beginDrain([&context] { context.stop(); });
+    };
 }
 
 Daemon::~Daemon() = default;
@@ -115,14 +136,17 @@
         return;
     }
     telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
-    m_parts->callerServer->stopAccepting();
-    const auto done = std::make_shared<bool>(false);
-    every(m_parts->context, DrainCheckInterval, [this, done, onDrained = std::move(onDrained)] {
-        if (!*done && m_parts->callerServer->exchangesInProgress() == 0) {
-            *done = true;
-            telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
-            onDrained();
-        }
+    // Callers may hold this address for a while: what they send until then is still served.
+    m_parts->membership.leave([this, onDrained = std::move(onDrained)] {
+        m_parts->callerServer->stopAccepting();
+        const auto done = std::make_shared<bool>(false);
+        every(m_parts->context, DrainCheckInterval, [this, done, onDrained] {
+            if (!*done && m_parts->callerServer->exchangesInProgress() == 0) {
+                *done = true;
+                telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
+                onDrained();
+            }
+        });
     });
 }
 
--- a/src/turmericplank/daemon/frontdoor.cpp
+++ b/src/turmericplank/daemon/frontdoor.cpp
@@ -12,7 +12,6 @@
 
 using base::Outcome;
 
-constexpr auto EntryLifetime = std::chrono::seconds(10);
 constexpr std::string_view ServicePrefix = "/services/";
 
 net::HttpResponse notConfigured()
@@ -27,18 +26,10 @@
     , m_router(router)
     , m_document(std::move(document))
 {
-    environment.callerRoutes.add("GET", "/v1/entry", [this](const net::ExchangePointer &it) { answerEntry(it); });
     environment.callerRoutes.add("POST", "/v1/chat/completions", [this](const net::ExchangePointer &it) { relayModelCall(it); });
     environment.callerRoutes.add("*", std::string(ServicePrefix), [this](const net::ExchangePointer &it) { relayServiceCall(it); });
 }
 
-void FrontDoor::answerEntry(const net::ExchangePointer &exchange)
-{
-    const nlohmann::json body = {{"addresses", {toString(m_environment.settings.callerListen)}},
-                                 {"use_until", base::toMilliseconds(base::now() + EntryLifetime)}};
-    exchange->respond({200, {{"Content-Type", "application/json"}}, body.dump()});
-}
-
 void FrontDoor::relayModelCall(const net::ExchangePointer &exchange)
 {
     if (!m_document()) {
--- /dev/null
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -0,0 +1,394 @@
+#include "turmericplank/daemon/membershipshell.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "turmericplank/base/digest.hpp"
+#include "turmericplank/daemon/errorbody.hpp"
+#include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::daemon {
+
+namespace {
+
+using membership::LiveState;
+using telemetry::LogLevel;
+
+constexpr auto TickInterval = std::chrono::milliseconds(100);
+constexpr auto BeatInterval = std::chrono::milliseconds(1000);
+constexpr auto ListInterval = std::chrono::seconds(5);
+constexpr auto RecordsInterval = std::chrono::seconds(5);
+constexpr auto StartInterval = std::chrono::seconds(1); ///< between reads of the records at first
+constexpr auto StartPhase = std::chrono::seconds(15);
+constexpr auto CallTimeout = std::chrono::seconds(2);
+constexpr std::size_t ResponsibleCount = 2; ///< daemons that poll an endpoint closely
+constexpr const char *HeartbeatKind = "membership/heartbeat";
+
+std::string recordPrefix(const Settings &settings)
+{
+    return "daemons/" + settings.cell.text() + '/';
+}
+
+membership::DaemonRecord ownRecord(const Settings &settings)
+{
+    return {settings.id, settings.zone, settings.callerListen, settings.peerListen};
+}
+
+std::string toJson(const membership::DaemonRecord &record)
+{
+    const nlohmann::json body = {{"id", record.id.text()},
+                                 {"zone", record.zone.text()},
+                                 {"caller_address", toString(record.callerAddress)},
+                                 {"peer_address", toString(record.peerAddress)}};
+    return body.dump();
+}
+
+std::optional<membership::DaemonRecord> toRecord(const std::string &text)
+{
+    const auto body = nlohmann::json::parse(text, nullptr, false);
+    if (!body.is_object()) {
+        return std::nullopt;
+    }
+    const auto field = [&body](const char *name) {
+        return body.contains(name) && body[name].is_string() ? body[name].get<std::string>() : std::string();
+    };
+    const auto callers = base::parseAddress(field("caller_address"));
+    const auto peers = base::parseAddress(field("peer_address"));
+    if (field("id").empty() || !callers || !peers) {
+        return std::nullopt;
+    }
+    return membership::DaemonRecord{base::DaemonId(field("id")), base::ZoneName(field("zone")), *callers, *peers};
+}
+
+routing::EndpointMark toMark(LiveState state)
+{
+    switch (state) {
+    case LiveState::Live:
+        return routing::EndpointMark::Live;
+    case LiveState::Suspect:
+        return routing::EndpointMark::Suspect;
+    case LiveState::Leaving:
+        return routing::EndpointMark::Leaving;
+    case LiveState::Gone:
+        return routing::EndpointMark::Gone;
+    }
+    return routing::EndpointMark::Suspect;
+}
+
+net::HttpResponse jsonResponse(const nlohmann::json &body)
+{
+    return {200, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+} // namespace
+
+MembershipShell::MembershipShell(Environment &environment, RoutingShell &routing, MembershipShellHooks hooks)
+    : m_environment(environment)
+    , m_routing(routing)
+    , m_hooks(std::move(hooks))
+    , m_incarnation(static_cast<std::uint64_t>(base::toMilliseconds(base::now())))
+    , m_view(ownRecord(environment.settings), m_incarnation)
+    , m_startedAt(base::now())
+{
+    RoutingShellHooks routingHooks;
+    routingHooks.onAnswer = [this](const base::EndpointId &endpoint, base::Incarnation incarnation, bool isLeaving) {
+        m_endpoints.noteAnswer(endpoint, incarnation, isLeaving, base::now());
+        updateMarks();
+    };
+    routingHooks.onFailure = [this](const base::EndpointId &endpoint) {
+        m_endpoints.noteFailure(endpoint, base::now());
+        updateMarks();
+    };
+    routingHooks.isResponsible = [this](const base::EndpointId &endpoint) {
+        return isResponsible(endpoint);
+    };
+    m_routing.setHooks(std::move(routingHooks));
+    environment.peers.handle(HeartbeatKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
+        take(from, body);
+        answer.end();
+    });
+    environment.callerRoutes.add("GET", "/v1/entry", [this](const net::ExchangePointer &it) { answerEntry(it); });
+    environment.operatorRoutes.add("GET", "/admin/members", [this](const net::ExchangePointer &it) { answerMembers(it); });
+    environment.operatorRoutes.add("POST", "/admin/drain", [this](const net::ExchangePointer &exchange) {
+        exchange->respond({202, {}, {}});
+        if (m_hooks.onDrainAsked) {
+            m_hooks.onDrainAsked();
+        }
+    });
+    every(environment.context, TickInterval, [this] { tick(); });
+}
+
+void MembershipShell::applyEndpoints()
+{
+    const auto endpoints = m_routing.endpoints();
+    m_endpoints.setEndpoints(endpoints, base::now());
+    m_endpointNames.clear();
+    for (const auto &it : endpoints) {
+        m_endpointNames.emplace(membership::shortName(it.text()), it);
+    }
+}
+
+void MembershipShell::tick()
+{
+    const auto now = base::now();
+    m_view.tick(now);
+    if (now >= m_nextRecordsAt) {
+        m_nextRecordsAt = now + (now < m_startedAt + StartPhase ? StartInterval : RecordsInterval);
+        readRecords();
+    }
+    if (now >= m_nextListAt) {
+        m_nextListAt = now + ListInterval;
+        readList();
+    }
+    if (now >= m_nextBeatAt) {
+        m_nextBeatAt = now + BeatInterval;
+        beat();
+    }
+    updateMarks();
+    if (m_drain && m_onRefusable && now >= m_drain->refuseFrom()) {
+        telemetry::log(LogLevel::Info, "membership", "no caller is directed here any more");
+        std::exchange(m_onRefusable, nullptr)();
+    }
+}
+
+void MembershipShell::beat()
+{
+    const auto now = base::now();
+    auto heartbeat = m_view.heartbeat(now);
+    m_endpoints.fill(heartbeat);
+    heartbeat.load = m_hooks.load ? m_hooks.load() : 0;
+    heartbeat.revision = m_hooks.revision ? m_hooks.revision() : base::Revision();
+    for (const auto &it : m_routing.router().ownWork()) {
+        heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentTokens, it.otherTokens});
+    }
+    for (const auto &it : m_view.members(now)) {
+        if (it.record.id != m_view.self().id) {
+            heartbeat.receiverSequence = m_taken[it.record.id];
+            heartbeat.receiverUseUntil = m_directory.lastUseUntil(it.record.id);
+            sendTo(it, heartbeat);
+        }
+    }
+}
+
+void MembershipShell::sendTo(const membership::Member &member, membership::Heartbeat heartbeat)
+{
+    peer::PeerCall call;
+    call.kind = HeartbeatKind;
+    call.body = encode(heartbeat);
+    call.timeout = CallTimeout;
+    m_environment.metrics.count("membership_heartbeat_bytes_total", call.body.size());
+    call.onPiece = [](std::string_view) {
+    };
+    call.onEnd = [](tl::expected<void, peer::PeerFailure>) {
+    };
+    m_environment.peers.call(member.record.peerAddress, std::move(call));
+}
+
+void MembershipShell::take(const base::DaemonId &from, const std::string &body)
+{
+    const auto heartbeat = membership::decodeHeartbeat(body);
+    if (!heartbeat || heartbeat->from != from) {
+        telemetry::log(LogLevel::Warning, "membership", "malformed heartbeat", {{"from", from.text()}});
+        return;
+    }
+    const auto now = base::now();
+    if (!m_view.noteHeartbeat(*heartbeat, now)) {
+        return;
+    }
+    m_taken[from] = heartbeat->sequence;
+    m_endpoints.noteHeartbeat(*heartbeat);
+    takeWork(*heartbeat);
+    if (m_hooks.onRevision) {
+        m_hooks.onRevision(heartbeat->revision);
+    }
+    if (m_drain) {
+        const auto self = membership::shortName(m_view.self().id.text());
+        const auto isAboutSelf = [&](const membership::LeavingMark &it) {
+            return it.subject == self && it.incarnation == m_incarnation;
+        };
+        m_drain->noteHeartbeat(from, heartbeat->receiverUseUntil, std::ranges::any_of(heartbeat->leaving, isAboutSelf));
+    }
+    updateMarks();
+}
+
+void MembershipShell::takeWork(const membership::Heartbeat &heartbeat)
+{
+    std::vector<routing::EndpointWork> work;
+    for (const auto &it : heartbeat.work) {
+        const auto name = m_endpointNames.find(it.endpoint);
+        if (name != m_endpointNames.end()) {
+            work.push_back({name->second, it.streams, it.urgentTokens, it.otherTokens});
+        }
+    }
+    m_routing.router().notePeerWork(heartbeat.from, work, base::now());
+}
+
+void MembershipShell::readRecords()
+{
+    m_environment.table.readPrefix(recordPrefix(m_environment.settings), [this](const platform::ReadResult &rows) {
+        if (!rows) {
+            return;
+        }
+        std::vector<membership::DaemonRecord> records;
+        for (const auto &it : *rows) {
+            if (const auto record = toRecord(it.value)) {
+                records.push_back(*record);
+            }
+        }
+        const bool isRegistered = std::ranges::find(records, m_view.self()) != records.end();
+        m_view.noteRecords(records, base::now());
+        if (!isRegistered && !m_view.isLeaving()) {
+            writeRecord();
+        }
+    });
+}
+
+void MembershipShell::writeRecord()
+{
+    const auto key = recordPrefix(m_environment.settings) + m_view.self().id.text();
+    m_environment.table.transact({{key, std::nullopt, toJson(m_view.self())}}, [](const platform::WriteResult &result) {
+        // Without an answer the next read of the records shows whether it took effect.
+        if (!result) {
+            telemetry::log(LogLevel::Warning, "membership", "registration not confirmed");
+        }
+    });
+}
+
+void MembershipShell::readList()
+{
+    m_environment.listVirtualMachines([this](const tl::expected<std::vector<platform::VirtualMachine>, platform::TableFailure> &list) {
+        if (!list) {
+            return;
+        }
+        std::vector<membership::ListedMachine> machines;
+        for (const auto &it : *list) {
+            machines.push_back({it.id, it.isLeaving});
+        }
+        m_view.noteList(machines, base::now());
+        m_endpoints.noteList(machines, base::now());
+        updateMarks();
+    });
+}
+
+void MembershipShell::updateMarks()
+{
+    const auto now = base::now();
+    const auto heard = m_view.heardNow(now);
+    for (const auto &endpoint : m_routing.endpoints()) {
+        const auto state = m_endpoints.state(endpoint, heard, now);
+        const auto [it, isNew] = m_marks.try_emplace(endpoint, LiveState::Live);
+        if (it->second != state) {
+            it->second = state;
+            m_routing.setMark(endpoint, toMark(state));
+            telemetry::log(LogLevel::Info, "membership", "endpoint changed", {{"endpoint", endpoint.text()}, {"state", toString(state)}});
+            // Others are told at once: a leaving endpoint must get nothing new from them either.
+            m_nextBeatAt = now;
+        }
+    }
+    for (const auto &it : m_view.members(now)) {
+        const auto [logged, isNew] = m_logged.try_emplace(it.record.id, LiveState::Live);
+        if (!isNew && logged->second == it.state) {
+            continue;
+        }
+        logged->second = it.state;
+        if (it.state == LiveState::Gone) {
+            m_routing.router().forgetPeer(it.record.id);
+        }
+        telemetry::log(LogLevel::Info, "membership", "daemon changed",
+                       {{"daemon", it.record.id.text()}, {"state", toString(it.state)}, {"incarnation", it.incarnation.value()}});
+    }
+}
+
+void MembershipShell::leave(std::function<void()> onRefusable)
+{
+    if (m_drain) {
+        return;
+    }
+    const auto now = base::now();
+    m_view.leave();
+    const auto &limits = membership::DetectorOptions();
+    // A daemon that hears this one neither directly nor through others names it until it suspects it.
+    const auto unheardUntil = now + limits.suspectAfter + limits.suspectAfter + m_directory.answerLifetime();
+    m_drain.emplace(now, m_directory.lastUseUntil(m_view.self().id), unheardUntil);
+    for (const auto &it : m_view.members(now)) {
+        if (it.record.id != m_view.self().id && it.state != LiveState::Gone) {
+            m_drain->expect(it.record.id);
+        }
+    }
+    m_onRefusable = std::move(onRefusable);
+    telemetry::log(LogLevel::Info, "membership", "leaving");
+    beat();
+    const auto key = recordPrefix(m_environment.settings) + m_view.self().id.text();
+    m_environment.table.transact({{key, std::nullopt, std::nullopt}}, [](const platform::WriteResult &) {});
+}
+
+std::vector<membership::Member> MembershipShell::members() const
+{
+    return m_view.members(base::now());
+}
+
+std::vector<base::Address> MembershipShell::otherAddresses()
+{
+    const auto answer = m_directory.answer(members(), m_view.self().zone, base::now(), m_environment.random);
+    return answer ? answer->addresses : std::vector<base::Address>();
+}
+
+bool MembershipShell::isResponsible(const base::EndpointId &endpoint) const
+{
+    const auto weight = [&](const base::DaemonId &daemon) {
+        return base::fingerprint(daemon.text(), base::fingerprint(endpoint.text()));
+    };
+    const auto own = weight(m_view.self().id);
+    std::size_t before = 0;
+    for (const auto &it : members()) {
+        before += it.state == LiveState::Live && weight(it.record.id) > own ? 1 : 0;
+    }
+    return before < ResponsibleCount;
+}
+
+void MembershipShell::answerEntry(const net::ExchangePointer &exchange)
+{
+    const auto &target = exchange->request().target;
+    const base::ModelName model(net::queryParameter(target, "model"));
+    if (!model.isEmpty() && m_hooks.isRouted && !m_hooks.isRouted(model)) {
+        exchange->respond(errorResponse({404, "unknown_model", base::Outcome::NotRun, "no model or adapter of this name is configured"}));
+        return;
+    }
+    const base::ZoneName zone(net::queryParameter(target, "zone"));
+    const auto now = base::now();
+    const auto answer = m_directory.answer(members(), zone, now, m_environment.random);
+    if (!answer) {
+        exchange->respond(errorResponse({503, "no_daemon", base::Outcome::NotRun, "no daemon takes new callers", now + std::chrono::seconds(1)}));
+        return;
+    }
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const auto &it : answer->addresses) {
+        addresses.push_back(toString(it));
+    }
+    exchange->respond(jsonResponse({{"addresses", addresses}, {"use_until", base::toMilliseconds(answer->useUntil)}, {"revision", answer->revision.value()}}));
+}
+
+void MembershipShell::answerMembers(const net::ExchangePointer &exchange)
+{
+    nlohmann::json daemons = nlohmann::json::array();
+    for (const auto &it : members()) {
+        daemons.push_back({{"id", it.record.id.text()},
+                           {"zone", it.record.zone.text()},
+                           {"state", toString(it.state)},
+                           {"reachable", it.isReachable},
+                           {"incarnation", it.incarnation.value()},
+                           {"load", it.load},
+                           {"revision", it.revision.value()},
+                           {"caller_address", toString(it.record.callerAddress)},
+                           {"peer_address", toString(it.record.peerAddress)}});
+    }
+    nlohmann::json endpoints = nlohmann::json::array();
+    for (const auto &[id, state] : m_marks) {
+        endpoints.push_back({{"id", id.text()}, {"state", toString(state)}});
+    }
+    exchange->respond(jsonResponse({{"daemons", daemons}, {"endpoints", endpoints}}));
+}
+
+} // namespace turmericplank::daemon
