Read TOML without exceptions everywhere

Cause: turmericplankd crashed when it read a document. Settings were read with the library's exceptions on and documents with them off, so that inline functions of two layouts were merged at link time; each slice's own test saw only one of them. Change: one definition for all files. Before: segmentation fault in parseDocument.

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -13,4 +13,5 @@
 find_library(RAPIDCHECK_LIBRARY rapidcheck)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 
-add_compile_definitions(MSGPACK_NO_BOOST)
+# Files that disagree on the exceptions of toml++ would share inline functions with different layouts.
+add_compile_definitions(MSGPACK_NO_BOOST TOML_EXCEPTIONS=0)
--- a/src/turmericplank/configuration/tablereader.hpp
+++ b/src/turmericplank/configuration/tablereader.hpp
@@ -7,7 +7,6 @@
 #include <string_view>
 #include <vector>
 
-#define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
 #include "turmericplank/base/address.hpp"
--- a/src/turmericplank/daemon/settings.cpp
+++ b/src/turmericplank/daemon/settings.cpp
@@ -29,21 +29,22 @@
 
 void takeFile(const std::string &text, Values &values, Mistakes &mistakes)
 {
-    try {
-        const auto table = toml::parse(text);
-        for (const auto &[key, node] : table) {
-            const std::string name(key.str());
-            const int line = static_cast<int>(node.source().begin.line);
-            if (!isKnown(name)) {
-                mistakes.push_back({name, line, "a known setting"});
-            } else if (const auto *it = node.as_string()) {
-                values[name] = {it->get(), line};
-            } else {
-                mistakes.push_back({name, line, "a string"});
-            }
+    const auto parsed = toml::parse(text);
+    if (!parsed) {
+        const auto &error = parsed.error();
+        mistakes.push_back({"", static_cast<int>(error.source().begin.line), "valid TOML: " + std::string(error.description())});
+        return;
+    }
+    for (const auto &[key, node] : parsed.table()) {
+        const std::string name(key.str());
+        const int line = static_cast<int>(node.source().begin.line);
+        if (!isKnown(name)) {
+            mistakes.push_back({name, line, "a known setting"});
+        } else if (const auto *it = node.as_string()) {
+            values[name] = {it->get(), line};
+        } else {
+            mistakes.push_back({name, line, "a string"});
         }
-    } catch (const toml::parse_error &error) {
-        mistakes.push_back({"", static_cast<int>(error.source().begin.line), std::string("valid TOML: ") + std::string(error.description())});
     }
 }
 
--- a/src/turmericplank/daemon/settings_test.cpp
+++ b/src/turmericplank/daemon/settings_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "turmericplank/configuration/reader.hpp"
+
 using namespace turmericplank;
 using namespace turmericplank::daemon;
 
@@ -49,3 +51,9 @@
     REQUIRE_FALSE(settings);
     CHECK(settings.error().front().line >= 2);
 }
+
+TEST_CASE("settings and documents are read in one program")
+{
+    CHECK(readSettings(wholeSettings, {}));
+    CHECK(configuration::parseDocument("[site]\nname = \"x\"\n[models.m]\nversion = \"1\"\nmemory_mib = 10\n"));
+}
