--- a/include/turmericplank/membership/daemonview.hpp
+++ b/include/turmericplank/membership/daemonview.hpp
@@ -126,6 +126,7 @@
     {
         DaemonRecord record;
         base::Incarnation incarnation;
+        base::Time incarnationSince; ///< when the first heartbeat of this incarnation came
         std::uint64_t sequence = 0;
         bool saysLeaving = false;
         std::uint32_t load = 0;
@@ -137,7 +138,7 @@
 
     bool accepts(Peer &peer, const Heartbeat &heartbeat, base::Time now) const;
     int leavingSources(const base::DaemonId &daemon, const Peer &peer, base::Time now) const;
-    bool isDeaf(const Peer &peer) const;
+    bool isDeaf(const Peer &peer, base::Time now) const;
 
     DaemonRecord m_self;
     base::Incarnation m_incarnation;
--- a/include/turmericplank/membership/failuredetector.hpp
+++ b/include/turmericplank/membership/failuredetector.hpp
@@ -42,6 +42,9 @@
     /// @brief Time since a daemon was last heard by this daemon or by one that this daemon hears.
     base::Duration silence(const base::DaemonId &daemon, base::Time now) const;
 
+    /// @brief Whether a daemon was ever heard, directly or by what others say.
+    bool wasHeard(const base::DaemonId &daemon) const;
+
     /// @brief Time since a daemon was last heard by this daemon itself.
     base::Duration directSilence(const base::DaemonId &daemon, base::Time now) const;
 
--- a/src/turmericplank/membership/daemonview.cpp
+++ b/src/turmericplank/membership/daemonview.cpp
@@ -88,6 +88,9 @@
     if (isReplaced && peer.incarnation != base::Incarnation()) {
         m_list.noteReplaced(heartbeat.from.text());
     }
+    if (isReplaced) {
+        peer.incarnationSince = now;
+    }
     peer.incarnation = heartbeat.incarnation;
     peer.sequence = heartbeat.sequence;
     peer.saysLeaving = heartbeat.isLeaving;
@@ -140,9 +143,11 @@
     return sources;
 }
 
-bool DaemonView::isDeaf(const Peer &peer) const
+bool DaemonView::isDeaf(const Peer &peer, base::Time now) const
 {
-    return peer.incarnation != base::Incarnation() && peer.leastHeardAge > m_options.detector.suspectAfter;
+    // One that has just started has had no time to hear anybody.
+    const bool isStarting = now - peer.incarnationSince <= m_options.detector.suspectAfter;
+    return peer.incarnation != base::Incarnation() && !isStarting && peer.leastHeardAge > m_options.detector.suspectAfter;
 }
 
 LiveState DaemonView::state(const base::DaemonId &daemon, base::Time now) const
@@ -167,7 +172,8 @@
     if (silence > m_options.detector.suspectAfter && !isKept) {
         return LiveState::Suspect;
     }
-    return isDeaf(it->second) ? LiveState::Suspect : LiveState::Live;
+    const bool isDoubtful = !m_detector.wasHeard(daemon) || isDeaf(it->second, now);
+    return isDoubtful ? LiveState::Suspect : LiveState::Live;
 }
 
 std::vector<Member> DaemonView::members(base::Time now) const
--- a/src/turmericplank/membership/failuredetector.cpp
+++ b/src/turmericplank/membership/failuredetector.cpp
@@ -59,6 +59,12 @@
     return it == m_daemons.end() ? base::Duration::max() : now - std::max(it->second.anyAt, it->second.graceFrom);
 }
 
+bool FailureDetector::wasHeard(const base::DaemonId &daemon) const
+{
+    const auto it = m_daemons.find(daemon);
+    return it != m_daemons.end() && it->second.anyAt != base::Time();
+}
+
 base::Duration FailureDetector::directSilence(const base::DaemonId &daemon, base::Time now) const
 {
     const auto it = m_daemons.find(daemon);
