net: an exchange that is dropped unanswered starts no operation

Cause: under the thread sanitizer an exchange held beyond its context used freed memory: its destructor began a graceful close. The same order occurs when a context with pending handlers is destroyed. Change: dropping or aborting an exchange only closes the socket; the tests release theirs.

--- a/cmake/Toolchain.cmake
+++ b/cmake/Toolchain.cmake
@@ -17,6 +17,9 @@
 if(TURMERICPLANK_SANITIZE)
   add_compile_options(-fsanitize=${TURMERICPLANK_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer -g1 -O1)
   add_link_options(-fsanitize=${TURMERICPLANK_SANITIZE})
+  if(TURMERICPLANK_SANITIZE STREQUAL "thread")
+    add_compile_options($<$<CXX_COMPILER_ID:GNU>:-Wno-tsan>)
+  endif()
 endif()
 
 # The base directory lets checkouts in different folders share cache entries.
--- a/src/turmericplank/daemon/platformclient_test.cpp
+++ b/src/turmericplank/daemon/platformclient_test.cpp
@@ -75,6 +75,7 @@
     net::ExchangePointer kept;
     Fixture silent([&](const net::ExchangePointer &exchange) { kept = exchange; });
     CHECK(silent.transact().error().failure == TableFailure::Ambiguous);
+    kept.reset();
 }
 
 TEST_CASE("a connection that closes without an answer leaves a write ambiguous")
--- a/src/turmericplank/net/http_test.cpp
+++ b/src/turmericplank/net/http_test.cpp
@@ -115,6 +115,7 @@
     const auto response = served.fetch({"GET", "/", {}, ""}, std::chrono::milliseconds(50));
     REQUIRE_FALSE(response);
     CHECK(response.error() == CallFailure::Silent);
+    kept.reset();
 }
 
 TEST_CASE("a refused connection is known not to have sent anything")
@@ -141,6 +142,7 @@
         served.context.run_for(std::chrono::milliseconds(20));
     }
     CHECK(isClosed);
+    kept.reset();
 }
 
 TEST_CASE("limits and broken requests get an HTTP status and leave the server serving")
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Closes without an answer; starts no operation, since the context may be going away.
+    void drop()
+    {
+        m_current = nullptr;
+        close();
+    }
+
     std::size_t queuedBytes() const
     {
         return m_queuedBytes;
@@ -361,8 +368,7 @@
     --m_connection->shared().exchangesInProgress;
     if (m_phase != Phase::Ended) {
         m_phase = Phase::Ended;
-        m_connection->endExchange(false);
-        m_connection->close();
+        m_connection->drop();
     }
 }
 
@@ -437,8 +443,7 @@
     }
     m_phase = Phase::Ended;
     m_onClosed = nullptr;
-    m_connection->endExchange(false);
-    m_connection->close();
+    m_connection->drop();
 }
 
 std::size_t Exchange::queuedBytes() const
