--- a/include/turmericplank/configuration/accept.hpp
+++ b/include/turmericplank/configuration/accept.hpp
@@ -10,6 +10,7 @@
 #include "turmericplank/base/number.hpp"
 #include "turmericplank/base/time.hpp"
 #include "turmericplank/configuration/difference.hpp"
+#include "turmericplank/configuration/pointer.hpp"
 #include "turmericplank/configuration/rules.hpp"
 #include "turmericplank/configuration/storestep.hpp"
 #include "turmericplank/configuration/validation.hpp"
@@ -81,6 +82,8 @@
     StoreStep expire();
     /// @brief What came of it, once Finished was returned.
     const AcceptResult &result() const;
+    /// @brief The pointer as it stands after an acceptance that took effect, nullptr otherwise.
+    const Pointer *pointer() const;
 
 private:
     class State;
--- a/include/turmericplank/configuration/activation.hpp
+++ b/include/turmericplank/configuration/activation.hpp
@@ -80,12 +80,19 @@
     ObjectCache objects;
 };
 
+/// @brief This daemon carried out an acceptance itself.
+struct LocallyAccepted
+{
+    Pointer pointer; ///< as it stands in the table now
+    ObjectCache objects; ///< what it needed to check the document
+};
+
 /// @brief Time has passed.
 struct Tick
 {
 };
 
-using ActivationEvent = std::variant<PointerRead, PeerNoticed, PeerPointer, ObjectsArrived, Tick>;
+using ActivationEvent = std::variant<PointerRead, PeerNoticed, PeerPointer, ObjectsArrived, LocallyAccepted, Tick>;
 
 /// @brief Read the pointer's row.
 struct ReadPointer
--- a/src/turmericplank/configuration/accept.cpp
+++ b/src/turmericplank/configuration/accept.cpp
@@ -116,6 +116,11 @@
         return m_result;
     }
 
+    const Pointer *pointer() const
+    {
+        return m_isFinished && m_result ? &m_pointer : nullptr;
+    }
+
 private:
     StoreStep finish(AcceptResult result)
     {
@@ -131,6 +136,7 @@
 
     StoreStep finishSettled(base::Revision revision)
     {
+        m_pointer = m_rows.pointer;
         const auto &entries = m_rows.pointer.entries;
         const auto found = std::find_if(entries.begin(), entries.end(), [revision](const auto &it) { return it.revision == revision; });
         // An entry that is gone was superseded, so it has been in force since its time.
@@ -147,6 +153,7 @@
         }
         const auto *newest = newestEntry();
         if (newest != nullptr && newest->digest == current) {
+            m_pointer = m_rows.pointer;
             return finish(Accepted{newest->revision, newest->digest, newest->inForceFrom, false});
         }
         if (const auto busy = pendingUntil(now)) {
@@ -260,11 +267,11 @@
     StoreStep write(base::Time now)
     {
         m_entry.inForceFrom = base::timeFromMilliseconds(base::toMilliseconds(now + m_request.lead));
-        const auto pointer = withEntry(m_rows.pointer, m_entry, now);
-        m_entry = pointer.entries.back();
+        m_pointer = withEntry(m_rows.pointer, m_entry, now);
+        m_entry = m_pointer.entries.back();
         const auto draft = nextDraft(m_rows.draft, m_request.token, m_entry.revision.value());
         m_settlement.begin(m_rows);
-        return WriteRows{{{std::string(PointerKey), m_rules.condition(m_rows.pointerVersion), encodePointer(pointer)},
+        return WriteRows{{{std::string(PointerKey), m_rules.condition(m_rows.pointerVersion), encodePointer(m_pointer)},
                           {std::string(DraftKey), m_rules.condition(m_rows.draftVersion), encodeDraft(draft)}}};
     }
 
@@ -274,6 +281,7 @@
     Settlement m_settlement;
     Rows m_rows;
     PointerEntry m_entry;
+    Pointer m_pointer; ///< as written or, once settled, as read back
     std::vector<std::string> m_asked;
     bool m_isFinished = false;
     AcceptResult m_result;
@@ -311,4 +319,9 @@
     return m_state->result();
 }
 
+const Pointer *Accept::pointer() const
+{
+    return m_state->pointer();
+}
+
 } // namespace turmericplank::configuration
--- a/src/turmericplank/configuration/activation.cpp
+++ b/src/turmericplank/configuration/activation.cpp
@@ -107,6 +107,12 @@
         m_preparation.arrived(event, now);
     }
 
+    void on(const LocallyAccepted &event, base::Time now)
+    {
+        m_preparation.arrived({std::nullopt, event.objects}, now);
+        learn(event.pointer);
+    }
+
     void on(const Tick &, base::Time)
     {
     }
--- /dev/null
+++ b/src/turmericplank/configuration/activation_test.cpp
@@ -0,0 +1,164 @@
+#include "turmericplank/configuration/activation.hpp"
+
+#include <doctest/doctest.h>
+
+#include "fakecluster.hpp"
+
+using namespace turmericplank;
+using namespace turmericplank::configuration;
+using namespace std::chrono_literals;
+
+namespace {
+
+Document siteDocument()
+{
+    Document document;
+    document.site = "site";
+    const base::EndpointId endpoint("e-1");
+    document.endpoints[endpoint] = {.id = endpoint, .address = {"10.0.0.1", 80}, .zone = base::ZoneName("r/a"), .memoryMib = 100};
+    const base::ModelName model("m");
+    document.models[model] = {.name = model, .version = "1", .memoryMib = 10};
+    return document;
+}
+
+struct Site
+{
+    explicit Site(FakeCluster::Options options = {})
+        : cluster(std::move(options))
+    {
+        cluster.seed(siteDocument());
+        cluster.run(2s);
+    }
+
+    /// Edits and accepts; time passes only until the operators have their answers.
+    void change(int price)
+    {
+        cluster.look(team);
+        cluster.edit(team, Section::Placement, "[placement]\nmove_price = " + std::to_string(price) + "\n");
+        cluster.run(cluster.store.latency * 6);
+        cluster.look(team);
+        cluster.accept(team);
+        cluster.run(cluster.store.latency * 6);
+    }
+
+    std::uint64_t revisionOf(std::size_t daemon) const
+    {
+        return cluster.daemons[daemon].activation->inForce().revision.value();
+    }
+
+    FakeCluster cluster;
+    FakeCluster::Operator team;
+};
+
+} // namespace
+
+TEST_CASE("a daemon that starts while the store is down takes the newest revision that its peers hold")
+{
+    Site site;
+    site.change(2);
+    site.cluster.run(10s);
+    site.cluster.store.isDown = true;
+    site.cluster.stop(2);
+    site.cluster.start(2);
+    CHECK(site.cluster.admit(2) == Admission::Starting);
+    site.cluster.run(2s);
+    CHECK(site.cluster.admit(2) == Admission::Serve);
+    CHECK(site.revisionOf(2) == 2);
+}
+
+TEST_CASE("a daemon that starts and hears neither store nor peers serves nothing")
+{
+    Site site({.daemons = 1});
+    site.cluster.store.isDown = true;
+    site.cluster.stop(0);
+    site.cluster.start(0);
+    site.cluster.run(60s);
+    CHECK(site.cluster.admit(0) == Admission::Starting);
+    site.cluster.store.isDown = false;
+    site.cluster.run(7s);
+    CHECK(site.cluster.admit(0) == Admission::Serve);
+}
+
+TEST_CASE("a daemon that loses store and peers refuses after its limit and serves again once it hears one of them")
+{
+    Site site;
+    site.cluster.daemons[0].isCutFromStore = true;
+    site.cluster.daemons[0].isCutFromPeers = true;
+    site.cluster.run(25s);
+    CHECK(site.cluster.admit(0) == Admission::Serve);
+    site.cluster.run(10s);
+    CHECK(site.cluster.admit(0) == Admission::Isolated);
+    CHECK(site.cluster.admit(1) == Admission::Serve);
+    site.cluster.daemons[0].isCutFromPeers = false;
+    site.cluster.run(1s);
+    CHECK(site.cluster.admit(0) == Admission::Serve);
+}
+
+TEST_CASE("daemons that hear one another serve on through a long outage of the store")
+{
+    Site site;
+    site.cluster.store.isDown = true;
+    site.cluster.run(600s);
+    CHECK(site.cluster.admit(0) == Admission::Serve);
+    CHECK(site.cluster.admit(2) == Admission::Serve);
+}
+
+TEST_CASE("the only daemon of a site has no peers to lose and serves on")
+{
+    Site site({.daemons = 1});
+    site.cluster.store.isDown = true;
+    site.cluster.run(600s);
+    CHECK(site.cluster.admit(0) == Admission::Serve);
+}
+
+TEST_CASE("a process that stood still over a switch admits nothing before it has heard that it missed nothing")
+{
+    Site site;
+    site.cluster.daemons[1].isCutFromPeers = true;
+    site.cluster.pause(1);
+    site.change(2);
+    site.cluster.run(10s);
+    site.cluster.store.latency = 1s;
+    site.cluster.resume(1);
+    CHECK(site.cluster.admit(1) == Admission::Late);
+    site.cluster.run(6s);
+    CHECK(site.cluster.admit(1) == Admission::Serve);
+    CHECK(site.revisionOf(1) == 2);
+    CHECK(site.cluster.oracle.breaches.empty());
+}
+
+TEST_CASE("revisions that follow within the lead are in force one after the other, also on a daemon that saw only the last")
+{
+    Site site;
+    std::vector<std::uint64_t> seen;
+    site.cluster.onSwitched = [&](std::size_t n, const Switched &it) {
+        if (n == 2) {
+            seen.push_back(it.inForce.revision.value());
+        }
+    };
+    site.cluster.daemons[2].isCutFromStore = true;
+    site.cluster.daemons[2].isCutFromPeers = true;
+    site.change(2);
+    site.cluster.run(1s);
+    site.change(3);
+    site.cluster.run(1s);
+    site.cluster.daemons[2].isCutFromStore = false;
+    site.cluster.daemons[2].isCutFromPeers = false;
+    site.cluster.run(10s);
+    CHECK(seen == std::vector<std::uint64_t>{2, 3});
+    CHECK(site.cluster.daemons[2].switchedAt == site.cluster.daemons[0].switchedAt);
+}
+
+TEST_CASE("with a store that takes a second per call a change is in force everywhere within the bound")
+{
+    Site site({.daemons = 16});
+    site.cluster.store.latency = 1s;
+    site.change(2);
+    const auto accepted = site.cluster.oracle.writtenAt.at(base::Revision(2));
+    site.cluster.run(10s);
+    for (const auto &it : site.cluster.daemons) {
+        CHECK(it.switchedAt > accepted);
+        CHECK(it.switchedAt - accepted <= Oracle::LongestActivation);
+        CHECK(it.switchedAt == site.cluster.daemons[0].switchedAt);
+    }
+}
--- a/src/turmericplank/configuration/fakecluster.hpp
+++ b/src/turmericplank/configuration/fakecluster.hpp
@@ -144,7 +144,12 @@
         oracle.wishes[token].seenDigest = digest;
         AcceptRequest request{digest, token, options.lead, queue.now() + patience};
         const auto operation = std::make_shared<Accept>(request, lookup(), options.rules);
-        runOperation<Accept>(driver(), operation, request.deadline, [this, token, &who](const Accept &done) { ended(token, done.result(), who); });
+        runOperation<Accept>(driver(), operation, request.deadline, [this, token, &who](const Accept &done) {
+            ended(token, done.result(), who);
+            if (const auto *pointer = done.pointer()) {
+                tellServingDaemon(*pointer);
+            }
+        });
         return token;
     }
 
@@ -158,11 +163,24 @@
         handle(n, Tick());
         const auto admission = daemon.activation->admission(queue.now());
         if (admission == Admission::Serve && options.checksAdmission) {
-            oracle.admitted(daemon.activation->inForce().revision, daemon.heardOf, queue.now());
+            const auto revision = daemon.activation->inForce().revision;
+            oracle.admitted(revision, daemon.heardOf, queue.now());
+            lastFault = hasFault() ? queue.now() : lastFault;
+            if (queue.now() - lastFault >= Oracle::LongestActivation) {
+                oracle.admittedHealthy(revision, queue.now());
+            }
         }
         return admission;
     }
 
+    bool hasFault() const
+    {
+        const auto isCut = [](const Daemon &it) {
+            return it.isCutFromStore || it.isPaused;
+        };
+        return store.isDown || std::any_of(daemons.begin(), daemons.end(), isCut);
+    }
+
     void handle(std::size_t n, const ActivationEvent &event)
     {
         auto &daemon = daemons[n];
@@ -185,6 +203,7 @@
     std::vector<Daemon> daemons;
     ObjectCache held; ///< objects that the daemon which serves the operators holds
     double noticeLoss = 0;
+    base::Time lastFault; ///< when a fault last began or ended
     std::function<void(std::size_t n, const Switched &)> onSwitched;
     std::uint64_t noticeBytes = 0;
 
@@ -213,6 +232,14 @@
                 }};
     }
 
+    /// The daemon that carried out an acceptance knows its outcome first.
+    void tellServingDaemon(const Pointer &pointer)
+    {
+        if (daemons[0].activation != nullptr) {
+            deliver(0, LocallyAccepted{pointer, held});
+        }
+    }
+
     template<typename Result>
     void ended(const std::string &token, const Result &result, Operator &who)
     {
@@ -254,6 +281,8 @@
         guarded(n, [this, n, event] {
             if (const auto *read = std::get_if<PointerRead>(&event); read != nullptr && read->pointer && *read->pointer) {
                 daemons[n].heardOf = std::max(daemons[n].heardOf, (**read->pointer).highest());
+            } else if (const auto *accepted = std::get_if<LocallyAccepted>(&event)) {
+                daemons[n].heardOf = std::max(daemons[n].heardOf, accepted->pointer.highest());
             } else if (const auto *noticed = std::get_if<PeerNoticed>(&event)) {
                 daemons[n].heardOf = std::max(daemons[n].heardOf, noticed->notice.highest);
             }
--- a/src/turmericplank/configuration/fakestore.hpp
+++ b/src/turmericplank/configuration/fakestore.hpp
@@ -200,7 +200,7 @@
 
     EventQueue &m_queue;
     std::mt19937_64 &m_random;
-    base::RowVersion m_version;
+    base::RowVersion m_version{1}; ///< rows that were there before the test have version 1
 };
 
 } // namespace turmericplank::configuration
--- a/src/turmericplank/configuration/image.cpp
+++ b/src/turmericplank/configuration/image.cpp
@@ -130,9 +130,9 @@
 private:
     void comparePages(Section section)
     {
-        static const std::vector<std::string> None;
+        static const std::vector<std::string> none;
         const auto hasBase = m_base != nullptr && m_base->pages.contains(section);
-        const auto &old = hasBase ? m_base->pages.at(section) : None;
+        const auto &old = hasBase ? m_base->pages.at(section) : none;
         for (const auto &it : without(old, m_pages[section])) {
             readPage(section, it, m_removed);
         }
--- a/src/turmericplank/configuration/oracle.hpp
+++ b/src/turmericplank/configuration/oracle.hpp
@@ -93,6 +93,17 @@
         expect(!isOld, Breach::HalfOld);
     }
 
+    /// @brief A daemon without any fault for long admitted a request.
+    void admittedHealthy(base::Revision under, base::Time now)
+    {
+        const auto next = accepted.upper_bound(under);
+        const auto isOld = next != accepted.end() && next->second.inForceFrom <= now && writtenAt[next->first] + LongestActivation <= now;
+        expect(!isOld, Breach::HalfOld);
+    }
+
+    /// Bound from the stated target on the time from acceptance until it is in force everywhere.
+    static constexpr base::Duration LongestActivation = std::chrono::seconds(8);
+
     static Draft draftOf(const FakeStore::Rows &rows)
     {
         const auto found = rows.find(std::string(DraftKey));
