Read callers' bodies and headers, engine streams and messages between daemons

A daemon without the others' suspects now vouches for nothing, and silence of a service makes a suspect but condemns none.

--- a/include/turmericplank/requests/dispatcher.hpp
+++ b/include/turmericplank/requests/dispatcher.hpp
@@ -35,7 +35,7 @@
     base::Priority priority = base::Priority::Normal;
     base::Time deadline;
     Fingerprint fingerprint;
-    std::string prompt; ///< start of the prompt
+    std::shared_ptr<const std::vector<std::string>> messages; ///< contents of the prompt's messages
     std::string rowKey; ///< of a booking
     std::string bodyDigest; ///< of a booking
 };
--- a/include/turmericplank/requests/endpointchoice.hpp
+++ b/include/turmericplank/requests/endpointchoice.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,7 +22,8 @@
     base::ModelName model; ///< model or adapter; the service's name for a plain service
     base::Priority priority = base::Priority::Normal;
     base::Time deadline;
-    std::string prompt; ///< text whose prefix may be cached
+    std::shared_ptr<const std::vector<std::string>> messages; ///< contents of the prompt's messages, for the prefix cache
+    bool isService = false; ///< the target is a plain service
     std::vector<base::EndpointId> avoid; ///< endpoints that must not be chosen
     bool isTrial = false; ///< a suspect request: an idle endpoint is preferred
 
--- /dev/null
+++ b/src/turmericplank/requests/callerheaders.cpp
@@ -0,0 +1,94 @@
+#include "turmericplank/requests/callerheaders.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+
+namespace turmericplank::requests {
+
+namespace {
+
+constexpr std::size_t CallerLimitBytes = 64;
+constexpr std::size_t KeyLimitBytes = 255;
+constexpr std::int64_t LatestMilliseconds = 9'000'000'000'000;
+
+bool isPrintable(std::string_view text, std::size_t limit)
+{
+    const auto fits = [](char it) {
+        return it > ' ' && it <= '~';
+    };
+    return text.size() <= limit && std::all_of(text.begin(), text.end(), fits);
+}
+
+std::optional<base::Time> parseTime(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto *end = text.data() + text.size();
+    const auto [position, ec] = std::from_chars(text.data(), end, value);
+    if (ec != std::errc() || position != end || value < 0 || value > LatestMilliseconds) {
+        return std::nullopt;
+    }
+    return base::timeFromMilliseconds(value);
+}
+
+} // namespace
+
+std::string_view expectedFor(HeaderFailure failure)
+{
+    switch (failure) {
+    case HeaderFailure::BadPriority:
+        return "X-Priority is urgent, normal or bulk";
+    case HeaderFailure::BadDeadline:
+        return "X-Deadline is a time in milliseconds since the epoch";
+    case HeaderFailure::BadCaller:
+        return "X-Caller has up to 64 printable characters without blanks";
+    case HeaderFailure::BadIdempotencyKey:
+        return "Idempotency-Key has up to 255 printable characters without blanks";
+    }
+    return {};
+}
+
+tl::expected<CallerHeaders, HeaderFailure> readCallerHeaders(const std::function<std::string_view(std::string_view)> &header)
+{
+    CallerHeaders headers;
+    if (const auto text = header("X-Priority"); !text.empty()) {
+        const auto priority = base::parsePriority(text);
+        if (!priority) {
+            return tl::make_unexpected(HeaderFailure::BadPriority);
+        }
+        headers.priority = *priority;
+    }
+    if (const auto text = header("X-Deadline"); !text.empty()) {
+        headers.deadline = parseTime(text);
+        if (!headers.deadline) {
+            return tl::make_unexpected(HeaderFailure::BadDeadline);
+        }
+    }
+    if (const auto text = header("X-Caller"); !text.empty()) {
+        if (!isPrintable(text, CallerLimitBytes)) {
+            return tl::make_unexpected(HeaderFailure::BadCaller);
+        }
+        headers.caller = base::CallerName(std::string(text));
+    }
+    const auto key = header("Idempotency-Key");
+    if (!isPrintable(key, KeyLimitBytes)) {
+        return tl::make_unexpected(HeaderFailure::BadIdempotencyKey);
+    }
+    headers.idempotencyKey = base::IdempotencyKey(std::string(key));
+    return headers;
+}
+
+base::Time defaultDeadline(base::Priority priority, base::Time now)
+{
+    switch (priority) {
+    case base::Priority::Urgent:
+        return now + std::chrono::seconds(30);
+    case base::Priority::Normal:
+        return now + std::chrono::minutes(2);
+    case base::Priority::Bulk:
+        return now + std::chrono::hours(1);
+    }
+    return now;
+}
+
+} // namespace turmericplank::requests
--- /dev/null
+++ b/src/turmericplank/requests/chatbody.cpp
@@ -0,0 +1,92 @@
+#include "turmericplank/requests/chatbody.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "turmericplank/base/digest.hpp"
+
+namespace turmericplank::requests {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto Replace = json::error_handler_t::replace;
+constexpr std::uint64_t MostTokens = 1'000'000;
+
+/// Text of a message, whose content is a string or a list of parts.
+bool appendContent(const json &message, std::vector<std::string> &texts)
+{
+    const auto content = message.is_object() ? message.find("content") : message.end();
+    if (!message.is_object() || content == message.end()) {
+        return false;
+    }
+    texts.push_back(content->is_string() ? content->get<std::string>() : content->dump(-1, ' ', false, Replace));
+    return true;
+}
+
+} // namespace
+
+std::string_view expectedFor(ChatBodyFailure failure)
+{
+    switch (failure) {
+    case ChatBodyFailure::NotJson:
+        return "the body is a JSON object";
+    case ChatBodyFailure::NoModel:
+        return "model is the name of a model or an adapter";
+    case ChatBodyFailure::NoMessages:
+        return "messages is a list with at least one message";
+    case ChatBodyFailure::BadMessage:
+        return "each message is an object with a content";
+    case ChatBodyFailure::BadField:
+        return "stream is true or false, max_tokens a number from 1 to 1000000";
+    }
+    return {};
+}
+
+tl::expected<ChatBody, ChatBodyFailure> readChatBody(std::string_view text)
+{
+    auto document = json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return tl::make_unexpected(ChatBodyFailure::NotJson);
+    }
+    const auto model = document.find("model");
+    if (model == document.end() || !model->is_string() || model->get_ref<const std::string &>().empty()) {
+        return tl::make_unexpected(ChatBodyFailure::NoModel);
+    }
+    ChatBody body;
+    body.model = base::ModelName(model->get<std::string>());
+    const auto messages = document.find("messages");
+    if (messages == document.end() || !messages->is_array() || messages->empty()) {
+        return tl::make_unexpected(ChatBodyFailure::NoMessages);
+    }
+    for (const auto &it : *messages) {
+        if (!appendContent(it, body.messages)) {
+            return tl::make_unexpected(ChatBodyFailure::BadMessage);
+        }
+    }
+    if (const auto stream = document.find("stream"); stream != document.end()) {
+        if (!stream->is_boolean()) {
+            return tl::make_unexpected(ChatBodyFailure::BadField);
+        }
+        body.isStreamed = stream->get<bool>();
+    }
+    if (const auto tokens = document.find("max_tokens"); tokens != document.end()) {
+        if (!tokens->is_number_unsigned() || tokens->get<std::uint64_t>() == 0 || tokens->get<std::uint64_t>() > MostTokens) {
+            return tl::make_unexpected(ChatBodyFailure::BadField);
+        }
+        body.maximumTokens = tokens->get<std::uint32_t>();
+    }
+    document.erase("stream");
+    document.erase("turmericplank_offset");
+    body.canonical = document.dump(-1, ' ', false, Replace);
+    body.fingerprint = Fingerprint(base::fingerprint(body.canonical));
+    return body;
+}
+
+std::string endpointBody(const ChatBody &body, std::uint64_t offset)
+{
+    // The canonical form is a JSON object that is never empty, so that the fields can be put in front.
+    return "{\"stream\":true,\"turmericplank_offset\":" + std::to_string(offset) + ',' + body.canonical.substr(1);
+}
+
+} // namespace turmericplank::requests
--- /dev/null
+++ b/src/turmericplank/requests/chatbody_test.cpp
@@ -0,0 +1,65 @@
+#include "turmericplank/requests/chatbody.hpp"
+
+#include <doctest/doctest.h>
+
+#include "turmericplank/requests/callerheaders.hpp"
+#include "turmericplank/requests/eventstream.hpp"
+#include "turmericplank/requests/messages.hpp"
+
+using namespace turmericplank;
+using namespace turmericplank::requests;
+
+TEST_CASE("a body is read, and its fingerprint ignores how it was written")
+{
+    const auto body = readChatBody(R"({"model": "m", "stream": true, "messages": [{"role": "user", "content": "x"}]})");
+    const auto other = readChatBody(R"({"messages":[{"content":"x","role":"user"}],"model":"m"})");
+    REQUIRE(body);
+    REQUIRE(other);
+    CHECK(body->isStreamed);
+    CHECK(body->fingerprint == other->fingerprint);
+    CHECK(readChatBody(endpointBody(*body, 7))->canonical == body->canonical);
+    CHECK(readChatBody(R"({"model":"m","messages":[1]})") == tl::make_unexpected(ChatBodyFailure::BadMessage));
+    CHECK(readChatBody(R"({"model":"m","messages":[]})") == tl::make_unexpected(ChatBodyFailure::NoMessages));
+    CHECK(readChatBody("[]") == tl::make_unexpected(ChatBodyFailure::NotJson));
+}
+
+TEST_CASE("headers that cannot be used are named")
+{
+    const auto read = [](std::string_view name, std::string_view value) {
+        return readCallerHeaders([=](std::string_view asked) { return asked == name ? value : std::string_view(); });
+    };
+    CHECK((read("X-Priority", "urgent")->priority == base::Priority::Urgent));
+    CHECK(read("X-Priority", "high").error() == HeaderFailure::BadPriority);
+    CHECK(read("X-Deadline", "1700000000000")->deadline == base::timeFromMilliseconds(1700000000000));
+    CHECK(read("X-Deadline", "soon").error() == HeaderFailure::BadDeadline);
+    CHECK(read("X-Caller", "a b").error() == HeaderFailure::BadCaller);
+    CHECK(read("Idempotency-Key", std::string(256, 'k')).error() == HeaderFailure::BadIdempotencyKey);
+}
+
+TEST_CASE("events are taken apart wherever they are cut")
+{
+    const std::string bytes = "data: {\"turmericplank_offset\":0}\n\n: ping\n\ndata: {\"turmericplank_offset\":1}\r\n\r\ndata: [DONE]\n\n";
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+        EventStream stream;
+        auto tokens = *stream.feed(bytes.substr(0, cut));
+        const auto rest = *stream.feed(bytes.substr(cut));
+        tokens.insert(tokens.end(), rest.begin(), rest.end());
+        REQUIRE(tokens.size() == 3);
+        CHECK(tokens[1].offset == 1);
+        CHECK(tokens[2].isEnd);
+    }
+    CHECK_FALSE(EventStream().feed("data: nonsense\n"));
+}
+
+TEST_CASE("messages and rows read back as they were written")
+{
+    const MessageHead head{base::DaemonId("d1"), base::Revision(7)};
+    const QuestionMessage question{head, {Fingerprint(1), 2, base::EndpointId("e"), {base::EndpointId("f")}}};
+    const SuspectsMessage suspects{head, {{Fingerprint(1), true, {base::EndpointId("f")}}}};
+    CHECK(decodeMessage<QuestionMessage>(encode(question)) == question);
+    CHECK(decodeMessage<SuspectsMessage>(encode(suspects)) == suspects);
+    CHECK_FALSE(decodeMessage<ReplyMessage>(encode(suspects)));
+    const BookingRow row{BookingState::Done, base::DaemonId("d"), "t", "b", {201, "text/plain", "\xff\x01"}, base::timeFromMilliseconds(5)};
+    CHECK(decodeBookingRow(encode(row)) == row);
+    CHECK_FALSE(decodeBookingRow("{\"format\":1}"));
+}
--- a/src/turmericplank/requests/dispatchercalls.cpp
+++ b/src/turmericplank/requests/dispatchercalls.cpp
@@ -12,7 +12,8 @@
     it.model = call.arrival.target;
     it.priority = call.arrival.priority;
     it.deadline = call.arrival.deadline;
-    it.prompt = call.arrival.prompt;
+    it.messages = call.arrival.messages;
+    it.isService = call.arrival.kind != CallKind::Model;
     it.isTrial = isTrial;
     if (isTrial) {
         it.avoid = m_suspects.avoid(call.arrival.fingerprint);
@@ -144,7 +145,9 @@
 {
     const auto fingerprint = call.arrival.fingerprint;
     endRun(call, next.end, now);
-    if (next.isEndpointLost) {
+    // A service that is merely slow makes its callers suspects, but silence alone condemns none of them.
+    const bool isVague = next.end == AttemptEnd::Silent && call.arrival.kind != CallKind::Model;
+    if (next.isEndpointLost && !(isVague && m_suspects.standing(fingerprint, now) != Standing::Clear)) {
         call.trial.reset();
         m_trials.erase(fingerprint);
         apply(m_suspects.endpointLost(fingerprint, next.previous.endpoint, now), now, actions);
--- a/src/turmericplank/requests/endpointcall.cpp
+++ b/src/turmericplank/requests/endpointcall.cpp
@@ -98,19 +98,17 @@
         m_isOver = true;
         return {CompleteCall{}};
     }
+    const bool isBroken = end == AttemptEnd::Lost || end == AttemptEnd::Silent;
     if (!m_options.isRepeatable && !m_options.rules.mayRepeat(end)) {
         EndpointCallActions actions;
-        if (end == AttemptEnd::Lost) {
-            actions.emplace_back(ChooseNext{m_choice, end, true});
-        }
+        actions.emplace_back(ChooseNext{m_choice, end, isBroken});
         append(actions, giveUp(ErrorCode::CallOutcomeUnknown, std::nullopt));
         return actions;
     }
-    const bool isBroken = end == AttemptEnd::Lost || end == AttemptEnd::Silent;
     if (m_options.canResume && isBroken && !wasResume && m_resumes < m_options.resumeLimit) {
         return resume(now);
     }
-    return next(end, end == AttemptEnd::Lost || (wasResume && !m_hasProgress));
+    return next(end, m_options.canResume ? end == AttemptEnd::Lost || (wasResume && !m_hasProgress) : isBroken);
 }
 
 EndpointCallActions EndpointCall::next(AttemptEnd end, bool isEndpointLost)
--- a/src/turmericplank/requests/fakeworld.hpp
+++ b/src/turmericplank/requests/fakeworld.hpp
@@ -211,12 +211,20 @@
     }
 
     /// @brief A daemon dies at once; another starts in its place.
+    ///
+    /// What it alone knew of a crashing request dies with it, so that one may cost another endpoint; if no other daemon
+    /// was informed, the cell's whole memory is gone.
     void killDaemon(std::size_t daemon)
     {
         daemon %= m_daemons.size();
         for (const auto &[call, it] : oracle.submissions) {
             m_poisonAllowance += it.daemon == daemon && it.isPoison && !isFinal(it) ? 1 : 0;
         }
+        bool isMemoryLeft = false;
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            isMemoryLeft = isMemoryLeft || (n != daemon && m_daemons[n].dispatcher->suspects().isInformed());
+        }
+        m_poisonAllowance += isMemoryLeft ? 0 : 2;
         startDaemon(daemon);
     }
 
@@ -310,6 +318,9 @@
         std::deque<Item> items;
         bool isSilent = false;
         bool isEnded = false;
+        bool isGivenUp = false; ///< its daemon has closed it
+        bool isCrashed = false; ///< its request brought the endpoint down
+        bool isTrial = false;
     };
     struct Endpoint
     {
@@ -433,6 +444,13 @@
     {
         if (const auto *send = std::get_if<SendAttempt>(&action.what)) {
             performSend(daemon, action.call, *send);
+        } else if (const auto *cancel = std::get_if<CancelAttempt>(&action.what)) {
+            for (auto &it : m_connections) {
+                const bool isMeant = it.call == action.call && it.attempt <= cancel->attempt;
+                // A trial that is given up before the news of its endpoint comes cannot be held against the request.
+                m_poisonAllowance += isMeant && !it.isGivenUp && it.isCrashed && it.isTrial && !it.items.empty() ? 1 : 0;
+                it.isGivenUp = it.isGivenUp || isMeant;
+            }
         } else if (const auto *piece = std::get_if<DeliverPiece>(&action.what)) {
             oracle.received(action.call, *piece);
         } else if (std::holds_alternative<CompleteCall>(action.what)) {
@@ -452,6 +470,7 @@
         connection.attempt = send.attempt;
         connection.endpoint = std::stoul(send.choice.endpoint.text());
         connection.source = index + 1;
+        connection.isTrial = m_daemons[daemon].dispatcher->suspects().isTrying(Fingerprint(oracle.submissions.at(call).content + 1));
         m_connections.push_back(std::move(connection));
         Message message;
         message.deliver = [this, index, send] {
@@ -481,6 +500,9 @@
             endpoint.runs.insert(send.wireId);
             oracle.ran(connection.call);
             if (submission.isPoison) {
+                // Nobody listens for the end of an attempt that was given up before it ran.
+                m_poisonAllowance += connection.isGivenUp ? 1 : 0;
+                connection.isCrashed = true;
                 crashEndpoint(connection.endpoint);
                 oracle.crashed(connection.call, 2 + m_poisonAllowance);
                 return;
--- a/src/turmericplank/requests/suspects.cpp
+++ b/src/turmericplank/requests/suspects.cpp
@@ -182,7 +182,8 @@
 TrialReply Suspects::onQuestion(const base::DaemonId &from, const TrialQuestion &question, base::Time now, SuspectActions &actions)
 {
     const bool isCondemned = merge(question.fingerprint, question.lost, now) == Standing::Condemned;
-    const bool mayRun = !isCondemned && !blocks(from, question, actions);
+    // A daemon that has not yet heard what the others remember can vouch for nothing.
+    const bool mayRun = !isCondemned && isInformed() && !blocks(from, question, actions);
     if (mayRun) {
         remember(question.fingerprint, now).triedBy = from;
     }
