--- a/include/turmericplank/requests/dispatcher.hpp
+++ b/include/turmericplank/requests/dispatcher.hpp
@@ -109,6 +109,8 @@
 
     /// @brief New requests are refused; those in progress go on.
     void startDraining();
+    /// @brief Whether a call has not ended; a booking that was sent goes on when its caller closes.
+    bool isCarrying(CallNumber call) const;
     /// @brief Calls without a final answer and bookings whose result is not stored yet.
     std::size_t inProgress() const;
     /// @brief What is remembered of suspects.
--- /dev/null
+++ b/src/turmericplank/daemon/endpointattempt.cpp
@@ -0,0 +1,135 @@
+#include "endpointattempt.hpp"
+
+#include <utility>
+
+namespace turmericplank::daemon {
+
+namespace {
+
+using requests::AttemptEnd;
+
+constexpr int FirstServerError = 500;
+constexpr int NotFound = 404;
+constexpr int TooManyRequests = 429;
+constexpr int Unavailable = 503;
+constexpr auto BackstopMargin = std::chrono::seconds(3);
+
+AttemptEnd endOf(net::CallFailure failure)
+{
+    switch (failure) {
+    case net::CallFailure::NotSent:
+        return AttemptEnd::NotSent;
+    case net::CallFailure::Lost:
+        return AttemptEnd::Lost;
+    case net::CallFailure::Silent:
+        return AttemptEnd::Silent;
+    case net::CallFailure::Malformed:
+        return AttemptEnd::Malformed;
+    }
+    return AttemptEnd::Lost;
+}
+
+/// Engines answer these before they run a request.
+bool isRefusal(int status)
+{
+    return status == NotFound || status == TooManyRequests || status == Unavailable || (status >= 400 && status < FirstServerError);
+}
+
+} // namespace
+
+EndpointAttempt::EndpointAttempt(EndpointAttemptOptions options)
+    : m_options(std::move(options))
+{
+}
+
+EndpointAttempt::Pointer EndpointAttempt::start(boost::asio::io_context &context, EndpointAttemptOptions options)
+{
+    const Pointer attempt(new EndpointAttempt(std::move(options)));
+    net::HttpCallOptions call;
+    call.to = attempt->m_options.to;
+    call.request = std::move(attempt->m_options.request);
+    call.firstProgressTimeout = attempt->m_options.silence + BackstopMargin;
+    call.silenceTimeout = call.firstProgressTimeout;
+    call.onHead = [attempt](int status, const net::Headers &headers) {
+        attempt->m_status = status;
+        attempt->m_answer.status = status;
+        attempt->m_answer.contentType = std::string(net::header(headers, "Content-Type"));
+    };
+    call.onPiece = [attempt](std::string_view piece) {
+        attempt->onBytes(piece);
+    };
+    call.onEnd = [attempt](tl::expected<void, net::CallFailure> result) {
+        attempt->onClosed(result);
+    };
+    attempt->m_call = net::startCall(context, std::move(call));
+    return attempt;
+}
+
+void EndpointAttempt::cancel()
+{
+    if (!std::exchange(m_isOver, true)) {
+        m_call->cancel();
+        m_call.reset();
+    }
+}
+
+void EndpointAttempt::onBytes(std::string_view bytes)
+{
+    if (m_isOver) {
+        return;
+    }
+    if (!m_options.isStream) {
+        m_answer.body.append(bytes);
+        return;
+    }
+    if (m_status != 200) {
+        return;
+    }
+    const Pointer self(this);
+    const auto tokens = m_events.feed(bytes);
+    if (!tokens) {
+        m_call->cancel();
+        finish(AttemptEnd::Malformed);
+        return;
+    }
+    for (const auto &it : *tokens) {
+        if (m_isOver) {
+            return;
+        }
+        if (it.isEnd) {
+            finish(AttemptEnd::Answered);
+        } else {
+            m_options.onPiece(it.offset, it.chunk);
+        }
+    }
+}
+
+void EndpointAttempt::onClosed(tl::expected<void, net::CallFailure> result)
+{
+    const Pointer self(this);
+    if (!result) {
+        finish(endOf(result.error()));
+        return;
+    }
+    if (m_options.isStream) {
+        // A stream that ends without its end mark was cut off.
+        finish(m_status == 200 ? AttemptEnd::Lost : isRefusal(m_status) ? AttemptEnd::Refused : AttemptEnd::Malformed);
+        return;
+    }
+    if (!m_isOver) {
+        m_options.onPiece(0, encode(m_answer));
+    }
+    finish(AttemptEnd::Answered);
+}
+
+void EndpointAttempt::finish(AttemptEnd end)
+{
+    if (std::exchange(m_isOver, true)) {
+        return;
+    }
+    m_call.reset();
+    const auto hook = std::exchange(m_options.onEnd, nullptr);
+    hook(end);
+}
+
+} // namespace turmericplank::daemon
--- /dev/null
+++ b/src/turmericplank/daemon/endpointattempt.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "turmericplank/net/httpclient.hpp"
+#include "turmericplank/requests/attemptend.hpp"
+#include "turmericplank/requests/bookingrow.hpp"
+#include "turmericplank/requests/eventstream.hpp"
+
+namespace turmericplank::daemon {
+
+/// @brief What an attempt sends and whom it tells.
+struct EndpointAttemptOptions
+{
+    base::Address to;
+    net::HttpRequest request;
+    bool isStream = false; ///< an engine's stream; otherwise a service's whole answer
+    base::Duration silence{0}; ///< backstop behind the dispatcher's own deadline
+    std::function<void(std::uint64_t offset, std::string text)> onPiece;
+    std::function<void(requests::AttemptEnd)> onEnd; ///< called once, unless cancelled
+};
+
+/// @brief One attempt's connection to an endpoint.
+class EndpointAttempt : public boost::intrusive_ref_counter<EndpointAttempt, boost::thread_unsafe_counter>
+{
+public:
+    using Pointer = boost::intrusive_ptr<EndpointAttempt>;
+
+    /// @brief Connects and sends.
+    static Pointer start(boost::asio::io_context &context, EndpointAttemptOptions options);
+
+    /// @brief Closes the connection; no hook is called afterwards.
+    void cancel();
+
+private:
+    explicit EndpointAttempt(EndpointAttemptOptions options);
+
+    void onBytes(std::string_view bytes);
+    void onClosed(tl::expected<void, net::CallFailure> result);
+    void finish(requests::AttemptEnd end);
+
+    EndpointAttemptOptions m_options;
+    net::CallPointer m_call;
+    requests::EventStream m_events;
+    requests::StoredAnswer m_answer;
+    int m_status = 0;
+    bool m_isOver = false;
+};
+
+} // namespace turmericplank::daemon
--- /dev/null
+++ b/src/turmericplank/daemon/requestsparts.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "callersession.hpp"
+#include "endpointattempt.hpp"
+#include "turmericplank/daemon/requestsshell.hpp"
+#include "turmericplank/requests/callerheaders.hpp"
+#include "turmericplank/requests/chatbody.hpp"
+#include "turmericplank/requests/messages.hpp"
+#include "turmericplank/requests/servicechoice.hpp"
+
+namespace turmericplank::daemon {
+
+/// @brief State of the shell; held alive by the hooks of calls under way.
+struct RequestsShell::Parts : std::enable_shared_from_this<RequestsShell::Parts>
+{
+    /// @brief One request's bytes on both sides.
+    struct Session
+    {
+        std::unique_ptr<CallerSession> caller;
+        std::optional<requests::ChatBody> chat;
+        net::HttpRequest request; ///< to a service
+        base::Priority priority = base::Priority::Normal;
+        base::RequestId id;
+        base::Time arrivedAt;
+        EndpointAttempt::Pointer current;
+        EndpointAttempt::Pointer previous; ///< kept until its resumption is heard of, since closing cancels the run
+        bool hasFirstPiece = false;
+    };
+
+    Parts(Environment &sharedEnvironment, RequestsShellOptions shellOptions);
+
+    void addRoutes();
+    void addPeerHandlers();
+    void startTicking();
+
+    void takeModelCall(const net::ExchangePointer &exchange);
+    void takeServiceCall(const net::ExchangePointer &exchange);
+    bool isKnownModel(const base::ModelName &name) const;
+    std::optional<requests::CallerHeaders> readHeaders(const net::ExchangePointer &exchange) const;
+    void begin(requests::CallArrival arrival, const requests::CallerHeaders &headers, Session session, const net::ExchangePointer &exchange);
+
+    requests::DispatcherOptions dispatcherOptions();
+    std::optional<requests::Choice> chooseInstance(const requests::ChoiceQuery &query, base::Time now);
+
+    void perform(const requests::DispatchActions &actions);
+    void performCall(const requests::CallAction &action);
+    void sendAttempt(requests::CallNumber call, Session &session, const requests::SendAttempt &send);
+    net::HttpRequest attemptRequest(const Session &session, const requests::SendAttempt &send) const;
+    void cancelAttempt(Session &session, const requests::CancelAttempt &cancel);
+    void fail(requests::CallNumber call, const requests::CallError &error);
+    void complete(requests::CallNumber call);
+    void onCallerClosed(requests::CallNumber call);
+    void callPeer(const base::DaemonId &to, const std::string &kind, std::string body, std::function<void(const std::string &)> onAnswer);
+    requests::MessageHead head() const;
+    void tick();
+
+    Environment &environment;
+    RequestsShellOptions options;
+    requests::ServiceChoice services;
+    std::unique_ptr<requests::Dispatcher> dispatcher;
+    std::unordered_map<requests::CallNumber, Session> sessions;
+    requests::CallNumber lastCall;
+    std::string idPrefix;
+    base::Time keepAliveAt;
+};
+
+/// @brief The error answer for a code.
+/// @param error what the dispatcher decided
+ErrorBody errorBody(const requests::CallError &error);
+
+} // namespace turmericplank::daemon
--- /dev/null
+++ b/src/turmericplank/daemon/requestspeers.cpp
@@ -0,0 +1,82 @@
+#include <algorithm>
+
+#include "requestsparts.hpp"
+
+namespace turmericplank::daemon {
+
+namespace {
+
+constexpr auto PeerTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+requests::MessageHead RequestsShell::Parts::head() const
+{
+    return {environment.settings.id, options.revision ? options.revision() : base::Revision()};
+}
+
+void RequestsShell::Parts::callPeer(const base::DaemonId &to, const std::string &kind, std::string body, std::function<void(const std::string &)> onAnswer)
+{
+    const auto peers = options.peers ? options.peers() : std::vector<PeerTarget>();
+    const auto peer = std::find_if(peers.begin(), peers.end(), [&to](const PeerTarget &it) { return it.id == to; });
+    if (peer == peers.end()) {
+        return;
+    }
+    const auto answer = std::make_shared<std::string>();
+    peer::PeerCall call;
+    call.kind = kind;
+    call.body = std::move(body);
+    call.timeout = PeerTimeout;
+    call.onPiece = [answer](std::string_view piece) {
+        answer->append(piece);
+    };
+    // A call that fails is repeated by the suspects themselves.
+    call.onEnd = [weak = weak_from_this(), answer, onAnswer = std::move(onAnswer)](const tl::expected<void, peer::PeerFailure> &result) {
+        const auto parts = weak.lock();
+        if (result && parts) {
+            onAnswer(*answer);
+        }
+    };
+    environment.peers.call(peer->address, std::move(call));
+}
+
+void RequestsShell::Parts::addPeerHandlers()
+{
+    const auto weak = weak_from_this();
+    environment.peers.handle("requests/question", [weak](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
+        const auto parts = weak.lock();
+        const auto message = requests::decodeMessage<requests::QuestionMessage>(body);
+        if (!parts || !message) {
+            answer.refuse();
+            return;
+        }
+        requests::TrialReply reply;
+        const auto actions = parts->dispatcher->question(from, message->question, base::now(), reply);
+        answer.write(encode(requests::ReplyMessage{parts->head(), reply}));
+        answer.end();
+        parts->perform(actions);
+    });
+    environment.peers.handle("requests/tell", [weak](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
+        const auto parts = weak.lock();
+        const auto message = requests::decodeMessage<requests::SuspectsMessage>(body);
+        if (!parts || !message) {
+            answer.refuse();
+            return;
+        }
+        for (const auto &it : message->suspects) {
+            parts->dispatcher->verdict(from, it, base::now());
+        }
+        answer.end();
+    });
+    environment.peers.handle("requests/suspects", [weak](const base::DaemonId &from, const std::string &, const peer::PeerAnswer &answer) {
+        const auto parts = weak.lock();
+        if (!parts) {
+            answer.refuse();
+            return;
+        }
+        answer.write(encode(requests::SuspectsMessage{parts->head(), parts->dispatcher->suspectsAsked(from)}));
+        answer.end();
+    });
+}
+
+} // namespace turmericplank::daemon
--- /dev/null
+++ b/src/turmericplank/daemon/requestsshell.cpp
@@ -0,0 +1,287 @@
+#include "turmericplank/daemon/requestsshell.hpp"
+
+#include "requestsparts.hpp"
+#include "turmericplank/base/digest.hpp"
+#include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::daemon {
+
+namespace {
+
+using requests::CallError;
+using requests::ErrorCode;
+
+constexpr std::string_view ServicePrefix = "/services/";
+constexpr auto TickInterval = std::chrono::milliseconds(10);
+constexpr auto LongestDeadline = std::chrono::hours(24);
+
+void refuse(const net::ExchangePointer &exchange, ErrorCode code, std::string message)
+{
+    auto body = errorBody(CallError{code, base::Outcome::NotRun, std::nullopt});
+    body.message = std::move(message);
+    exchange->respond(errorResponse(body));
+}
+
+void refuseUnconfigured(const net::ExchangePointer &exchange)
+{
+    exchange->respond(
+        errorResponse({503, "not_configured", base::Outcome::NotRun, "no configuration is in force here", base::now() + std::chrono::seconds(1)}));
+}
+
+/// The operation of the longest prefix that fits; a call that none names may not be repeated.
+bool isRepeatable(const configuration::Service &service, const net::HttpRequest &request)
+{
+    const configuration::Operation *best = nullptr;
+    const auto path = net::path(request.target);
+    for (const auto &it : service.operations) {
+        if (it.method == request.method && path.starts_with(it.pathPrefix) && (best == nullptr || it.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &it;
+        }
+    }
+    return best != nullptr && best->isRepeatable;
+}
+
+} // namespace
+
+RequestsShell::Parts::Parts(Environment &sharedEnvironment, RequestsShellOptions shellOptions)
+    : environment(sharedEnvironment)
+    , options(std::move(shellOptions))
+    , dispatcher(std::make_unique<requests::Dispatcher>(dispatcherOptions()))
+    , idPrefix(environment.settings.id.text() + '-' + base::digest(std::to_string(environment.random())).substr(0, 8) + '-')
+{
+}
+
+void RequestsShell::Parts::addRoutes()
+{
+    const auto weak = weak_from_this();
+    environment.callerRoutes.add("POST", "/v1/chat/completions", [weak](const net::ExchangePointer &it) {
+        if (const auto parts = weak.lock()) {
+            parts->takeModelCall(it);
+        }
+    });
+    environment.callerRoutes.add("*", std::string(ServicePrefix), [weak](const net::ExchangePointer &it) {
+        if (const auto parts = weak.lock()) {
+            parts->takeServiceCall(it);
+        }
+    });
+}
+
+void RequestsShell::Parts::startTicking()
+{
+    every(environment.context, TickInterval, [weak = weak_from_this()] {
+        if (const auto parts = weak.lock()) {
+            parts->tick();
+        }
+    });
+}
+
+bool RequestsShell::Parts::isKnownModel(const base::ModelName &name) const
+{
+    const auto document = options.document();
+    return document->models.contains(name) || document->adapters.contains(base::AdapterName(name.text()));
+}
+
+std::optional<requests::CallerHeaders> RequestsShell::Parts::readHeaders(const net::ExchangePointer &exchange) const
+{
+    const auto &fields = exchange->request().headers;
+    auto headers = requests::readCallerHeaders([&fields](std::string_view name) { return net::header(fields, name); });
+    if (!headers) {
+        refuse(exchange, ErrorCode::BadHeader, std::string(expectedFor(headers.error())));
+        return std::nullopt;
+    }
+    const auto document = options.document();
+    const auto policy = document->callers.find(headers->caller);
+    if (policy != document->callers.end()) {
+        headers->priority = std::max(headers->priority, policy->second.highestPriority);
+    }
+    return *headers;
+}
+
+void RequestsShell::Parts::takeModelCall(const net::ExchangePointer &exchange)
+{
+    if (!options.document()) {
+        refuseUnconfigured(exchange);
+        return;
+    }
+    const auto headers = readHeaders(exchange);
+    if (!headers) {
+        return;
+    }
+    auto body = requests::readChatBody(exchange->request().body);
+    if (!body) {
+        refuse(exchange, ErrorCode::BadRequest, std::string(expectedFor(body.error())));
+        return;
+    }
+    if (!isKnownModel(body->model)) {
+        refuse(exchange, ErrorCode::UnknownModel, "no model or adapter of this name is configured");
+        return;
+    }
+    requests::CallArrival arrival;
+    arrival.kind = requests::CallKind::Model;
+    arrival.target = body->model;
+    arrival.fingerprint = body->fingerprint;
+    arrival.messages = std::make_shared<const std::vector<std::string>>(body->messages);
+    Session session;
+    session.chat = std::move(*body);
+    begin(std::move(arrival), *headers, std::move(session), exchange);
+}
+
+void RequestsShell::Parts::takeServiceCall(const net::ExchangePointer &exchange)
+{
+    const auto document = options.document();
+    if (!document) {
+        refuseUnconfigured(exchange);
+        return;
+    }
+    const auto headers = readHeaders(exchange);
+    if (!headers) {
+        return;
+    }
+    const auto &request = exchange->request();
+    const auto rest = request.target.substr(ServicePrefix.size());
+    const auto slash = rest.find('/');
+    const auto service = document->services.find(base::ServiceName(rest.substr(0, slash)));
+    if (service == document->services.end()) {
+        refuse(exchange, ErrorCode::UnknownService, "no service of this name is configured");
+        return;
+    }
+    Session session;
+    session.request = {request.method, slash == std::string::npos ? "/" : rest.substr(slash), {}, request.body};
+    for (const auto *name : {"Content-Type", "Accept", "Idempotency-Key"}) {
+        if (const auto value = net::header(request.headers, name); !value.empty()) {
+            session.request.headers.push_back({name, std::string(value)});
+        }
+    }
+    requests::CallArrival arrival;
+    arrival.kind = isRepeatable(service->second, session.request) ? requests::CallKind::Lookup : requests::CallKind::Booking;
+    if (arrival.kind == requests::CallKind::Booking && headers->idempotencyKey.isEmpty()) {
+        refuse(exchange, ErrorCode::MissingIdempotencyKey, "a call that may not be repeated needs an Idempotency-Key");
+        return;
+    }
+    const auto content = session.request.method + ' ' + session.request.target + '\n' + session.request.body;
+    arrival.target = base::ModelName(service->first.text());
+    arrival.fingerprint = requests::Fingerprint(base::fingerprint(service->first.text() + '\n' + content));
+    arrival.bodyDigest = base::digest(content);
+    arrival.rowKey = requests::bookingRowKey(service->first, headers->caller, headers->idempotencyKey);
+    begin(std::move(arrival), *headers, std::move(session), exchange);
+}
+
+void RequestsShell::Parts::begin(requests::CallArrival arrival, const requests::CallerHeaders &headers, Session session, const net::ExchangePointer &exchange)
+{
+    const auto now = base::now();
+    lastCall = lastCall.next();
+    arrival.call = lastCall;
+    arrival.id = base::RequestId(idPrefix + std::to_string(lastCall.value()));
+    arrival.caller = headers.caller;
+    arrival.priority = headers.priority;
+    arrival.deadline = std::min<base::Time>(headers.deadline.value_or(requests::defaultDeadline(headers.priority, now)), now + LongestDeadline);
+    const auto form = !session.chat ? AnswerForm::Service : session.chat->isStreamed ? AnswerForm::Stream : AnswerForm::WholeChat;
+    session.caller = std::make_unique<CallerSession>(exchange, arrival.id.text(), arrival.target.text(), form);
+    session.priority = headers.priority;
+    session.id = arrival.id;
+    session.arrivedAt = now;
+    sessions.emplace(arrival.call, std::move(session));
+    exchange->setOnClosed([weak = weak_from_this(), call = arrival.call] {
+        if (const auto parts = weak.lock()) {
+            parts->onCallerClosed(call);
+        }
+    });
+    perform(dispatcher->arrive(arrival, now));
+}
+
+std::optional<requests::Choice> RequestsShell::Parts::chooseInstance(const requests::ChoiceQuery &query, base::Time now)
+{
+    const auto document = options.document();
+    const auto service = document ? document->services.find(base::ServiceName(query.model.text())) : decltype(document->services.end())();
+    if (!document || service == document->services.end()) {
+        return std::nullopt;
+    }
+    std::vector<requests::Choice> instances;
+    for (const auto &it : service->second.instances) {
+        if (!options.mayUseInstance || options.mayUseInstance(it.id)) {
+            instances.push_back(requests::Choice{it.id, it.address});
+        }
+    }
+    return services.choose(instances, query, now);
+}
+
+requests::DispatcherOptions RequestsShell::Parts::dispatcherOptions()
+{
+    requests::DispatcherOptions it;
+    it.choose = [this](const requests::ChoiceQuery &query, base::Time now) {
+        return query.isService ? chooseInstance(query, now) : options.chooseEngine(query, now);
+    };
+    // A choice without a ticket is a service's.
+    it.feedback.onSent = [this](const requests::ChoiceQuery &query, const requests::Choice &choice, base::Time now) {
+        if (query.isService) {
+            services.sent(choice.endpoint);
+        } else if (options.engineFeedback.onSent) {
+            options.engineFeedback.onSent(query, choice, now);
+        }
+    };
+    it.feedback.onFirstPiece = [this](const requests::Choice &choice, base::Time now) {
+        if (choice.ticket != 0 && options.engineFeedback.onFirstPiece) {
+            options.engineFeedback.onFirstPiece(choice, now);
+        }
+    };
+    it.feedback.onEnded = [this](const requests::Choice &choice, requests::AttemptEnd end, base::Time now) {
+        if (choice.ticket == 0) {
+            services.ended(choice.endpoint, end, now);
+        } else if (options.engineFeedback.onEnded) {
+            options.engineFeedback.onEnded(choice, end, now);
+        }
+    };
+    it.feedback.onCancelled = [this](const requests::Choice &choice, base::Time now) {
+        if (choice.ticket == 0) {
+            services.cancelled(choice.endpoint);
+        } else if (options.engineFeedback.onCancelled) {
+            options.engineFeedback.onCancelled(choice, now);
+        }
+    };
+    it.admission.modelLimit = options.modelLimit;
+    it.admission.callerLimit = [this](const base::CallerName &caller) {
+        const auto document = options.document();
+        const auto policy = document->callers.find(caller);
+        return policy == document->callers.end() ? requests::CallerLimit()
+                                                 : requests::CallerLimit{policy->second.requestsPerSecond, policy->second.concurrency};
+    };
+    it.bookings.self = environment.settings.id;
+    it.bookings.makeToken = [this] {
+        return base::digest(std::to_string(environment.random()) + ' ' + std::to_string(environment.random())).substr(0, 32);
+    };
+    it.suspects.self = environment.settings.id;
+    it.suspects.peers = [this] {
+        std::vector<base::DaemonId> peers;
+        for (const auto &peer : options.peers ? options.peers() : std::vector<PeerTarget>()) {
+            peers.push_back(peer.id);
+        }
+        return peers;
+    };
+    it.engineSilence = options.engineSilence;
+    it.serviceSilence = options.serviceSilence;
+    return it;
+}
+
+RequestsShell::RequestsShell(Environment &environment, RequestsShellOptions options)
+    : m_parts(std::make_shared<Parts>(environment, std::move(options)))
+{
+    m_parts->addRoutes();
+    m_parts->addPeerHandlers();
+    m_parts->startTicking();
+}
+
+RequestsShell::~RequestsShell() = default;
+
+void RequestsShell::startDraining()
+{
+    telemetry::log(telemetry::LogLevel::Info, "requests", "drain started", {{"in_progress", std::uint64_t(inProgress())}});
+    m_parts->dispatcher->startDraining();
+}
+
+std::size_t RequestsShell::inProgress() const
+{
+    return m_parts->dispatcher->inProgress();
+}
+
+} // namespace turmericplank::daemon
--- a/src/turmericplank/requests/dispatcher.cpp
+++ b/src/turmericplank/requests/dispatcher.cpp
@@ -68,7 +68,6 @@
     if (call == nullptr) {
         return actions;
     }
-    call->isCallerGone = true;
     // A booking that was sent goes on, so that its answer is there when the caller asks again.
     if (call->isGranted) {
         return actions;
@@ -185,6 +184,11 @@
     m_isDraining = true;
 }
 
+bool Dispatcher::isCarrying(CallNumber call) const
+{
+    return m_calls.contains(call);
+}
+
 std::size_t Dispatcher::inProgress() const
 {
     return m_calls.size() + m_bookings.unsettled();
--- a/src/turmericplank/requests/dispatchercall.hpp
+++ b/src/turmericplank/requests/dispatchercall.hpp
@@ -22,7 +22,6 @@
     bool isWaiting = false;
     bool isGranted = false; ///< a booking that this daemon may send
     bool hasFirstPiece = false;
-    bool isCallerGone = false;
     bool isOver = false;
 };
 
--- a/src/turmericplank/requests/dispatchercalls.cpp
+++ b/src/turmericplank/requests/dispatchercalls.cpp
@@ -293,10 +293,7 @@
 
 void Dispatcher::emit(const Call &call, EndpointCallAction what, DispatchActions &actions) const
 {
-    const bool isForCaller = std::holds_alternative<DeliverPiece>(what) || std::holds_alternative<CompleteCall>(what) || std::holds_alternative<FailCall>(what);
-    if (!isForCaller || !call.isCallerGone) {
-        actions.emplace_back(CallAction{call.arrival.call, std::move(what)});
-    }
+    actions.emplace_back(CallAction{call.arrival.call, std::move(what)});
 }
 
 } // namespace turmericplank::requests
