Carry callers' requests through the dispatcher in the daemon

Cause: the thin front door relayed one attempt and knew no deadlines, retries, bookings or suspects. Change: RequestsShell turns bytes into the dispatcher's events and its actions into bytes: whole and streamed chat completions, services with bookings, keep-alive pieces, typed errors, suspects over the mesh, graceful stop. EngineChoice adapts the router.

--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,10 +1,12 @@
 #include "turmericplank/daemon/daemon.hpp"
 
+#include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/frontdoor.hpp"
 #include "turmericplank/daemon/loadpoller.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
+#include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/routing/router.hpp"
 #include "turmericplank/telemetry/log.hpp"
@@ -14,6 +16,7 @@
 namespace {
 
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr std::uint32_t StreamsPerReplica = 32; ///< of one model, beyond which calls wait here by priority
 
 std::unique_ptr<peer::Mesh> openMeshFor(boost::asio::io_context &context, const Settings &settings)
 {
@@ -64,7 +67,9 @@
         , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
                       metrics, random}
         , loadPoller(environment, router)
-        , frontDoor(environment, router, [this] { return document; })
+        , frontDoor(environment)
+        , engineChoice(router, random)
+        , requests(environment, requestsOptions())
     {
         addOperatorRoutes(operatorRoutes, metrics);
         addOperatorRoutes(callerRoutes, metrics);
@@ -73,6 +78,22 @@
         applyDocument();
     }
 
+    RequestsShellOptions requestsOptions()
+    {
+        RequestsShellOptions it;
+        it.document = [this] {
+            return document;
+        };
+        it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
+            return engineChoice.choose(query, now);
+        };
+        it.engineFeedback = engineChoice.feedback();
+        it.modelLimit = [this](const base::ModelName &model) {
+            return static_cast<std::uint32_t>(router.replicas(model)) * StreamsPerReplica;
+        };
+        return it;
+    }
+
     void applyDocument()
     {
         if (document) {
@@ -94,6 +115,8 @@
     routing::Router router;
     LoadPoller loadPoller;
     FrontDoor frontDoor;
+    EngineChoice engineChoice;
+    RequestsShell requests;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
     bool isDraining = false;
@@ -118,7 +141,7 @@
     m_parts->callerServer->stopAccepting();
     const auto done = std::make_shared<bool>(false);
     every(m_parts->context, DrainCheckInterval, [this, done, onDrained = std::move(onDrained)] {
-        if (!*done && m_parts->callerServer->exchangesInProgress() == 0) {
+        if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
             *done = true;
             telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
             onDrained();
--- /dev/null
+++ b/src/turmericplank/daemon/enginechoice.cpp
@@ -0,0 +1,100 @@
+#include "turmericplank/daemon/enginechoice.hpp"
+
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::daemon {
+
+namespace {
+
+constexpr std::size_t UnsentLimit = 4096; ///< choices of calls that ended before they were sent
+constexpr std::uint32_t CharactersPerToken = 4;
+
+routing::AttemptEnd routingEnd(requests::AttemptEnd end)
+{
+    switch (end) {
+    case requests::AttemptEnd::Answered:
+        return routing::AttemptEnd::Answered;
+    case requests::AttemptEnd::Refused:
+        return routing::AttemptEnd::Overloaded;
+    case requests::AttemptEnd::Malformed:
+        return routing::AttemptEnd::Failed;
+    case requests::AttemptEnd::NotSent:
+    case requests::AttemptEnd::Lost:
+    case requests::AttemptEnd::Silent:
+        return routing::AttemptEnd::Lost;
+    }
+    return routing::AttemptEnd::Lost;
+}
+
+routing::RouteRequest routeRequest(const requests::ChoiceQuery &query)
+{
+    routing::RouteRequest request;
+    request.model = query.model;
+    request.priority = query.priority;
+    request.deadline = query.deadline;
+    request.excluded = query.avoid;
+    if (query.messages) {
+        const std::vector<std::string_view> texts(query.messages->begin(), query.messages->end());
+        request.prefixes = routing::prefixChain(query.model, texts);
+        for (const auto &it : texts) {
+            request.promptTokens += static_cast<std::uint32_t>(it.size()) / CharactersPerToken + 1;
+        }
+    }
+    return request;
+}
+
+} // namespace
+
+EngineChoice::EngineChoice(routing::Router &router, std::mt19937_64 &random)
+    : m_router(router)
+    , m_random(random)
+{
+}
+
+std::optional<requests::Choice> EngineChoice::choose(const requests::ChoiceQuery &query, base::Time now)
+{
+    auto request = routeRequest(query);
+    auto choice = m_router.choose(request, now, m_random);
+    if (!choice) {
+        telemetry::log(telemetry::LogLevel::Info, "routing", "found no endpoint",
+                       {{"request", query.request.text()}, {"model", query.model.text()}, {"reason", toString(choice.error().reason)}});
+        return std::nullopt;
+    }
+    telemetry::log(telemetry::LogLevel::Info, "routing", "chose endpoint",
+                   {{"request", query.request.text()},
+                    {"model", query.model.text()},
+                    {"endpoint", choice->endpoint.text()},
+                    {"reason", toString(choice->reason)},
+                    {"runner_up", choice->runnerUp ? std::string_view(choice->runnerUp->text()) : std::string_view("-")},
+                    {"expected_ms", base::inMilliseconds(choice->expectedFirstToken)}});
+    const requests::Choice result{choice->endpoint, choice->address, choice->ticket};
+    if (m_unsent.size() >= UnsentLimit) {
+        m_unsent.clear();
+    }
+    m_unsent.emplace(choice->ticket, Chosen{std::move(*choice), std::move(request)});
+    return result;
+}
+
+requests::AttemptFeedback EngineChoice::feedback()
+{
+    requests::AttemptFeedback hooks;
+    hooks.onSent = [this](const requests::ChoiceQuery &, const requests::Choice &choice, base::Time now) {
+        const auto it = m_unsent.find(choice.ticket);
+        if (it != m_unsent.end()) {
+            m_router.noteSent(it->second.choice, it->second.request, now);
+            m_unsent.erase(it);
+        }
+    };
+    hooks.onFirstPiece = [this](const requests::Choice &choice, base::Time now) {
+        m_router.noteFirstToken(choice.ticket, now);
+    };
+    hooks.onEnded = [this](const requests::Choice &choice, requests::AttemptEnd end, base::Time now) {
+        m_router.noteEnded(choice.ticket, routingEnd(end), now);
+    };
+    hooks.onCancelled = [this](const requests::Choice &choice, base::Time now) {
+        m_router.noteEnded(choice.ticket, routing::AttemptEnd::Cancelled, now);
+    };
+    return hooks;
+}
+
+} // namespace turmericplank::daemon
