--- a/include/turmericplank/daemon/membershipshell.hpp
+++ b/include/turmericplank/daemon/membershipshell.hpp
@@ -34,8 +34,8 @@
     /// @param hooks the rest of the daemon
     MembershipShell(Environment &environment, RoutingShell &routing, MembershipShellHooks hooks);
 
-    /// @brief The document in force changed.
-    void applyEndpoints();
+    /// @brief Takes the document in force.
+    void apply(const configuration::Document &document);
 
     /// @brief This daemon leaves: it is named to callers no more from now on.
     /// @param onRefusable called once no caller can hold an answer that names it
@@ -44,6 +44,12 @@
     /// @brief All daemons as they are believed to be.
     std::vector<membership::Member> members() const;
 
+    /// @brief The other daemons that are live and reachable from here.
+    std::vector<membership::Member> others() const;
+
+    /// @brief Whether an endpoint or an instance of a service may get new work.
+    bool mayUse(const base::EndpointId &endpoint) const;
+
     /// @brief Caller addresses of others that a refused caller may go to.
     std::vector<base::Address> otherAddresses();
 
--- a/include/turmericplank/daemon/routingshell.hpp
+++ b/include/turmericplank/daemon/routingshell.hpp
@@ -3,14 +3,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "turmericplank/configuration/document.hpp"
 #include "turmericplank/daemon/environment.hpp"
-#include "turmericplank/requests/endpointchoice.hpp"
 #include "turmericplank/routing/router.hpp"
 
 namespace turmericplank::daemon {
@@ -26,7 +23,7 @@
     std::function<bool(const base::EndpointId &)> isResponsible;
 };
 
-/// @brief Feeds the router from the endpoints' load reports and cache events, and offers it to the requests.
+/// @brief Feeds the router from the endpoints' load reports and cache events.
 class RoutingShell
 {
 public:
@@ -39,18 +36,9 @@
     /// @brief Takes the document in force.
     void apply(const configuration::Document &document);
 
-    /// @brief Chooses the endpoint of an attempt and logs the choice.
-    requests::ChooseEndpoint chooseEndpoint();
-
-    /// @brief What to tell of attempts.
-    requests::AttemptFeedback feedback();
-
     /// @brief The router of model calls.
     routing::Router &router();
 
-    /// @brief Endpoints and instances of the document in force.
-    std::vector<base::EndpointId> endpoints() const;
-
     /// @brief Takes membership's word on an endpoint.
     void setMark(const base::EndpointId &endpoint, routing::EndpointMark mark);
 
@@ -63,16 +51,6 @@
         bool isPolling = false;
     };
 
-    struct Chosen
-    {
-        routing::Choice choice;
-        routing::RouteRequest request;
-        base::Time forgetAt;
-    };
-
-    std::optional<requests::Choice> choose(const requests::ChoiceQuery &query, base::Time now);
-    routing::Router &routerOf(std::uint64_t ticket);
-    void end(const requests::Choice &choice, routing::AttemptEnd end, base::Time now);
     void poll();
     void pollLoad(const base::EndpointId &endpoint, Polled &polled);
     void pollEvents(const base::EndpointId &endpoint, const Polled &polled);
@@ -82,10 +60,7 @@
     Environment &m_environment;
     RoutingShellHooks m_hooks;
     routing::Router m_router;
-    routing::Router m_services; ///< instances of plain services
-    std::set<base::ModelName> m_serviceNames;
     std::map<base::EndpointId, Polled> m_polled;
-    std::map<std::uint64_t, Chosen> m_chosen; ///< by the ticket that the requests know, until sent or outlived
 };
 
 } // namespace turmericplank::daemon
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,10 +1,11 @@
 #include "turmericplank/daemon/daemon.hpp"
 
+#include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
-#include "turmericplank/daemon/frontdoor.hpp"
 #include "turmericplank/daemon/membershipshell.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
+#include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/routingshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/telemetry/log.hpp"
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr std::uint32_t StreamsPerReplica = 32; ///< of one model, beyond which calls wait here by priority
 
 std::unique_ptr<peer::Mesh> openMeshFor(boost::asio::io_context &context, const Settings &settings)
 {
@@ -65,7 +67,8 @@
                       metrics, random}
         , routing(environment)
         , membership(environment, routing, membershipHooks())
-        , frontDoor(environment, routing.router(), [this] { return document; })
+        , engineChoice(routing.router(), random)
+        , requests(environment, requestsOptions())
     {
         addOperatorRoutes(operatorRoutes, metrics);
         addOperatorRoutes(callerRoutes, metrics);
@@ -74,27 +77,56 @@
         applyDocument();
     }
 
-    void applyDocument()
+    RequestsShellOptions requestsOptions()
     {
-        if (document) {
-            routing.apply(*document);
-            membership.applyEndpoints();
-        }
+        RequestsShellOptions it;
+        it.document = [this] {
+            return document;
+        };
+        it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
+            return engineChoice.choose(query, now);
+        };
+        it.engineFeedback = engineChoice.feedback();
+        it.modelLimit = [this](const base::ModelName &model) {
+            return static_cast<std::uint32_t>(routing.router().replicas(model)) * StreamsPerReplica;
+        };
+        it.peers = [this] {
+            std::vector<PeerTarget> targets;
+            for (const auto &member : membership.others()) {
+                targets.push_back({member.record.id, member.record.peerAddress});
+            }
+            return targets;
+        };
+        it.otherEntries = [this] {
+            return membership.otherAddresses();
+        };
+        it.mayUseInstance = [this](const base::EndpointId &instance) {
+            return membership.mayUse(instance);
+        };
+        return it;
     }
 
     MembershipShellHooks membershipHooks()
     {
-        MembershipShellHooks hooks;
-        hooks.load = [this] {
+        MembershipShellHooks it;
+        it.load = [this] {
             return callerServer ? static_cast<std::uint32_t>(callerServer->exchangesInProgress()) : 0;
         };
-        hooks.isRouted = [this](const base::ModelName &model) {
+        it.isRouted = [this](const base::ModelName &model) {
             return !document || document->models.contains(model) || document->adapters.contains(base::AdapterName(model.text()));
         };
-        hooks.onDrainAsked = [this] {
+        it.onDrainAsked = [this] {
             onDrainAsked();
         };
-        return hooks;
+        return it;
+    }
+
+    void applyDocument()
+    {
+        if (document) {
+            routing.apply(*document);
+            membership.apply(*document);
+        }
     }
 
     boost::asio::io_context &context;
@@ -109,7 +141,8 @@
     Environment environment;
     RoutingShell routing;
     MembershipShell membership;
-    FrontDoor frontDoor;
+    EngineChoice engineChoice;
+    RequestsShell requests;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
     std::function<void()> onDrainAsked = [] {
@@ -138,11 +171,12 @@
     telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
     // Callers may hold this address for a while: what they send until then is still served.
     m_parts->membership.leave([this, onDrained = std::move(onDrained)] {
-        m_parts->callerServer->stopAccepting();
+        m_parts->requests.startDraining();
         const auto done = std::make_shared<bool>(false);
         every(m_parts->context, DrainCheckInterval, [this, done, onDrained] {
-            if (!*done && m_parts->callerServer->exchangesInProgress() == 0) {
+            if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
                 *done = true;
+                m_parts->callerServer->stopAccepting();
                 telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
                 onDrained();
             }
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -120,14 +120,26 @@
     every(environment.context, TickInterval, [this] { tick(); });
 }
 
-void MembershipShell::applyEndpoints()
+void MembershipShell::apply(const configuration::Document &document)
 {
-    const auto endpoints = m_routing.endpoints();
+    std::vector<base::EndpointId> endpoints;
+    for (const auto &[id, it] : document.endpoints) {
+        endpoints.push_back(id);
+    }
+    for (const auto &[name, service] : document.services) {
+        for (const auto &it : service.instances) {
+            endpoints.push_back(it.id);
+        }
+    }
     m_endpoints.setEndpoints(endpoints, base::now());
     m_endpointNames.clear();
+    std::map<base::EndpointId, LiveState> marks;
     for (const auto &it : endpoints) {
         m_endpointNames.emplace(membership::shortName(it.text()), it);
+        const auto known = m_marks.find(it);
+        marks.emplace(it, known == m_marks.end() ? LiveState::Live : known->second);
     }
+    m_marks = std::move(marks);
 }
 
 void MembershipShell::tick()
@@ -276,11 +288,10 @@
 {
     const auto now = base::now();
     const auto heard = m_view.heardNow(now);
-    for (const auto &endpoint : m_routing.endpoints()) {
+    for (auto &[endpoint, mark] : m_marks) {
         const auto state = m_endpoints.state(endpoint, heard, now);
-        const auto [it, isNew] = m_marks.try_emplace(endpoint, LiveState::Live);
-        if (it->second != state) {
-            it->second = state;
+        if (mark != state) {
+            mark = state;
             m_routing.setMark(endpoint, toMark(state));
             telemetry::log(LogLevel::Info, "membership", "endpoint changed", {{"endpoint", endpoint.text()}, {"state", toString(state)}});
             // Others are told at once: a leaving endpoint must get nothing new from them either.
@@ -329,9 +340,24 @@
     return m_view.members(base::now());
 }
 
+std::vector<membership::Member> MembershipShell::others() const
+{
+    auto all = members();
+    std::erase_if(all, [this](const membership::Member &it) {
+        return it.record.id == m_view.self().id || !it.isReachable || it.state == LiveState::Suspect || it.state == LiveState::Gone;
+    });
+    return all;
+}
+
+bool MembershipShell::mayUse(const base::EndpointId &endpoint) const
+{
+    const auto it = m_marks.find(endpoint);
+    return it == m_marks.end() || it->second == LiveState::Live || it->second == LiveState::Suspect;
+}
+
 std::vector<base::Address> MembershipShell::otherAddresses()
 {
-    const auto answer = m_directory.answer(members(), m_view.self().zone, base::now(), m_environment.random);
+    const auto answer = m_directory.answer(others(), m_view.self().zone, base::now(), m_environment.random);
     return answer ? answer->addresses : std::vector<base::Address>();
 }
 
