--- a/include/turmericplank/configuration/activation.hpp
+++ b/include/turmericplank/configuration/activation.hpp
@@ -39,6 +39,7 @@
     base::Revision highest; ///< newest accepted revision that the sender knows
     base::Time inForceFrom; ///< when the newest one is in force
     base::Revision ready; ///< newest revision whose objects the sender holds
+    base::Revision inForce; ///< revision that the sender admits requests under
     base::Time confirmedAt; ///< when the table was last known to be read with this result
 
     friend bool operator==(const RevisionNotice &, const RevisionNotice &) = default;
--- a/src/turmericplank/configuration/activation.cpp
+++ b/src/turmericplank/configuration/activation.cpp
@@ -57,7 +57,7 @@
     RevisionNotice notice() const
     {
         const auto inForceFrom = m_pointer.entries.empty() ? base::Time() : m_pointer.entries.back().inForceFrom;
-        return {m_pointer.highest(), inForceFrom, m_preparation.newestReady(), m_freshness.confirmedAt()};
+        return {m_pointer.highest(), inForceFrom, m_preparation.newestReady(), m_inForce.revision, m_freshness.confirmedAt()};
     }
 
     const Pointer &pointer() const
--- /dev/null
+++ b/src/turmericplank/daemon/configurationshell.cpp
@@ -0,0 +1,316 @@
+#include "turmericplank/daemon/configurationshell.hpp"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+
+#include "turmericplank/base/digest.hpp"
+#include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/telemetry/decisionlog.hpp"
+
+#include "configurationmessages.hpp"
+
+namespace turmericplank::daemon {
+
+namespace {
+
+using configuration::ObjectCache;
+using telemetry::LogLevel;
+
+constexpr auto NoticeInterval = std::chrono::seconds(1);
+constexpr auto PeerCallTimeout = std::chrono::milliseconds(800);
+constexpr base::Duration LeadMargin = std::chrono::milliseconds(500);
+constexpr base::Duration LongestLead = std::chrono::seconds(5);
+constexpr std::size_t RememberedLimit = 16 * 1024 * 1024; // bytes
+const std::string noticeKind = "configuration/notice";
+const std::string pointerKind = "configuration/pointer";
+const std::string objectsKind = "configuration/objects";
+
+configuration::PointerRead pointerRead(std::uint64_t read, const platform::ReadResult &rows)
+{
+    configuration::PointerRead event{read, tl::unexpected(platform::TableFailure::Unavailable)};
+    if (!rows) {
+        return event;
+    }
+    const auto found = std::find_if(rows->begin(), rows->end(), [](const auto &it) { return it.key == configuration::PointerKey; });
+    if (found == rows->end()) {
+        event.pointer = std::optional<configuration::Pointer>();
+    } else if (auto pointer = configuration::decodePointer(found->value)) {
+        event.pointer = std::move(pointer);
+    } else {
+        telemetry::log(LogLevel::Error, "configuration", "pointer row is malformed", {{"version", found->version.value()}});
+    }
+    return event;
+}
+
+ObjectCache toCache(const std::string &bytes)
+{
+    ObjectCache cache;
+    for (auto &it : configuration::decodeObjects(bytes)) {
+        cache.emplace(std::move(it.digest), std::move(it.bytes));
+    }
+    return cache;
+}
+
+} // namespace
+
+std::string_view toString(configuration::Admission admission)
+{
+    switch (admission) {
+    case configuration::Admission::Serve:
+        return "serving";
+    case configuration::Admission::Starting:
+        return "starting";
+    case configuration::Admission::Late:
+        return "late";
+    case configuration::Admission::Isolated:
+        return "isolated";
+    }
+    return "starting";
+}
+
+ConfigurationShell::ConfigurationShell(Environment &environment, ConfigurationShellHooks hooks)
+    : m_environment(environment)
+    , m_hooks(std::move(hooks))
+    , m_activation(m_hooks.activation, base::now())
+    , m_timer(environment.context)
+{
+    answerPeers();
+    every(environment.context, NoticeInterval, [this] { tellPeers(); });
+    boost::asio::post(environment.context, [this] { handle(configuration::Tick()); });
+}
+
+const configuration::InForce &ConfigurationShell::inForce() const
+{
+    return m_activation.inForce();
+}
+
+configuration::Admission ConfigurationShell::admission()
+{
+    if (m_activation.nextDeadline() <= base::now()) {
+        handle(configuration::Tick());
+    }
+    const auto admission = m_activation.admission(base::now());
+    logAdmission(admission);
+    return admission;
+}
+
+void ConfigurationShell::onActivated(ActivatedHook hook)
+{
+    if (inForce().document != nullptr) {
+        hook(inForce());
+    }
+    m_onActivated.push_back(std::move(hook));
+}
+
+void ConfigurationShell::heardRevision(const base::DaemonId &peer, base::Revision revision)
+{
+    if (revision > m_activation.pointer().highest()) {
+        carryOut(configuration::AskPointer{peer});
+    }
+}
+
+configuration::RevisionNotice ConfigurationShell::notice() const
+{
+    return m_activation.notice();
+}
+
+const std::map<base::DaemonId, PeerRevision> &ConfigurationShell::peerRevisions() const
+{
+    return m_peerRevisions;
+}
+
+const configuration::Pointer &ConfigurationShell::pointer() const
+{
+    return m_activation.pointer();
+}
+
+void ConfigurationShell::accepted(const configuration::Pointer &pointer)
+{
+    handle(configuration::LocallyAccepted{pointer, m_remembered});
+}
+
+base::Duration ConfigurationShell::activationLead() const
+{
+    // The write, the read that finds it and the fetch take one latency each; reads begin once per poll interval.
+    const auto needed = m_hooks.activation.pollInterval + 3 * m_storeLatency + LeadMargin;
+    return std::min(needed, LongestLead);
+}
+
+configuration::StoreDriverOptions ConfigurationShell::driver()
+{
+    return {m_environment.table, m_environment.objects,
+            [this](base::Time deadline, std::function<void()> hook) { callAt(m_environment.context, deadline, std::move(hook)); }, &base::now,
+            [this](const std::string &name, const std::string &bytes) {
+                remember(name, bytes);
+            }};
+}
+
+configuration::ObjectLookup ConfigurationShell::lookup() const
+{
+    return [this](const std::string &digest) {
+        return held(digest);
+    };
+}
+
+void ConfigurationShell::handle(const configuration::ActivationEvent &event)
+{
+    const auto actions = m_activation.handle(event, base::now());
+    for (const auto &it : actions) {
+        std::visit([this](const auto &action) { carryOut(action); }, it);
+    }
+    schedule();
+}
+
+void ConfigurationShell::schedule()
+{
+    m_timer.expires_after(std::max(m_activation.nextDeadline() - base::now(), base::Duration(std::chrono::milliseconds(1))));
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            handle(configuration::Tick());
+        }
+    });
+}
+
+void ConfigurationShell::carryOut(const configuration::ReadPointer &action)
+{
+    m_environment.table.readPrefix(std::string(configuration::PointerKey),
+                                   [this, read = action.read](const platform::ReadResult &rows) { handle(pointerRead(read, rows)); });
+}
+
+void ConfigurationShell::carryOut(const configuration::AskPointer &action)
+{
+    callPeer(action.peer, pointerKind, {}, [this, peer = action.peer](bool isWhole, const std::string &answer) {
+        handle(configuration::PeerPointer{peer, isWhole ? configuration::decodePointer(answer) : std::nullopt});
+    });
+}
+
+void ConfigurationShell::carryOut(const configuration::FetchFrom &action)
+{
+    if (action.peer) {
+        callPeer(*action.peer, objectsKind, encodeNames(action.names), [this, peer = *action.peer](bool isWhole, const std::string &answer) {
+            handle(configuration::ObjectsArrived{peer, isWhole ? toCache(answer) : ObjectCache()});
+        });
+        return;
+    }
+    configuration::fetchObjects(m_environment.objects, action.names, [this](const auto &result) {
+        handle(configuration::ObjectsArrived{std::nullopt, result ? *result : ObjectCache()});
+    });
+}
+
+void ConfigurationShell::carryOut(const configuration::Switched &action)
+{
+    telemetry::logDecision("configuration", action.isLate ? "revision in force, late" : "revision in force",
+                           {{"revision", action.inForce.revision.value()}, {"digest", action.inForce.digest}});
+    m_environment.metrics.gauge("configuration_revision", static_cast<double>(action.inForce.revision.value()));
+    m_environment.metrics.count(action.isLate ? "configuration_late_switches_total" : "configuration_switches_total");
+    for (const auto &it : m_onActivated) {
+        it(action.inForce);
+    }
+}
+
+void ConfigurationShell::carryOut(const configuration::Notify &)
+{
+    // The daemon may know more by the time that all actions are carried out; the newest notice goes out once.
+    if (!std::exchange(m_isNoticePending, true)) {
+        boost::asio::post(m_environment.context, [this] {
+            m_isNoticePending = false;
+            tellPeers();
+        });
+    }
+}
+
+void ConfigurationShell::tellPeers()
+{
+    const auto body = encodeNotice(m_activation.notice());
+    for (const auto &it : m_hooks.peers()) {
+        peer::PeerCall call;
+        call.kind = noticeKind;
+        call.body = body;
+        call.timeout = PeerCallTimeout;
+        call.onPiece = [](std::string_view) {
+        };
+        call.onEnd = [](const auto &) {
+        };
+        m_environment.peers.call(it.address, std::move(call));
+    }
+}
+
+void ConfigurationShell::callPeer(const base::DaemonId &peer, const std::string &kind, std::string body,
+                                  std::function<void(bool isWhole, std::string answer)> onDone)
+{
+    const auto peers = m_hooks.peers();
+    const auto found = std::find_if(peers.begin(), peers.end(), [&peer](const auto &it) { return it.id == peer; });
+    if (found == peers.end()) {
+        boost::asio::post(m_environment.context, [onDone = std::move(onDone)] { onDone(false, {}); });
+        return;
+    }
+    const auto answer = std::make_shared<std::string>();
+    peer::PeerCall call;
+    call.kind = kind;
+    call.body = std::move(body);
+    call.timeout = PeerCallTimeout;
+    call.onPiece = [answer](std::string_view piece) {
+        answer->append(piece);
+    };
+    call.onEnd = [answer, onDone = std::move(onDone)](const auto &result) {
+        onDone(result.has_value(), std::move(*answer));
+    };
+    m_environment.peers.call(found->address, std::move(call));
+}
+
+void ConfigurationShell::answerPeers()
+{
+    m_environment.peers.handle(noticeKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
+        answer.end();
+        if (const auto notice = decodeNotice(body)) {
+            m_peerRevisions[from] = {*notice, base::now()};
+            handle(configuration::PeerNoticed{from, *notice});
+        }
+    });
+    m_environment.peers.handle(pointerKind, [this](const base::DaemonId &, const std::string &, const peer::PeerAnswer &answer) {
+        answer.write(configuration::encodePointer(m_activation.pointer()));
+        answer.end();
+    });
+    m_environment.peers.handle(objectsKind, [this](const base::DaemonId &, const std::string &body, const peer::PeerAnswer &answer) {
+        std::vector<configuration::ContentObject> objects;
+        for (const auto &it : decodeNames(body).value_or(std::vector<std::string>())) {
+            if (const auto *bytes = held(it)) {
+                objects.push_back({it, *bytes});
+            }
+        }
+        answer.write(configuration::encodeObjects(objects));
+        answer.end();
+    });
+}
+
+void ConfigurationShell::remember(const std::string &name, const std::string &bytes)
+{
+    if (base::digest(bytes) != name || m_remembered.contains(name)) {
+        return;
+    }
+    if (m_rememberedBytes + bytes.size() > RememberedLimit) {
+        m_remembered.clear();
+        m_rememberedBytes = 0;
+    }
+    m_rememberedBytes += bytes.size();
+    m_remembered.emplace(name, bytes);
+}
+
+const std::string *ConfigurationShell::held(const std::string &name) const
+{
+    const auto found = m_remembered.find(name);
+    return found != m_remembered.end() ? &found->second : m_activation.object(name);
+}
+
+void ConfigurationShell::logAdmission(configuration::Admission admission)
+{
+    if (admission == m_lastAdmission) {
+        return;
+    }
+    m_lastAdmission = admission;
+    const auto level = admission == configuration::Admission::Serve ? LogLevel::Info : LogLevel::Warning;
+    telemetry::log(level, "configuration", "admission changed", {{"state", toString(admission)}, {"revision", inForce().revision.value()}});
+}
+
+} // namespace turmericplank::daemon
