--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -53,6 +53,7 @@
 
 if(NOT TURMERICPLANK_SANITIZE OR TURMERICPLANK_SANITIZE_SHELLS)
   turmericplank_program_tests(standins standins/common standins/engine standins/platform)
+  turmericplank_program_tests(cli daemons/turmericplank)
 endif()
 
 # Whole-path tests start real programs from build/bin; each is a script in tests/ that exits non-zero on failure.
--- a/daemons/turmericplank/command.hpp
+++ b/daemons/turmericplank/command.hpp
@@ -21,4 +21,8 @@
     explicit Command(std::function<void(CLI::App &)> add);
 };
 
+/// @brief Adds all registered commands to the program.
+/// @param app the program
+void addCommands(CLI::App &app);
+
 } // namespace turmericplank::cli
