--- a/daemons/turmericplank/loadtally.cpp
+++ b/daemons/turmericplank/loadtally.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::string Answered = "answered";
+constexpr const char *Answered = "answered";
 
 nlohmann::json quantiles(const Samples &samples)
 {
@@ -78,7 +78,7 @@
 {
     m_wrong += isWrong(verdict) ? 1 : 0;
     if (verdict != Verdict::Refused) {
-        noteOutcome(verdict == Verdict::Whole ? Answered : std::string(nameOf(verdict)));
+        noteOutcome(verdict == Verdict::Whole ? std::string(Answered) : std::string(nameOf(verdict)));
     }
 }
 
--- a/standins/common/faults.cpp
+++ b/standins/common/faults.cpp
@@ -11,7 +11,7 @@
 
 using nlohmann::json;
 
-const std::map<std::string, std::function<void(Faults &, const json &)>> Readers = {
+const std::map<std::string, std::function<void(Faults &, const json &)>> readers = {
     {"delay_ms",
      [](Faults &it, const json &value) {
          it.delay = std::chrono::milliseconds(value.get<std::int64_t>());
@@ -61,8 +61,8 @@
     }
     Faults faults;
     for (const auto &[name, value] : document.items()) {
-        const auto reader = Readers.find(name);
-        if (reader == Readers.end()) {
+        const auto reader = readers.find(name);
+        if (reader == readers.end()) {
             return tl::unexpected(FaultsError::UnknownFault);
         }
         try {
