--- a/include/turmericplank/requests/dispatcher.hpp
+++ b/include/turmericplank/requests/dispatcher.hpp
@@ -35,7 +35,7 @@
     base::Priority priority = base::Priority::Normal;
     base::Time deadline;
     Fingerprint fingerprint;
-    std::string prompt; ///< start of the prompt
+    std::shared_ptr<const std::vector<std::string>> messages; ///< contents of the prompt's messages
     std::string rowKey; ///< of a booking
     std::string bodyDigest; ///< of a booking
 };
@@ -109,6 +109,8 @@
 
     /// @brief New requests are refused; those in progress go on.
     void startDraining();
+    /// @brief Whether a call has not ended; a booking that was sent goes on when its caller closes.
+    bool isCarrying(CallNumber call) const;
     /// @brief Calls without a final answer and bookings whose result is not stored yet.
     std::size_t inProgress() const;
     /// @brief What is remembered of suspects.
