--- a/include/turmericplank/daemon/configurationshell.hpp
+++ b/include/turmericplank/daemon/configurationshell.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,19 +12,11 @@
 #include "turmericplank/configuration/activation.hpp"
 #include "turmericplank/configuration/storedriver.hpp"
 #include "turmericplank/daemon/environment.hpp"
+#include "turmericplank/daemon/errorbody.hpp"
+#include "turmericplank/daemon/peertarget.hpp"
 
 namespace turmericplank::daemon {
 
-/// @brief Another daemon of the cell and where it listens for peers.
-struct PeerLocation
-{
-    base::DaemonId id;
-    base::Address address;
-
-    friend auto operator<=>(const PeerLocation &, const PeerLocation &) = default;
-    friend bool operator==(const PeerLocation &, const PeerLocation &) = default;
-};
-
 /// @brief What a peer last said about its configuration.
 struct PeerRevision
 {
@@ -34,7 +27,7 @@
 /// @brief What the configuration asks of the rest of the daemon.
 struct ConfigurationShellHooks
 {
-    std::function<std::vector<PeerLocation>()> peers; ///< daemons of the cell that are believed to live, this one left out
+    std::function<std::vector<PeerTarget>()> peers; ///< daemons of the cell that are believed to live, this one left out
     configuration::ActivationOptions activation;
 };
 
@@ -54,6 +47,9 @@
     /// @brief Whether a new request may start now; switches first if a switch is due.
     configuration::Admission admission();
 
+    /// @brief What to answer to a new request that may not start now, or nothing.
+    std::optional<ErrorBody> refusal();
+
     /// @brief Adds a hook that is called after each switch, and now if there was one already.
     void onActivated(ActivatedHook hook);
 
--- /dev/null
+++ b/include/turmericplank/daemon/peertarget.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+
+#include "turmericplank/base/address.hpp"
+#include "turmericplank/base/identifier.hpp"
+
+namespace turmericplank::daemon {
+
+/// @brief Another daemon of the cell.
+struct PeerTarget
+{
+    base::DaemonId id;
+    base::Address address; ///< where it listens for daemons
+
+    friend auto operator<=>(const PeerTarget &, const PeerTarget &) = default;
+    friend bool operator==(const PeerTarget &, const PeerTarget &) = default;
+};
+
+} // namespace turmericplank::daemon
--- a/include/turmericplank/daemon/requestsshell.hpp
+++ b/include/turmericplank/daemon/requestsshell.hpp
@@ -3,29 +3,23 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "turmericplank/configuration/document.hpp"
 #include "turmericplank/daemon/environment.hpp"
+#include "turmericplank/daemon/errorbody.hpp"
+#include "turmericplank/daemon/peertarget.hpp"
 #include "turmericplank/requests/dispatcher.hpp"
 
 namespace turmericplank::daemon {
 
-/// @brief Another daemon of the cell.
-struct PeerTarget
-{
-    base::DaemonId id;
-    base::Address address; ///< where it listens for daemons
-
-    friend auto operator<=>(const PeerTarget &, const PeerTarget &) = default;
-    friend bool operator==(const PeerTarget &, const PeerTarget &) = default;
-};
-
 /// @brief What the requests need of the other slices; empty hooks have harmless defaults.
 struct RequestsShellOptions
 {
     std::function<std::shared_ptr<const configuration::Document>()> document; ///< configuration in force, or nothing
     std::function<base::Revision()> revision; ///< revision in force
+    std::function<std::optional<ErrorBody>()> refusal; ///< why no request may start here now, or nothing
     requests::ChooseEndpoint chooseEngine; ///< routing's decision for model calls
     requests::AttemptFeedback engineFeedback; ///< what became of routing's choices
     std::function<std::vector<PeerTarget>()> peers; ///< the other daemons that callers may reach
--- a/src/turmericplank/daemon/configurationshell.cpp
+++ b/src/turmericplank/daemon/configurationshell.cpp
@@ -18,6 +18,7 @@
 using telemetry::LogLevel;
 
 constexpr auto NoticeInterval = std::chrono::seconds(1);
+constexpr auto RefusedRetryInterval = std::chrono::seconds(1);
 constexpr auto PeerCallTimeout = std::chrono::milliseconds(800);
 constexpr base::Duration LeadMargin = std::chrono::milliseconds(500);
 constexpr base::Duration LongestLead = std::chrono::seconds(5);
@@ -95,6 +96,22 @@
     return admission;
 }
 
+std::optional<ErrorBody> ConfigurationShell::refusal()
+{
+    const auto retryAt = base::now() + RefusedRetryInterval;
+    switch (admission()) {
+    case configuration::Admission::Serve:
+        return std::nullopt;
+    case configuration::Admission::Starting:
+        return ErrorBody{503, "not_configured", base::Outcome::NotRun, "no configuration is in force here", retryAt};
+    case configuration::Admission::Late:
+        return ErrorBody{503, "configuration_late", base::Outcome::NotRun, "a newer configuration is in force that this daemon is still fetching", retryAt};
+    case configuration::Admission::Isolated:
+        return ErrorBody{503, "isolated", base::Outcome::NotRun, "this daemon hears neither the platform nor another daemon", retryAt};
+    }
+    return std::nullopt;
+}
+
 void ConfigurationShell::onActivated(ActivatedHook hook)
 {
     if (inForce().document != nullptr) {
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,10 +1,12 @@
 #include "turmericplank/daemon/daemon.hpp"
 
+#include "turmericplank/daemon/configurationshell.hpp"
 #include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/frontdoor.hpp"
 #include "turmericplank/daemon/loadpoller.hpp"
+#include "turmericplank/daemon/operatorapi.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
 #include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
@@ -58,14 +60,16 @@
 
 struct Daemon::Parts
 {
-    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> startDocument)
+    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> documentToStart)
         : context(ioContext)
         , settings(std::move(daemonSettings))
-        , document(std::move(startDocument))
+        , startDocument(std::move(documentToStart))
         , mesh(openMeshFor(context, settings))
         , platformClient(makePlatformClient(context, {settings.platform}))
         , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
                       metrics, random}
+        , configuration(environment, configurationHooks())
+        , operatorApi(environment, configuration)
         , loadPoller(environment, router)
         , frontDoor(environment)
         , engineChoice(router, random)
@@ -76,13 +80,43 @@
         callerServer = listen(context, settings.callerListen, callerRoutes);
         operatorServer = listen(context, settings.operatorListen, operatorRoutes);
         applyDocument();
+        configuration.onActivated([this](const configuration::InForce &) { applyDocument(); });
+    }
+
+    /// The accepted document, or before the first the one that the daemon was started with.
+    std::shared_ptr<const configuration::Document> document() const
+    {
+        const auto &accepted = configuration.inForce().document;
+        return accepted ? accepted : startDocument;
+    }
+
+    ConfigurationShellHooks configurationHooks()
+    {
+        ConfigurationShellHooks hooks;
+        hooks.peers = [] {
+            return std::vector<PeerTarget>();
+        };
+        return hooks;
+    }
+
+    /// A start document serves until a first one is accepted; after that the accepted one decides.
+    std::optional<ErrorBody> refusal()
+    {
+        const auto isBeforeFirst = startDocument && configuration.pointer().entries.empty();
+        return isBeforeFirst ? std::nullopt : configuration.refusal();
     }
 
     RequestsShellOptions requestsOptions()
     {
         RequestsShellOptions it;
         it.document = [this] {
-            return document;
+            return document();
+        };
+        it.revision = [this] {
+            return configuration.inForce().revision;
+        };
+        it.refusal = [this] {
+            return refusal();
         };
         it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
             return engineChoice.choose(query, now);
@@ -96,15 +130,15 @@
 
     void applyDocument()
     {
-        if (document) {
-            applyTo(router, *document);
-            loadPoller.setEndpoints(*document);
+        if (const auto current = document()) {
+            applyTo(router, *current);
+            loadPoller.setEndpoints(*current);
         }
     }
 
     boost::asio::io_context &context;
     Settings settings;
-    std::shared_ptr<const configuration::Document> document;
+    std::shared_ptr<const configuration::Document> startDocument;
     telemetry::Metrics metrics;
     std::mt19937_64 random{std::random_device()()};
     Routes callerRoutes;
@@ -112,6 +146,8 @@
     std::unique_ptr<peer::Mesh> mesh;
     PlatformClient platformClient;
     Environment environment;
+    ConfigurationShell configuration;
+    OperatorApi operatorApi;
     routing::Router router;
     LoadPoller loadPoller;
     FrontDoor frontDoor;
--- a/src/turmericplank/daemon/requestsshell.cpp
+++ b/src/turmericplank/daemon/requestsshell.cpp
@@ -23,6 +23,16 @@
     exchange->respond(errorResponse(body));
 }
 
+/// Answers at once if no request may start here now.
+bool isRefused(const net::ExchangePointer &exchange, const RequestsShellOptions &options)
+{
+    const auto refusal = options.refusal ? options.refusal() : std::nullopt;
+    if (refusal) {
+        exchange->respond(errorResponse(*refusal));
+    }
+    return refusal.has_value();
+}
+
 void refuseUnconfigured(const net::ExchangePointer &exchange)
 {
     exchange->respond(
@@ -100,6 +110,9 @@
 
 void RequestsShell::Parts::takeModelCall(const net::ExchangePointer &exchange)
 {
+    if (isRefused(exchange, options)) {
+        return;
+    }
     if (!options.document()) {
         refuseUnconfigured(exchange);
         return;
@@ -129,6 +142,9 @@
 
 void RequestsShell::Parts::takeServiceCall(const net::ExchangePointer &exchange)
 {
+    if (isRefused(exchange, options)) {
+        return;
+    }
     const auto document = options.document();
     if (!document) {
         refuseUnconfigured(exchange);
