Test the promises at the sockets and bound a silent store

Cause: with a platform that fell silent a booking's caller waited 16 s (one write and three reads of 4 s each). Change: a claim that the store has not settled within 5 s is refused as not_run and cleaned up behind the caller's back.

--- a/include/turmericplank/requests/bookingledger.hpp
+++ b/include/turmericplank/requests/bookingledger.hpp
@@ -45,6 +45,7 @@
     base::Duration readAgain = std::chrono::milliseconds(100); ///< between reads that settle or wait for a row
     unsigned settlingReads = 3; ///< reads that may fail before the caller is told
     base::Duration waitForOwner = std::chrono::seconds(5); ///< a duplicate waits this long for another daemon's answer
+    base::Duration storePatience = std::chrono::seconds(5); ///< a caller is refused if the store has not settled its claim by then
     base::Duration storeRetry = std::chrono::seconds(1); ///< when a caller may ask again after a failure of the store
     base::Duration claimPatience = std::chrono::seconds(2); ///< age from which another daemon's claim may be taken over
     base::Duration cleanUp = std::chrono::minutes(30); ///< how long results are offered to a store that is down
@@ -161,6 +162,7 @@
         StoredAnswer answer;
         base::Time deadline;
         base::Time nextAt; ///< earliest time of the next write or read
+        base::Time claimUntil; ///< end of the store's time to settle the claim
         base::Time watchUntil;
         base::Time cleanUntil;
         unsigned failedReads = 0;
@@ -172,7 +174,7 @@
     };
 
     void acquire(Entry &entry, base::RowVersion expected, base::Time now);
-    void join(Entry &entry, const BookingRequest &request, BookingActions &actions);
+    void join(Entry &entry, const BookingRequest &request, base::Time now, BookingActions &actions);
     void queue(Entry &entry, BookingState target, base::RowVersion expected, base::Time at);
     void flush(base::Time now, BookingActions &actions);
     std::vector<std::string> takeDue(base::Time now);
--- a/src/turmericplank/requests/bookingledger.cpp
+++ b/src/turmericplank/requests/bookingledger.cpp
@@ -32,7 +32,7 @@
         entry.deadline = request.deadline;
         acquire(entry, base::RowVersion(), now);
     } else {
-        join(entry, request, actions);
+        join(entry, request, now, actions);
     }
     flush(now, actions);
     return actions;
@@ -45,10 +45,11 @@
     entry.mayHaveWritten = false;
     entry.wasAmbiguous = false;
     entry.failedReads = 0;
+    entry.claimUntil = now + m_options.storePatience;
     queue(entry, m_options.claimsFirst ? BookingState::Claimed : BookingState::Sent, expected, now);
 }
 
-void BookingLedger::join(Entry &entry, const BookingRequest &request, BookingActions &actions)
+void BookingLedger::join(Entry &entry, const BookingRequest &request, base::Time now, BookingActions &actions)
 {
     if (m_options.rules.comparesBodies && entry.bodyDigest != request.bodyDigest) {
         m_keys.erase(request.call);
@@ -70,6 +71,7 @@
     if (entry.isAbandoned) {
         entry.isAbandoned = false;
         entry.deadline = request.deadline;
+        entry.claimUntil = now + m_options.storePatience;
         entry.failedReads = 0;
     }
     // A row that is being read back may be used again; a write of not_run that is under way is followed by a new claim.
--- a/src/turmericplank/requests/bookingtransitions.cpp
+++ b/src/turmericplank/requests/bookingtransitions.cpp
@@ -193,8 +193,10 @@
         close(entry);
         return;
     }
-    if (!entry.calls.empty() && now >= entry.deadline) {
-        rejectAll(entry, CallError{ErrorCode::DeadlinePassed, base::Outcome::NotRun, std::nullopt}, actions);
+    const bool isLate = now >= entry.deadline;
+    const bool isStoreLate = entry.phase != Phase::Watching && now >= entry.claimUntil;
+    if (!entry.calls.empty() && (isLate || isStoreLate)) {
+        rejectAll(entry, isLate ? CallError{ErrorCode::DeadlinePassed, base::Outcome::NotRun, std::nullopt} : storeError(now), actions);
         if (!entry.mayHaveWritten) {
             close(entry);
             return;
--- /dev/null
+++ b/tests/promises_test.sh
@@ -0,0 +1,173 @@
+#!/usr/bin/env bash
+# Promises 2, 3, 4, 5 and 6 at the sockets: two daemons, four engines, two instances of a service and the platform.
+set -uo pipefail
+bin=$(cd "$1" && pwd)
+work=$(mktemp -d)
+pids=()
+failures=0
+
+finish() {
+    for it in "${pids[@]}"; do kill -9 "$it" 2>/dev/null; done
+    wait 2>/dev/null
+    rm -rf "$work"
+}
+trap finish EXIT
+
+start() { # NAME COMMAND...
+    local name=$1
+    shift
+    "$@" >"$work/$name.log" 2>&1 &
+    pids+=($!)
+    eval "pid_$name=$!"
+}
+
+check() { # DESCRIPTION CONDITION...
+    if "${@:2}"; then echo "ok: $1"; else
+        echo "FAILED: $1"
+        failures=$((failures + 1))
+    fi
+}
+
+is() { [ "$1" = "$2" ] || { echo "  expected '$2', got '$1'"; false; }; }
+holds() { grep -q "$2" <<<"$1" || { echo "  '$2' is missing in: ${1:0:300}"; false; }; }
+atMost() { [ "$1" -le "$2" ] || { echo "  $1 is above $2"; false; }; }
+fault() { curl -s -o /dev/null -X POST "127.0.0.1:$1/faults" -d "$2"; }
+waitFor() { for _ in $(seq 100); do curl -s -o /dev/null "$1" && return; sleep 0.1; done; echo "no answer from $1"; cat "$work"/daemon*.log; exit 1; }
+text() { grep -o '"content":"[^"]*"' | cut -d'"' -f4 | tr -d '\n'; }
+chatBody() { echo "{\"model\":\"m\",\"stream\":$3,\"max_tokens\":$2,\"messages\":[{\"role\":\"user\",\"content\":\"$1\"}]}"; }
+chat() { curl -sN --max-time 40 "127.0.0.1:$1/v1/chat/completions" -H 'X-Priority: urgent' -d "$(chatBody "$2" "$3" true)"; }
+direct() { curl -sN "127.0.0.1:22014/v1/chat/completions" -d "$(chatBody "$1" "$2" true)" | text; }
+book() { curl -s --max-time 20 -w '\n%{http_code}' -X POST "127.0.0.1:$1/services/desk/visits" -H "Idempotency-Key: $2" -d "$3"; }
+runsOf() { for port in 22021 22022; do curl -s "127.0.0.1:$port/runs"; done | grep -o "\"key\":\"$1\",\"runs\":[0-9]*" | grep -o '[0-9]*$' | awk '{ n += $1 } END { print n + 0 }'; }
+enginesUp() { local n=0; for it in 22011 22012 22013 22014; do curl -s -o /dev/null "127.0.0.1:$it/load" && n=$((n + 1)); done; echo $n; }
+
+cat >"$work/document.toml" <<'T'
+[site]
+name = "test"
+[placement]
+weight_loads_per_second = 2.0
+[models.m]
+version = "1"
+memory_mib = 1000
+T
+for n in 1 2 3 4; do
+    printf '[endpoints.engine-%s]\naddress = "127.0.0.1:2201%s"\nzone = "test/a"\nmemory_mib = 81920\nconcurrency = 16\nchecks_fencing = true\n' $n $n >>"$work/document.toml"
+done
+printf '[services.desk]\n' >>"$work/document.toml"
+for n in 1 2; do
+    printf '[[services.desk.instances]]\nid = "desk-%s"\naddress = "127.0.0.1:2202%s"\nzone = "test/a"\n' $n $n >>"$work/document.toml"
+done
+printf '[[services.desk.operations]]\nmethod = "GET"\npath = "/visits"\nrepeatable = true\n' >>"$work/document.toml"
+
+start platform "$bin/turmericplank-platform" --listen 127.0.0.1:22001
+for n in 1 2 3 4; do
+    start "engine$n" "$bin/turmericplank-engine" --listen "127.0.0.1:2201$n" --resident m:1000 --first-token-ms 50 --token-ms 20
+done
+for n in 1 2; do
+    start "desk$n" "$bin/turmericplank-service" --listen "127.0.0.1:2202$n" --instance "desk-$n"
+done
+daemon() { # NUMBER
+    start "daemon$1" "$bin/turmericplankd" --document "$work/document.toml" --set "id=entry-$1" --set zone=test/a --set "caller_listen=127.0.0.1:2210$1" \
+        --set "peer_listen=127.0.0.1:2211$1" --set "operator_listen=127.0.0.1:2212$1" --set platform=127.0.0.1:22001
+}
+daemon 1
+daemon 2
+waitFor 127.0.0.1:22101/healthz
+waitFor 127.0.0.1:22102/healthz
+for _ in $(seq 50); do chat 22101 ready 1 | grep -q DONE && chat 22102 ready 1 | grep -q DONE && break; sleep 0.2; done
+
+# 3: whole, in order, none twice
+check "a streamed answer is the engine's" is "$(chat 22101 hello 20 | text)" "$(direct hello 20)"
+whole=$(curl -s 127.0.0.1:22102/v1/chat/completions -d "$(chatBody hello 20 false)")
+check "a whole answer is the engine's" is "$(text <<<"$whole")" "$(direct hello 20)"
+
+# 2: at most once
+book 22101 k1 visit >"$work/a" &
+first=$!
+book 22102 k1 visit >"$work/b" &
+wait $first $!
+check "a key sent to two daemons at once runs once" is "$(runsOf k1)" 1
+check "both callers get the one answer" is "$(cat "$work/a")" "$(cat "$work/b")"
+check "a duplicate gets the stored answer" is "$(book 22102 k1 visit)" "$(cat "$work/a")"
+other=$(book 22102 k1 another)
+check "another body under the key is refused" holds "$other" '"code":"key_reused"'
+check "... as not run" holds "$other" '"outcome":"not_run"'
+fault 22001 '{"lose_answers": 1}'
+check "a booking whose table write lost its answer is answered" holds "$(book 22101 k2 visit)" '"runs":1'
+fault 22001 '{}'
+check "... and ran once" is "$(runsOf k2)" 1
+fault 22001 '{"outage": true}'
+down=$(book 22101 k3 visit)
+check "store down: refused at once as not run" holds "$down" '"outcome":"not_run"'
+check "... with a time to come back" holds "$down" '"retry_at"'
+fault 22001 '{}'
+check "... and nothing ran" is "$(runsOf k3)" 0
+check "the same key runs once the store is back" holds "$(book 22102 k3 visit)" '"runs":1'
+fault 22021 '{"lose_answers": 1}'
+fault 22022 '{"lose_answers": 1}'
+lost=$(book 22101 k4 visit)
+check "a lost answer of the service is unknown" holds "$lost" '"outcome":"unknown"'
+fault 22021 '{}'
+fault 22022 '{}'
+check "... and asking again does not run it again" holds "$(book 22102 k4 visit)" '"outcome":"unknown"'
+check "... it ran once" is "$(runsOf k4)" 1
+check "a booking without a key is refused" holds "$(curl -s -X POST 127.0.0.1:22101/services/desk/visits -d x)" '"code":"missing_idempotency_key"'
+
+# 5: silence is noticed
+expected=$(direct silence 60)
+chat 22101 silence 60 >"$work/stream" &
+stream=$!
+sleep 0.5
+for it in 22011 22012 22013 22014; do fault $it '{"silent": true, "silent_open_only": true}'; done
+began=$SECONDS
+wait $stream
+check "a stream whose connection falls silent is whole" is "$(text <"$work/stream")" "$expected"
+check "... within 7 s" atMost $((SECONDS - began)) 7
+for it in 22011 22012 22013 22014; do fault $it '{}'; done
+fault 22001 '{"silent": true}'
+began=$SECONDS
+check "a booking with a silent platform is refused as not run" holds "$(book 22101 k5 visit)" '"outcome":"not_run"'
+check "... within 7 s" atMost $((SECONDS - began)) 7
+fault 22001 '{}'
+check "... and did not run" is "$(runsOf k5)" 0
+
+# 3: an engine dies in mid-answer
+expected=$(direct dying 100)
+chat 22101 dying 100 >"$work/stream" &
+stream=$!
+sleep 0.6
+for n in 1 2 3; do
+    curl -s "127.0.0.1:2201$n/load" | grep -q '"running":1' && eval "kill -9 \$pid_engine$n; wait \$pid_engine$n 2>/dev/null"
+done
+running4=$(curl -s 127.0.0.1:22014/load | grep -o '"running":[0-9]*')
+wait $stream
+check "a stream whose engine dies goes on elsewhere ($(enginesUp) engines left, $running4)" is "$(text <"$work/stream")" "$expected"
+for n in 1 2 3; do
+    eval "kill -0 \$pid_engine$n" 2>/dev/null || start "engine$n" "$bin/turmericplank-engine" --listen "127.0.0.1:2201$n" --resident m:1000 --first-token-ms 50 --token-ms 20
+done
+sleep 1.5
+
+# 4: a request that crashes engines
+for it in 22011 22012 22013 22014; do fault $it '{"crash_on": "poison"}'; done
+expected=$(direct innocent 100)
+chat 22101 innocent 100 >"$work/stream" &
+stream=$!
+sleep 0.3
+for _ in 1 2 3; do answer=$(chat 22101 poison 10); done
+check "the crashing request is refused" holds "$answer" '"code":"request_crashes_endpoints"'
+check "... and took at most two engines down" is "$([ "$(enginesUp)" -ge 2 ] && echo yes)" yes
+wait $stream
+check "the innocent request beside it is answered" is "$(text <"$work/stream")" "$expected"
+
+# 6: a planned stop cuts nothing off
+expected=$(direct draining 100)
+chat 22102 draining 100 >"$work/stream" &
+stream=$!
+sleep 0.3
+kill -TERM "$pid_daemon2"
+wait $stream
+check "a stopping daemon ends its stream" is "$(text <"$work/stream")" "$expected"
+wait "$pid_daemon2"
+check "... and exits with 0" is $? 0
+
+[ $failures = 0 ] || { tail -40 "$work"/daemon1.log; exit 1; }
