--- a/include/turmericplank/daemon/membershipshell.hpp
+++ b/include/turmericplank/daemon/membershipshell.hpp
@@ -19,8 +19,8 @@
 struct MembershipShellHooks
 {
     std::function<std::uint32_t()> load; ///< streams of callers in progress
-    std::function<base::Revision()> revision; ///< highest configuration revision seen
-    std::function<void(base::Revision)> onRevision; ///< another daemon has seen this one
+    std::function<base::Revision()> revision; ///< newest accepted revision that this daemon knows
+    std::function<void(const base::DaemonId &, base::Revision)> onRevision; ///< another daemon knows this one
     std::function<bool(const base::ModelName &)> isRouted; ///< whether a model is configured
     std::function<void()> onDrainAsked; ///< an operator asked this daemon to drain
 };
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,9 +1,11 @@
 #include "turmericplank/daemon/daemon.hpp"
 
+#include "turmericplank/daemon/configurationshell.hpp"
 #include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/membershipshell.hpp"
+#include "turmericplank/daemon/operatorapi.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
 #include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/routingshell.hpp"
@@ -57,14 +59,16 @@
 
 struct Daemon::Parts
 {
-    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> startDocument)
+    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> documentToStart)
         : context(ioContext)
         , settings(std::move(daemonSettings))
-        , document(std::move(startDocument))
+        , startDocument(std::move(documentToStart))
         , mesh(openMeshFor(context, settings))
         , platformClient(makePlatformClient(context, {settings.platform}))
         , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
                       metrics, random}
+        , configuration(environment, configurationHooks())
+        , operatorApi(environment, configuration)
         , routing(environment)
         , membership(environment, routing, membershipHooks())
         , engineChoice(routing.router(), random)
@@ -75,13 +79,52 @@
         callerServer = listen(context, settings.callerListen, callerRoutes);
         operatorServer = listen(context, settings.operatorListen, operatorRoutes);
         applyDocument();
+        configuration.onActivated([this](const configuration::InForce &) { applyDocument(); });
+    }
+
+    /// The accepted document, or before the first the one that the daemon was started with.
+    std::shared_ptr<const configuration::Document> document() const
+    {
+        const auto &accepted = configuration.inForce().document;
+        return accepted ? accepted : startDocument;
+    }
+
+    std::vector<PeerTarget> peerTargets() const
+    {
+        std::vector<PeerTarget> targets;
+        for (const auto &it : membership.others()) {
+            targets.push_back({it.record.id, it.record.peerAddress});
+        }
+        return targets;
+    }
+
+    ConfigurationShellHooks configurationHooks()
+    {
+        ConfigurationShellHooks hooks;
+        hooks.peers = [this] {
+            return peerTargets();
+        };
+        return hooks;
+    }
+
+    /// A start document serves until a first one is accepted; after that the accepted one decides.
+    std::optional<ErrorBody> refusal()
+    {
+        const auto isBeforeFirst = startDocument && configuration.pointer().entries.empty();
+        return isBeforeFirst ? std::nullopt : configuration.refusal();
     }
 
     RequestsShellOptions requestsOptions()
     {
         RequestsShellOptions it;
         it.document = [this] {
-            return document;
+            return document();
+        };
+        it.revision = [this] {
+            return configuration.inForce().revision;
+        };
+        it.refusal = [this] {
+            return refusal();
         };
         it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
             return engineChoice.choose(query, now);
@@ -91,11 +134,7 @@
             return static_cast<std::uint32_t>(routing.router().replicas(model)) * StreamsPerReplica;
         };
         it.peers = [this] {
-            std::vector<PeerTarget> targets;
-            for (const auto &member : membership.others()) {
-                targets.push_back({member.record.id, member.record.peerAddress});
-            }
-            return targets;
+            return peerTargets();
         };
         it.otherEntries = [this] {
             return membership.otherAddresses();
@@ -113,7 +152,14 @@
             return callerServer ? static_cast<std::uint32_t>(callerServer->exchangesInProgress()) : 0;
         };
         it.isRouted = [this](const base::ModelName &model) {
-            return !document || document->models.contains(model) || document->adapters.contains(base::AdapterName(model.text()));
+            const auto current = document();
+            return !current || current->models.contains(model) || current->adapters.contains(base::AdapterName(model.text()));
+        };
+        it.revision = [this] {
+            return configuration.notice().highest;
+        };
+        it.onRevision = [this](const base::DaemonId &peer, base::Revision revision) {
+            configuration.heardRevision(peer, revision);
         };
         it.onDrainAsked = [this] {
             onDrainAsked();
@@ -123,15 +169,15 @@
 
     void applyDocument()
     {
-        if (document) {
-            routing.apply(*document);
-            membership.apply(*document);
+        if (const auto current = document()) {
+            routing.apply(*current);
+            membership.apply(*current);
         }
     }
 
     boost::asio::io_context &context;
     Settings settings;
-    std::shared_ptr<const configuration::Document> document;
+    std::shared_ptr<const configuration::Document> startDocument;
     telemetry::Metrics metrics;
     std::mt19937_64 random{std::random_device()()};
     Routes callerRoutes;
@@ -139,6 +185,8 @@
     std::unique_ptr<peer::Mesh> mesh;
     PlatformClient platformClient;
     Environment environment;
+    ConfigurationShell configuration;
+    OperatorApi operatorApi;
     RoutingShell routing;
     MembershipShell membership;
     EngineChoice engineChoice;
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -213,7 +213,7 @@
     m_endpoints.noteHeartbeat(*heartbeat);
     takeWork(*heartbeat);
     if (m_hooks.onRevision) {
-        m_hooks.onRevision(heartbeat->revision);
+        m_hooks.onRevision(from, heartbeat->revision);
     }
     if (m_drain) {
         const auto self = membership::shortName(m_view.self().id.text());
