--- a/include/turmericplank/membership/heartbeat.hpp
+++ b/include/turmericplank/membership/heartbeat.hpp
@@ -56,7 +56,9 @@
 {
     ShortName endpoint = 0;
     std::uint32_t streams = 0;
-    std::uint32_t urgentTokens = 0;
+    std::uint32_t urgentWaiting = 0; ///< requests without a first token
+    std::uint32_t otherWaiting = 0;
+    std::uint32_t urgentTokens = 0; ///< prompt tokens of those
     std::uint32_t otherTokens = 0;
 
     friend auto operator<=>(const WorkDigest &, const WorkDigest &) = default;
--- a/include/turmericplank/routing/loadestimate.hpp
+++ b/include/turmericplank/routing/loadestimate.hpp
@@ -16,6 +16,8 @@
 struct Work
 {
     double streams = 0;
+    double urgentWaiting = 0; ///< urgent requests before their first token
+    double otherWaiting = 0; ///< the same of all other requests
     double urgentTokens = 0; ///< prompt tokens of urgent requests before their first token
     double otherTokens = 0; ///< the same of all other requests
 
@@ -61,7 +63,10 @@
 
     /// @brief The estimate, at constant cost.
     /// @param isPeerWorkComplete whether all other daemons were heard lately, so that the report adds nothing
-    Work estimate(bool isPeerWorkComplete) const;
+    /// @param alikeDaemons other daemons that decide by the same knowledge: each is taken to have sent here lately what this
+    ///        one did, which keeps all from choosing the same endpoint until they hear of each other
+    /// @param now the present
+    Work estimate(bool isPeerWorkComplete, double alikeDaemons, base::Time now) const;
 
     /// @brief Own work, for the heartbeat.
     Work ownWork() const;
@@ -80,12 +85,15 @@
     };
 
     void add(const AttemptWork &work, double sign);
+    Work recent(base::Time now) const;
 
     std::unordered_map<std::uint64_t, AttemptWork> m_attempts;
     std::vector<EndedAttempt> m_ended; ///< a ring of the latest
     std::size_t m_endedNext = 0;
     std::map<base::DaemonId, EndpointWork> m_peers;
     Work m_own;
+    Work m_recent; ///< own work that others cannot have heard of, fading
+    base::Time m_recentAt;
     Work m_peerSum;
     Work m_reported; ///< beyond own work at the time of the report
     base::Time m_reportTakenAt;
--- a/include/turmericplank/routing/loadreport.hpp
+++ b/include/turmericplank/routing/loadreport.hpp
@@ -41,6 +41,8 @@
 {
     base::EndpointId endpoint;
     std::uint32_t streams = 0;
+    std::uint32_t urgentWaiting = 0; ///< urgent requests without a first token
+    std::uint32_t otherWaiting = 0; ///< the same of all other requests
     std::uint32_t urgentTokens = 0; ///< prompt tokens of urgent requests without a first token
     std::uint32_t otherTokens = 0; ///< prompt tokens of all other requests without a first token
 
--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -61,6 +61,8 @@
     EngineSpeed speed;
     HealthOptions health;
     PrefixIndexOptions prefixes;
+    double promptBurden = 6; ///< how much computing a prompt holds up others on a full endpoint, relative to its own time
+    double alikeShare = 0.7; ///< of the other daemons that are taken to have sent alike since they were heard
     bool mayMoveCache = false; ///< whether engines here export and import their cache
     double tieMilliseconds = 4; ///< endpoints this close are told apart by the prompt's first prefix
     base::Duration peerWorkLifetime = std::chrono::milliseconds(2500); ///< age up to which other daemons' words count
@@ -171,27 +173,40 @@
         double distance = 0;
         double adapter = 0;
         double health = 0;
+        double burden = 0; ///< on others; not part of the total
         double tie = 0;
         std::uint32_t cachedTokens = 0;
         std::optional<EndpointIndex> source;
     };
 
+    /// What all candidates of one decision have in common.
+    struct Moment
+    {
+        base::Time now;
+        std::uint64_t tieSeed = 0;
+        bool isPeerWorkComplete = false;
+        double alikeDaemons = 0;
+    };
+
     struct Weighed
     {
         EndpointIndex index = 0;
         Cost cost;
+        bool isLate = false; ///< the first token would come after the request's deadline
         int doubt = 0; ///< 0 trusted, 1 probe, 2 suspect or blocked
     };
 
+    static bool isBetter(const Weighed &a, const Weighed &b);
     std::optional<Resolved> resolve(const base::ModelName &name) const;
     void setResidents(EndpointIndex index, const LoadReport &report);
     void dropResident(EndpointIndex index, const base::ModelName &model);
     void gather(const std::vector<EndpointIndex> &residents, const RouteRequest &request, std::mt19937_64 &random);
     void findCached(const RouteRequest &request, base::Time now);
     std::uint32_t cachedOn(EndpointIndex index) const;
-    Weighed weigh(EndpointIndex index, const Resolved &resolved, const RouteRequest &request, base::Time now, std::uint64_t tieSeed) const;
+    Weighed weigh(EndpointIndex index, const Resolved &resolved, const RouteRequest &request, const Moment &moment) const;
     double waitMilliseconds(const EndpointState &state, const Work &work, base::Priority priority) const;
     bool isPeerWorkComplete(base::Time now) const;
+    void weighPrompt(const RouteRequest &request, const Work &work, double concurrency, Cost &cost) const;
     Choice makeChoice(const Weighed &best, const Weighed *runnerUp, const RouteRequest &request);
     EndpointState *find(const base::EndpointId &id);
 
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -173,7 +173,7 @@
     heartbeat.load = m_hooks.load ? m_hooks.load() : 0;
     heartbeat.revision = m_hooks.revision ? m_hooks.revision() : base::Revision();
     for (const auto &it : m_routing.router().ownWork()) {
-        heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentTokens, it.otherTokens});
+        heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
     }
     for (const auto &it : m_view.members(now)) {
         if (it.record.id != m_view.self().id) {
@@ -231,7 +231,7 @@
     for (const auto &it : heartbeat.work) {
         const auto name = m_endpointNames.find(it.endpoint);
         if (name != m_endpointNames.end()) {
-            work.push_back({name->second, it.streams, it.urgentTokens, it.otherTokens});
+            work.push_back({name->second, it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
         }
     }
     m_routing.router().notePeerWork(heartbeat.from, work, base::now());
--- a/src/turmericplank/membership/heartbeat.cpp
+++ b/src/turmericplank/membership/heartbeat.cpp
@@ -110,6 +110,8 @@
         WorkDigest work;
         work.endpoint = fields.next<ShortName>();
         work.streams = fields.next<std::uint32_t>();
+        work.urgentWaiting = fields.next<std::uint32_t>();
+        work.otherWaiting = fields.next<std::uint32_t>();
         work.urgentTokens = readTokens(fields);
         work.otherTokens = readTokens(fields);
         return work;
@@ -157,10 +159,12 @@
         packer.pack(it.incarnation.value());
     }
     packList(packer, heartbeat.suspects, [&](const EndpointOpinion &it) { packer.pack(it.endpoint); });
-    packer.pack_array(static_cast<std::uint32_t>(4 * heartbeat.work.size()));
+    packer.pack_array(static_cast<std::uint32_t>(6 * heartbeat.work.size()));
     for (const auto &it : heartbeat.work) {
         packer.pack(it.endpoint);
         packer.pack(it.streams);
+        packer.pack(it.urgentWaiting);
+        packer.pack(it.otherWaiting);
         packer.pack(inUnits(it.urgentTokens));
         packer.pack(inUnits(it.otherTokens));
     }
--- a/src/turmericplank/routing/loadestimate.cpp
+++ b/src/turmericplank/routing/loadestimate.cpp
@@ -1,23 +1,34 @@
 #include "turmericplank/routing/loadestimate.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmericplank::routing {
 
 namespace {
 
 constexpr std::size_t EndedKept = 64; ///< attempts
+constexpr base::Duration Unheard = std::chrono::milliseconds(500); ///< mean age of what daemons know of each other
+constexpr double Negligible = 0.01; ///< streams
 
 void addPeer(Work &sum, const EndpointWork &work, double sign)
 {
     sum.streams += sign * work.streams;
+    sum.urgentWaiting += sign * work.urgentWaiting;
+    sum.otherWaiting += sign * work.otherWaiting;
     sum.urgentTokens += sign * work.urgentTokens;
     sum.otherTokens += sign * work.otherTokens;
 }
 
+Work scaled(const Work &work, double factor)
+{
+    return {work.streams * factor, work.urgentWaiting * factor, work.otherWaiting * factor, work.urgentTokens * factor, work.otherTokens * factor};
+}
+
 Work sumOf(const Work &a, const Work &b)
 {
-    return {a.streams + b.streams, a.urgentTokens + b.urgentTokens, a.otherTokens + b.otherTokens};
+    return {a.streams + b.streams, a.urgentWaiting + b.urgentWaiting, a.otherWaiting + b.otherWaiting, a.urgentTokens + b.urgentTokens,
+            a.otherTokens + b.otherTokens};
 }
 
 } // namespace
@@ -28,15 +39,20 @@
     if (work.hasFirstToken) {
         return;
     }
-    auto &tokens = work.priority == base::Priority::Urgent ? m_own.urgentTokens : m_own.otherTokens;
-    tokens += sign * work.promptTokens;
+    const bool isUrgent = work.priority == base::Priority::Urgent;
+    (isUrgent ? m_own.urgentWaiting : m_own.otherWaiting) += sign;
+    (isUrgent ? m_own.urgentTokens : m_own.otherTokens) += sign * work.promptTokens;
 }
 
 void LoadEstimate::noteSent(std::uint64_t ticket, AttemptWork work)
 {
-    if (m_attempts.emplace(ticket, work).second) {
-        add(work, 1);
+    if (!m_attempts.emplace(ticket, work).second) {
+        return;
     }
+    const auto before = m_own;
+    add(work, 1);
+    m_recent = sumOf(recent(work.sentAt), sumOf(m_own, scaled(before, -1)));
+    m_recentAt = work.sentAt;
 }
 
 void LoadEstimate::noteFirstToken(std::uint64_t ticket)
@@ -79,6 +95,7 @@
     const auto own = static_cast<double>(inFlight + endedSince);
     m_reported.streams = std::max(0.0, report.running + report.waiting - own);
     const double waitingForOthers = std::min<double>(report.waiting, m_reported.streams);
+    m_reported.otherWaiting = waitingForOthers;
     m_reported.otherTokens = waitingForOthers * averagePromptTokens;
 }
 
@@ -99,9 +116,19 @@
     }
 }
 
-Work LoadEstimate::estimate(bool isPeerWorkComplete) const
+Work LoadEstimate::recent(base::Time now) const
+{
+    if (m_recent.streams < Negligible) {
+        return {};
+    }
+    const double age = std::chrono::duration<double>(now - m_recentAt) / std::chrono::duration<double>(Unheard);
+    return scaled(m_recent, std::exp(-std::max(0.0, age)));
+}
+
+Work LoadEstimate::estimate(bool isPeerWorkComplete, double alikeDaemons, base::Time now) const
 {
-    return sumOf(m_own, isPeerWorkComplete ? m_peerSum : m_reported);
+    const auto known = sumOf(m_own, isPeerWorkComplete ? m_peerSum : m_reported);
+    return sumOf(known, scaled(recent(now), alikeDaemons));
 }
 
 Work LoadEstimate::ownWork() const
--- a/src/turmericplank/routing/router.cpp
+++ b/src/turmericplank/routing/router.cpp
@@ -181,7 +181,8 @@
     for (const auto &it : m_endpoints) {
         const auto own = it.load.ownWork();
         if (it.isConfigured && own.streams > 0) {
-            all.push_back({it.endpoint.id, rounded(own.streams), rounded(own.urgentTokens), rounded(own.otherTokens)});
+            all.push_back({it.endpoint.id, rounded(own.streams), rounded(own.urgentWaiting), rounded(own.otherWaiting), rounded(own.urgentTokens),
+                           rounded(own.otherTokens)});
         }
     }
     return all;
--- a/src/turmericplank/routing/router_test.cpp
+++ b/src/turmericplank/routing/router_test.cpp
@@ -41,6 +41,7 @@
         router.noteReport(firstEndpoint, reportWith(0, at(0)), at(0));
         router.noteReport(secondEndpoint, reportWith(0, at(0)), at(0));
         request.model = advice;
+        request.deadline = base::Time::max();
         request.promptTokens = 400;
     }
 
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double UnitInterval = 18446744073709551616.0; ///< 2^64
+constexpr std::size_t HoldersKept = 6; ///< endpoints with the longest prefixes; enough to choose among
 constexpr double FailureMilliseconds = 400; ///< what a failed attempt costs its caller
 
 /// A share in [0, 1) that is the same on every daemon for the same prompt and endpoint.
@@ -54,7 +55,7 @@
 void Router::findCached(const RouteRequest &request, base::Time now)
 {
     m_cached.clear();
-    for (auto it = request.prefixes.rbegin(); it != request.prefixes.rend(); ++it) {
+    for (auto it = request.prefixes.rbegin(); it != request.prefixes.rend() && m_cached.size() < HoldersKept; ++it) {
         m_prefixes.holders(it->fingerprint, now, m_holders);
         for (const auto index : m_holders) {
             const bool isKnown = std::ranges::any_of(m_cached, [index](const auto &cached) { return cached.first == index; });
@@ -75,27 +76,19 @@
 {
     const auto &speed = m_options.speed;
     const double concurrency = state.endpoint.concurrency;
+    const bool isUrgent = priority == base::Priority::Urgent;
     const double batch = std::min(work.streams, concurrency);
     const double step = speed.stepMilliseconds + speed.stepMillisecondsPerStream * batch;
-    const double tokensAhead = work.urgentTokens + (priority == base::Priority::Urgent ? 0 : work.otherTokens);
-    double wait = step + tokensAhead * speed.promptMillisecondsPerToken;
-    if (work.streams >= concurrency) {
-        const double share = tokensAhead / std::max(1.0, work.urgentTokens + work.otherTokens);
-        const double turns = ((work.streams - concurrency) * share + 1) / concurrency;
-        wait += turns * speed.averageAnswerTokens * step;
-    }
-    return wait + batch * speed.stepMillisecondsPerStream;
+    const double tokensAhead = work.urgentTokens + (isUrgent ? 0 : work.otherTokens);
+    const double streamsAhead = work.streams - (isUrgent ? work.otherWaiting : 0);
+    // A slot gets free each time that one of the full batch has run its answer.
+    const double turns = std::max(0.0, streamsAhead - concurrency + 1) / concurrency;
+    return step + batch * speed.stepMillisecondsPerStream + tokensAhead * speed.promptMillisecondsPerToken + turns * speed.averageAnswerTokens * step;
 }
 
-Router::Weighed Router::weigh(EndpointIndex index, const Resolved &resolved, const RouteRequest &request, base::Time now, std::uint64_t tieSeed) const
+void Router::weighPrompt(const RouteRequest &request, const Work &work, double concurrency, Cost &cost) const
 {
-    const auto &state = m_endpoints[index];
     const auto &speed = m_options.speed;
-    Weighed weighed{index, {}, 0};
-    auto &cost = weighed.cost;
-    const double slowness = state.health.slowness(now, m_options.health);
-    cost.cachedTokens = std::min(cachedOn(index), request.promptTokens);
-    cost.work = waitMilliseconds(state, state.load.estimate(isPeerWorkComplete(now)), request.priority);
     cost.prompt = (request.promptTokens - cost.cachedTokens) * speed.promptMillisecondsPerToken;
     if (m_options.mayMoveCache && !m_cached.empty() && m_cached.front().second.tokens > cost.cachedTokens) {
         const double tokens = m_cached.front().second.tokens;
@@ -106,13 +99,47 @@
             cost.source = m_cached.front().first;
         }
     }
+    cost.burden = cost.prompt * m_options.promptBurden * std::min(1.0, work.streams / concurrency);
+}
+
+bool Router::isBetter(const Weighed &a, const Weighed &b)
+{
+    // A probe goes before trusted endpoints, those before doubtful ones.
+    const auto rank = [](const Weighed &it) {
+        return it.doubt == 1 ? -1 : it.doubt;
+    };
+    if (rank(a) != rank(b)) {
+        return rank(a) < rank(b);
+    }
+    // A request that comes late wherever it goes had better cost the others least.
+    if (a.isLate != b.isLate) {
+        return b.isLate;
+    }
+    if (a.isLate) {
+        return std::pair(a.cost.prompt, a.cost.total) < std::pair(b.cost.prompt, b.cost.total);
+    }
+    return a.cost.total + a.cost.burden + a.cost.tie < b.cost.total + b.cost.burden + b.cost.tie;
+}
+
+Router::Weighed Router::weigh(EndpointIndex index, const Resolved &resolved, const RouteRequest &request, const Moment &moment) const
+{
+    const auto &state = m_endpoints[index];
+    Weighed weighed;
+    weighed.index = index;
+    auto &cost = weighed.cost;
+    const auto work = state.load.estimate(moment.isPeerWorkComplete, moment.alikeDaemons, moment.now);
+    const double slowness = state.health.slowness(moment.now, m_options.health);
+    cost.cachedTokens = std::min(cachedOn(index), request.promptTokens);
+    cost.work = waitMilliseconds(state, work, request.priority);
+    weighPrompt(request, work, state.endpoint.concurrency, cost);
     cost.distance = 2 * state.distanceMilliseconds;
     const bool needsAdapter = !resolved.adapter.isEmpty() && std::ranges::find(state.adapters, resolved.adapter) == state.adapters.end();
-    cost.adapter = needsAdapter ? speed.adapterLoadMilliseconds : 0;
-    cost.health = (slowness - 1) * (cost.work + cost.prompt) + state.health.failureShare(now, m_options.health) * FailureMilliseconds;
-    cost.tie = shareOf(tieSeed, index) * m_options.tieMilliseconds;
+    cost.adapter = needsAdapter ? m_options.speed.adapterLoadMilliseconds : 0;
+    cost.health = (slowness - 1) * (cost.work + cost.prompt) + state.health.failureShare(moment.now, m_options.health) * FailureMilliseconds;
+    cost.tie = shareOf(moment.tieSeed, index) * m_options.tieMilliseconds;
     cost.total = cost.work + cost.prompt + cost.distance + cost.adapter + cost.health;
-    const auto trust = state.health.trust(now);
+    weighed.isLate = moment.now + fromMilliseconds(cost.total) > request.deadline;
+    const auto trust = state.health.trust(moment.now);
     weighed.doubt = trust == Trust::OneProbe ? 1 : 0;
     if (trust == Trust::Blocked || state.mark == EndpointMark::Suspect) {
         weighed.doubt = 2;
@@ -174,22 +201,17 @@
     if (m_candidates.empty()) {
         return tl::unexpected(NoRoute{NoRouteReason::Excluded, retryAt});
     }
-    const auto tieSeed = request.prefixes.empty() ? random() : request.prefixes.front().fingerprint;
+    const Moment moment{now, request.prefixes.empty() ? random() : request.prefixes.front().fingerprint, isPeerWorkComplete(now),
+                        m_options.alikeShare * static_cast<double>(m_peers.size())};
     std::optional<Weighed> best;
     std::optional<Weighed> second;
-    const auto isBetter = [](const Weighed &a, const Weighed &b) {
-        const bool isProbe = a.doubt == 1 || b.doubt == 1;
-        return isProbe && a.doubt != b.doubt && a.doubt < 2 && b.doubt < 2
-            ? a.doubt > b.doubt
-            : std::tuple(a.doubt / 2, a.cost.total + a.cost.tie) < std::tuple(b.doubt / 2, b.cost.total + b.cost.tie);
-    };
     for (const auto index : m_candidates) {
         const auto &state = m_endpoints[index];
         const bool isClosed = !state.isConfigured || state.isLeavingByReport || state.mark == EndpointMark::Leaving || state.mark == EndpointMark::Gone;
         if (isClosed) {
             continue;
         }
-        auto weighed = weigh(index, *resolved, request, now, tieSeed);
+        auto weighed = weigh(index, *resolved, request, moment);
         if (!best || isBetter(weighed, *best)) {
             second = best;
             best = weighed;
