--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -65,3 +65,12 @@
     set_tests_properties(system.${name} PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
   endforeach()
 endif()
+
+# Every example is run; it exits non-zero if what it shows does not hold.
+if(NOT TURMERICPLANK_SANITIZE)
+  foreach(source IN LISTS example_sources)
+    get_filename_component(name "${source}" NAME_WE)
+    add_test(NAME example.${name} COMMAND example-${name})
+    set_tests_properties(example.${name} PROPERTIES TIMEOUT 60)
+  endforeach()
+endif()
