--- /dev/null
+++ b/include/turmericplank/daemon/routingshell.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "turmericplank/configuration/document.hpp"
+#include "turmericplank/daemon/environment.hpp"
+#include "turmericplank/routing/router.hpp"
+
+namespace turmericplank::daemon {
+
+/// @brief What routing tells membership of endpoints.
+struct RoutingShellHooks
+{
+    /// An endpoint answered a poll.
+    std::function<void(const base::EndpointId &, base::Incarnation, bool isLeaving)> onAnswer;
+    /// A poll found no answer.
+    std::function<void(const base::EndpointId &)> onFailure;
+    /// Whether this daemon polls an endpoint closely; the others look now and then.
+    std::function<bool(const base::EndpointId &)> isResponsible;
+};
+
+/// @brief Feeds the router from the endpoints' load reports and cache events.
+class RoutingShell
+{
+public:
+    /// @param environment shared parts, which outlive this
+    explicit RoutingShell(Environment &environment);
+
+    /// @brief Sets what membership wants to know.
+    void setHooks(RoutingShellHooks hooks);
+
+    /// @brief Takes the document in force.
+    void apply(const configuration::Document &document);
+
+    /// @brief The router of model calls.
+    routing::Router &router();
+
+    /// @brief Takes membership's word on an endpoint.
+    void setMark(const base::EndpointId &endpoint, routing::EndpointMark mark);
+
+private:
+    struct Polled
+    {
+        base::Address address;
+        base::Time nextPollAt;
+        std::uint64_t nextEvent = 0;
+        bool isPolling = false;
+    };
+
+    void poll();
+    void pollLoad(const base::EndpointId &endpoint, Polled &polled);
+    void pollEvents(const base::EndpointId &endpoint, const Polled &polled);
+    void takeReport(const base::EndpointId &endpoint, const std::string &body);
+    void takeEvents(const base::EndpointId &endpoint, const std::string &body);
+
+    Environment &m_environment;
+    RoutingShellHooks m_hooks;
+    routing::Router m_router;
+    std::map<base::EndpointId, Polled> m_polled;
+};
+
+} // namespace turmericplank::daemon
--- a/include/turmericplank/requests/dispatcher.hpp
+++ b/include/turmericplank/requests/dispatcher.hpp
@@ -35,7 +35,7 @@
     base::Priority priority = base::Priority::Normal;
     base::Time deadline;
     Fingerprint fingerprint;
-    std::shared_ptr<const std::vector<std::string>> messages; ///< contents of the prompt's messages
+    std::shared_ptr<const std::string> prompt; ///< compact JSON of the messages, for the prefix cache
     std::string rowKey; ///< of a booking
     std::string bodyDigest; ///< of a booking
 };
--- a/src/turmericplank/daemon/enginechoice.cpp
+++ b/src/turmericplank/daemon/enginechoice.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t UnsentLimit = 4096; ///< choices of calls that ended before they were sent
-constexpr std::uint32_t CharactersPerToken = 4;
 
 routing::AttemptEnd routingEnd(requests::AttemptEnd end)
 {
@@ -33,12 +32,9 @@
     request.priority = query.priority;
     request.deadline = query.deadline;
     request.excluded = query.avoid;
-    if (query.messages) {
-        const std::vector<std::string_view> texts(query.messages->begin(), query.messages->end());
-        request.prefixes = routing::prefixChain(query.model, texts);
-        for (const auto &it : texts) {
-            request.promptTokens += static_cast<std::uint32_t>(it.size()) / CharactersPerToken + 1;
-        }
+    if (query.prompt) {
+        request.prefixes = routing::prefixChain(query.model, *query.prompt);
+        request.promptTokens = routing::estimatedTokens(*query.prompt);
     }
     return request;
 }
@@ -66,7 +62,9 @@
                     {"endpoint", choice->endpoint.text()},
                     {"reason", toString(choice->reason)},
                     {"runner_up", choice->runnerUp ? std::string_view(choice->runnerUp->text()) : std::string_view("-")},
-                    {"expected_ms", base::inMilliseconds(choice->expectedFirstToken)}});
+                    {"expected_ms", base::inMilliseconds(choice->expectedFirstToken)},
+                    {"runner_up_ms", base::inMilliseconds(choice->runnerUpFirstToken)},
+                    {"cached_tokens", std::uint64_t(choice->cachedTokens)}});
     const requests::Choice result{choice->endpoint, choice->address, choice->ticket};
     if (m_unsent.size() >= UnsentLimit) {
         m_unsent.clear();
--- a/src/turmericplank/daemon/requestsshell.cpp
+++ b/src/turmericplank/daemon/requestsshell.cpp
@@ -134,7 +134,7 @@
     arrival.kind = requests::CallKind::Model;
     arrival.target = body->model;
     arrival.fingerprint = body->fingerprint;
-    arrival.messages = std::make_shared<const std::vector<std::string>>(body->messages);
+    arrival.prompt = std::make_shared<const std::string>(body->prompt);
     Session session;
     session.chat = std::move(*body);
     begin(std::move(arrival), *headers, std::move(session), exchange);
--- /dev/null
+++ b/src/turmericplank/daemon/routingshell.cpp
@@ -0,0 +1,180 @@
+#include "turmericplank/daemon/routingshell.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/net/httpclient.hpp"
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::daemon {
+
+namespace {
+
+constexpr auto TickInterval = std::chrono::milliseconds(100);
+constexpr auto CloseInterval = std::chrono::milliseconds(500); ///< polls of a responsible daemon
+constexpr auto WideInterval = std::chrono::milliseconds(2500); ///< polls of all others
+constexpr auto PollTimeout = std::chrono::milliseconds(1000);
+
+std::optional<routing::LoadReport> toReport(const std::string &text)
+{
+    try {
+        const auto body = nlohmann::json::parse(text);
+        routing::LoadReport report;
+        report.incarnation = base::Incarnation(body.at("incarnation"));
+        report.takenAt = base::timeFromMilliseconds(body.at("taken_at"));
+        report.running = body.at("running");
+        report.waiting = body.at("waiting");
+        report.isLeaving = body.at("leaving");
+        report.role = body.at("role");
+        for (const auto &it : body.at("resident")) {
+            report.resident.push_back({base::ModelName(it.at("model")), it.at("version")});
+        }
+        for (const auto &it : body.at("adapters")) {
+            report.adapters.emplace_back(it.get<std::string>());
+        }
+        return report;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::vector<routing::CacheEvent> toEvents(const std::string &text)
+{
+    std::vector<routing::CacheEvent> events;
+    try {
+        for (const auto &it : nlohmann::json::parse(text).at("events")) {
+            const auto fingerprint = routing::parsePrefixName(it.at("prefix").get<std::string>());
+            if (fingerprint) {
+                events.push_back({it.at("seq"), *fingerprint, it.at("action") == "added"});
+            }
+        }
+    } catch (const nlohmann::json::exception &) {
+        // What was read before the mistake stands; the index treats the rest as a gap.
+    }
+    return events;
+}
+
+} // namespace
+
+RoutingShell::RoutingShell(Environment &environment)
+    : m_environment(environment)
+{
+    every(environment.context, TickInterval, [this] { poll(); });
+}
+
+void RoutingShell::setHooks(RoutingShellHooks hooks)
+{
+    m_hooks = std::move(hooks);
+}
+
+void RoutingShell::apply(const configuration::Document &document)
+{
+    std::vector<routing::RoutableEndpoint> endpoints;
+    std::map<base::EndpointId, Polled> polled;
+    for (const auto &[id, it] : document.endpoints) {
+        endpoints.push_back({id, it.address, it.zone, it.concurrency});
+        const auto known = m_polled.find(id);
+        const bool isSame = known != m_polled.end() && known->second.address == it.address;
+        polled.emplace(id, isSame ? known->second : Polled{it.address, {}, 0, false});
+    }
+    std::vector<base::ModelName> models;
+    for (const auto &[name, it] : document.models) {
+        models.push_back(name);
+    }
+    std::map<base::AdapterName, base::ModelName> adapters;
+    for (const auto &[name, it] : document.adapters) {
+        adapters.emplace(name, it.model);
+    }
+    m_polled = std::move(polled);
+    m_router.setEndpoints(endpoints);
+    m_router.setModels(models, adapters);
+}
+
+routing::Router &RoutingShell::router()
+{
+    return m_router;
+}
+
+void RoutingShell::setMark(const base::EndpointId &endpoint, routing::EndpointMark mark)
+{
+    m_router.setMark(endpoint, mark, base::now());
+}
+
+void RoutingShell::poll()
+{
+    const auto now = base::now();
+    m_router.expire(now);
+    for (auto &[id, it] : m_polled) {
+        if (it.isPolling || now < it.nextPollAt) {
+            continue;
+        }
+        const bool isClose = !m_hooks.isResponsible || m_hooks.isResponsible(id);
+        it.nextPollAt = now + (isClose ? base::Duration(CloseInterval) : base::Duration(WideInterval));
+        pollLoad(id, it);
+        pollEvents(id, it);
+    }
+}
+
+void RoutingShell::pollLoad(const base::EndpointId &endpoint, Polled &polled)
+{
+    polled.isPolling = true;
+    net::HttpCallOptions options;
+    options.to = polled.address;
+    options.request = {"GET", "/load", {}, {}};
+    options.firstProgressTimeout = PollTimeout;
+    options.silenceTimeout = PollTimeout;
+    fetchWhole(m_environment.context, std::move(options), [this, endpoint](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
+        const auto it = m_polled.find(endpoint);
+        if (it == m_polled.end()) {
+            return;
+        }
+        it->second.isPolling = false;
+        if (response && response->status == 200) {
+            takeReport(endpoint, response->body);
+        } else if (m_hooks.onFailure) {
+            m_hooks.onFailure(endpoint);
+        }
+    });
+}
+
+void RoutingShell::takeReport(const base::EndpointId &endpoint, const std::string &body)
+{
+    const auto report = toReport(body);
+    if (!report) {
+        telemetry::log(telemetry::LogLevel::Warning, "routing", "malformed load report", {{"endpoint", endpoint.text()}});
+        return;
+    }
+    m_router.noteReport(endpoint, *report, base::now());
+    if (m_hooks.onAnswer) {
+        m_hooks.onAnswer(endpoint, report->incarnation, report->isLeaving);
+    }
+}
+
+void RoutingShell::pollEvents(const base::EndpointId &endpoint, const Polled &polled)
+{
+    net::HttpCallOptions options;
+    options.to = polled.address;
+    options.request = {"GET", "/cache_events?from=" + std::to_string(polled.nextEvent), {}, {}};
+    options.firstProgressTimeout = PollTimeout;
+    options.silenceTimeout = PollTimeout;
+    fetchWhole(m_environment.context, std::move(options), [this, endpoint](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
+        if (response && response->status == 200) {
+            takeEvents(endpoint, response->body);
+        }
+    });
+}
+
+void RoutingShell::takeEvents(const base::EndpointId &endpoint, const std::string &body)
+{
+    const auto it = m_polled.find(endpoint);
+    if (it == m_polled.end()) {
+        return;
+    }
+    const auto events = toEvents(body);
+    if (!events.empty()) {
+        it->second.nextEvent = events.back().sequence + 1;
+        m_router.noteCacheEvents(endpoint, events, base::now());
+    }
+}
+
+} // namespace turmericplank::daemon
--- a/src/turmericplank/membership/daemonview_test.cpp
+++ b/src/turmericplank/membership/daemonview_test.cpp
@@ -19,7 +19,7 @@
     return {base::DaemonId(name), base::ZoneName("r/a"), {"127.0.0.1", 1}, {"127.0.0.1", 2}};
 }
 
-const std::vector<DaemonRecord> Four = {record("a"), record("b"), record("c"), record("d")};
+const std::vector<DaemonRecord> four = {record("a"), record("b"), record("c"), record("d")};
 
 /// Drives the view of daemon a; the others beat every half second unless they are silenced.
 struct Cell
@@ -31,9 +31,9 @@
     std::uint64_t sequence = 0;
 
     explicit Cell(const DaemonRules &rules = {})
-        : view(Four.front(), base::Incarnation(1), {{}, rules})
+        : view(four.front(), base::Incarnation(1), {{}, rules})
     {
-        view.noteRecords(Four, at(0));
+        view.noteRecords(four, at(0));
     }
 
     Heartbeat beat(const std::string &name)
@@ -98,7 +98,9 @@
     Cell cell;
     cell.heardByAll = {{shortName("a"), 6000}};
     cell.run(0, 2000);
-    CHECK((cell.state("b", 2000) == LiveState::Suspect));
+    CHECK((cell.state("b", 2000) == LiveState::Live));
+    cell.run(2000, 5000);
+    CHECK((cell.state("b", 5000) == LiveState::Suspect));
 }
 
 TEST_CASE("a daemon cut off from most others declares none gone")
@@ -230,8 +232,15 @@
         if (isBroken) {
             options.detector.pauseAfter = std::chrono::hours(1);
         }
-        DaemonView view(Four.front(), base::Incarnation(1), options);
-        view.noteRecords(Four, at(0));
+        DaemonView view(four.front(), base::Incarnation(1), options);
+        view.noteRecords(four, at(0));
+        Heartbeat heartbeat;
+        heartbeat.from = base::DaemonId("b");
+        heartbeat.incarnation = base::Incarnation(1);
+        heartbeat.sequence = 1;
+        heartbeat.heard = {{shortName("a"), 0}};
+        CHECK((view.state(heartbeat.from, at(0)) == LiveState::Suspect));
+        view.noteHeartbeat(heartbeat, at(0));
         view.tick(at(0));
         view.tick(at(9000));
         CHECK((view.state(base::DaemonId("b"), at(9000)) == (isBroken ? LiveState::Suspect : LiveState::Live)));
--- a/src/turmericplank/requests/dispatchercalls.cpp
+++ b/src/turmericplank/requests/dispatchercalls.cpp
@@ -12,7 +12,7 @@
     it.model = call.arrival.target;
     it.priority = call.arrival.priority;
     it.deadline = call.arrival.deadline;
-    it.messages = call.arrival.messages;
+    it.prompt = call.arrival.prompt;
     it.isService = call.arrival.kind != CallKind::Model;
     it.isTrial = isTrial;
     if (isTrial) {
