Measure what control costs a daemon of a real cell

Cause: the budget of 6 KB/s, 4.9% of a core and 256 MB holds for all control traffic, polls of endpoints and calls to the platform included; only the mesh was counted.

--- a/include/turmericplank/daemon/platformclient.hpp
+++ b/include/turmericplank/daemon/platformclient.hpp
@@ -17,6 +17,7 @@
 {
     std::vector<base::Address> addresses; ///< tried in turn while nothing was sent
     base::Duration timeout = std::chrono::seconds(4);
+    std::uint64_t *byteCounter = nullptr; ///< counts the bytes of both directions; outlives the client
 };
 
 /// @brief The platform's interfaces over HTTP.
--- a/include/turmericplank/net/httpclient.hpp
+++ b/include/turmericplank/net/httpclient.hpp
@@ -30,6 +30,7 @@
     base::Duration firstProgressTimeout = std::chrono::seconds(5); ///< from the request's last byte to the answer's head
     base::Duration silenceTimeout = std::chrono::seconds(5); ///< between two pieces of the answer
     std::size_t bodyLimit = 64 * 1024 * 1024; ///< bytes
+    std::uint64_t *byteCounter = nullptr; ///< counts the bytes of both directions; outlives the call
     std::function<void(int status, const Headers &headers)> onHead;
     std::function<void(std::string_view piece)> onPiece;
     std::function<void(tl::expected<void, CallFailure>)> onEnd; ///< called exactly once, unless cancelled
--- /dev/null
+++ b/include/turmericplank/telemetry/process.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "turmericplank/telemetry/metrics.hpp"
+
+namespace turmericplank::telemetry {
+
+/// @brief Sets the gauges process_cpu_seconds_total and process_resident_bytes.
+/// @param metrics takes the gauges
+void gaugeProcess(Metrics &metrics);
+
+} // namespace turmericplank::telemetry
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -11,6 +11,7 @@
 #include "turmericplank/daemon/routingshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/telemetry/log.hpp"
+#include "turmericplank/telemetry/process.hpp"
 
 namespace turmericplank::daemon {
 
@@ -38,10 +39,11 @@
     return net::listenHttp(context, options);
 }
 
-void addOperatorRoutes(Routes &routes, const telemetry::Metrics &metrics)
+void addOperatorRoutes(Routes &routes, const telemetry::Metrics &metrics, const std::function<void()> &refresh)
 {
     routes.add("GET", "/healthz", [](const net::ExchangePointer &exchange) { exchange->respond({200, {{"Content-Type", "text/plain"}}, "ok\n"}); });
-    routes.add("GET", "/metrics", [&metrics](const net::ExchangePointer &exchange) {
+    routes.add("GET", "/metrics", [&metrics, refresh](const net::ExchangePointer &exchange) {
+        refresh();
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text()});
     });
     routes.add("PUT", "/admin/log-level", [](const net::ExchangePointer &exchange) {
@@ -64,9 +66,9 @@
         , settings(std::move(daemonSettings))
         , startDocument(std::move(documentToStart))
         , mesh(openMeshFor(context, settings))
-        , platformClient(makePlatformClient(context, {settings.platform}))
+        , platformClient(makePlatformClient(context, platformOptions()))
         , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
-                      metrics, random}
+                      metrics, random,   controlBytes}
         , configuration(environment, configurationHooks())
         , operatorApi(environment, configuration)
         , routing(environment)
@@ -74,8 +76,13 @@
         , engineChoice(routing.router(), random)
         , requests(environment, requestsOptions())
     {
-        addOperatorRoutes(operatorRoutes, metrics);
-        addOperatorRoutes(callerRoutes, metrics);
+        const auto refresh = [this] {
+            metrics.gauge("control_bytes_total", static_cast<double>(mesh->bytesTransferred() + controlBytes));
+            metrics.gauge("mesh_bytes_total", static_cast<double>(mesh->bytesTransferred()));
+            telemetry::gaugeProcess(metrics);
+        };
+        addOperatorRoutes(operatorRoutes, metrics, refresh);
+        addOperatorRoutes(callerRoutes, metrics, refresh);
         callerServer = listen(context, settings.callerListen, callerRoutes);
         operatorServer = listen(context, settings.operatorListen, operatorRoutes);
         applyDocument();
@@ -89,6 +96,14 @@
         return accepted ? accepted : startDocument;
     }
 
+    PlatformOptions platformOptions()
+    {
+        PlatformOptions options;
+        options.addresses = settings.platform;
+        options.byteCounter = &controlBytes;
+        return options;
+    }
+
     std::vector<PeerTarget> peerTargets() const
     {
         std::vector<PeerTarget> targets;
@@ -179,6 +194,7 @@
     Settings settings;
     std::shared_ptr<const configuration::Document> startDocument;
     telemetry::Metrics metrics;
+    std::uint64_t controlBytes = 0;
     std::mt19937_64 random{std::random_device()()};
     Routes callerRoutes;
     Routes operatorRoutes;
--- a/src/turmericplank/daemon/platformclient.cpp
+++ b/src/turmericplank/daemon/platformclient.cpp
@@ -39,6 +39,7 @@
     options.request = request;
     options.firstProgressTimeout = client->options.timeout;
     options.silenceTimeout = client->options.timeout;
+    options.byteCounter = client->options.byteCounter;
     fetchWhole(client->context, std::move(options), [=](tl::expected<net::HttpResponse, net::CallFailure> response) {
         if (response) {
             onReply(std::move(*response));
--- a/src/turmericplank/daemon/platformclient_test.cpp
+++ b/src/turmericplank/daemon/platformclient_test.cpp
@@ -20,7 +20,7 @@
         options.listen = platformAddress;
         options.onRequest = std::move(onRequest);
         server = net::listenHttp(context, options);
-        client = makePlatformClient(context, {{platformAddress}, std::chrono::milliseconds(200)});
+        client = makePlatformClient(context, {{platformAddress}, std::chrono::milliseconds(200), nullptr});
     }
 
     platform::WriteResult transact()
--- a/src/turmericplank/net/httpclient.cpp
+++ b/src/turmericplank/net/httpclient.cpp
@@ -93,6 +93,7 @@
                 self->fail(error);
                 return;
             }
+            self->countBytes(self->m_bytes.size());
             self->readHead();
         });
     }
@@ -100,7 +101,8 @@
     void readHead()
     {
         m_stream.expires_after(m_options.firstProgressTimeout);
-        http::async_read_header(m_stream, m_buffer, m_parser, [self = Pointer(this)](beast::error_code ec, std::size_t) {
+        http::async_read_header(m_stream, m_buffer, m_parser, [self = Pointer(this)](beast::error_code ec, std::size_t bytes) {
+            self->countBytes(bytes);
             if (ec) {
                 self->fail(ec);
                 return;
@@ -130,7 +132,10 @@
         m_parser.get().body().data = m_piece.data();
         m_parser.get().body().size = m_piece.size();
         m_stream.expires_after(m_options.silenceTimeout);
-        http::async_read_some(m_stream, m_buffer, m_parser, [self = Pointer(this)](beast::error_code ec, std::size_t) { self->onRead(ec); });
+        http::async_read_some(m_stream, m_buffer, m_parser, [self = Pointer(this)](beast::error_code ec, std::size_t bytes) {
+            self->countBytes(bytes);
+            self->onRead(ec);
+        });
     }
 
     void onRead(beast::error_code ec)
@@ -147,6 +152,13 @@
         readPiece();
     }
 
+    void countBytes(std::size_t n)
+    {
+        if (m_options.byteCounter) {
+            *m_options.byteCounter += n;
+        }
+    }
+
     void fail(beast::error_code ec)
     {
         if (ec == beast::error::timeout) {
--- /dev/null
+++ b/src/turmericplank/telemetry/process.cpp
@@ -0,0 +1,37 @@
+#include "turmericplank/telemetry/process.hpp"
+
+#include <fstream>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace turmericplank::telemetry {
+
+namespace {
+
+double inSeconds(const timeval &time)
+{
+    constexpr double MicrosecondsPerSecond = 1e6;
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / MicrosecondsPerSecond;
+}
+
+double residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double size = 0;
+    double resident = 0;
+    file >> size >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+void gaugeProcess(Metrics &metrics)
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    metrics.gauge("process_cpu_seconds_total", inSeconds(usage.ru_utime) + inSeconds(usage.ru_stime));
+    metrics.gauge("process_resident_bytes", residentBytes());
+}
+
+} // namespace turmericplank::telemetry
