--- /dev/null
+++ b/bench/membership.cpp
@@ -0,0 +1,378 @@
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <memory>
+#include <optional>
+#include <random>
+
+#include <boost/asio/io_context.hpp>
+#include <malloc.h>
+
+#include "section.hpp"
+#include "turmericplank/membership/celldirectory.hpp"
+#include "turmericplank/membership/daemonview.hpp"
+#include "turmericplank/membership/directory.hpp"
+#include "turmericplank/membership/endpointview.hpp"
+#include "turmericplank/peer/mesh.hpp"
+#include "turmericplank/routing/router.hpp"
+#include "turmericplank/routing/workdigest.hpp"
+
+namespace turmericplank::bench {
+
+namespace {
+
+using membership::DaemonView;
+using membership::Heartbeat;
+using membership::LiveState;
+
+constexpr base::Duration BeatInterval = std::chrono::seconds(1);
+constexpr base::Duration Step = std::chrono::milliseconds(100);
+constexpr std::size_t CellDaemons = 8;
+constexpr std::size_t WorkLimit = 20; ///< endpoints in a heartbeat
+constexpr double LossShare = 0.05;
+constexpr base::Time Start = base::timeFromMilliseconds(1'000'000);
+constexpr std::uint16_t MeshPort = 25950;
+
+base::DaemonId daemonId(std::size_t n)
+{
+    return base::DaemonId("entry-" + std::to_string(n));
+}
+
+base::EndpointId endpointId(std::size_t n)
+{
+    return base::EndpointId("site-engine-" + std::to_string(n));
+}
+
+std::vector<membership::DaemonRecord> records()
+{
+    std::vector<membership::DaemonRecord> all;
+    for (std::size_t n = 0; n < CellDaemons; ++n) {
+        all.push_back({daemonId(n), base::ZoneName("region/zone-" + std::to_string(n % 3)), {"10.0.0.1", 8080}, {"10.0.0.1", 8081}});
+    }
+    return all;
+}
+
+/// Eight views that beat over lossy links in simulated time.
+class LossyCell
+{
+public:
+    explicit LossyCell(unsigned seed)
+        : m_random(seed)
+    {
+        for (const auto &it : records()) {
+            m_views.push_back(std::make_unique<DaemonView>(it, base::Incarnation(1)));
+            m_views.back()->noteRecords(records(), m_now);
+            m_beatAt.push_back(m_now + base::Duration(static_cast<std::int64_t>(m_random() % 1'000'000)));
+        }
+    }
+
+    void step()
+    {
+        m_now += Step;
+        auto due = std::move(m_messages);
+        m_messages.clear();
+        for (auto &it : due) {
+            m_views[it.to]->noteHeartbeat(it.heartbeat, m_now);
+        }
+        for (std::size_t n = 0; n < m_views.size(); ++n) {
+            m_views[n]->tick(m_now);
+            if (m_now >= m_beatAt[n]) {
+                m_beatAt[n] = m_now + BeatInterval;
+                beat(n);
+            }
+        }
+    }
+
+    /// A daemon leaves and tells the others at once; what is lost goes out again with the next heartbeat.
+    void leave(std::size_t n)
+    {
+        m_views[n]->leave();
+        beat(n);
+    }
+
+    std::size_t countOf(std::size_t subject, LiveState state) const
+    {
+        std::size_t count = 0;
+        for (std::size_t n = 0; n < m_views.size(); ++n) {
+            count += n != subject && m_views[n]->state(daemonId(subject), m_now) == state ? 1 : 0;
+        }
+        return count;
+    }
+
+    base::Time now() const
+    {
+        return m_now;
+    }
+
+private:
+    struct Message
+    {
+        std::size_t to = 0;
+        Heartbeat heartbeat;
+    };
+
+    void beat(std::size_t from)
+    {
+        const auto heartbeat = m_views[from]->heartbeat(m_now);
+        for (std::size_t to = 0; to < m_views.size(); ++to) {
+            if (to != from && std::uniform_real_distribution<double>(0, 1)(m_random) >= LossShare) {
+                m_messages.push_back({to, heartbeat});
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    base::Time m_now = Start;
+    std::vector<std::unique_ptr<DaemonView>> m_views;
+    std::vector<base::Time> m_beatAt;
+    std::vector<Message> m_messages;
+};
+
+void measureLeaving(unsigned seed)
+{
+    constexpr int Trials = 500;
+    constexpr int WarmUpSteps = 50;
+    constexpr int MostSteps = 200;
+    std::vector<double> seconds;
+    for (int trial = 0; trial < Trials; ++trial) {
+        LossyCell cell(seed * 10'000 + static_cast<unsigned>(trial));
+        for (int n = 0; n < WarmUpSteps + trial % 10; ++n) {
+            cell.step();
+        }
+        const auto from = cell.now();
+        cell.leave(3);
+        int steps = 0;
+        while (cell.countOf(3, LiveState::Live) > 0 && steps++ < MostSteps) {
+            cell.step();
+        }
+        seconds.push_back(std::chrono::duration<double>(cell.now() - from).count());
+    }
+    std::ranges::sort(seconds);
+    printFigure("membership.leaving_to_no_new_work", seconds[seconds.size() * 99 / 100], "s", "<= 3");
+}
+
+void measureFalseRemovals(unsigned seed)
+{
+    constexpr int Hours = 4;
+    LossyCell cell(seed);
+    for (int n = 0; n < 100; ++n) {
+        cell.step();
+    }
+    double removals = 0;
+    double suspectSeconds = 0;
+    double seconds = 0;
+    const auto until = Start + std::chrono::hours(Hours);
+    while (cell.now() < until) {
+        cell.step();
+        for (std::size_t n = 0; n < CellDaemons; ++n) {
+            removals += static_cast<double>(cell.countOf(n, LiveState::Gone) + cell.countOf(n, LiveState::Leaving));
+            suspectSeconds += static_cast<double>(cell.countOf(n, LiveState::Suspect)) / 10;
+            seconds += static_cast<double>(CellDaemons - 1) / 10;
+        }
+    }
+    printFigure("membership.false_removals", removals, "views", "0");
+    printFigure("membership.false_suspicion_share", suspectSeconds / seconds, "share", "-");
+}
+
+/// Bytes that one call of the mesh costs on the wire beside its body, sent and received together.
+double meshOverhead()
+{
+    constexpr int Calls = 200;
+    constexpr std::size_t Body = 400;
+    boost::asio::io_context context;
+    const auto open = [&context](std::uint16_t port, std::size_t n) {
+        peer::MeshOptions options;
+        options.listen = {"127.0.0.1", port};
+        options.self = daemonId(n);
+        return peer::openMesh(context, options);
+    };
+    const auto first = open(MeshPort, 0);
+    const auto second = open(MeshPort + 1, 1);
+    second->handle("membership/heartbeat", [](const base::DaemonId &, const std::string &, const peer::PeerAnswer &answer) { answer.end(); });
+    int ended = 0;
+    std::uint64_t before = 0;
+    std::function<void()> next = [&] {
+        peer::PeerCall call;
+        call.kind = "membership/heartbeat";
+        call.body = std::string(Body, 'x');
+        call.onPiece = [](std::string_view) {
+        };
+        call.onEnd = [&](tl::expected<void, peer::PeerFailure>) {
+            if (++ended == 1) {
+                before = first->bytesTransferred();
+            }
+            if (ended <= Calls) {
+                next();
+            } else {
+                context.stop();
+            }
+        };
+        first->call({"127.0.0.1", MeshPort + 1}, std::move(call));
+    };
+    next();
+    context.run_for(std::chrono::seconds(5));
+    return static_cast<double>(first->bytesTransferred() - before) / Calls - Body;
+}
+
+/// What a size of the fleet means for one daemon.
+struct Size
+{
+    std::size_t daemons;
+    std::size_t cellEndpoints;
+    std::size_t cellModels;
+    std::size_t models;
+
+    std::size_t cells() const
+    {
+        return (daemons + CellDaemons - 1) / CellDaemons;
+    }
+};
+
+/// All that membership and routing hold on one daemon, fed as in a running cell.
+struct DaemonState
+{
+    DaemonView view{records().front(), base::Incarnation(1)};
+    membership::EndpointView endpoints;
+    membership::Directory directory;
+    membership::CellDirectory cells{base::CellName("own"), "region-0"};
+    routing::Router router;
+    routing::WorkDigest digest;
+    std::mt19937_64 random{1};
+    std::vector<std::unique_ptr<DaemonView>> others;
+    std::map<membership::ShortName, base::EndpointId> names;
+    std::size_t heartbeatBytes = 0;
+    const Size size;
+
+    explicit DaemonState(const Size &fleet)
+        : size(fleet)
+    {
+        view.noteRecords(records(), Start);
+        std::vector<base::EndpointId> ids;
+        std::vector<routing::RoutableEndpoint> routable;
+        for (std::size_t n = 0; n < size.cellEndpoints; ++n) {
+            ids.push_back(endpointId(n));
+            names.emplace(membership::shortName(ids.back().text()), ids.back());
+            routable.push_back({ids.back(), {"10.0.0.1", 8000}, base::ZoneName("region/zone-1"), 32});
+        }
+        endpoints.setEndpoints(ids, Start);
+        router.setEndpoints(routable);
+        std::vector<base::ModelName> models;
+        for (std::size_t n = 0; n < size.cellModels; ++n) {
+            models.emplace_back("model-" + std::to_string(n));
+        }
+        router.setModels(models, {});
+        for (std::size_t n = 1; n < CellDaemons; ++n) {
+            others.push_back(std::make_unique<DaemonView>(records()[n], base::Incarnation(1)));
+            others.back()->noteRecords(records(), Start);
+        }
+    }
+
+    Heartbeat fullHeartbeat(DaemonView &from, base::Time now)
+    {
+        auto heartbeat = from.heartbeat(now);
+        heartbeat.incarnation = base::Incarnation(1);
+        heartbeat.receiverSequence = heartbeat.sequence;
+        heartbeat.receiverUseUntil = now;
+        heartbeat.load = 60;
+        for (const auto &it : view.members(now)) {
+            if (heartbeat.heard.size() + 1 < CellDaemons) {
+                heartbeat.heard.push_back({membership::shortName(it.record.id.text()), 500});
+            }
+        }
+        // A daemon's callers keep a few streams on each endpoint of the cell busy.
+        std::vector<routing::EndpointWork> own;
+        for (std::size_t n = 0; n < size.cellEndpoints; ++n) {
+            own.push_back({endpointId(n), static_cast<std::uint32_t>(random() % 6), 1, 1, 600, 1200});
+        }
+        for (const auto &it : digest.pick(own, WorkLimit, now)) {
+            const auto name = membership::shortName(it.endpoint.text());
+            heartbeat.work.push_back({name, it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
+        }
+        return heartbeat;
+    }
+
+    void second(base::Time now)
+    {
+        for (const auto &it : others) {
+            const auto bytes = encode(fullHeartbeat(*it, now));
+            heartbeatBytes = bytes.size();
+            const auto heartbeat = membership::decodeHeartbeat(bytes);
+            view.noteHeartbeat(*heartbeat, now);
+            endpoints.noteHeartbeat(*heartbeat);
+            std::vector<routing::EndpointWork> work;
+            for (const auto &digest : heartbeat->work) {
+                work.push_back({names.at(digest.endpoint), digest.streams, digest.urgentWaiting, digest.otherWaiting, digest.urgentTokens, digest.otherTokens});
+            }
+            router.notePeerWork(heartbeat->from, work, now);
+            encode(fullHeartbeat(view, now));
+        }
+        for (int n = 0; n < 10; ++n) {
+            view.tick(now);
+            const auto heard = view.heardNow(now);
+            for (std::size_t k = 0; k < size.cellEndpoints; ++k) {
+                endpoints.state(endpointId(k), heard, now);
+            }
+            directory.answer(view.members(now), base::ZoneName("region/zone-1"), now, random);
+        }
+    }
+
+    void hearCells(base::Time now, std::uint64_t sequence)
+    {
+        for (std::size_t cell = 0; cell < size.cells(); ++cell) {
+            membership::CellSummary it{base::CellName("cell-" + std::to_string(cell)), "region-1", sequence, {{"10.0.0.1", 1}, {"10.0.0.2", 1}}, {}, 0.5};
+            for (std::size_t n = 0; n < size.cellModels; ++n) {
+                it.models.emplace_back("model-" + std::to_string((cell * 26 + n) % size.models));
+            }
+            cells.noteSummary(it, now);
+        }
+    }
+};
+
+double cpuSeconds()
+{
+    timespec it{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &it);
+    return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_nsec) * 1e-9;
+}
+
+void measureSize(const Size &size, double overhead)
+{
+    constexpr int Seconds = 60;
+    constexpr int SummaryInterval = 10; ///< seconds between two readings of the cells' summaries
+    const auto name = "." + std::to_string(size.daemons);
+    const auto before = mallinfo2().uordblks;
+    DaemonState state(size);
+    state.hearCells(Start, 1);
+    state.second(Start);
+    const auto memory = static_cast<double>(mallinfo2().uordblks - before) / 1048576;
+    const double begin = cpuSeconds();
+    for (int n = 1; n <= Seconds; ++n) {
+        state.second(Start + n * BeatInterval);
+        if (n % SummaryInterval == 0) {
+            state.hearCells(Start + n * BeatInterval, static_cast<std::uint64_t>(n));
+        }
+    }
+    const double share = (cpuSeconds() - begin) / Seconds * 100;
+    const double perBeat = static_cast<double>(state.heartbeatBytes) + overhead;
+    printFigure("membership.heartbeat_bytes" + name, static_cast<double>(state.heartbeatBytes), "B", "-");
+    printFigure("membership.bytes_per_second" + name, perBeat * (CellDaemons - 1) * 2, "B/s sent and received", "<= 6144");
+    printFigure("membership.cpu_share" + name, share, "% of a core", "<= 4.9");
+    printFigure("membership.memory" + name, memory, "MiB", "<= 256");
+}
+
+void runMembership(unsigned seed)
+{
+    measureLeaving(seed);
+    measureFalseRemovals(seed);
+    const double overhead = meshOverhead();
+    printFigure("membership.call_overhead", overhead, "B a call", "-");
+    measureSize({8, 18, 35, 35}, overhead);
+    measureSize({40, 150, 60, 180}, overhead);
+    measureSize({410, 150, 60, 1300}, overhead);
+}
+
+const Section membershipSection("membership", runMembership);
+
+} // namespace
+
+} // namespace turmericplank::bench
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -157,7 +157,7 @@
             return;
         }
         for (std::size_t from = 0; from < m_site.daemons; ++from) {
-            const auto work = m_policies[from]->ownWork();
+            const auto work = m_policies[from]->workToTell(m_now);
             for (std::size_t to = 0; to < m_site.daemons; ++to) {
                 if (to != from) {
                     at(m_now + randomBetween(1, 3), [this, from, to, work] { m_policies[to]->notePeerWork(from, work, m_now); });
--- a/bench/routingpolicies.cpp
+++ b/bench/routingpolicies.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 
+#include "turmericplank/routing/workdigest.hpp"
+
 namespace turmericplank::bench {
 
 namespace {
@@ -206,9 +208,9 @@
         m_router.noteCacheEvents(endpointId(endpoint), events, now);
     }
 
-    std::vector<routing::EndpointWork> ownWork() const override
+    std::vector<routing::EndpointWork> workToTell(base::Time now) override
     {
-        return m_router.ownWork();
+        return m_digest.pick(m_router.ownWork(), WorkLimit, now);
     }
 
     void notePeerWork(std::size_t daemon, const std::vector<routing::EndpointWork> &work, base::Time now) override
@@ -228,7 +230,10 @@
         return it;
     }
 
+    static constexpr std::size_t WorkLimit = 20; ///< endpoints in a heartbeat
+
     routing::Router m_router;
+    routing::WorkDigest m_digest;
     std::mt19937_64 m_random;
     std::map<base::EndpointId, std::size_t> m_numbers;
 };
@@ -251,7 +256,7 @@
 {
 }
 
-std::vector<routing::EndpointWork> RoutingPolicy::ownWork() const
+std::vector<routing::EndpointWork> RoutingPolicy::workToTell(base::Time /*now*/)
 {
     return {};
 }
--- a/bench/routingpolicies.hpp
+++ b/bench/routingpolicies.hpp
@@ -27,7 +27,7 @@
     virtual void noteEnded(std::uint64_t ticket, routing::AttemptEnd end, base::Time now);
     virtual void noteReport(std::size_t endpoint, const routing::LoadReport &report, base::Time now);
     virtual void noteEvents(std::size_t endpoint, const std::vector<routing::CacheEvent> &events, base::Time now);
-    virtual std::vector<routing::EndpointWork> ownWork() const;
+    virtual std::vector<routing::EndpointWork> workToTell(base::Time now);
     virtual void notePeerWork(std::size_t daemon, const std::vector<routing::EndpointWork> &work, base::Time now);
 };
 
--- a/include/turmericplank/daemon/membershipshell.hpp
+++ b/include/turmericplank/daemon/membershipshell.hpp
@@ -12,6 +12,7 @@
 #include "turmericplank/membership/directory.hpp"
 #include "turmericplank/membership/drain.hpp"
 #include "turmericplank/membership/endpointview.hpp"
+#include "turmericplank/routing/workdigest.hpp"
 
 namespace turmericplank::daemon {
 
@@ -78,6 +79,8 @@
     membership::Directory m_directory;
     std::optional<membership::Drain> m_drain;
     std::function<void()> m_onRefusable;
+    routing::WorkDigest m_work;
+    std::map<base::DaemonId, base::Incarnation> m_incarnations; ///< of whom the router knows work
     std::map<base::DaemonId, std::uint64_t> m_taken; ///< highest sequence taken in
     std::map<base::DaemonId, membership::LiveState> m_logged;
     std::map<base::EndpointId, membership::LiveState> m_marks;
--- a/include/turmericplank/routing/loadestimate.hpp
+++ b/include/turmericplank/routing/loadestimate.hpp
@@ -55,8 +55,7 @@
     /// @brief Takes another daemon's word on its own work there.
     /// @param from the other daemon
     /// @param work its work
-    /// @param now the present
-    void notePeer(const base::DaemonId &from, const EndpointWork &work, base::Time now);
+    void notePeer(const base::DaemonId &from, const EndpointWork &work);
 
     /// @brief Forgets a daemon that is gone.
     void forgetPeer(const base::DaemonId &from);
--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -95,7 +96,7 @@
     /// @brief Takes published changes of an endpoint's prefix cache.
     void noteCacheEvents(const base::EndpointId &endpoint, const std::vector<CacheEvent> &events, base::Time now);
 
-    /// @brief Takes another daemon's work from its heartbeat; endpoints that it leaves out have none of it.
+    /// @brief Takes another daemon's work from its heartbeat; what it said before of other endpoints stands.
     void notePeerWork(const base::DaemonId &from, const std::vector<EndpointWork> &work, base::Time now);
 
     /// @brief Forgets a daemon that is gone.
@@ -162,7 +163,7 @@
     struct Peer
     {
         base::Time heardAt;
-        std::vector<EndpointIndex> endpoints;
+        std::set<EndpointIndex> endpoints;
     };
 
     struct Cost
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -24,6 +24,7 @@
 constexpr auto StartPhase = std::chrono::seconds(15);
 constexpr auto CallTimeout = std::chrono::seconds(2);
 constexpr std::size_t ResponsibleCount = 2; ///< daemons that poll an endpoint closely
+constexpr std::size_t WorkLimit = 20; ///< endpoints in a heartbeat, which keeps seven of them a second within 6 KB
 constexpr const char *HeartbeatKind = "membership/heartbeat";
 
 std::string recordPrefix(const Settings &settings)
@@ -172,7 +173,7 @@
     m_endpoints.fill(heartbeat);
     heartbeat.load = m_hooks.load ? m_hooks.load() : 0;
     heartbeat.revision = m_hooks.revision ? m_hooks.revision() : base::Revision();
-    for (const auto &it : m_routing.router().ownWork()) {
+    for (const auto &it : m_work.pick(m_routing.router().ownWork(), WorkLimit, now)) {
         heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
     }
     for (const auto &it : m_view.members(now)) {
@@ -227,6 +228,11 @@
 
 void MembershipShell::takeWork(const membership::Heartbeat &heartbeat)
 {
+    auto &incarnation = m_incarnations[heartbeat.from];
+    if (incarnation != heartbeat.incarnation) {
+        m_routing.router().forgetPeer(heartbeat.from);
+        incarnation = heartbeat.incarnation;
+    }
     std::vector<routing::EndpointWork> work;
     for (const auto &it : heartbeat.work) {
         const auto name = m_endpointNames.find(it.endpoint);
--- a/src/turmericplank/routing/loadestimate.cpp
+++ b/src/turmericplank/routing/loadestimate.cpp
@@ -99,7 +99,7 @@
     m_reported.otherTokens = waitingForOthers * averagePromptTokens;
 }
 
-void LoadEstimate::notePeer(const base::DaemonId &from, const EndpointWork &work, base::Time /*now*/)
+void LoadEstimate::notePeer(const base::DaemonId &from, const EndpointWork &work)
 {
     auto &known = m_peers[from];
     addPeer(m_peerSum, known, -1);
--- a/src/turmericplank/routing/router.cpp
+++ b/src/turmericplank/routing/router.cpp
@@ -150,15 +150,11 @@
 {
     auto &peer = m_peers[from];
     peer.heardAt = now;
-    for (const auto index : peer.endpoints) {
-        m_endpoints[index].load.forgetPeer(from);
-    }
-    peer.endpoints.clear();
     for (const auto &it : work) {
         const auto position = m_indexes.find(it.endpoint);
         if (position != m_indexes.end()) {
-            m_endpoints[position->second].load.notePeer(from, it, now);
-            peer.endpoints.push_back(position->second);
+            m_endpoints[position->second].load.notePeer(from, it);
+            peer.endpoints.insert(position->second);
         }
     }
 }
