--- a/daemons/turmericplank/answercheck.cpp
+++ b/daemons/turmericplank/answercheck.cpp
@@ -25,6 +25,16 @@
     }
 }
 
+/// The data line of an event; a comment that keeps the connection alive has none.
+std::string_view dataOf(std::string_view event)
+{
+    while (!event.empty() && !event.starts_with(DataField)) {
+        const auto end = event.find('\n');
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+    }
+    return event.empty() ? event : event.substr(DataField.size());
+}
+
 std::string tokenText(const json &chunk)
 {
     const auto pointer = "/choices/0/delta/content"_json_pointer;
@@ -77,15 +87,16 @@
     for (auto end = m_buffer.find(EventEnd); end != std::string::npos; end = m_buffer.find(EventEnd)) {
         const auto event = m_buffer.substr(0, end);
         m_buffer.erase(0, end + EventEnd.size());
-        // Anything else is a comment that keeps the connection alive.
-        if (event.starts_with(DataField)) {
-            takeEvent(std::string_view(event).substr(DataField.size()), now);
-        }
+        takeEvent(event, now);
     }
 }
 
-void AnswerCheck::takeEvent(std::string_view data, base::Time now)
+void AnswerCheck::takeEvent(std::string_view event, base::Time now)
 {
+    const auto data = dataOf(event);
+    if (data.empty()) {
+        return;
+    }
     if (data == EndMark) {
         if (m_isDone) {
             m_fault = Verdict::Doubled;
--- a/daemons/turmericplank/answercheck.hpp
+++ b/daemons/turmericplank/answercheck.hpp
@@ -71,7 +71,7 @@
     const AnswerError &error() const;
 
 private:
-    void takeEvent(std::string_view data, base::Time now);
+    void takeEvent(std::string_view event, base::Time now);
     void takeToken(const std::string &text, base::Time now);
     Verdict classify(const std::string &text) const;
 
