load: collect the runs of bookings from every service instance

The cancelled timer of the grace period stopped the context before any instance had answered, so that every answered booking was counted as lost in the first run with keyed bookings (13 of 13, all of them had run once). The load now fails if an instance does not tell its runs.

--- a/daemons/turmericplank/answercheck_test.cpp
+++ b/daemons/turmericplank/answercheck_test.cpp
@@ -59,7 +59,8 @@
 TEST_CASE("an error amid the answer and comments are understood, wherever the bytes are cut")
 {
     AnswerCheck check(answer(), Tokens);
-    const std::string stream = ": keep-alive\n\n" + event(answer().token(0)) + "event: error\ndata: {\"error\":{\"code\":\"endpoint_lost\",\"outcome\":\"unknown\"}}\n\n";
+    const std::string stream =
+        ": keep-alive\n\n" + event(answer().token(0)) + "event: error\ndata: {\"error\":{\"code\":\"endpoint_lost\",\"outcome\":\"unknown\"}}\n\n";
     for (const char it : stream) {
         check.take(std::string_view(&it, 1), start);
     }
--- a/daemons/turmericplank/load.cpp
+++ b/daemons/turmericplank/load.cpp
@@ -81,7 +81,7 @@
                      {"false_not_run", result.bookings.falseNotRun},
                      {"lost", result.bookings.lost},
                      {"unequal_answers", result.bookings.unequalAnswers},
-                     {"runs_known", result.areRunsKnown}}}};
+                     {"runs_known", result.instancesHeard == options.serviceInstances.size() && !options.serviceInstances.empty()}}}};
     if (!options.entries.empty()) {
         report["daemons"] = result.daemons.toJson(result.elapsed);
     }
@@ -125,7 +125,8 @@
     } else {
         printLines(report, {});
     }
-    if (result.wrongOutcomes() > 0) {
+    const bool areRunsMissing = result.instancesHeard < options.serviceInstances.size();
+    if (result.wrongOutcomes() > 0 || areRunsMissing) {
         throw CLI::RuntimeError(Failed);
     }
     if (result.daemons.answered() + result.engines.answered() == 0) {
--- a/daemons/turmericplank/loadrunner.cpp
+++ b/daemons/turmericplank/loadrunner.cpp
@@ -9,6 +9,7 @@
 using nlohmann::json;
 
 constexpr int MostAddresses = 3; // addresses that one call tries
+constexpr base::Duration RunsTimeout = std::chrono::seconds(6);
 constexpr base::Duration AnswerTimeout = std::chrono::seconds(60);
 
 json messagesOf(const PlannedCall &call)
@@ -57,7 +58,7 @@
     , m_end(m_context)
     , m_entries(m_context, m_options.entries)
     , m_plan(m_options.plan)
-    , m_result{LoadTally(m_options.expectation), LoadTally(m_options.expectation), {}, true, 0, 0, {}}
+    , m_result{LoadTally(m_options.expectation), LoadTally(m_options.expectation), {}, 0, 0, 0, {}}
 {
 }
 
@@ -68,9 +69,11 @@
     m_context.run();
     m_result.elapsed = base::now() - m_started;
     m_result.unanswered = m_inProgress;
-    m_context.restart();
     collectRuns();
     m_result.bookings = m_bookings.faults();
+    if (m_options.serviceInstances.empty()) {
+        m_result.bookings.lost = 0;
+    }
     return std::move(m_result);
 }
 
@@ -81,15 +84,21 @@
     if (isOver) {
         m_isPlanned = true;
         m_end.expires_after(m_options.grace);
-        m_end.async_wait([this](const boost::system::error_code &) { m_context.stop(); });
+        m_end.async_wait([this](const boost::system::error_code &ec) {
+            if (!ec) {
+                m_context.stop();
+            }
+        });
         stopIfDone();
         return;
     }
     ++m_planned;
     m_nextCall.expires_after(m_started + call.after - base::now());
-    m_nextCall.async_wait([this, call = std::move(call)](const boost::system::error_code &) {
-        launch(call);
-        planNext();
+    m_nextCall.async_wait([this, call = std::move(call)](const boost::system::error_code &ec) {
+        if (!ec) {
+            launch(call);
+            planNext();
+        }
     });
 }
 
@@ -285,7 +294,7 @@
         options.request = {"GET", "/runs", {}, {}};
         net::fetchWhole(m_context, std::move(options), [this](const auto &response) {
             const auto list = response ? json::parse(response->body, nullptr, false) : json();
-            m_result.areRunsKnown = m_result.areRunsKnown && list.is_array();
+            m_result.instancesHeard += list.is_array() ? 1 : 0;
             for (const auto &run : list.is_array() ? list : json::array()) {
                 m_bookings.noteRuns(run.at("key").template get<std::string>(), run.at("runs").template get<std::uint64_t>());
             }
@@ -293,8 +302,11 @@
     }
     m_nextCall.cancel();
     m_end.cancel();
+    m_context.restart();
     // Calls without an answer would keep the context running; the runs come within their own timeout.
-    m_context.run_for(std::chrono::seconds(6));
+    const auto deadline = std::chrono::steady_clock::now() + RunsTimeout;
+    while (m_result.instancesHeard < m_options.serviceInstances.size() && m_context.run_one_until(deadline) > 0) {
+    }
 }
 
 } // namespace turmericplank::cli
--- a/daemons/turmericplank/loadrunner.hpp
+++ b/daemons/turmericplank/loadrunner.hpp
@@ -38,7 +38,7 @@
     LoadTally daemons;
     LoadTally engines;
     BookingFaults bookings;
-    bool areRunsKnown = true; ///< whether every service instance told its runs
+    std::size_t instancesHeard = 0; ///< service instances that told their runs
     std::uint64_t leftOut = 0; ///< calls over the bound of concurrency
     std::uint64_t unanswered = 0; ///< calls still in progress at the end
     base::Duration elapsed{};
