--- a/include/turmericplank/requests/chatbody.hpp
+++ b/include/turmericplank/requests/chatbody.hpp
@@ -22,7 +22,7 @@
 struct ChatBody
 {
     base::ModelName model; ///< model or adapter
-    std::vector<std::string> messages; ///< contents in order
+    std::string prompt; ///< compact JSON of the messages, by which engines name the prefixes in their caches
     std::uint32_t maximumTokens = 0; ///< zero if the caller gave none
     bool isStreamed = false;
     std::string canonical; ///< the body without what changes from attempt to attempt
