--- a/standins/engine/chatrequest.cpp
+++ b/standins/engine/chatrequest.cpp
@@ -41,11 +41,14 @@
     }
 }
 
-std::string tokenEvent(const std::string &id, const std::string &model, std::uint32_t index, const std::string &text)
+std::string eventHead(const std::string &id, const std::string &model)
 {
-    const json choice = {{"index", 0}, {"delta", {{"content", text}}}, {"finish_reason", nullptr}};
-    const json chunk = {{"id", id}, {"object", "chat.completion.chunk"}, {"model", model}, {"turmericplank_offset", index}, {"choices", json::array({choice})}};
-    return "data: " + chunk.dump() + "\n\n";
+    return R"(data: {"id":)" + json(id).dump() + R"(,"object":"chat.completion.chunk","model":)" + json(model).dump() + R"(,"turmericplank_offset":)";
+}
+
+std::string tokenEvent(const std::string &head, std::uint32_t index, const std::string &text)
+{
+    return head + std::to_string(index) + R"(,"choices":[{"index":0,"delta":{"content":")" + text + R"("},"finish_reason":null}]})" + "\n\n";
 }
 
 std::string wholeAnswer(const std::string &id, const std::string &model, const std::string &text, std::uint32_t tokens)
--- a/standins/engine/chatrequest.hpp
+++ b/standins/engine/chatrequest.hpp
@@ -31,12 +31,17 @@
 /// @param request the HTTP request
 tl::expected<ChatRequest, ChatRequestError> readChatRequest(const net::HttpRequest &request);
 
-/// @brief One server-sent event that carries a token.
+/// @brief What the server-sent events of one stream have in common.
 /// @param id the request
 /// @param model name as the caller wrote it
+/// @return the start of each event, up to the index of its token
+std::string eventHead(const std::string &id, const std::string &model);
+
+/// @brief One server-sent event that carries a token.
+/// @param head result of eventHead()
 /// @param index index of the token
-/// @param text the token
-std::string tokenEvent(const std::string &id, const std::string &model, std::uint32_t index, const std::string &text);
+/// @param text the token, free of characters that JSON escapes
+std::string tokenEvent(const std::string &head, std::uint32_t index, const std::string &text);
 
 /// @brief Body of an answer that is not streamed.
 /// @param id the request
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -104,7 +104,8 @@
         return;
     }
     const bool crashes = m_program.faults().faults.crashesOn(exchange->request().body);
-    auto &stream = m_streams.add({std::move(*request), *resident, offset, crashes, {}, 0, false, std::nullopt});
+    auto head = eventHead(id, request->model);
+    auto &stream = m_streams.add({std::move(*request), std::move(head), *resident, offset, crashes, {}, 0, false, std::nullopt});
     cancelWhenClosed(exchange, id);
     attach(stream, exchange, offset, !isStreamed);
     armTimer();
--- a/standins/engine/streams.cpp
+++ b/standins/engine/streams.cpp
@@ -13,8 +13,7 @@
 void sendToken(const Stream &stream, std::uint32_t index)
 {
     if (!stream.isReadWhole && index >= stream.readFrom) {
-        const auto &request = stream.request;
-        stream.reader->writePiece(tokenEvent(request.id, request.model, index, request.text.token(index)));
+        stream.reader->writePiece(tokenEvent(stream.eventHead, index, stream.request.text.token(index)));
     }
 }
 
--- a/standins/engine/streams.hpp
+++ b/standins/engine/streams.hpp
@@ -14,6 +14,7 @@
 struct Stream
 {
     ChatRequest request;
+    std::string eventHead; ///< start of each event
     Resident resident; ///< model and version that it runs on
     std::uint32_t produced = 0; ///< index after the last token that was generated
     bool crashes = false; ///< whether its first token ends the process
