--- a/tools/processes.sh
+++ b/tools/processes.sh
@@ -47,6 +47,17 @@
 # answers URL: whether a program answers there.
 answers() { curl -s -m 2 -o /dev/null "$1"; }
 
+# list_machines PLATFORM ID=ADDRESS=ZONE...: the platform's list of VMs, all live.
+list_machines() {
+    local platform=$1 it list= id address zone
+    shift
+    for it in "$@"; do
+        IFS== read -r id address zone <<<"$it"
+        list+=${list:+,}"{\"id\":\"$id\",\"address\":\"$address\",\"zone\":\"$zone\",\"state\":\"live\"}"
+    done
+    until_true 10 answers "http://$platform/vms" && curl -s -X PUT -d "{\"vms\":[$list]}" "http://$platform/vms"
+}
+
 # step NAME COMMAND...: runs a step and reports it; `failures` counts the steps that failed.
 failures=0
 step() {
