load: a call does not try an address again that refused its connection

Seen in the quickstart after a daemon was killed: 9 of 10 answered. The caller asked for an entry again after each refused connection and took the next place of another order, so that it could meet the killed daemon three times.

--- a/daemons/turmericplank/loadrunner.cpp
+++ b/daemons/turmericplank/loadrunner.cpp
@@ -1,5 +1,7 @@
 #include "loadrunner.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace turmericplank::cli {
@@ -8,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr int MostAddresses = 3; // addresses that one call tries
+constexpr std::size_t MostAddresses = 3; // addresses that one call tries
 constexpr base::Duration RunsTimeout = std::chrono::seconds(6);
 constexpr base::Duration AnswerTimeout = std::chrono::seconds(60);
 
@@ -41,7 +43,7 @@
     base::Time due;
     AnswerCheck check;
     bool isTwin = false; ///< the second sending of a duplicated booking
-    int attempts = 0;
+    std::vector<base::Address> tried;
     int status = 0;
     std::string body; ///< of a whole answer or an error
 };
@@ -132,13 +134,24 @@
             finish(flight, tl::unexpected(net::CallFailure::NotSent));
             return;
         }
-        const auto index = static_cast<std::size_t>(flight->attempts + (flight->isTwin ? 1 : 0));
         // The twin goes through another daemon where one is known.
-        const bool isAlone = flight->isTwin && addresses.size() == 1;
-        send(flight, isAlone ? m_options.entries[m_planned % m_options.entries.size()] : addresses[index % addresses.size()]);
+        const bool isAlone = flight->isTwin && addresses.size() == 1 && flight->tried.empty();
+        send(flight, isAlone ? m_options.entries[m_planned % m_options.entries.size()] : nextAddress(*flight, addresses));
     });
 }
 
+// An address that refused a connection is not tried again while there are others.
+const base::Address &LoadRunner::nextAddress(const Flight &flight, const std::vector<base::Address> &addresses)
+{
+    for (std::size_t n = 0; n < addresses.size(); ++n) {
+        const auto &it = addresses[(n + (flight.isTwin ? 1 : 0)) % addresses.size()];
+        if (std::find(flight.tried.begin(), flight.tried.end(), it) == flight.tried.end()) {
+            return it;
+        }
+    }
+    return addresses.front();
+}
+
 net::HttpRequest LoadRunner::makeRequest(const Flight &flight) const
 {
     const auto &call = flight.call;
@@ -158,7 +171,7 @@
 
 void LoadRunner::send(const FlightPointer &flight, const base::Address &to)
 {
-    ++flight->attempts;
+    flight->tried.push_back(to);
     flight->body.clear();
     flight->status = 0;
     net::HttpCallOptions options;
@@ -219,7 +232,7 @@
 
 bool LoadRunner::sendsAgain(const FlightPointer &flight, const AnswerError &error, bool isNotSent)
 {
-    if (flight->attempts == 0 || flight->attempts >= MostAddresses || flight->check.tokens() > 0) {
+    if (flight->tried.empty() || flight->tried.size() >= MostAddresses || flight->check.tokens() > 0) {
         return false;
     }
     if (isNotSent) {
--- a/daemons/turmericplank/loadrunner.hpp
+++ b/daemons/turmericplank/loadrunner.hpp
@@ -65,6 +65,7 @@
     void launch(const PlannedCall &call);
     void findAddress(const FlightPointer &flight);
     void send(const FlightPointer &flight, const base::Address &to);
+    static const base::Address &nextAddress(const Flight &flight, const std::vector<base::Address> &addresses);
     net::HttpRequest makeRequest(const Flight &flight) const;
     void finish(const FlightPointer &flight, const tl::expected<void, net::CallFailure> &result);
     bool sendsAgain(const FlightPointer &flight, const AnswerError &error, bool isNotSent);
