--- a/daemons/turmericplank/loadrunner.hpp
+++ b/daemons/turmericplank/loadrunner.hpp
@@ -38,7 +38,7 @@
     LoadTally daemons;
     LoadTally engines;
     BookingFaults bookings;
-    bool areRunsKnown = true; ///< whether every service instance told its runs
+    std::size_t instancesHeard = 0; ///< service instances that told their runs
     std::uint64_t leftOut = 0; ///< calls over the bound of concurrency
     std::uint64_t unanswered = 0; ///< calls still in progress at the end
     base::Duration elapsed{};
@@ -65,6 +65,7 @@
     void launch(const PlannedCall &call);
     void findAddress(const FlightPointer &flight);
     void send(const FlightPointer &flight, const base::Address &to);
+    static const base::Address &nextAddress(const Flight &flight, const std::vector<base::Address> &addresses);
     net::HttpRequest makeRequest(const Flight &flight) const;
     void finish(const FlightPointer &flight, const tl::expected<void, net::CallFailure> &result);
     bool sendsAgain(const FlightPointer &flight, const AnswerError &error, bool isNotSent);
