--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -335,16 +335,23 @@
     return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_nsec) * 1e-9;
 }
 
+/// Growth of the heap in MiB, large blocks included.
+double heapGrowth(const struct mallinfo2 &before)
+{
+    const auto after = mallinfo2();
+    return static_cast<double>(after.uordblks + after.hblkhd - before.uordblks - before.hblkhd) / 1048576;
+}
+
 void measureSize(const Size &size, double overhead)
 {
     constexpr int Seconds = 60;
     constexpr int SummaryInterval = 10; ///< seconds between two readings of the cells' summaries
     const auto name = "." + std::to_string(size.daemons);
-    const auto before = mallinfo2().uordblks;
+    const auto before = mallinfo2();
     DaemonState state(size);
     state.hearCells(Start, 1);
     state.second(Start);
-    const auto memory = static_cast<double>(mallinfo2().uordblks - before) / 1048576;
+    const auto memory = heapGrowth(before);
     const double begin = cpuSeconds();
     for (int n = 1; n <= Seconds; ++n) {
         state.second(Start + n * BeatInterval);
