--- a/tests/membership_test.sh
+++ b/tests/membership_test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Kills, pauses and restarts one of eight daemons and holds each one's view of the others against it.
+# Kills, pauses and restarts one of eight daemons under load: the others notice, callers are directed past it, and no
+# answer is wrong.
 # usage: tests/membership_test.sh FOLDER_OF_THE_PROGRAMS
 set -euo pipefail
 bin=$(cd "${1:-build/bin}" && pwd)
@@ -89,6 +90,13 @@
 await 8 live 15 7
 echo "ok: all eight know each other"
 
+entries=()
+for n in 1 2 4 6 8; do entries+=("$(caller "$n")"); done
+"$bin/turmericplank" load --entry "${entries[@]}" --model advice --rate 20 --seconds 25 --fewest-tokens 5 --most-tokens 20 --seed 7 --json \
+    > "$work/load.log" 2>&1 &
+pids[load]=$!
+sleep 1
+
 kill -KILL "${pids[3]}"
 await 3 'suspect|gone' 6 7
 not_named 3
@@ -108,3 +116,7 @@
 not_named 7
 curl -s -m 2 "http://$(caller 7)/v1/entry?model=advice" | grep -q use_until || fail "a draining daemon refuses a caller that may hold its address"
 echo "ok: a draining daemon is named no more and still answers"
+
+wait "${pids[load]}" || fail "the load reports wrong answers: $(cat "$work/load.log")"
+unset 'pids[load]'
+echo "ok: no wrong outcome under load: $(tr -d '\n ' < "$work/load.log" | cut -c1-300)"
