--- a/include/turmericplank/daemon/membershipshell.hpp
+++ b/include/turmericplank/daemon/membershipshell.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "turmericplank/daemon/callerlimits.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/routingshell.hpp"
 #include "turmericplank/membership/daemonview.hpp"
@@ -48,6 +49,11 @@
     /// @brief The other daemons that are live and reachable from here.
     std::vector<membership::Member> others() const;
 
+    /// @brief This daemon's part of a caller's limit.
+    /// @param caller who sends a request now
+    /// @param whole the limit over all daemons
+    requests::CallerLimit shareOf(const base::CallerName &caller, const requests::CallerLimit &whole);
+
     /// @brief Whether an endpoint or an instance of a service may get new work.
     bool mayUse(const base::EndpointId &endpoint) const;
 
@@ -80,6 +86,7 @@
     std::optional<membership::Drain> m_drain;
     std::function<void()> m_onRefusable;
     routing::WorkDigest m_work;
+    CallerLimits m_callerLimits;
     std::map<base::DaemonId, base::Incarnation> m_incarnations; ///< of whom the router knows work
     std::map<base::DaemonId, std::uint64_t> m_taken; ///< highest sequence taken in
     std::map<base::DaemonId, membership::LiveState> m_logged;
--- a/include/turmericplank/daemon/requestsshell.hpp
+++ b/include/turmericplank/daemon/requestsshell.hpp
@@ -25,6 +25,8 @@
     std::function<std::vector<PeerTarget>()> peers; ///< the other daemons that callers may reach
     std::function<std::vector<base::Address>()> otherEntries; ///< where refused callers may go
     std::function<std::uint32_t(const base::ModelName &)> modelLimit; ///< calls at engines at once, zero for no limit
+    /// This daemon's part of a caller's limit; called once for each request of the caller.
+    std::function<requests::CallerLimit(const base::CallerName &, const requests::CallerLimit &whole)> callerShare;
     std::function<bool(const base::EndpointId &)> mayUseInstance; ///< whether an instance of a service may get new work
     base::Duration engineSilence = std::chrono::seconds(5); ///< deadline of progress on a model call
     base::Duration serviceSilence = std::chrono::seconds(10); ///< deadline of a service's answer
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -154,6 +154,9 @@
         it.otherEntries = [this] {
             return membership.otherAddresses();
         };
+        it.callerShare = [this](const base::CallerName &caller, const requests::CallerLimit &whole) {
+            return membership.shareOf(caller, whole);
+        };
         it.mayUseInstance = [this](const base::EndpointId &instance) {
             return membership.mayUse(instance);
         };
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -91,6 +91,7 @@
     , m_hooks(std::move(hooks))
     , m_incarnation(static_cast<std::uint64_t>(base::toMilliseconds(base::now())))
     , m_view(ownRecord(environment.settings), m_incarnation)
+    , m_callerLimits(environment.settings.id)
     , m_startedAt(base::now())
 {
     RoutingShellHooks routingHooks;
@@ -147,6 +148,7 @@
 {
     const auto now = base::now();
     m_view.tick(now);
+    m_callerLimits.update(m_view.members(now), now);
     if (now >= m_nextRecordsAt) {
         m_nextRecordsAt = now + (now < m_startedAt + StartPhase ? StartInterval : RecordsInterval);
         readRecords();
@@ -176,6 +178,7 @@
     for (const auto &it : m_work.pick(m_routing.router().ownWork(), WorkLimit, now)) {
         heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
     }
+    heartbeat.shares = m_callerLimits.claims(heartbeat.sequence, now);
     for (const auto &it : m_view.members(now)) {
         if (it.record.id != m_view.self().id) {
             heartbeat.receiverSequence = m_taken[it.record.id];
@@ -213,6 +216,7 @@
     m_taken[from] = heartbeat->sequence;
     m_endpoints.noteHeartbeat(*heartbeat);
     takeWork(*heartbeat);
+    m_callerLimits.take(*heartbeat);
     if (m_hooks.onRevision) {
         m_hooks.onRevision(from, heartbeat->revision);
     }
@@ -355,6 +359,11 @@
     return all;
 }
 
+requests::CallerLimit MembershipShell::shareOf(const base::CallerName &caller, const requests::CallerLimit &whole)
+{
+    return m_callerLimits.shareOf(caller, whole, base::now());
+}
+
 bool MembershipShell::mayUse(const base::EndpointId &endpoint) const
 {
     const auto it = m_marks.find(endpoint);
--- a/src/turmericplank/daemon/requestsshell.cpp
+++ b/src/turmericplank/daemon/requestsshell.cpp
@@ -259,8 +259,11 @@
     it.admission.callerLimit = [this](const base::CallerName &caller) {
         const auto document = options.document();
         const auto policy = document->callers.find(caller);
-        return policy == document->callers.end() ? requests::CallerLimit()
-                                                 : requests::CallerLimit{policy->second.requestsPerSecond, policy->second.concurrency};
+        if (policy == document->callers.end()) {
+            return requests::CallerLimit();
+        }
+        const requests::CallerLimit whole{policy->second.requestsPerSecond, policy->second.concurrency};
+        return options.callerShare ? options.callerShare(caller, whole) : whole;
     };
     it.bookings.self = environment.settings.id;
     it.bookings.makeToken = [this] {
--- a/src/turmericplank/routing/sharedlimit.cpp
+++ b/src/turmericplank/routing/sharedlimit.cpp
@@ -94,7 +94,13 @@
     for (const auto &[daemon, other] : m_others) {
         demands.push_back(other.claim.demand);
     }
-    return std::min(demand, fillLevel(std::move(demands), pool()));
+    const double level = fillLevel(demands, pool());
+    double surplus = pool();
+    for (const auto it : demands) {
+        surplus -= std::min(it, level);
+    }
+    // What nobody asks for is split evenly, so that a rise of the demand anywhere finds some at once.
+    return std::min(demand, level) + std::max(0.0, surplus) / static_cast<double>(demands.size());
 }
 
 bool SharedLimit::isHeld(base::Time now) const
