--- /dev/null
+++ b/bench/placement.cpp
@@ -0,0 +1,74 @@
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "placementrun.hpp"
+#include "section.hpp"
+
+namespace turmericplank::bench {
+
+namespace {
+
+constexpr std::array<TraceKind, 5> Kinds = {TraceKind::Bursts, TraceKind::LostZone, TraceKind::StoreOutage, TraceKind::VersionRoll, TraceKind::CutOver};
+
+using Results = std::map<std::string, RunResult>;
+
+Results runPolicies(const Trace &trace, unsigned seed)
+{
+    Results results;
+    results["own"] = run(trace, ownPolicy(), seed);
+    results["static"] = run(trace, staticPolicy(), seed);
+    results["reactive"] = run(trace, reactivePolicy(), seed);
+    results["foresight"] = run(trace, foresightPolicy(), seed);
+    return results;
+}
+
+void print(const std::string &site, const Trace &trace, const Results &results)
+{
+    const auto suffix = '.' + site + '.' + toString(trace.kind);
+    const auto accelerators = static_cast<double>(trace.before->endpoints.size());
+    for (const auto &[policy, result] : results) {
+        printFigure("placement.attainment" + suffix + '.' + policy, result.attainment, "share", "-");
+        printFigure("placement.attainment_per_accelerator" + suffix + '.' + policy, result.attainment / accelerators, "share/accelerator", "-");
+        printFigure("placement.moves" + suffix + '.' + policy, static_cast<double>(result.moves), "moves", "-");
+        printFigure("placement.adapter_moves" + suffix + '.' + policy, static_cast<double>(result.adapterMoves), "moves", "-");
+    }
+    const auto &own = results.at("own");
+    const auto &reactive = results.at("reactive");
+    const double others = std::max(results.at("static").attainment, reactive.attainment);
+    printFigure("placement.share_of_foresight" + suffix, own.attainment / results.at("foresight").attainment, "ratio", ">= 0.95");
+    printFigure("placement.ahead_of_baselines" + suffix, own.attainment - others, "share", "> 0");
+    printFigure("placement.overcommit_events" + suffix, static_cast<double>(own.overcommits), "endpoint seconds", "0");
+    printFigure("placement.unreachable_model_seconds" + suffix, static_cast<double>(own.unreachableSeconds), "s", "0");
+    printFigure("placement.longest_step" + suffix, own.longestStepMilliseconds, "ms", "<= 5");
+    if (site == "qc-est") {
+        const double moves = static_cast<double>(own.moves) / std::max(1.0, static_cast<double>(reactive.moves));
+        printFigure("placement.moves_of_reactive" + suffix, moves, "ratio", "<= 0.5");
+        printFigure("placement.attainment_behind_reactive" + suffix, reactive.attainment - own.attainment, "share", "<= 0.02");
+    }
+}
+
+void runSite(const std::string &site, const std::shared_ptr<const configuration::Document> &document, unsigned seed)
+{
+    if (!document) {
+        std::fprintf(stderr, "examples/%s.toml cannot be read; run in the project's folder\n", site.c_str());
+        return;
+    }
+    for (const auto kind : Kinds) {
+        const auto trace = drawTrace(document, kind, seed);
+        print(site, trace, runPolicies(trace, seed));
+    }
+}
+
+const Section placementSection("placement", [](unsigned seed) {
+    runSite("tx-central", readSite("tx-central"), seed);
+    runSite("qc-est", readSite("qc-est"), seed);
+    runSite("target-cell", targetCell(), seed);
+});
+
+} // namespace
+
+} // namespace turmericplank::bench
--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -92,6 +92,7 @@
     bool reservesForRestart = true; ///< loads that may reach a new incarnation fit it together
     bool sendsTermFirst = true;
     bool discardsStaleInventories = true;
+    bool settlesByLaterInventories = true; ///< an inventory settles only orders without an attempt since it was asked for
     bool keepsLastReplica = true;
     bool stopsBeforeLapse = true;
 
@@ -186,6 +187,7 @@
         std::optional<base::Incarnation> settledIn;
         std::optional<base::Incarnation> sentTo;
         base::Time nextAttempt;
+        std::uint64_t lastAttempt = 0; ///< event number of the last send or answer
     };
 
     struct Endpoint
@@ -201,6 +203,7 @@
         bool isInventoryUnderWay = false;
         std::uint64_t changes = 0; ///< orders opened and settled
         std::uint64_t changesAtRequest = 0;
+        std::uint64_t eventsAtRequest = 0;
         base::Time nextInventory;
         base::Time nextTerm;
     };
@@ -247,6 +250,7 @@
     CellRows m_rows;
     base::Term m_tenure;
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_events = 0; ///< sends and answers so far
     bool m_isSuperseded = false;
     bool m_isReadingAcknowledgements = false;
     std::map<std::string, Record> m_records;
--- a/src/turmericplank/placement/controllerorders.cpp
+++ b/src/turmericplank/placement/controllerorders.cpp
@@ -66,6 +66,7 @@
         }
         record.isUnderWay = true;
         record.sentTo = it->second.incarnation;
+        record.lastAttempt = ++m_events;
         m_underWay.emplace(record.order.endpoint, id);
         actions.emplace_back(SendOrder{record.order});
     }
@@ -82,6 +83,7 @@
     const auto found = m_endpoints.find(order.endpoint);
     if (it != m_records.end() && found != m_endpoints.end() && it->second.order == order) {
         it->second.isUnderWay = false;
+        it->second.lastAttempt = ++m_events;
         if (!it->second.isSettled) {
             takeAnswer(now, it->second, found->second, answer);
         }
@@ -168,6 +170,7 @@
         endpoint.isInventoryUnderWay = true;
         endpoint.isInventoryDue = false;
         endpoint.changesAtRequest = endpoint.changes;
+        endpoint.eventsAtRequest = m_events;
         actions.emplace_back(FetchInventory{id});
     }
 }
@@ -192,13 +195,16 @@
         endpoint.isInventoryDue = true;
         return tick(now);
     }
+    const auto changes = endpoint.changes;
+    const bool wasTrusted = endpoint.isTrusted;
     settleListed(id, endpoint, *inventory);
     endpoint.ledger.confirm(*inventory);
     endpoint.isInventoryDue = false;
     endpoint.role = inventory->role;
     const bool isTermKnown = !checksFencing(id) || endpoint.isTermAccepted;
     endpoint.isTrusted = isTermKnown && !hasOpenInherited(id) && knowsRunningOrders(*inventory);
-    return tick(now);
+    const bool isNews = endpoint.changes != changes || endpoint.isTrusted != wasTrusted || (checksFencing(id) && !endpoint.isTermAccepted);
+    return isNews ? tick(now) : Actions();
 }
 
 void Controller::takeIncarnation(const base::EndpointId &id, Endpoint &endpoint, const Inventory &inventory)
@@ -226,7 +232,12 @@
     for (const auto &[orderId, state] : inventory.orders) {
         const auto it = m_records.find(orderId);
         const bool isEnded = state == OrderAnswer::Done || state == OrderAnswer::Failed;
-        if (it != m_records.end() && it->second.order.endpoint == id && !it->second.isSettled && isEnded) {
+        if (it == m_records.end() || it->second.order.endpoint != id || it->second.isSettled || !isEnded) {
+            continue;
+        }
+        // An attempt since the request may have reached a later incarnation than the one that this inventory tells of.
+        const bool isOvertaken = it->second.isUnderWay || it->second.lastAttempt > endpoint.eventsAtRequest;
+        if (!isOvertaken || !m_options.safeguards.settlesByLaterInventories) {
             settle(it->second, endpoint, state == OrderAnswer::Done);
         }
     }
--- a/src/turmericplank/placement/safeguards_test.cpp
+++ b/src/turmericplank/placement/safeguards_test.cpp
@@ -92,6 +92,19 @@
     }
 }
 
+/// A paused holder asks again after an order; the engine restarts, and an inventory from before comes in last.
+void restartWhileAsking(World &world)
+{
+    world.run(std::chrono::seconds(10));
+    world.pauseBefore(isLoad);
+    world.run(std::chrono::seconds(3));
+    world.addSendFate(SendFate::Late);
+    world.restartEngines();
+    world.resumeAll();
+    world.run(Takeover);
+    world.deliverLate(0);
+}
+
 void runLong(World &world)
 {
     world.run(std::chrono::minutes(2));
@@ -109,6 +122,7 @@
         {"reservesForRestart", "overcommitted", &Safeguards::reservesForRestart, wakeTwoAfterRestart},
         {"sendsTermFirst", "overcommitted", &Safeguards::sendsTermFirst, wakeWithoutTable, {true, true}},
         {"discardsStaleInventories", "overcommitted", &Safeguards::discardsStaleInventories, runLong},
+        {"settlesByLaterInventories", "overcommitted", &Safeguards::settlesByLaterInventories, restartWhileAsking},
         {"keepsLastReplica", "unreachable", &Safeguards::keepsLastReplica, runLong},
         {"stopsBeforeLapse", "two holders", &Safeguards::stopsBeforeLapse, wakeBeforeWrite},
     };
