--- a/include/turmericplank/configuration/activation.hpp
+++ b/include/turmericplank/configuration/activation.hpp
@@ -39,6 +39,7 @@
     base::Revision highest; ///< newest accepted revision that the sender knows
     base::Time inForceFrom; ///< when the newest one is in force
     base::Revision ready; ///< newest revision whose objects the sender holds
+    base::Revision inForce; ///< revision that the sender admits requests under
     base::Time confirmedAt; ///< when the table was last known to be read with this result
 
     friend bool operator==(const RevisionNotice &, const RevisionNotice &) = default;
@@ -80,12 +81,19 @@
     ObjectCache objects;
 };
 
+/// @brief This daemon carried out an acceptance itself.
+struct LocallyAccepted
+{
+    Pointer pointer; ///< as it stands in the table now
+    ObjectCache objects; ///< what it needed to check the document
+};
+
 /// @brief Time has passed.
 struct Tick
 {
 };
 
-using ActivationEvent = std::variant<PointerRead, PeerNoticed, PeerPointer, ObjectsArrived, Tick>;
+using ActivationEvent = std::variant<PointerRead, PeerNoticed, PeerPointer, ObjectsArrived, LocallyAccepted, Tick>;
 
 /// @brief Read the pointer's row.
 struct ReadPointer
--- a/src/turmericplank/configuration/activation.cpp
+++ b/src/turmericplank/configuration/activation.cpp
@@ -57,7 +57,7 @@
     RevisionNotice notice() const
     {
         const auto inForceFrom = m_pointer.entries.empty() ? base::Time() : m_pointer.entries.back().inForceFrom;
-        return {m_pointer.highest(), inForceFrom, m_preparation.newestReady(), m_freshness.confirmedAt()};
+        return {m_pointer.highest(), inForceFrom, m_preparation.newestReady(), m_inForce.revision, m_freshness.confirmedAt()};
     }
 
     const Pointer &pointer() const
@@ -107,6 +107,12 @@
         m_preparation.arrived(event, now);
     }
 
+    void on(const LocallyAccepted &event, base::Time now)
+    {
+        m_preparation.arrived({std::nullopt, event.objects}, now);
+        learn(event.pointer);
+    }
+
     void on(const Tick &, base::Time)
     {
     }
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,10 +1,14 @@
 #include "turmericplank/daemon/daemon.hpp"
 
+#include "turmericplank/daemon/configurationshell.hpp"
+#include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/frontdoor.hpp"
 #include "turmericplank/daemon/loadpoller.hpp"
+#include "turmericplank/daemon/operatorapi.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
+#include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/routing/router.hpp"
 #include "turmericplank/telemetry/log.hpp"
@@ -14,6 +18,7 @@
 namespace {
 
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr std::uint32_t StreamsPerReplica = 32; ///< of one model, beyond which calls wait here by priority
 
 std::unique_ptr<peer::Mesh> openMeshFor(boost::asio::io_context &context, const Settings &settings)
 {
@@ -55,35 +60,85 @@
 
 struct Daemon::Parts
 {
-    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> startDocument)
+    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> documentToStart)
         : context(ioContext)
         , settings(std::move(daemonSettings))
-        , document(std::move(startDocument))
+        , startDocument(std::move(documentToStart))
         , mesh(openMeshFor(context, settings))
         , platformClient(makePlatformClient(context, {settings.platform}))
         , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
                       metrics, random}
+        , configuration(environment, configurationHooks())
+        , operatorApi(environment, configuration)
         , loadPoller(environment, router)
-        , frontDoor(environment, router, [this] { return document; })
+        , frontDoor(environment)
+        , engineChoice(router, random)
+        , requests(environment, requestsOptions())
     {
         addOperatorRoutes(operatorRoutes, metrics);
         addOperatorRoutes(callerRoutes, metrics);
         callerServer = listen(context, settings.callerListen, callerRoutes);
         operatorServer = listen(context, settings.operatorListen, operatorRoutes);
         applyDocument();
+        configuration.onActivated([this](const configuration::InForce &) { applyDocument(); });
+    }
+
+    /// The accepted document, or before the first the one that the daemon was started with.
+    std::shared_ptr<const configuration::Document> document() const
+    {
+        const auto &accepted = configuration.inForce().document;
+        return accepted ? accepted : startDocument;
+    }
+
+    ConfigurationShellHooks configurationHooks()
+    {
+        ConfigurationShellHooks hooks;
+        hooks.peers = [] {
+            return std::vector<PeerTarget>();
+        };
+        return hooks;
+    }
+
+    /// A start document serves until a first one is accepted; after that the accepted one decides.
+    std::optional<ErrorBody> refusal()
+    {
+        const auto isBeforeFirst = startDocument && configuration.pointer().entries.empty();
+        return isBeforeFirst ? std::nullopt : configuration.refusal();
+    }
+
+    RequestsShellOptions requestsOptions()
+    {
+        RequestsShellOptions it;
+        it.document = [this] {
+            return document();
+        };
+        it.revision = [this] {
+            return configuration.inForce().revision;
+        };
+        it.refusal = [this] {
+            return refusal();
+        };
+        it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
+            return engineChoice.choose(query, now);
+        };
+        it.engineFeedback = engineChoice.feedback();
+        it.modelLimit = [this](const base::ModelName &model) {
+            return static_cast<std::uint32_t>(router.replicas(model)) * StreamsPerReplica;
+        };
+        return it;
     }
 
     void applyDocument()
     {
-        if (document) {
-            applyTo(router, *document);
-            loadPoller.setEndpoints(*document);
+        if (const auto current = document()) {
+            applyTo(router, *current);
+            loadPoller.setEndpoints(*current);
         }
     }
 
     boost::asio::io_context &context;
     Settings settings;
-    std::shared_ptr<const configuration::Document> document;
+    std::shared_ptr<const configuration::Document> startDocument;
     telemetry::Metrics metrics;
     std::mt19937_64 random{std::random_device()()};
     Routes callerRoutes;
@@ -91,9 +146,13 @@
     std::unique_ptr<peer::Mesh> mesh;
     PlatformClient platformClient;
     Environment environment;
+    ConfigurationShell configuration;
+    OperatorApi operatorApi;
     routing::Router router;
     LoadPoller loadPoller;
     FrontDoor frontDoor;
+    EngineChoice engineChoice;
+    RequestsShell requests;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
     bool isDraining = false;
@@ -118,7 +177,7 @@
     m_parts->callerServer->stopAccepting();
     const auto done = std::make_shared<bool>(false);
     every(m_parts->context, DrainCheckInterval, [this, done, onDrained = std::move(onDrained)] {
-        if (!*done && m_parts->callerServer->exchangesInProgress() == 0) {
+        if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
             *done = true;
             telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
             onDrained();
