Place models from the daemon: lease, orders, demand of all daemons

Two daemons and four empty engines: all models resident, a killed engine's models placed elsewhere, a version rolled without a moment without the model, the lease taken over by the other daemon (tests/placement_test.sh, 22.7 s).

--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,12 +1,14 @@
 #include "turmericplank/daemon/daemon.hpp"
 
 #include "turmericplank/daemon/configurationshell.hpp"
+#include "turmericplank/daemon/demandmeter.hpp"
 #include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/frontdoor.hpp"
 #include "turmericplank/daemon/loadpoller.hpp"
 #include "turmericplank/daemon/operatorapi.hpp"
+#include "turmericplank/daemon/placementshell.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
 #include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
@@ -73,8 +75,11 @@
         , loadPoller(environment, router)
         , frontDoor(environment)
         , engineChoice(router, random)
+        , demand([this] { return document(); })
         , requests(environment, requestsOptions())
+        , placement(environment, placementOptions())
     {
+        operatorApi.addStatusPart("placement", [this] { return placement.status(); });
         addOperatorRoutes(operatorRoutes, metrics);
         addOperatorRoutes(callerRoutes, metrics);
         callerServer = listen(context, settings.callerListen, callerRoutes);
@@ -118,16 +123,29 @@
         it.refusal = [this] {
             return refusal();
         };
-        it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
-            return engineChoice.choose(query, now);
-        };
-        it.engineFeedback = engineChoice.feedback();
+        it.chooseEngine = demand.wrap([this](const requests::ChoiceQuery &query, base::Time now) { return engineChoice.choose(query, now); });
+        it.engineFeedback = demand.wrap(engineChoice.feedback());
         it.modelLimit = [this](const base::ModelName &model) {
             return static_cast<std::uint32_t>(router.replicas(model)) * StreamsPerReplica;
         };
         return it;
     }
 
+    PlacementShellOptions placementOptions()
+    {
+        PlacementShellOptions it;
+        it.document = [this] {
+            return document();
+        };
+        it.revision = [this] {
+            return configuration.inForce().revision;
+        };
+        it.demand = [this] {
+            return demand.counters();
+        };
+        return it;
+    }
+
     void applyDocument()
     {
         if (const auto current = document()) {
@@ -152,7 +170,9 @@
     LoadPoller loadPoller;
     FrontDoor frontDoor;
     EngineChoice engineChoice;
+    DemandMeter demand;
     RequestsShell requests;
+    PlacementShell placement;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
     bool isDraining = false;
@@ -175,6 +195,7 @@
     }
     telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
     m_parts->callerServer->stopAccepting();
+    m_parts->placement.stop();
     const auto done = std::make_shared<bool>(false);
     every(m_parts->context, DrainCheckInterval, [this, done, onDrained = std::move(onDrained)] {
         if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
