--- a/include/turmericplank/daemon/placementshell.hpp
+++ b/include/turmericplank/daemon/placementshell.hpp
@@ -36,9 +36,6 @@
     /// @param options hooks to the rest of the daemon
     PlacementShell(Environment &environment, PlacementShellOptions options);
 
-    /// @brief Notes that a daemon's VM is gone for good.
-    void daemonGone(const base::DaemonId &daemon);
-
     /// @brief Notes that an endpoint's VM is gone for good.
     void endpointGone(const base::EndpointId &endpoint);
 
@@ -57,6 +54,7 @@
     void takeDocument();
     void updateLive(base::Time now);
     void probeSilent(base::Time now);
+    void readMachines(base::Time now);
     void collectDemand(base::Time now);
     void logLease(base::Time now);
 
@@ -69,6 +67,8 @@
     std::map<base::EndpointId, base::Time> m_heard; ///< last inventory
     base::Time m_nextDemand;
     base::Time m_nextProbe;
+    base::Time m_nextMachines;
+    std::set<std::string> m_listed; ///< VMs that the platform's list named
     base::Term m_loggedTerm;
     bool m_wasWithoutTable = false;
     bool m_isStopped = false;
--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -152,6 +152,9 @@
     /// @brief Notes that an entry VM is gone for good: nothing that it meant to send can still be sent.
     void holderGone(const base::DaemonId &daemon);
 
+    /// @brief Notes that there is an entry VM of this name, perhaps a new one after an old one was gone.
+    void holderListed(const base::DaemonId &daemon);
+
     /// @brief Notes that an endpoint's VM is gone for good: no order reaches it any more.
     void endpointGone(const base::EndpointId &endpoint);
 
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -5,14 +5,13 @@
 #include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
-#include "turmericplank/daemon/frontdoor.hpp"
-#include "turmericplank/daemon/loadpoller.hpp"
+#include "turmericplank/daemon/membershipshell.hpp"
 #include "turmericplank/daemon/operatorapi.hpp"
 #include "turmericplank/daemon/placementshell.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
 #include "turmericplank/daemon/requestsshell.hpp"
+#include "turmericplank/daemon/routingshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
-#include "turmericplank/routing/router.hpp"
 #include "turmericplank/telemetry/log.hpp"
 
 namespace turmericplank::daemon {
@@ -72,9 +71,9 @@
                       metrics, random}
         , configuration(environment, configurationHooks())
         , operatorApi(environment, configuration)
-        , loadPoller(environment, router)
-        , frontDoor(environment)
-        , engineChoice(router, random)
+        , routing(environment)
+        , membership(environment, routing, membershipHooks())
+        , engineChoice(routing.router(), random)
         , demand([this] { return document(); })
         , requests(environment, requestsOptions())
         , placement(environment, placementOptions())
@@ -95,11 +94,20 @@
         return accepted ? accepted : startDocument;
     }
 
+    std::vector<PeerTarget> peerTargets() const
+    {
+        std::vector<PeerTarget> targets;
+        for (const auto &it : membership.others()) {
+            targets.push_back({it.record.id, it.record.peerAddress});
+        }
+        return targets;
+    }
+
     ConfigurationShellHooks configurationHooks()
     {
         ConfigurationShellHooks hooks;
-        hooks.peers = [] {
-            return std::vector<PeerTarget>();
+        hooks.peers = [this] {
+            return peerTargets();
         };
         return hooks;
     }
@@ -126,7 +134,38 @@
         it.chooseEngine = demand.wrap([this](const requests::ChoiceQuery &query, base::Time now) { return engineChoice.choose(query, now); });
         it.engineFeedback = demand.wrap(engineChoice.feedback());
         it.modelLimit = [this](const base::ModelName &model) {
-            return static_cast<std::uint32_t>(router.replicas(model)) * StreamsPerReplica;
+            return static_cast<std::uint32_t>(routing.router().replicas(model)) * StreamsPerReplica;
+        };
+        it.peers = [this] {
+            return peerTargets();
+        };
+        it.otherEntries = [this] {
+            return membership.otherAddresses();
+        };
+        it.mayUseInstance = [this](const base::EndpointId &instance) {
+            return membership.mayUse(instance);
+        };
+        return it;
+    }
+
+    MembershipShellHooks membershipHooks()
+    {
+        MembershipShellHooks it;
+        it.load = [this] {
+            return callerServer ? static_cast<std::uint32_t>(callerServer->exchangesInProgress()) : 0;
+        };
+        it.isRouted = [this](const base::ModelName &model) {
+            const auto current = document();
+            return !current || current->models.contains(model) || current->adapters.contains(base::AdapterName(model.text()));
+        };
+        it.revision = [this] {
+            return configuration.notice().highest;
+        };
+        it.onRevision = [this](const base::DaemonId &peer, base::Revision revision) {
+            configuration.heardRevision(peer, revision);
+        };
+        it.onDrainAsked = [this] {
+            onDrainAsked();
         };
         return it;
     }
@@ -143,14 +182,20 @@
         it.demand = [this] {
             return demand.counters();
         };
+        it.peers = [this] {
+            return peerTargets();
+        };
+        it.isLive = [this](const base::EndpointId &endpoint) {
+            return membership.mayUse(endpoint);
+        };
         return it;
     }
 
     void applyDocument()
     {
         if (const auto current = document()) {
-            applyTo(router, *current);
-            loadPoller.setEndpoints(*current);
+            routing.apply(*current);
+            membership.apply(*current);
         }
     }
 
@@ -166,15 +211,16 @@
     Environment environment;
     ConfigurationShell configuration;
     OperatorApi operatorApi;
-    routing::Router router;
-    LoadPoller loadPoller;
-    FrontDoor frontDoor;
+    RoutingShell routing;
+    MembershipShell membership;
     EngineChoice engineChoice;
     DemandMeter demand;
     RequestsShell requests;
     PlacementShell placement;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
+    std::function<void()> onDrainAsked = [] {
+    };
     bool isDraining = false;
 };
 
@@ -184,6 +230,9 @@
     const auto &it = m_parts->settings;
     telemetry::log(telemetry::LogLevel::Info, "daemon", "started",
                    {{"id", it.id.text()}, {"zone", it.zone.text()}, {"callers", toString(it.callerListen)}, {"peers", toString(it.peerListen)}});
+    m_parts->onDrainAsked = [this, &context] {
+        beginDrain([&context] { context.stop(); });
+    };
 }
 
 Daemon::~Daemon() = default;
@@ -194,15 +243,19 @@
         return;
     }
     telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
-    m_parts->callerServer->stopAccepting();
+    // Callers may hold this address for a while: what they send until then is still served.
     m_parts->placement.stop();
-    const auto done = std::make_shared<bool>(false);
-    every(m_parts->context, DrainCheckInterval, [this, done, onDrained = std::move(onDrained)] {
-        if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
-            *done = true;
-            telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
-            onDrained();
-        }
+    m_parts->membership.leave([this, onDrained = std::move(onDrained)] {
+        m_parts->requests.startDraining();
+        const auto done = std::make_shared<bool>(false);
+        every(m_parts->context, DrainCheckInterval, [this, done, onDrained] {
+            if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
+                *done = true;
+                m_parts->callerServer->stopAccepting();
+                telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
+                onDrained();
+            }
+        });
     });
 }
 
--- a/src/turmericplank/daemon/placementshell.cpp
+++ b/src/turmericplank/daemon/placementshell.cpp
@@ -16,6 +16,7 @@
 constexpr auto TickInterval = std::chrono::milliseconds(200);
 constexpr auto DemandInterval = std::chrono::seconds(2);
 constexpr auto ProbeInterval = std::chrono::seconds(1);
+constexpr auto MachinesInterval = std::chrono::seconds(10);
 constexpr auto EndpointTimeout = std::chrono::seconds(5); ///< without an inventory, an endpoint counts as lost
 constexpr auto CallTimeout = std::chrono::seconds(2);
 constexpr auto DemandKind = "placement/demand";
@@ -66,11 +67,6 @@
     every(environment.context, TickInterval, [this] { tick(); });
 }
 
-void PlacementShell::daemonGone(const base::DaemonId &daemon)
-{
-    m_controller.holderGone(daemon);
-}
-
 void PlacementShell::endpointGone(const base::EndpointId &endpoint)
 {
     m_controller.endpointGone(endpoint);
@@ -92,6 +88,7 @@
         return;
     }
     updateLive(now);
+    readMachines(now);
     collectDemand(now);
     perform(m_controller.tick(now));
     logLease(now);
@@ -141,6 +138,31 @@
     }
 }
 
+/// A VM that the list named before and names no more is gone for good: nothing that it meant to send can still be sent.
+void PlacementShell::readMachines(base::Time now)
+{
+    if (now < m_nextMachines || !m_environment.listVirtualMachines) {
+        return;
+    }
+    m_nextMachines = now + MachinesInterval;
+    m_environment.listVirtualMachines([this](const tl::expected<std::vector<platform::VirtualMachine>, platform::TableFailure> &machines) {
+        if (!machines) {
+            return;
+        }
+        std::set<std::string> listed;
+        for (const auto &it : *machines) {
+            listed.insert(it.id);
+            m_controller.holderListed(base::DaemonId(it.id));
+        }
+        for (const auto &it : m_listed) {
+            if (!listed.contains(it)) {
+                m_controller.holderGone(base::DaemonId(it));
+            }
+        }
+        m_listed = std::move(listed);
+    });
+}
+
 void PlacementShell::collectDemand(base::Time now)
 {
     if (now < m_nextDemand) {
--- a/src/turmericplank/placement/controllerplan.cpp
+++ b/src/turmericplank/placement/controllerplan.cpp
@@ -4,6 +4,13 @@
 
 namespace turmericplank::placement {
 
+namespace {
+
+/// Share of an endpoint's memory that a load without a row in the table may take.
+constexpr std::uint32_t UnrecordedShare = 4;
+
+} // namespace
+
 std::vector<EndpointView> Controller::endpointViews(base::Time now) const
 {
     std::vector<EndpointView> views;
@@ -149,11 +156,8 @@
         return memory;
     }
     // An earlier holder that went on without the table may have one load under way that no row tells of.
-    std::uint32_t largest = 0;
-    for (const auto &[name, model] : m_document->models) {
-        largest = std::max(largest, model.memoryMib);
-    }
-    return std::max(memory, endpoint.ledger.chargedLoads()) + std::uint64_t(largest) * unacknowledgedHolders();
+    const std::uint64_t unrecorded = endpoint.ledger.capacity() / UnrecordedShare;
+    return std::max(memory, endpoint.ledger.chargedLoads()) + unrecorded * unacknowledgedHolders();
 }
 
 bool Controller::isLoadSafe(const Move &move, const Endpoint &endpoint) const
@@ -165,6 +169,9 @@
     if (!isConfigured || endpoint.ledger.residents().contains(move.resident)) {
         return false;
     }
+    if (isWithoutTable() && memoryMib > endpoint.ledger.capacity() / UnrecordedShare) {
+        return false;
+    }
     if (!move.resident.adapter.isEmpty()) {
         const auto residents = endpoint.ledger.residents();
         const bool hasBase = std::any_of(residents.begin(), residents.end(), [&](const auto &entry) {
--- a/src/turmericplank/requests/chatbody.cpp
+++ b/src/turmericplank/requests/chatbody.cpp
@@ -13,15 +13,10 @@
 constexpr auto Replace = json::error_handler_t::replace;
 constexpr std::uint64_t MostTokens = 1'000'000;
 
-/// Text of a message, whose content is a string or a list of parts.
-bool appendContent(const json &message, std::vector<std::string> &texts)
+/// Whether a message has a content, which is a string or a list of parts.
+bool hasContent(const json &message)
 {
-    const auto content = message.is_object() ? message.find("content") : message.end();
-    if (!message.is_object() || content == message.end()) {
-        return false;
-    }
-    texts.push_back(content->is_string() ? content->get<std::string>() : content->dump(-1, ' ', false, Replace));
-    return true;
+    return message.is_object() && message.contains("content");
 }
 
 } // namespace
@@ -60,10 +55,11 @@
         return tl::make_unexpected(ChatBodyFailure::NoMessages);
     }
     for (const auto &it : *messages) {
-        if (!appendContent(it, body.messages)) {
+        if (!hasContent(it)) {
             return tl::make_unexpected(ChatBodyFailure::BadMessage);
         }
     }
+    body.prompt = messages->dump(-1, ' ', false, Replace);
     if (const auto stream = document.find("stream"); stream != document.end()) {
         if (!stream->is_boolean()) {
             return tl::make_unexpected(ChatBodyFailure::BadField);
