--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -110,6 +110,7 @@
     base::Duration tableRetryInterval = std::chrono::seconds(1);
     base::Duration orderRetryInterval = std::chrono::milliseconds(500);
     base::Duration inventoryInterval = std::chrono::seconds(2);
+    base::Duration replicaFreshness = std::chrono::milliseconds(2500); ///< age of the inventory that an unload elsewhere may rely on
     base::Duration planInterval = std::chrono::seconds(1);
     base::Duration acknowledgementInterval = std::chrono::seconds(5);
     Safeguards safeguards;
@@ -208,6 +209,7 @@
         std::uint64_t changesAtRequest = 0;
         std::uint64_t eventsAtRequest = 0;
         base::Time nextInventory;
+        base::Time confirmedAt; ///< last inventory that the ledger took
         base::Time nextTerm;
     };
 
@@ -222,8 +224,8 @@
     void planMoves(base::Time now, Actions &actions);
     bool open(base::Time now, const Move &move, Actions &actions);
     bool isLoadSafe(const Move &move, const Endpoint &endpoint) const;
-    bool isUnloadSafe(const Move &move, const Endpoint &endpoint) const;
-    bool hasOtherReplica(const Resident &resident, const base::EndpointId &except) const;
+    bool isUnloadSafe(base::Time now, const Move &move, const Endpoint &endpoint) const;
+    bool hasOtherReplica(base::Time now, const Resident &resident, const base::EndpointId &except) const;
     bool maySend(base::Time now, const Record &record, const Endpoint &endpoint) const;
     bool isOrderable(base::Time now, const base::EndpointId &id, const Endpoint &endpoint) const;
     bool checksFencing(const base::EndpointId &id) const;
--- a/src/turmericplank/placement/controllerorders.cpp
+++ b/src/turmericplank/placement/controllerorders.cpp
@@ -199,6 +199,7 @@
     const bool wasTrusted = endpoint.isTrusted;
     settleListed(id, endpoint, *inventory);
     endpoint.ledger.confirm(*inventory);
+    endpoint.confirmedAt = now;
     endpoint.isInventoryDue = false;
     endpoint.role = inventory->role;
     const bool isTermKnown = !checksFencing(id) || endpoint.isTermAccepted;
--- a/src/turmericplank/placement/controllerplan.cpp
+++ b/src/turmericplank/placement/controllerplan.cpp
@@ -92,7 +92,7 @@
         return false;
     }
     auto &endpoint = it->second;
-    if ((takesMemory(move.kind) && !isLoadSafe(move, endpoint)) || (freesMemory(move.kind) && !isUnloadSafe(move, endpoint))) {
+    if ((takesMemory(move.kind) && !isLoadSafe(move, endpoint)) || (freesMemory(move.kind) && !isUnloadSafe(now, move, endpoint))) {
         return false;
     }
     Record record;
@@ -188,7 +188,7 @@
     return !m_options.safeguards.reservesForRestart || loadsAfterRestart(move.endpoint, endpoint) + memoryMib <= endpoint.ledger.capacity();
 }
 
-bool Controller::hasOtherReplica(const Resident &resident, const base::EndpointId &except) const
+bool Controller::hasOtherReplica(base::Time now, const Resident &resident, const base::EndpointId &except) const
 {
     auto configured = resident;
     if (resident.adapter.isEmpty()) {
@@ -199,12 +199,14 @@
         if (id == except) {
             return configured != resident && endpoint.ledger.isSafe(configured);
         }
-        const bool isServing = m_live.contains(id) && m_document->endpoints.contains(id) && endpoint.isTrusted;
+        // After a pause the ledgers are as old as the pause was long.
+        const bool isFresh = now <= endpoint.confirmedAt + m_options.replicaFreshness;
+        const bool isServing = m_live.contains(id) && m_document->endpoints.contains(id) && endpoint.isTrusted && isFresh;
         return isServing && (endpoint.ledger.isSafe(resident) || endpoint.ledger.isSafe(configured));
     });
 }
 
-bool Controller::isUnloadSafe(const Move &move, const Endpoint &endpoint) const
+bool Controller::isUnloadSafe(base::Time now, const Move &move, const Endpoint &endpoint) const
 {
     if (!endpoint.ledger.isSafe(move.resident)) {
         return false;
@@ -225,7 +227,7 @@
     if (!isConfigured || !m_options.safeguards.keepsLastReplica) {
         return true;
     }
-    return hasOtherReplica(move.resident, move.endpoint);
+    return hasOtherReplica(now, move.resident, move.endpoint);
 }
 
 } // namespace turmericplank::placement
