--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -8,7 +8,7 @@
 #include "placementrun.hpp"
 #include "section.hpp"
 
-namespace turmericplank::bench {
+namespace turmericplank::bench::policies {
 
 namespace {
 
@@ -71,4 +71,4 @@
 
 } // namespace
 
-} // namespace turmericplank::bench
+} // namespace turmericplank::bench::policies
--- a/bench/placementpolicies.cpp
+++ b/bench/placementpolicies.cpp
@@ -4,7 +4,7 @@
 
 #include "placementrun.hpp"
 
-namespace turmericplank::bench {
+namespace turmericplank::bench::policies {
 
 namespace {
 
@@ -179,4 +179,4 @@
     };
 }
 
-} // namespace turmericplank::bench
+} // namespace turmericplank::bench::policies
--- a/bench/placementrun.cpp
+++ b/bench/placementrun.cpp
@@ -10,7 +10,7 @@
 #include "turmericplank/placement/balance.hpp"
 #include "turmericplank/placement/controller.hpp"
 
-namespace turmericplank::bench {
+namespace turmericplank::bench::policies {
 
 namespace {
 
@@ -336,4 +336,4 @@
     return Site(trace, policy, seed).run();
 }
 
-} // namespace turmericplank::bench
+} // namespace turmericplank::bench::policies
--- a/bench/placementrun.hpp
+++ b/bench/placementrun.hpp
@@ -8,7 +8,7 @@
 #include "placementtrace.hpp"
 #include "turmericplank/placement/planner.hpp"
 
-namespace turmericplank::bench {
+namespace turmericplank::bench::policies {
 
 /// @brief What a policy is told beside the planner's input.
 struct Moment
@@ -46,4 +46,4 @@
 /// @brief The project's planner at no price, told the demand of the next half minute.
 Policy foresightPolicy();
 
-} // namespace turmericplank::bench
+} // namespace turmericplank::bench::policies
--- a/bench/placementtrace.cpp
+++ b/bench/placementtrace.cpp
@@ -8,7 +8,7 @@
 
 #include "turmericplank/configuration/reader.hpp"
 
-namespace turmericplank::bench {
+namespace turmericplank::bench::policies {
 
 namespace {
 
@@ -191,4 +191,4 @@
     return trace;
 }
 
-} // namespace turmericplank::bench
+} // namespace turmericplank::bench::policies
--- a/bench/placementtrace.hpp
+++ b/bench/placementtrace.hpp
@@ -8,7 +8,7 @@
 
 #include "turmericplank/configuration/document.hpp"
 
-namespace turmericplank::bench {
+namespace turmericplank::bench::policies {
 
 /// @brief What happens in a trace beside the bursts that all of them have.
 enum class TraceKind { Bursts, LostZone, StoreOutage, VersionRoll, CutOver };
@@ -53,4 +53,4 @@
 /// @param seed of all draws
 Trace drawTrace(std::shared_ptr<const configuration::Document> document, TraceKind kind, unsigned seed);
 
-} // namespace turmericplank::bench
+} // namespace turmericplank::bench::policies
