--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -209,7 +209,8 @@
         std::uint64_t changesAtRequest = 0;
         std::uint64_t eventsAtRequest = 0;
         base::Time nextInventory;
-        base::Time confirmedAt; ///< last inventory that the ledger took
+        base::Time requestedAt; ///< when the last inventory was asked for
+        base::Time confirmedAt; ///< when the last one that the ledger took was asked for
         base::Time nextTerm;
     };
 
--- a/src/turmericplank/placement/controllerorders.cpp
+++ b/src/turmericplank/placement/controllerorders.cpp
@@ -169,6 +169,7 @@
         }
         endpoint.isInventoryUnderWay = true;
         endpoint.isInventoryDue = false;
+        endpoint.requestedAt = now;
         endpoint.changesAtRequest = endpoint.changes;
         endpoint.eventsAtRequest = m_events;
         actions.emplace_back(FetchInventory{id});
@@ -199,7 +200,7 @@
     const bool wasTrusted = endpoint.isTrusted;
     settleListed(id, endpoint, *inventory);
     endpoint.ledger.confirm(*inventory);
-    endpoint.confirmedAt = now;
+    endpoint.confirmedAt = endpoint.requestedAt;
     endpoint.isInventoryDue = false;
     endpoint.role = inventory->role;
     const bool isTermKnown = !checksFencing(id) || endpoint.isTermAccepted;
--- a/src/turmericplank/placement/planadapters.cpp
+++ b/src/turmericplank/placement/planadapters.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t AdapterReplicas = 2;
+constexpr std::size_t DearAdapterReplicas = 1; // where a move costs more than a late request: a lost one loads again in milliseconds
 
 bool holdsAdapter(const HeldEndpoint &endpoint, const base::AdapterName &adapter)
 {
@@ -60,8 +61,9 @@
     }
     const auto demand = state.input.demand.adapters.find(adapter.name);
     const double rate = demand == state.input.demand.adapters.end() ? 0 : demand->second;
-    const bool isPopular = rate > state.options.adapterShare * state.models[model].requestsPerSecond && rate > 0;
-    const std::size_t target = isPopular ? bases : std::min(AdapterReplicas, bases);
+    const bool isDear = state.document.placement.movePrice > state.document.placement.latenessPrice;
+    const bool isPopular = !isDear && rate > state.options.adapterShare * state.models[model].requestsPerSecond && rate > 0;
+    const std::size_t target = isPopular ? bases : std::min(isDear ? DearAdapterReplicas : AdapterReplicas, bases);
     for (const auto n : placesFor(state, adapter, model, zones)) {
         if (holders >= target || allowed == 0) {
             return;
--- a/src/turmericplank/placement/plandemand.cpp
+++ b/src/turmericplank/placement/plandemand.cpp
@@ -36,7 +36,7 @@
     return streams;
 }
 
-void consider(const PlanState &state, const BalanceInput &input, const Balance &spread, std::uint32_t model, Candidate &best)
+void consider(const PlanState &state, const BalanceInput &input, const Balance &spread, const std::vector<double> &room, std::uint32_t model, Candidate &best)
 {
     const auto &policy = state.document.placement;
     const double wanted = relief(input, spread, model);
@@ -50,7 +50,7 @@
         }
         Candidate candidate{model, endpoint, {}, saved - policy.movePrice, true};
         if (state.endpoints[endpoint].freeSoon < state.need(model)) {
-            candidate.eviction = findEviction(state, spread, endpoint, state.need(model));
+            candidate.eviction = findEviction(state, spread, room, endpoint, state.need(model));
             if (!candidate.eviction.isPossible) {
                 continue;
             }
@@ -64,7 +64,18 @@
 
 } // namespace
 
-Eviction findEviction(const PlanState &state, const Balance &spread, std::uint32_t endpoint, std::int64_t memoryMib)
+std::vector<double> roomOfModels(const PlanState &state, const Balance &spread)
+{
+    std::vector<double> room(state.models.size(), 0.0);
+    for (std::uint32_t model = 0; model < room.size(); ++model) {
+        for (const auto endpoint : state.replicas(model)) {
+            room[model] += std::max(0.0, state.endpoints[endpoint].view->concurrency - spread.load[endpoint]);
+        }
+    }
+    return room;
+}
+
+Eviction findEviction(const PlanState &state, const Balance &spread, const std::vector<double> &room, std::uint32_t endpoint, std::int64_t memoryMib)
 {
     struct Victim
     {
@@ -80,27 +91,17 @@
         if (held.model == UINT32_MAX || held.state != ResidentState::Present || held.isPlanned || !target.view->isOrderable) {
             continue;
         }
-        auto others = state.replicas(held.model);
-        std::erase(others, endpoint);
         // A replica that is still arriving does not serve yet.
-        std::size_t present = 0;
-        double room = 0;
-        double share = 0;
-        for (const auto other : others) {
-            const auto &models = state.endpoints[other].models;
-            present +=
-                std::any_of(models.begin(), models.end(), [&held](const auto &it) { return it.model == held.model && it.state == ResidentState::Present; });
-            room += std::max(0.0, state.endpoints[other].view->concurrency - spread.load[other]);
-        }
-        if (present < state.floor(held.model)) {
+        const auto &list = state.replicaList(held.model);
+        if (list.present < state.floor(held.model) + 1) {
             continue;
         }
         // Without it the streams on this endpoint have to find room elsewhere.
-        const auto all = state.replicas(held.model);
-        const auto index = static_cast<std::size_t>(std::find(all.begin(), all.end(), endpoint) - all.begin());
-        share = index < spread.shares[held.model].size() ? spread.shares[held.model][index] : 0;
-        double loss = policy.movePrice + std::max(0.0, share - room) * state.models[held.model].latePrice;
-        const bool breaksSpread = state.zones(others) < std::min<std::size_t>(policy.spreadZones, state.zones(all));
+        const auto index = static_cast<std::size_t>(std::lower_bound(list.endpoints.begin(), list.endpoints.end(), endpoint) - list.endpoints.begin());
+        const double share = index < spread.shares[held.model].size() ? spread.shares[held.model][index] : 0;
+        const double elsewhere = room[held.model] - std::max(0.0, target.view->concurrency - spread.load[endpoint]);
+        double loss = policy.movePrice + std::max(0.0, share - elsewhere) * state.models[held.model].latePrice;
+        const bool breaksSpread = list.perZone[target.zone] == 1 && list.zones() <= policy.spreadZones;
         loss += breaksSpread ? 2 * policy.movePrice : 0;
         for (const auto &adapter : target.adapters) {
             loss += adapter.model == held.model ? 2 * policy.movePrice : 0;
@@ -128,8 +129,9 @@
     auto spread = balance(input, Rounds);
     while (state.hasMovesLeft()) {
         Candidate best;
+        const auto room = roomOfModels(state, spread);
         for (std::uint32_t model = 0; model < state.models.size(); ++model) {
-            consider(state, input, spread, model, best);
+            consider(state, input, spread, room, model, best);
         }
         if (!best.isFound || best.value <= 0) {
             return;
--- a/src/turmericplank/placement/planner.cpp
+++ b/src/turmericplank/placement/planner.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/placement/planner.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <optional>
 
@@ -18,31 +19,37 @@
     Eviction eviction;
 };
 
-/// Best endpoint for a replica: a zone without one, room as it is, little load.
+bool holdsOldVersion(const HeldEndpoint &endpoint, std::uint32_t model)
+{
+    const auto isOld = [model](const auto &it) {
+        return it.model == model && !it.isCurrent && it.state == ResidentState::Present;
+    };
+    return std::any_of(endpoint.models.begin(), endpoint.models.end(), isOld);
+}
+
+/// Best endpoint for a replica: where an old version already has its adapters, a zone without one, room as it is, little load.
 std::optional<Site> findSite(const PlanState &state, const Balance &spread, std::uint32_t model, std::int64_t need, bool mayEvict, bool needsNewZone)
 {
-    std::set<base::ZoneName> zones;
-    for (const auto n : state.replicas(model)) {
-        zones.insert(state.endpoints[n].view->zone);
-    }
+    const auto &perZone = state.replicaList(model).perZone;
+    const auto room = roomOfModels(state, spread);
     std::optional<Site> best;
-    std::tuple<bool, double, double> bestRank;
+    std::tuple<bool, bool, double, double> bestRank;
     for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
         const auto &endpoint = state.endpoints[n];
-        const bool isOldZone = zones.contains(endpoint.view->zone);
+        const bool isOldZone = perZone[endpoint.zone] > 0;
         if (state.isTaken(n, model) || (needsNewZone && isOldZone)) {
             continue;
         }
         Site site{n, {}};
         if (endpoint.freeSoon < need) {
-            site.eviction = mayEvict ? findEviction(state, spread, n, need) : Eviction();
+            site.eviction = mayEvict ? findEviction(state, spread, room, n, need) : Eviction();
             if (!site.eviction.isPossible) {
                 continue;
             }
         }
         const double capacity = std::max(1U, endpoint.view->concurrency);
         const double fullness = 1.0 - static_cast<double>(endpoint.freeSoon) / std::max(1U, endpoint.view->capacityMib);
-        const std::tuple rank(isOldZone, site.eviction.loss, spread.load[n] / capacity + fullness);
+        const std::tuple rank(!holdsOldVersion(endpoint, model), isOldZone, site.eviction.loss, spread.load[n] / capacity + fullness);
         if (!best || rank < bestRank) {
             best = site;
             bestRank = rank;
@@ -74,7 +81,7 @@
 void planFloor(PlanState &state, MoveReason reason)
 {
     for (const auto model : byLatePrice(state)) {
-        const auto existing = state.replicas(model);
+        const auto &existing = state.replicas(model);
         const bool isMissing = reason == MoveReason::Unreachable ? existing.empty() : existing.size() < state.floor(model);
         if (!isMissing || state.loadsLeft == 0) {
             continue;
@@ -94,8 +101,8 @@
 void planSpread(PlanState &state)
 {
     for (const auto model : byLatePrice(state)) {
-        const auto existing = state.replicas(model);
-        if (state.zones(existing) >= state.document.placement.spreadZones || state.loadsLeft == 0) {
+        const std::size_t wanted = std::min(state.document.placement.spreadZones, state.zoneCount);
+        if (state.replicaList(model).zones() >= wanted || state.loadsLeft == 0) {
             continue;
         }
         const auto site = findSite(state, balance(balanceInput(state), 1), model, state.need(model), false, true);
@@ -132,6 +139,17 @@
     return count;
 }
 
+/// Replicas that the demand keeps half busy, and one more; the others need not be rolled.
+std::size_t neededReplicas(const PlanState &state, std::uint32_t model)
+{
+    double concurrency = 0;
+    for (const auto &endpoint : state.endpoints) {
+        concurrency += endpoint.view->concurrency;
+    }
+    const double mean = std::max(1.0, concurrency / std::max<double>(1.0, static_cast<double>(state.endpoints.size())));
+    return 1 + static_cast<std::size_t>(std::ceil(state.models[model].streams / (mean / 2)));
+}
+
 /// New resident before the old one leaves; replicas are exchanged one by one.
 void planVersion(PlanState &state, std::uint32_t model)
 {
@@ -139,7 +157,7 @@
     if (count.old.empty()) {
         return;
     }
-    const auto target = std::max(state.floor(model), std::max(count.old.size(), count.current));
+    const auto target = std::max({state.floor(model), std::min(count.old.size(), neededReplicas(state, model)), count.current});
     while (!count.old.empty() && count.currentPresent > 0 && count.old.size() + count.currentPresent > target) {
         state.unload(count.old.back().first, count.old.back().second, MoveReason::Version, 0);
         count.old.pop_back();
--- a/src/turmericplank/placement/planstate.cpp
+++ b/src/turmericplank/placement/planstate.cpp
@@ -36,8 +36,10 @@
             models[it->second].adapterMib += adapter.memoryMib;
         }
     }
+    std::map<base::ZoneName, std::uint32_t> zoneIndex;
     for (const auto &view : input.endpoints) {
         HeldEndpoint endpoint;
+        endpoint.zone = zoneIndex.try_emplace(view.zone, static_cast<std::uint32_t>(zoneIndex.size())).first->second;
         endpoint.view = &view;
         endpoint.freeNow = std::int64_t(view.capacityMib) - view.chargedMib;
         endpoint.freeSoon = view.capacityMib;
@@ -46,6 +48,11 @@
         }
         endpoints.push_back(std::move(endpoint));
     }
+    zoneCount = static_cast<std::uint32_t>(zoneIndex.size());
+    m_replicas.resize(models.size());
+    for (std::uint32_t model = 0; model < models.size(); ++model) {
+        listReplicas(model);
+    }
 }
 
 void PlanState::addResident(HeldEndpoint &endpoint, const Resident &resident, ResidentState state)
@@ -69,34 +76,46 @@
     }
 }
 
-std::vector<std::uint32_t> PlanState::replicas(std::uint32_t model) const
+std::size_t ReplicaList::zones() const
+{
+    return static_cast<std::size_t>(std::count_if(perZone.begin(), perZone.end(), [](auto count) { return count > 0; }));
+}
+
+void PlanState::listReplicas(std::uint32_t model)
 {
-    std::vector<std::uint32_t> found;
+    auto &list = m_replicas[model];
+    list = {};
+    list.perZone.resize(zoneCount);
     for (std::uint32_t n = 0; n < endpoints.size(); ++n) {
-        const auto &held = endpoints[n].models;
-        const auto counts = [model](const auto &it) {
-            return it.model == model && it.state != ResidentState::Leaving;
-        };
-        if (std::any_of(held.begin(), held.end(), counts)) {
-            found.push_back(n);
+        bool isHeld = false;
+        bool isPresent = false;
+        for (const auto &held : endpoints[n].models) {
+            const bool counts = held.model == model && held.state != ResidentState::Leaving;
+            isHeld = isHeld || counts;
+            isPresent = isPresent || (counts && held.state == ResidentState::Present);
+        }
+        if (isHeld) {
+            list.endpoints.push_back(n);
+            list.present += isPresent ? 1 : 0;
+            ++list.perZone[endpoints[n].zone];
         }
     }
-    return found;
 }
 
-bool PlanState::isTaken(std::uint32_t endpoint, std::uint32_t model) const
+const std::vector<std::uint32_t> &PlanState::replicas(std::uint32_t model) const
 {
-    const auto &held = endpoints[endpoint].models;
-    return std::any_of(held.begin(), held.end(), [model](const auto &it) { return it.model == model && it.isCurrent; });
+    return m_replicas[model].endpoints;
 }
 
-std::size_t PlanState::zones(const std::vector<std::uint32_t> &list) const
+const ReplicaList &PlanState::replicaList(std::uint32_t model) const
 {
-    std::set<base::ZoneName> found;
-    for (const auto n : list) {
-        found.insert(endpoints[n].view->zone);
-    }
-    return found.size();
+    return m_replicas[model];
+}
+
+bool PlanState::isTaken(std::uint32_t endpoint, std::uint32_t model) const
+{
+    const auto &held = endpoints[endpoint].models;
+    return std::any_of(held.begin(), held.end(), [model](const auto &it) { return it.model == model && it.isCurrent; });
 }
 
 std::size_t PlanState::floor(std::uint32_t model) const
@@ -126,6 +145,7 @@
     const Resident resident{wanted.name, wanted.version, {}};
     target.freeSoon -= need(model);
     target.models.push_back({model, resident, wanted.memoryMib, ResidentState::Arriving, true, true});
+    listReplicas(model);
     if (target.view->isOrderable && target.freeNow >= std::int64_t(wanted.memoryMib) && mayLoad()) {
         target.freeNow -= wanted.memoryMib;
         --loadsLeft;
@@ -152,6 +172,7 @@
     leaving.state = ResidentState::Leaving;
     if (leaving.model != UINT32_MAX) {
         target.freeSoon += need(leaving.model);
+        listReplicas(leaving.model);
     }
     if (!hasAdapters && target.view->isOrderable) {
         moves.push_back({OrderKind::Unload, target.view->id, leaving.resident, {}, leaving.memoryMib, reason, gain});
@@ -164,17 +185,8 @@
     for (const auto &endpoint : state.endpoints) {
         result.capacity.push_back(std::max(1U, endpoint.view->concurrency));
     }
-    result.replicas.resize(state.models.size());
-    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
-        for (const auto &held : state.endpoints[n].models) {
-            if (held.model == UINT32_MAX || held.state == ResidentState::Leaving) {
-                continue;
-            }
-            auto &list = result.replicas[held.model];
-            if (list.empty() || list.back() != n) {
-                list.push_back(n);
-            }
-        }
+    for (std::uint32_t model = 0; model < state.models.size(); ++model) {
+        result.replicas.push_back(state.replicas(model));
     }
     for (const auto &model : state.models) {
         result.demand.push_back(model.streams);
--- a/src/turmericplank/placement/planstate.hpp
+++ b/src/turmericplank/placement/planstate.hpp
@@ -36,6 +36,7 @@
     const EndpointView *view = nullptr;
     std::int64_t freeNow = 0; ///< memory that nothing is charged to, MiB
     std::int64_t freeSoon = 0; ///< the same once everything that leaves has left, less what adapters may need
+    std::uint32_t zone = 0; ///< index among the zones
     std::vector<HeldModel> models;
     std::vector<HeldAdapter> adapters;
 };
@@ -50,6 +51,17 @@
     std::uint32_t adapterMib = 0; ///< memory of all its adapters
 };
 
+/// @brief Replicas of a model that it does not lose.
+struct ReplicaList
+{
+    std::vector<std::uint32_t> endpoints; ///< in the order of the endpoints
+    std::uint32_t present = 0; ///< of these, endpoints where it serves already
+    std::vector<std::uint32_t> perZone;
+
+    /// @brief Zones that have a replica.
+    std::size_t zones() const;
+};
+
 /// @brief State of one planning step: what is there, what the moves chosen so far make of it, and the moves.
 class PlanState
 {
@@ -57,11 +69,11 @@
     PlanState(const PlanInput &input, const PlannerOptions &options);
 
     /// @brief Endpoints that hold or will hold a model and do not lose it, by index.
-    std::vector<std::uint32_t> replicas(std::uint32_t model) const;
+    const std::vector<std::uint32_t> &replicas(std::uint32_t model) const;
+    /// @brief The same with what is known of them.
+    const ReplicaList &replicaList(std::uint32_t model) const;
     /// @brief Whether an endpoint holds or will hold the configured version, or its old one is leaving.
     bool isTaken(std::uint32_t endpoint, std::uint32_t model) const;
-    /// @brief Number of different zones of some endpoints.
-    std::size_t zones(const std::vector<std::uint32_t> &endpoints) const;
     /// @brief Replicas that a model has to keep.
     std::size_t floor(std::uint32_t model) const;
     /// @brief Memory that a model takes with room for its adapters, MiB.
@@ -85,9 +97,13 @@
     std::set<std::pair<base::AdapterName, std::uint32_t>> leavingAdapters; ///< adapter and endpoint
     std::vector<Move> moves;
     std::uint32_t loadsLeft = 0;
+    std::uint32_t zoneCount = 0;
 
 private:
+    void listReplicas(std::uint32_t model);
     void addResident(HeldEndpoint &endpoint, const Resident &resident, ResidentState state);
+
+    std::vector<ReplicaList> m_replicas;
 };
 
 /// @brief Streams and replicas as the state has them.
@@ -113,8 +129,14 @@
 /// @brief Looks for replicas that can leave an endpoint.
 /// @param state the step
 /// @param spread streams as they are spread now
+/// @param room free streams on all replicas of each model together
 /// @param endpoint index of the endpoint
 /// @param memoryMib memory that has to be free afterwards
-Eviction findEviction(const PlanState &state, const Balance &spread, std::uint32_t endpoint, std::int64_t memoryMib);
+Eviction findEviction(const PlanState &state, const Balance &spread, const std::vector<double> &room, std::uint32_t endpoint, std::int64_t memoryMib);
+
+/// @brief Free streams on all replicas of each model together.
+/// @param state the step
+/// @param spread streams as they are spread now
+std::vector<double> roomOfModels(const PlanState &state, const Balance &spread);
 
 } // namespace turmericplank::placement
