--- a/include/turmericplank/daemon/environment.hpp
+++ b/include/turmericplank/daemon/environment.hpp
@@ -26,7 +26,7 @@
     Routes &operatorRoutes; ///< paths of the operators' listener
     telemetry::Metrics &metrics;
     std::mt19937_64 &random;
-    std::uint64_t &controlBytes; ///< bytes of calls to the platform and of polls of endpoints, both directions
+    std::uint64_t &pollBytes; ///< bytes of polls of endpoints, both directions
 };
 
 } // namespace turmericplank::daemon
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -67,8 +67,17 @@
         , startDocument(std::move(documentToStart))
         , mesh(openMeshFor(context, settings))
         , platformClient(makePlatformClient(context, platformOptions()))
-        , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
-                      metrics, random,   controlBytes}
+        , environment{context,
+                      settings,
+                      platformClient.table,
+                      platformClient.objects,
+                      platformClient.listVirtualMachines,
+                      *mesh,
+                      callerRoutes,
+                      operatorRoutes,
+                      metrics,
+                      random,
+                      pollBytes}
         , configuration(environment, configurationHooks())
         , operatorApi(environment, configuration)
         , routing(environment)
@@ -77,8 +86,9 @@
         , requests(environment, requestsOptions())
     {
         const auto refresh = [this] {
-            metrics.gauge("control_bytes_total", static_cast<double>(mesh->bytesTransferred() + controlBytes));
-            metrics.gauge("mesh_bytes_total", static_cast<double>(mesh->bytesTransferred()));
+            metrics.gauge("control_bytes_total{part=\"mesh\"}", static_cast<double>(mesh->bytesTransferred()));
+            metrics.gauge("control_bytes_total{part=\"platform\"}", static_cast<double>(platformBytes));
+            metrics.gauge("control_bytes_total{part=\"polls\"}", static_cast<double>(pollBytes));
             telemetry::gaugeProcess(metrics);
         };
         addOperatorRoutes(operatorRoutes, metrics, refresh);
@@ -100,7 +110,7 @@
     {
         PlatformOptions options;
         options.addresses = settings.platform;
-        options.byteCounter = &controlBytes;
+        options.byteCounter = &platformBytes;
         return options;
     }
 
@@ -194,7 +204,8 @@
     Settings settings;
     std::shared_ptr<const configuration::Document> startDocument;
     telemetry::Metrics metrics;
-    std::uint64_t controlBytes = 0;
+    std::uint64_t platformBytes = 0;
+    std::uint64_t pollBytes = 0;
     std::mt19937_64 random{std::random_device()()};
     Routes callerRoutes;
     Routes operatorRoutes;
--- a/src/turmericplank/daemon/routingshell.cpp
+++ b/src/turmericplank/daemon/routingshell.cpp
@@ -121,7 +121,7 @@
     net::HttpCallOptions options;
     options.to = polled.address;
     options.request = {"GET", "/load", {}, {}};
-    options.byteCounter = &m_environment.controlBytes;
+    options.byteCounter = &m_environment.pollBytes;
     options.firstProgressTimeout = PollTimeout;
     options.silenceTimeout = PollTimeout;
     fetchWhole(m_environment.context, std::move(options), [this, endpoint](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
@@ -156,7 +156,7 @@
     net::HttpCallOptions options;
     options.to = polled.address;
     options.request = {"GET", "/cache_events?from=" + std::to_string(polled.nextEvent), {}, {}};
-    options.byteCounter = &m_environment.controlBytes;
+    options.byteCounter = &m_environment.pollBytes;
     options.firstProgressTimeout = PollTimeout;
     options.silenceTimeout = PollTimeout;
     fetchWhole(m_environment.context, std::move(options), [this, endpoint](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
