Poll each endpoint once for the whole cell and pass its report on

Cause: every daemon polled every endpoint; polls were 9,429 of 13,522 B/s a daemon, against a budget of 6,000 for all control. Ruled out: longer intervals for all, which would age the reports of busy endpoints too; a message of its own for reports, whose framing costs more than the reports. Change: a plan of polls. One daemon is an endpoint's primary and polls it each second; heartbeats carry the figures and a hash of what changes seldom, and another daemon polls only if that hash is new to it, somebody suspects the endpoint, or no report comes. Endpoints go around the live daemons, since hashing left one daemon with twice the mean. Cache events have a budget of bytes per endpoint.

--- a/include/turmericplank/daemon/membershipshell.hpp
+++ b/include/turmericplank/daemon/membershipshell.hpp
@@ -61,13 +61,14 @@
     void sendTo(const membership::Member &member, membership::Heartbeat heartbeat);
     void take(const base::DaemonId &from, const std::string &body);
     void takeWork(const membership::Heartbeat &heartbeat);
+    void takeReports(const membership::Heartbeat &heartbeat);
     void readRecords();
     void writeRecord();
     void readList();
     void updateMarks();
     void answerEntry(const net::ExchangePointer &exchange);
     void answerMembers(const net::ExchangePointer &exchange);
-    bool isResponsible(const base::EndpointId &endpoint) const;
+    routing::PollDuty duty(const base::EndpointId &endpoint) const;
 
     Environment &m_environment;
     RoutingShell &m_routing;
@@ -82,6 +83,8 @@
     std::map<base::DaemonId, membership::LiveState> m_logged;
     std::map<base::EndpointId, membership::LiveState> m_marks;
     std::map<membership::ShortName, base::EndpointId> m_endpointNames;
+    std::map<base::EndpointId, std::size_t> m_pollOrder; ///< of the engines, by their names
+    std::vector<base::DaemonId> m_live; ///< daemons that share the polls, by their names
     base::Time m_nextBeatAt;
     base::Time m_nextListAt;
     base::Time m_nextRecordsAt;
--- a/include/turmericplank/daemon/routingshell.hpp
+++ b/include/turmericplank/daemon/routingshell.hpp
@@ -8,6 +8,7 @@
 
 #include "turmericplank/configuration/document.hpp"
 #include "turmericplank/daemon/environment.hpp"
+#include "turmericplank/routing/pollplan.hpp"
 #include "turmericplank/routing/router.hpp"
 
 namespace turmericplank::daemon {
@@ -19,8 +20,8 @@
     std::function<void(const base::EndpointId &, base::Incarnation, bool isLeaving)> onAnswer;
     /// A poll found no answer.
     std::function<void(const base::EndpointId &)> onFailure;
-    /// Whether this daemon polls an endpoint closely; the others look now and then.
-    std::function<bool(const base::EndpointId &)> isResponsible;
+    /// This daemon's part in watching an endpoint.
+    std::function<routing::PollDuty(const base::EndpointId &)> duty;
 };
 
 /// @brief Feeds the router from the endpoints' load reports and cache events.
@@ -39,6 +40,15 @@
     /// @brief The router of model calls.
     routing::Router &router();
 
+    /// @brief Fresh reports of own polls, for the other daemons.
+    std::vector<routing::ReportDigest> ownReports() const;
+
+    /// @brief Takes a report that another daemon polled.
+    void takeReport(const routing::ReportDigest &digest);
+
+    /// @brief Looks at an endpoint that another daemon suspects.
+    void lookAt(const base::EndpointId &endpoint);
+
     /// @brief Takes membership's word on an endpoint.
     void setMark(const base::EndpointId &endpoint, routing::EndpointMark mark);
 
@@ -46,20 +56,19 @@
     struct Polled
     {
         base::Address address;
-        base::Time nextPollAt;
         std::uint64_t nextEvent = 0;
-        bool isPolling = false;
     };
 
     void poll();
-    void pollLoad(const base::EndpointId &endpoint, Polled &polled);
+    void pollLoad(const base::EndpointId &endpoint, const Polled &polled);
     void pollEvents(const base::EndpointId &endpoint, const Polled &polled);
-    void takeReport(const base::EndpointId &endpoint, const std::string &body);
+    void takeReport(const base::EndpointId &endpoint, const routing::LoadReport &report);
     void takeEvents(const base::EndpointId &endpoint, const std::string &body);
 
     Environment &m_environment;
     RoutingShellHooks m_hooks;
     routing::Router m_router;
+    routing::PollPlan m_plan;
     std::map<base::EndpointId, Polled> m_polled;
 };
 
--- a/include/turmericplank/membership/heartbeat.hpp
+++ b/include/turmericplank/membership/heartbeat.hpp
@@ -76,6 +76,19 @@
     friend bool operator==(const ShareClaim &, const ShareClaim &) = default;
 };
 
+/// @brief A load report that the sender polled, in short.
+struct LoadDigest
+{
+    ShortName endpoint = 0;
+    std::uint32_t ageMilliseconds = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t content = 0; ///< hash of what changes seldom
+
+    friend auto operator<=>(const LoadDigest &, const LoadDigest &) = default;
+    friend bool operator==(const LoadDigest &, const LoadDigest &) = default;
+};
+
 /// @brief What a daemon tells each other daemon of its cell, again and again; always whole, so that a lost one does no harm.
 struct Heartbeat
 {
@@ -92,6 +105,7 @@
     std::vector<ShareClaim> shares;
     std::uint64_t receiverSequence = 0; ///< highest sequence that the sender has of the receiver
     base::Time receiverUseUntil; ///< latest time up to which the sender directed a caller to the receiver
+    std::vector<LoadDigest> reports; ///< of the endpoints that the sender polls for the others
 
     friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -23,7 +23,6 @@
 constexpr auto StartInterval = std::chrono::seconds(1); ///< between reads of the records at first
 constexpr auto StartPhase = std::chrono::seconds(15);
 constexpr auto CallTimeout = std::chrono::seconds(2);
-constexpr std::size_t ResponsibleCount = 2; ///< daemons that poll an endpoint closely
 constexpr const char *HeartbeatKind = "membership/heartbeat";
 
 std::string recordPrefix(const Settings &settings)
@@ -101,8 +100,8 @@
         m_endpoints.noteFailure(endpoint, base::now());
         updateMarks();
     };
-    routingHooks.isResponsible = [this](const base::EndpointId &endpoint) {
-        return isResponsible(endpoint);
+    routingHooks.duty = [this](const base::EndpointId &endpoint) {
+        return duty(endpoint);
     };
     m_routing.setHooks(std::move(routingHooks));
     environment.peers.handle(HeartbeatKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
@@ -140,12 +139,23 @@
         marks.emplace(it, known == m_marks.end() ? LiveState::Live : known->second);
     }
     m_marks = std::move(marks);
+    m_pollOrder.clear();
+    for (const auto &[id, it] : document.endpoints) {
+        m_pollOrder.emplace(id, m_pollOrder.size());
+    }
 }
 
 void MembershipShell::tick()
 {
     const auto now = base::now();
     m_view.tick(now);
+    m_live.clear();
+    for (const auto &it : m_view.members(now)) {
+        if (it.state == LiveState::Live) {
+            m_live.push_back(it.record.id);
+        }
+    }
+    std::ranges::sort(m_live);
     if (now >= m_nextRecordsAt) {
         m_nextRecordsAt = now + (now < m_startedAt + StartPhase ? StartInterval : RecordsInterval);
         readRecords();
@@ -175,6 +185,10 @@
     for (const auto &it : m_routing.router().ownWork()) {
         heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
     }
+    for (const auto &it : m_routing.ownReports()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count();
+        heartbeat.reports.push_back({membership::shortName(it.endpoint.text()), static_cast<std::uint32_t>(age), it.running, it.waiting, it.content});
+    }
     for (const auto &it : m_view.members(now)) {
         if (it.record.id != m_view.self().id) {
             heartbeat.receiverSequence = m_taken[it.record.id];
@@ -212,6 +226,7 @@
     m_taken[from] = heartbeat->sequence;
     m_endpoints.noteHeartbeat(*heartbeat);
     takeWork(*heartbeat);
+    takeReports(*heartbeat);
     if (m_hooks.onRevision) {
         m_hooks.onRevision(from, heartbeat->revision);
     }
@@ -237,6 +252,22 @@
     m_routing.router().notePeerWork(heartbeat.from, work, base::now());
 }
 
+void MembershipShell::takeReports(const membership::Heartbeat &heartbeat)
+{
+    for (const auto &it : heartbeat.reports) {
+        const auto name = m_endpointNames.find(it.endpoint);
+        if (name != m_endpointNames.end()) {
+            m_routing.takeReport({name->second, std::chrono::milliseconds(it.ageMilliseconds), it.running, it.waiting, it.content});
+        }
+    }
+    for (const auto &it : heartbeat.suspects) {
+        const auto name = m_endpointNames.find(it.endpoint);
+        if (name != m_endpointNames.end()) {
+            m_routing.lookAt(name->second);
+        }
+    }
+}
+
 void MembershipShell::readRecords()
 {
     m_environment.table.readPrefix(recordPrefix(m_environment.settings), [this](const platform::ReadResult &rows) {
@@ -361,17 +392,17 @@
     return answer ? answer->addresses : std::vector<base::Address>();
 }
 
-bool MembershipShell::isResponsible(const base::EndpointId &endpoint) const
+/// Endpoints go around the live daemons in order, so that each polls as many as the others.
+routing::PollDuty MembershipShell::duty(const base::EndpointId &endpoint) const
 {
-    const auto weight = [&](const base::DaemonId &daemon) {
-        return base::fingerprint(daemon.text(), base::fingerprint(endpoint.text()));
-    };
-    const auto own = weight(m_view.self().id);
-    std::size_t before = 0;
-    for (const auto &it : members()) {
-        before += it.state == LiveState::Live && weight(it.record.id) > own ? 1 : 0;
+    const auto order = m_pollOrder.find(endpoint);
+    const auto self = std::ranges::find(m_live, m_view.self().id);
+    if (order == m_pollOrder.end() || self == m_live.end()) {
+        return routing::PollDuty::Primary;
     }
-    return before < ResponsibleCount;
+    const auto own = static_cast<std::size_t>(self - m_live.begin());
+    const auto turn = (own + m_live.size() - order->second % m_live.size()) % m_live.size();
+    return turn == 0 ? routing::PollDuty::Primary : turn == 1 ? routing::PollDuty::Backup : routing::PollDuty::Other;
 }
 
 void MembershipShell::answerEntry(const net::ExchangePointer &exchange)
--- a/src/turmericplank/daemon/routingshell.cpp
+++ b/src/turmericplank/daemon/routingshell.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr auto TickInterval = std::chrono::milliseconds(100);
-constexpr auto CloseInterval = std::chrono::milliseconds(500); ///< polls of a responsible daemon
-constexpr auto WideInterval = std::chrono::milliseconds(2500); ///< polls of all others
 constexpr auto PollTimeout = std::chrono::milliseconds(1000);
 
 std::optional<routing::LoadReport> toReport(const std::string &text)
@@ -71,11 +69,13 @@
 {
     std::vector<routing::RoutableEndpoint> endpoints;
     std::map<base::EndpointId, Polled> polled;
+    std::map<base::EndpointId, bool> planned;
     for (const auto &[id, it] : document.endpoints) {
         endpoints.push_back({id, it.address, it.zone, it.concurrency});
         const auto known = m_polled.find(id);
         const bool isSame = known != m_polled.end() && known->second.address == it.address;
-        polled.emplace(id, isSame ? known->second : Polled{it.address, {}, 0, false});
+        polled.emplace(id, isSame ? known->second : Polled{it.address, 0});
+        planned.emplace(id, !isSame);
     }
     std::vector<base::ModelName> models;
     for (const auto &[name, it] : document.models) {
@@ -86,6 +86,7 @@
         adapters.emplace(name, it.model);
     }
     m_polled = std::move(polled);
+    m_plan.setEndpoints(planned);
     m_router.setEndpoints(endpoints);
     m_router.setModels(models, adapters);
 }
@@ -104,20 +105,37 @@
 {
     const auto now = base::now();
     m_router.expire(now);
-    for (auto &[id, it] : m_polled) {
-        if (it.isPolling || now < it.nextPollAt) {
-            continue;
-        }
-        const bool isClose = !m_hooks.isResponsible || m_hooks.isResponsible(id);
-        it.nextPollAt = now + (isClose ? base::Duration(CloseInterval) : base::Duration(WideInterval));
-        pollLoad(id, it);
-        pollEvents(id, it);
+    const auto duty = [this](const base::EndpointId &endpoint) {
+        return m_hooks.duty ? m_hooks.duty(endpoint) : routing::PollDuty::Primary;
+    };
+    for (const auto &it : m_plan.dueLoads(now, duty)) {
+        pollLoad(it, m_polled.at(it));
+    }
+    for (const auto &it : m_plan.dueEvents(now)) {
+        pollEvents(it, m_polled.at(it));
+    }
+}
+
+std::vector<routing::ReportDigest> RoutingShell::ownReports() const
+{
+    return m_plan.ownDigests(base::now());
+}
+
+void RoutingShell::takeReport(const routing::ReportDigest &digest)
+{
+    const auto now = base::now();
+    if (const auto report = m_plan.noteDigest(digest, now)) {
+        m_router.noteReport(digest.endpoint, *report, now);
     }
 }
 
-void RoutingShell::pollLoad(const base::EndpointId &endpoint, Polled &polled)
+void RoutingShell::lookAt(const base::EndpointId &endpoint)
+{
+    m_plan.pollSoon(endpoint, base::now());
+}
+
+void RoutingShell::pollLoad(const base::EndpointId &endpoint, const Polled &polled)
 {
-    polled.isPolling = true;
     net::HttpCallOptions options;
     options.to = polled.address;
     options.request = {"GET", "/load", {}, {}};
@@ -125,29 +143,28 @@
     options.firstProgressTimeout = PollTimeout;
     options.silenceTimeout = PollTimeout;
     fetchWhole(m_environment.context, std::move(options), [this, endpoint](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
-        const auto it = m_polled.find(endpoint);
-        if (it == m_polled.end()) {
+        const auto report = response && response->status == 200 ? toReport(response->body) : std::nullopt;
+        if (!m_polled.contains(endpoint)) {
             return;
         }
-        it->second.isPolling = false;
-        if (response && response->status == 200) {
-            takeReport(endpoint, response->body);
-        } else if (m_hooks.onFailure) {
+        if (report) {
+            takeReport(endpoint, *report);
+            return;
+        }
+        m_plan.noteFailure(endpoint, base::now());
+        if (m_hooks.onFailure) {
             m_hooks.onFailure(endpoint);
         }
     });
 }
 
-void RoutingShell::takeReport(const base::EndpointId &endpoint, const std::string &body)
+void RoutingShell::takeReport(const base::EndpointId &endpoint, const routing::LoadReport &report)
 {
-    const auto report = toReport(body);
-    if (!report) {
-        telemetry::log(telemetry::LogLevel::Warning, "routing", "malformed load report", {{"endpoint", endpoint.text()}});
-        return;
-    }
-    m_router.noteReport(endpoint, *report, base::now());
+    const auto now = base::now();
+    m_plan.noteReport(endpoint, report, now);
+    m_router.noteReport(endpoint, report, now);
     if (m_hooks.onAnswer) {
-        m_hooks.onAnswer(endpoint, report->incarnation, report->isLeaving);
+        m_hooks.onAnswer(endpoint, report.incarnation, report.isLeaving);
     }
 }
 
@@ -161,6 +178,7 @@
     options.silenceTimeout = PollTimeout;
     fetchWhole(m_environment.context, std::move(options), [this, endpoint](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
         if (response && response->status == 200) {
+            m_plan.noteEvents(endpoint, response->body.size(), base::now());
             takeEvents(endpoint, response->body);
         }
     });
--- a/src/turmericplank/membership/heartbeat.cpp
+++ b/src/turmericplank/membership/heartbeat.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::uint32_t OldestVersion = 1;
 constexpr std::uint32_t Version = 1;
-constexpr std::uint32_t FieldCount = 14;
+constexpr std::uint32_t FieldCount = 15;
 constexpr std::uint32_t TokenUnit = 16; ///< tokens are rounded up to this many, which makes them shorter
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
@@ -88,6 +88,17 @@
     return units * TokenUnit;
 }
 
+LoadDigest readReport(Reader &fields)
+{
+    LoadDigest it;
+    it.endpoint = fields.next<ShortName>();
+    it.ageMilliseconds = fields.next<std::uint32_t>();
+    it.running = fields.next<std::uint32_t>();
+    it.waiting = fields.next<std::uint32_t>();
+    it.content = fields.next<std::uint32_t>();
+    return it;
+}
+
 Heartbeat readHeartbeat(Reader &reader)
 {
     Heartbeat it;
@@ -125,6 +136,9 @@
     });
     it.receiverSequence = reader.next<std::uint64_t>();
     it.receiverUseUntil = base::timeFromMilliseconds(reader.next<std::int64_t>());
+    if (reader.hasMore()) {
+        it.reports = reader.list<LoadDigest>(readReport);
+    }
     return it;
 }
 
@@ -176,6 +190,14 @@
     }
     packer.pack(heartbeat.receiverSequence);
     packer.pack(base::toMilliseconds(heartbeat.receiverUseUntil));
+    packer.pack_array(static_cast<std::uint32_t>(5 * heartbeat.reports.size()));
+    for (const auto &it : heartbeat.reports) {
+        packer.pack(it.endpoint);
+        packer.pack(it.ageMilliseconds);
+        packer.pack(it.running);
+        packer.pack(it.waiting);
+        packer.pack(it.content);
+    }
     return {buf.data(), buf.size()};
 }
 
--- /dev/null
+++ b/src/turmericplank/routing/pollplan.cpp
@@ -0,0 +1,160 @@
+#include "turmericplank/routing/pollplan.hpp"
+
+#include <algorithm>
+#include <string>
+
+#include "turmericplank/base/digest.hpp"
+
+namespace turmericplank::routing {
+
+std::uint32_t contentOf(const LoadReport &report)
+{
+    std::string buf = std::to_string(report.incarnation.value()) + '\n' + report.role + (report.isLeaving ? "\nleaving" : "\nstaying");
+    for (const auto &it : report.resident) {
+        buf += "\nm" + it.model.text() + '\t' + it.version;
+    }
+    for (const auto &it : report.adapters) {
+        buf += "\na" + it.text();
+    }
+    return static_cast<std::uint32_t>(base::fingerprint(buf));
+}
+
+PollPlan::PollPlan(PollPlanOptions options)
+    : m_options(options)
+{
+}
+
+void PollPlan::setEndpoints(const std::map<base::EndpointId, bool> &endpoints)
+{
+    std::erase_if(m_endpoints, [&](const auto &it) { return !endpoints.contains(it.first); });
+    for (const auto &[id, isOther] : endpoints) {
+        if (isOther) {
+            m_endpoints.erase(id);
+        }
+        m_endpoints.try_emplace(id);
+    }
+}
+
+bool PollPlan::isDue(const Watched &watched, PollDuty duty, base::Time now) const
+{
+    if (watched.isPolling || now < watched.nextLoadAt) {
+        return false;
+    }
+    if (watched.isDueSoon || !watched.report) {
+        return true;
+    }
+    switch (duty) {
+    case PollDuty::Primary:
+        return now >= watched.polledAt + m_options.primaryInterval;
+    case PollDuty::Backup:
+        return now >= watched.heardAt + m_options.backupAfter;
+    case PollDuty::Other:
+        return now >= watched.heardAt + m_options.otherAfter;
+    }
+    return false;
+}
+
+std::vector<base::EndpointId> PollPlan::dueLoads(base::Time now, const std::function<PollDuty(const base::EndpointId &)> &duty)
+{
+    std::vector<base::EndpointId> due;
+    for (auto &[id, it] : m_endpoints) {
+        if (isDue(it, duty(id), now)) {
+            it.isPolling = true;
+            it.isDueSoon = false;
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+std::vector<base::EndpointId> PollPlan::dueEvents(base::Time now)
+{
+    std::vector<base::EndpointId> due;
+    for (auto &[id, it] : m_endpoints) {
+        if (now >= it.nextEventsAt) {
+            it.nextEventsAt = now + m_options.eventInterval;
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+void PollPlan::noteReport(const base::EndpointId &endpoint, const LoadReport &report, base::Time now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    auto &it = found->second;
+    it.isPolling = false;
+    it.report = report;
+    it.content = contentOf(report);
+    it.polledAt = now;
+    it.heardAt = now;
+}
+
+void PollPlan::noteFailure(const base::EndpointId &endpoint, base::Time now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    auto &it = found->second;
+    it.isPolling = false;
+    it.isDueSoon = true;
+    it.nextLoadAt = now + m_options.primaryInterval;
+}
+
+void PollPlan::noteEvents(const base::EndpointId &endpoint, std::size_t bytes, base::Time now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    const auto seconds = std::chrono::duration<double>(static_cast<double>(bytes) / m_options.eventBytesPerSecond);
+    found->second.nextEventsAt = now + std::max(m_options.eventInterval, std::chrono::duration_cast<base::Duration>(seconds));
+}
+
+std::optional<LoadReport> PollPlan::noteDigest(const ReportDigest &digest, base::Time now)
+{
+    const auto found = m_endpoints.find(digest.endpoint);
+    if (found == m_endpoints.end()) {
+        return std::nullopt;
+    }
+    auto &it = found->second;
+    if (!it.report || it.content != digest.content) {
+        it.isDueSoon = true;
+        return std::nullopt;
+    }
+    const auto takenAt = now - digest.age;
+    if (takenAt <= it.report->takenAt) {
+        return std::nullopt;
+    }
+    it.heardAt = now;
+    it.report->takenAt = takenAt;
+    it.report->running = digest.running;
+    it.report->waiting = digest.waiting;
+    return it.report;
+}
+
+void PollPlan::pollSoon(const base::EndpointId &endpoint, base::Time now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end() && now >= found->second.polledAt + m_options.primaryInterval) {
+        found->second.isDueSoon = true;
+    }
+}
+
+std::vector<ReportDigest> PollPlan::ownDigests(base::Time now) const
+{
+    std::vector<ReportDigest> digests;
+    for (const auto &[id, it] : m_endpoints) {
+        if (it.report && now - it.polledAt <= m_options.digestLifetime) {
+            const auto age = std::max(now - it.report->takenAt, base::Duration(0));
+            digests.push_back({id, age, it.report->running, it.report->waiting, it.content});
+        }
+    }
+    return digests;
+}
+
+} // namespace turmericplank::routing
