--- a/include/turmericplank/placement/planner.hpp
+++ b/include/turmericplank/placement/planner.hpp
@@ -57,6 +57,7 @@
     std::uint32_t concurrency = 1;
     std::string role;
     bool isOrderable = false; ///< takes a new order now
+    std::uint32_t loadLimitMib = UINT32_MAX; ///< largest load that may be ordered; smaller while the table is down
     std::map<Resident, ResidentState> residents;
 
     friend bool operator==(const EndpointView &, const EndpointView &) = default;
@@ -75,7 +76,7 @@
 /// @brief Numbers of the policy that are the same for all sites.
 struct PlannerOptions
 {
-    double horizonSeconds = 60; ///< how long a saved rate of late requests is credited
+    double horizonSeconds = 20; ///< how long a saved rate of late requests is credited
     double headroom = 1.15; ///< demand that is planned for, in parts of the estimate
     std::uint32_t movesPerStep = 12;
     double adapterShare = 0.02; ///< share of its base model's requests from which an adapter follows each replica
--- a/src/turmericplank/daemon/placementshell.cpp
+++ b/src/turmericplank/daemon/placementshell.cpp
@@ -241,7 +241,7 @@
     net::HttpCallOptions options;
     options.to = it->second;
     options.request = {"POST", "/orders", {{"Content-Type", "application/json"}}, orderBody(order)};
-    options.byteCounter = &m_environment.controlBytes;
+    options.byteCounter = &m_environment.pollBytes;
     options.firstProgressTimeout = CallTimeout;
     options.silenceTimeout = CallTimeout;
     fetchWhole(m_environment.context, std::move(options), [this, order](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
@@ -263,7 +263,7 @@
     net::HttpCallOptions options;
     options.to = m_addresses[endpoint];
     options.request = {"GET", "/inventory", {}, {}};
-    options.byteCounter = &m_environment.controlBytes;
+    options.byteCounter = &m_environment.pollBytes;
     options.firstProgressTimeout = CallTimeout;
     options.silenceTimeout = CallTimeout;
     const auto document = m_document;
--- a/src/turmericplank/placement/controllerplan.cpp
+++ b/src/turmericplank/placement/controllerplan.cpp
@@ -28,6 +28,9 @@
         view.concurrency = configured.concurrency;
         view.role = endpoint.role;
         view.isOrderable = isOrderable(now, id, endpoint);
+        if (isWithoutTable()) {
+            view.loadLimitMib = configured.checksFencing ? configured.memoryMib / UnrecordedShare : 0;
+        }
         view.residents = endpoint.ledger.residents();
         views.push_back(std::move(view));
     }
--- a/src/turmericplank/placement/plandemand.cpp
+++ b/src/turmericplank/placement/plandemand.cpp
@@ -44,6 +44,9 @@
         return;
     }
     for (std::uint32_t endpoint = 0; endpoint < state.endpoints.size(); ++endpoint) {
+        if (state.models[model].model->memoryMib > state.endpoints[endpoint].view->loadLimitMib) {
+            continue;
+        }
         const double saved = std::min(wanted, slack(input, spread, endpoint)) * state.models[model].latePrice;
         if (saved - policy.movePrice <= std::max(0.0, best.value) || state.isTaken(endpoint, model)) {
             continue;
--- a/src/turmericplank/placement/planner.cpp
+++ b/src/turmericplank/placement/planner.cpp
@@ -37,7 +37,8 @@
     for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
         const auto &endpoint = state.endpoints[n];
         const bool isOldZone = perZone[endpoint.zone] > 0;
-        if (state.isTaken(n, model) || (needsNewZone && isOldZone)) {
+        const bool isTooLarge = state.models[model].model->memoryMib > endpoint.view->loadLimitMib;
+        if (isTooLarge || state.isTaken(n, model) || (needsNewZone && isOldZone)) {
             continue;
         }
         Site site{n, {}};
