Measure the configuration; one daemon of a cell reads the pointer for the others

Cause: all daemons of a cell read the pointer in step, so no read saved another's. Change: each waits its own 0 to 280 ms beyond the interval of 1.2 s (1.5 s before) and tells its peers at once when it has read.

--- /dev/null
+++ b/bench/configuration.cpp
@@ -0,0 +1,279 @@
+#include "section.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+#include "../src/turmericplank/configuration/fakecluster.hpp"
+
+namespace turmericplank::bench {
+
+namespace {
+
+using namespace configuration;
+using namespace std::chrono_literals;
+
+constexpr int TargetModels = 1300;
+constexpr int TargetEndpoints = 7200;
+constexpr auto StoreLatency = 1s;
+
+double seconds(base::Duration duration)
+{
+    return base::inMilliseconds(duration) / 1000;
+}
+
+double quantile(std::vector<double> values, double share)
+{
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+    return values.empty() ? 0 : values[index];
+}
+
+Document documentOf(int models, int endpoints)
+{
+    Document document;
+    document.site = "target";
+    for (int n = 0; n < models; ++n) {
+        const base::ModelName name("model-" + std::to_string(n));
+        document.models[name] = {.name = name, .version = "1", .memoryMib = 8000};
+    }
+    for (int n = 0; n < endpoints; ++n) {
+        const base::EndpointId id("endpoint-" + std::to_string(n));
+        const base::Address address{"10." + std::to_string(n / 65536) + "." + std::to_string(n / 256 % 256) + "." + std::to_string(n % 256), 8000};
+        document.endpoints[id] = {.id = id, .address = address, .zone = base::ZoneName("r/a"), .memoryMib = 80000};
+    }
+    return document;
+}
+
+std::string placementText(int price)
+{
+    return "[placement]\nmove_price = " + std::to_string(price) + "\n";
+}
+
+/// What accepting several changes one after the other gave.
+struct ActivationFigures
+{
+    std::vector<double> fromAcceptance; ///< s from the pointer's write to the last daemon's switch
+    std::vector<double> fromRequest; ///< s from the operator's request to the last daemon's switch
+    std::vector<double> skews; ///< s between the first and the last daemon's switch
+    std::size_t missed = 0; ///< changes that a daemon did not switch to
+};
+
+struct Switches
+{
+    base::Time first = base::Time::max();
+    base::Time last;
+    int count = 0;
+};
+
+ActivationFigures measureActivation(int daemons, unsigned seed)
+{
+    constexpr int Changes = 12;
+    FakeCluster cluster({.daemons = daemons, .seed = seed, .checksAdmission = false});
+    cluster.store.latency = StoreLatency;
+    cluster.seed(documentOf(20, 12));
+    std::map<base::Revision, Switches> switches;
+    cluster.onSwitched = [&](std::size_t, const Switched &it) {
+        auto &entry = switches[it.inForce.revision];
+        entry.first = std::min(entry.first, cluster.queue.now());
+        entry.last = cluster.queue.now();
+        entry.count += 1;
+    };
+    cluster.run(10s);
+    ActivationFigures figures;
+    FakeCluster::Operator team;
+    for (int n = 0; n < Changes; ++n) {
+        cluster.look(team);
+        cluster.edit(team, configuration::Section::Placement, placementText(n + 10));
+        cluster.run(5s + std::chrono::milliseconds(std::uniform_int_distribution<int>(0, 1500)(cluster.random)));
+        cluster.look(team);
+        const auto requested = cluster.queue.now();
+        cluster.accept(team);
+        cluster.run(15s);
+        const auto revision = base::Revision(static_cast<std::uint64_t>(n) + 2);
+        const auto &it = switches[revision];
+        figures.missed += it.count == daemons ? 0 : 1;
+        figures.fromAcceptance.push_back(seconds(it.last - cluster.oracle.writtenAt[revision]));
+        figures.fromRequest.push_back(seconds(it.last - requested));
+        figures.skews.push_back(seconds(it.last - it.first));
+    }
+    return figures;
+}
+
+void printActivation(unsigned seed)
+{
+    for (const auto daemons : {8, 40, 410}) {
+        const auto figures = measureActivation(daemons, seed);
+        const auto suffix = ".daemons" + std::to_string(daemons);
+        printFigure("configuration.time_to_force" + suffix, quantile(figures.fromAcceptance, 0.99), "s", "<= 8");
+        printFigure("configuration.time_to_force_from_request" + suffix, quantile(figures.fromRequest, 0.99), "s", "<= 8");
+        printFigure("configuration.activation_skew" + suffix, quantile(figures.skews, 0.99), "s", "<= 8");
+        printFigure("configuration.missed_changes" + suffix, static_cast<double>(figures.missed), "changes", "0");
+    }
+}
+
+/// One random fault of the store, of a daemon or of the network between them.
+void injectFault(FakeCluster &cluster)
+{
+    const auto pick = [&cluster](int bound) {
+        return std::uniform_int_distribution<int>(0, bound - 1)(cluster.random);
+    };
+    auto &daemon = cluster.daemons[static_cast<std::size_t>(pick(static_cast<int>(cluster.daemons.size())))];
+    const auto n = static_cast<std::size_t>(&daemon - cluster.daemons.data());
+    cluster.store.isDown = pick(8) == 0;
+    cluster.store.latency = pick(4) == 0 ? base::Duration(StoreLatency) : base::Duration(10ms);
+    cluster.store.answersToLose = pick(3) == 0 ? 1 : 0;
+    cluster.store.lateBy = pick(2) == 0 ? base::Duration(4s) : base::Duration();
+    cluster.noticeLoss = pick(4) == 0 ? 0.5 : 0;
+    daemon.isCutFromStore = pick(4) == 0;
+    daemon.isCutFromPeers = pick(4) == 0;
+    if (pick(6) == 0) {
+        cluster.stop(n);
+        cluster.start(n);
+    } else if (pick(6) == 0 && daemon.activation != nullptr) {
+        cluster.pause(n);
+        cluster.run(std::chrono::milliseconds(pick(6000)));
+        cluster.resume(n);
+    }
+}
+
+struct FaultFigures
+{
+    std::uint64_t changes = 0;
+    std::uint64_t admissions = 0;
+    std::uint64_t oldAdmissions = 0; ///< under a revision that was superseded elsewhere
+    double oldest = 0; ///< s by which the most outdated of them was superseded
+};
+
+void sampleAdmissions(FakeCluster &cluster, FaultFigures &figures)
+{
+    for (std::size_t n = 0; n < cluster.daemons.size(); ++n) {
+        if (cluster.admit(n) != Admission::Serve) {
+            continue;
+        }
+        figures.admissions += 1;
+        const auto next = cluster.oracle.accepted.upper_bound(cluster.daemons[n].activation->inForce().revision);
+        if (next != cluster.oracle.accepted.end() && next->second.inForceFrom < cluster.queue.now()) {
+            const auto since = std::max(next->second.inForceFrom, cluster.oracle.writtenAt[next->first]);
+            figures.oldAdmissions += since < cluster.queue.now() ? 1 : 0;
+            figures.oldest = std::max(figures.oldest, seconds(cluster.queue.now() - since));
+        }
+    }
+}
+
+void printFaults(unsigned seed)
+{
+    constexpr int Rounds = 2000;
+    FakeCluster cluster({.daemons = 8, .seed = seed});
+    cluster.seed(documentOf(20, 12));
+    cluster.run(5s);
+    FaultFigures figures;
+    std::array<FakeCluster::Operator, 3> operators;
+    for (int n = 0; n < Rounds; ++n) {
+        auto &who = operators[static_cast<std::size_t>(n) % operators.size()];
+        cluster.look(who);
+        if (n % 2 == 0) {
+            cluster.edit(who, configuration::Section::Placement, placementText(n + 2));
+        } else {
+            cluster.accept(who);
+        }
+        if (n % 3 == 0) {
+            injectFault(cluster);
+        }
+        for (int sample = 0; sample < 4; ++sample) {
+            cluster.run(std::chrono::milliseconds(std::uniform_int_distribution<int>(0, 800)(cluster.random)));
+            sampleAdmissions(cluster, figures);
+        }
+    }
+    auto &counts = cluster.oracle.counts;
+    printFigure("configuration.accepted_under_faults", static_cast<double>(cluster.oracle.accepted.size() - 1), "changes", "-");
+    printFigure("configuration.reverts", static_cast<double>(counts[Breach::Reverted]), "switches", "0");
+    printFigure("configuration.lost_edits", static_cast<double>(counts[Breach::LostEdit]), "edits", "0");
+    printFigure("configuration.unseen_edits", static_cast<double>(counts[Breach::UnseenEdit]), "acceptances", "0");
+    printFigure("configuration.wrong_answers", static_cast<double>(counts[Breach::WrongAnswer]), "answers", "0");
+    printFigure("configuration.old_after_notice", static_cast<double>(counts[Breach::HalfOld]), "admissions", "0");
+    printFigure("configuration.old_admissions_under_faults", 100.0 * static_cast<double>(figures.oldAdmissions) / static_cast<double>(figures.admissions), "%",
+                "-");
+    printFigure("configuration.oldest_admission_under_faults", figures.oldest, "s", "<= 38");
+}
+
+double millisecondsOf(const std::function<void()> &work)
+{
+    constexpr int Runs = 20;
+    std::vector<double> times;
+    for (int n = 0; n < Runs; ++n) {
+        const auto began = std::chrono::steady_clock::now();
+        work();
+        times.push_back(std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count());
+    }
+    return quantile(std::move(times), 0.5);
+}
+
+std::size_t bytesNotIn(const ObjectCache &after, const ObjectCache &before)
+{
+    std::size_t total = 0;
+    for (const auto &[name, bytes] : after) {
+        total += before.contains(name) ? 0 : name.size() + bytes.size();
+    }
+    return total;
+}
+
+void printCost(const std::string &suffix, const Document &document, const std::function<void(Document &)> &change)
+{
+    ObjectCache before;
+    const auto oldSections = storeDocument(document, before);
+    const auto base = assemble(nullptr, oldSections, before);
+    auto changed = document;
+    change(changed);
+    auto after = before;
+    const auto sections = storeDocument(changed, after);
+    printFigure("configuration.whole_document" + suffix, static_cast<double>(canonicalText(document).size()) / 1024, "KiB", "-");
+    printFigure("configuration.bytes_per_change" + suffix, static_cast<double>(bytesNotIn(after, before)) / 1024, "KiB", "-");
+    printFigure("configuration.apply_change" + suffix, millisecondsOf([&] { (void)assemble(&*base, sections, after); }), "ms", "-");
+    printFigure("configuration.apply_whole" + suffix, millisecondsOf([&] { (void)assemble(nullptr, sections, after); }), "ms", "-");
+}
+
+void printCosts()
+{
+    const auto models = documentOf(TargetModels, 0);
+    const auto target = documentOf(TargetModels, TargetEndpoints);
+    const auto changeModel = [](Document &it) {
+        it.models.begin()->second.version = "2";
+    };
+    const auto changeEndpoint = [](Document &it) {
+        it.endpoints.begin()->second.concurrency = 99;
+    };
+    printCost(".models1300", models, changeModel);
+    printCost(".target_model", target, changeModel);
+    printCost(".target_endpoint", target, changeEndpoint);
+}
+
+void printIdleCost(unsigned seed)
+{
+    constexpr int Daemons = 410;
+    constexpr int Seconds = 60;
+    FakeCluster cluster({.daemons = Daemons, .seed = seed, .noticeInterval = 1s, .checksAdmission = false});
+    cluster.seed(documentOf(20, 12));
+    cluster.run(20s);
+    const auto calls = cluster.store.calls;
+    const auto bytes = cluster.store.bytesMoved;
+    const auto notices = cluster.noticeBytes;
+    cluster.run(std::chrono::seconds(Seconds));
+    printFigure("configuration.idle_reads", static_cast<double>(cluster.store.calls - calls) / Seconds, "1/s", "<= 2000");
+    printFigure("configuration.idle_bytes_per_daemon",
+                static_cast<double>(cluster.store.bytesMoved - bytes + cluster.noticeBytes - notices) / Seconds / Daemons, "B/s", "<= 6000");
+}
+
+void run(unsigned seed)
+{
+    printActivation(seed);
+    printFaults(seed);
+    printCosts();
+    printIdleCost(seed);
+}
+
+const bench::Section section("configuration", &run);
+
+} // namespace
+
+} // namespace turmericplank::bench
--- a/include/turmericplank/configuration/activation.hpp
+++ b/include/turmericplank/configuration/activation.hpp
@@ -22,7 +22,8 @@
 /// @brief Timeouts and intervals of one daemon's activation.
 struct ActivationOptions
 {
-    base::Duration pollInterval = std::chrono::milliseconds(1500); ///< age of the knowledge of the pointer at which it is read again
+    base::Duration pollInterval = std::chrono::milliseconds(1200); ///< age of the knowledge of the pointer at which it is read again
+    base::Duration readDelay{}; ///< this daemon's own wait beyond that, so that one of a cell reads and tells the others
     base::Duration longestPollInterval = std::chrono::seconds(6); ///< between own reads while peers read it
     base::Duration readTimeout = std::chrono::seconds(4); ///< a read without an answer is tried again
     base::Duration peerTimeout = std::chrono::seconds(1); ///< a peer without an answer is left for the next source
--- a/src/turmericplank/configuration/activation.cpp
+++ b/src/turmericplank/configuration/activation.cpp
@@ -76,6 +76,8 @@
         m_freshness.readEnded(event.read, event.pointer.has_value(), now);
         if (event.pointer && *event.pointer) {
             learn(**event.pointer);
+            // Peers need not read what this daemon has just read.
+            m_actions.push_back(Notify{notice()});
         }
     }
 
--- a/src/turmericplank/configuration/fakecluster.hpp
+++ b/src/turmericplank/configuration/fakecluster.hpp
@@ -96,7 +96,9 @@
             daemon.incarnation += 1;
             daemon.heardOf = {};
             daemon.isPaused = false;
-            daemon.activation = std::make_unique<Activation>(options.activation, queue.now());
+            auto activationOptions = options.activation;
+            activationOptions.readDelay = std::chrono::milliseconds(40) * static_cast<int>(n % 8);
+            daemon.activation = std::make_unique<Activation>(activationOptions, queue.now());
             handle(n, Tick());
         }
     }
--- a/src/turmericplank/configuration/freshness.cpp
+++ b/src/turmericplank/configuration/freshness.cpp
@@ -40,7 +40,7 @@
     m_isReading = true;
     m_readBegan = now;
     m_readTimeout = now + m_options.readTimeout;
-    m_readAt = now + m_options.pollInterval;
+    m_readAt = now + readInterval();
     m_ownReadAt = now + m_options.longestPollInterval;
     m_read += 1;
     return m_read;
@@ -67,7 +67,7 @@
     // A peer that knows less than this daemon confirms nothing about what this daemon knows.
     if (notice.highest == highest && notice.confirmedAt <= now) {
         confirm(notice.confirmedAt);
-        m_readAt = std::max(m_readAt, notice.confirmedAt + m_options.pollInterval);
+        m_readAt = std::max(m_readAt, notice.confirmedAt + readInterval());
     }
 }
 
@@ -99,6 +99,12 @@
     return std::min(next, m_lastTick + m_options.pauseLimit / 2);
 }
 
+/// A daemon without peers reads for itself alone.
+base::Duration Freshness::readInterval() const
+{
+    return m_hasPeers ? m_options.pollInterval + m_options.readDelay : m_options.pollInterval;
+}
+
 void Freshness::confirm(base::Time at)
 {
     m_confirmedAt = std::max(m_confirmedAt, at);
--- a/src/turmericplank/configuration/freshness.hpp
+++ b/src/turmericplank/configuration/freshness.hpp
@@ -37,6 +37,7 @@
     base::Time nextDeadline() const;
 
 private:
+    base::Duration readInterval() const;
     void confirm(base::Time at);
     void heard(base::Time now);
 
--- a/src/turmericplank/configuration/oracle.hpp
+++ b/src/turmericplank/configuration/oracle.hpp
@@ -44,6 +44,7 @@
     std::map<base::Revision, PointerEntry> accepted;
     std::map<base::Revision, base::Time> writtenAt;
     std::set<Breach> breaches;
+    std::map<Breach, std::uint64_t> counts; ///< how often each promise was broken
 
     void written(const FakeStore::Rows &before, const FakeStore::Rows &after, base::Time now)
     {
@@ -121,6 +122,7 @@
     {
         if (!isKept) {
             breaches.insert(breach);
+            counts[breach] += 1;
         }
     }
 
--- a/src/turmericplank/daemon/configurationshell.cpp
+++ b/src/turmericplank/daemon/configurationshell.cpp
@@ -20,7 +20,9 @@
 constexpr auto NoticeInterval = std::chrono::seconds(1);
 constexpr auto RefusedRetryInterval = std::chrono::seconds(1);
 constexpr auto PeerCallTimeout = std::chrono::milliseconds(800);
-constexpr base::Duration LeadMargin = std::chrono::milliseconds(500);
+constexpr base::Duration ReadDelayStep = std::chrono::milliseconds(40);
+constexpr std::uint64_t ReadDelaySteps = 8;
+constexpr base::Duration LeadMargin = std::chrono::milliseconds(800); ///< the longest read delay and a reserve
 constexpr base::Duration LongestLead = std::chrono::seconds(5);
 constexpr std::size_t RememberedLimit = 16 * 1024 * 1024; // bytes
 const std::string noticeKind = "configuration/notice";
@@ -44,6 +46,13 @@
     return event;
 }
 
+/// Spreads the daemons of a cell, so that mostly the first of them reads the pointer.
+configuration::ActivationOptions withReadDelay(configuration::ActivationOptions options, const base::DaemonId &id)
+{
+    options.readDelay = ReadDelayStep * (base::fingerprint(id.text()) % ReadDelaySteps);
+    return options;
+}
+
 ObjectCache toCache(const std::string &bytes)
 {
     ObjectCache cache;
@@ -73,7 +82,7 @@
 ConfigurationShell::ConfigurationShell(Environment &environment, ConfigurationShellHooks hooks)
     : m_environment(environment)
     , m_hooks(std::move(hooks))
-    , m_activation(m_hooks.activation, base::now())
+    , m_activation(withReadDelay(m_hooks.activation, environment.settings.id), base::now())
     , m_timer(environment.context)
 {
     answerPeers();
