--- a/src/turmericplank/configuration/activation.cpp
+++ b/src/turmericplank/configuration/activation.cpp
@@ -76,6 +76,8 @@
         m_freshness.readEnded(event.read, event.pointer.has_value(), now);
         if (event.pointer && *event.pointer) {
             learn(**event.pointer);
+            // Peers need not read what this daemon has just read.
+            m_actions.push_back(Notify{notice()});
         }
     }
 
@@ -98,6 +100,8 @@
         m_asked.erase(event.peer);
         if (event.pointer) {
             m_freshness.peerAnswered(now);
+            // It most likely holds what it knows of; if not, the next source is asked.
+            m_preparation.peerHolds(event.peer, event.pointer->highest());
             learn(*event.pointer);
         }
     }
@@ -113,6 +117,11 @@
         learn(event.pointer);
     }
 
+    void on(const PeersListed &event, base::Time)
+    {
+        m_freshness.setHasPeers(event.hasOthers);
+    }
+
     void on(const Tick &, base::Time)
     {
     }
--- a/src/turmericplank/configuration/fakecluster.hpp
+++ b/src/turmericplank/configuration/fakecluster.hpp
@@ -96,7 +96,9 @@
             daemon.incarnation += 1;
             daemon.heardOf = {};
             daemon.isPaused = false;
-            daemon.activation = std::make_unique<Activation>(options.activation, queue.now());
+            auto activationOptions = options.activation;
+            activationOptions.readDelay = std::chrono::milliseconds(40) * static_cast<int>(n % 8);
+            daemon.activation = std::make_unique<Activation>(activationOptions, queue.now());
             handle(n, Tick());
         }
     }
@@ -334,6 +336,7 @@
             PointerRead event{read, tl::unexpected(platform::TableFailure::Unavailable)};
             if (rows && !daemons[n].isCutFromStore) {
                 event.pointer = rows->empty() ? std::nullopt : decodePointer(rows->front().value);
+                back(PeersListed{options.daemons > 1 && options.cellSize > 1}); // the table lists the cell's daemons too
             }
             back(event);
         };
--- a/src/turmericplank/placement/controller.cpp
+++ b/src/turmericplank/placement/controller.cpp
@@ -96,6 +96,11 @@
     m_gone.insert(daemon);
 }
 
+void Controller::holderListed(const base::DaemonId &daemon)
+{
+    m_gone.erase(daemon);
+}
+
 void Controller::endpointGone(const base::EndpointId &endpoint)
 {
     const auto it = m_endpoints.find(endpoint);
--- a/src/turmericplank/placement/controllerplan.cpp
+++ b/src/turmericplank/placement/controllerplan.cpp
@@ -4,6 +4,13 @@
 
 namespace turmericplank::placement {
 
+namespace {
+
+/// Share of an endpoint's memory that a load without a row in the table may take.
+constexpr std::uint32_t UnrecordedShare = 4;
+
+} // namespace
+
 std::vector<EndpointView> Controller::endpointViews(base::Time now) const
 {
     std::vector<EndpointView> views;
@@ -21,6 +28,9 @@
         view.concurrency = configured.concurrency;
         view.role = endpoint.role;
         view.isOrderable = isOrderable(now, id, endpoint);
+        if (isWithoutTable()) {
+            view.loadLimitMib = configured.checksFencing ? configured.memoryMib / UnrecordedShare : 0;
+        }
         view.residents = endpoint.ledger.residents();
         views.push_back(std::move(view));
     }
@@ -85,7 +95,7 @@
         return false;
     }
     auto &endpoint = it->second;
-    if ((takesMemory(move.kind) && !isLoadSafe(move, endpoint)) || (freesMemory(move.kind) && !isUnloadSafe(move, endpoint))) {
+    if ((takesMemory(move.kind) && !isLoadSafe(move, endpoint)) || (freesMemory(move.kind) && !isUnloadSafe(now, move, endpoint))) {
         return false;
     }
     Record record;
@@ -149,11 +159,8 @@
         return memory;
     }
     // An earlier holder that went on without the table may have one load under way that no row tells of.
-    std::uint32_t largest = 0;
-    for (const auto &[name, model] : m_document->models) {
-        largest = std::max(largest, model.memoryMib);
-    }
-    return std::max(memory, endpoint.ledger.chargedLoads()) + std::uint64_t(largest) * unacknowledgedHolders();
+    const std::uint64_t unrecorded = endpoint.ledger.capacity() / UnrecordedShare;
+    return std::max(memory, endpoint.ledger.chargedLoads()) + unrecorded * unacknowledgedHolders();
 }
 
 bool Controller::isLoadSafe(const Move &move, const Endpoint &endpoint) const
@@ -165,6 +172,9 @@
     if (!isConfigured || endpoint.ledger.residents().contains(move.resident)) {
         return false;
     }
+    if (isWithoutTable() && memoryMib > endpoint.ledger.capacity() / UnrecordedShare) {
+        return false;
+    }
     if (!move.resident.adapter.isEmpty()) {
         const auto residents = endpoint.ledger.residents();
         const bool hasBase = std::any_of(residents.begin(), residents.end(), [&](const auto &entry) {
@@ -181,7 +191,7 @@
     return !m_options.safeguards.reservesForRestart || loadsAfterRestart(move.endpoint, endpoint) + memoryMib <= endpoint.ledger.capacity();
 }
 
-bool Controller::hasOtherReplica(const Resident &resident, const base::EndpointId &except) const
+bool Controller::hasOtherReplica(base::Time now, const Resident &resident, const base::EndpointId &except) const
 {
     auto configured = resident;
     if (resident.adapter.isEmpty()) {
@@ -192,12 +202,14 @@
         if (id == except) {
             return configured != resident && endpoint.ledger.isSafe(configured);
         }
-        const bool isServing = m_live.contains(id) && m_document->endpoints.contains(id) && endpoint.isTrusted;
+        // After a pause the ledgers are as old as the pause was long.
+        const bool isFresh = now <= endpoint.confirmedAt + m_options.replicaFreshness;
+        const bool isServing = m_live.contains(id) && m_document->endpoints.contains(id) && endpoint.isTrusted && isFresh;
         return isServing && (endpoint.ledger.isSafe(resident) || endpoint.ledger.isSafe(configured));
     });
 }
 
-bool Controller::isUnloadSafe(const Move &move, const Endpoint &endpoint) const
+bool Controller::isUnloadSafe(base::Time now, const Move &move, const Endpoint &endpoint) const
 {
     if (!endpoint.ledger.isSafe(move.resident)) {
         return false;
@@ -218,7 +230,7 @@
     if (!isConfigured || !m_options.safeguards.keepsLastReplica) {
         return true;
     }
-    return hasOtherReplica(move.resident, move.endpoint);
+    return hasOtherReplica(now, move.resident, move.endpoint);
 }
 
 } // namespace turmericplank::placement
--- a/src/turmericplank/placement/testworld.hpp
+++ b/src/turmericplank/placement/testworld.hpp
@@ -39,7 +39,7 @@
         , m_random(m_options.seed)
         , m_document(std::make_shared<configuration::Document>())
     {
-        const std::vector<std::uint32_t> sizes = {45, 40, 30, 30, 20};
+        const std::vector<std::uint32_t> sizes = {45, 40, 30, 25, 20};
         for (std::size_t n = 0; n < m_options.checksFencing.size(); ++n) {
             const base::EndpointId id("e" + std::to_string(n));
             m_ids.push_back(id);
