--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
+#include "daemonrecordtext.hpp"
 #include "turmericplank/base/digest.hpp"
-#include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/telemetry/log.hpp"
 
@@ -36,32 +34,6 @@
     return {settings.id, settings.zone, settings.callerListen, settings.peerListen};
 }
 
-std::string toJson(const membership::DaemonRecord &record)
-{
-    const nlohmann::json body = {{"id", record.id.text()},
-                                 {"zone", record.zone.text()},
-                                 {"caller_address", toString(record.callerAddress)},
-                                 {"peer_address", toString(record.peerAddress)}};
-    return body.dump();
-}
-
-std::optional<membership::DaemonRecord> toRecord(const std::string &text)
-{
-    const auto body = nlohmann::json::parse(text, nullptr, false);
-    if (!body.is_object()) {
-        return std::nullopt;
-    }
-    const auto field = [&body](const char *name) {
-        return body.contains(name) && body[name].is_string() ? body[name].get<std::string>() : std::string();
-    };
-    const auto callers = base::parseAddress(field("caller_address"));
-    const auto peers = base::parseAddress(field("peer_address"));
-    if (field("id").empty() || !callers || !peers) {
-        return std::nullopt;
-    }
-    return membership::DaemonRecord{base::DaemonId(field("id")), base::ZoneName(field("zone")), *callers, *peers};
-}
-
 routing::EndpointMark toMark(LiveState state)
 {
     switch (state) {
@@ -77,11 +49,6 @@
     return routing::EndpointMark::Suspect;
 }
 
-net::HttpResponse jsonResponse(const nlohmann::json &body)
-{
-    return {200, {{"Content-Type", "application/json"}}, body.dump()};
-}
-
 } // namespace
 
 MembershipShell::MembershipShell(Environment &environment, RoutingShell &routing, MembershipShellHooks hooks)
@@ -286,7 +253,7 @@
         }
         std::vector<membership::DaemonRecord> records;
         for (const auto &it : *rows) {
-            if (const auto record = toRecord(it.value)) {
+            if (const auto record = parseDaemonRecord(it.value)) {
                 records.push_back(*record);
             }
         }
@@ -301,7 +268,7 @@
 void MembershipShell::writeRecord()
 {
     const auto key = recordPrefix(m_environment.settings) + m_view.self().id.text();
-    m_environment.table.transact({{key, std::nullopt, toJson(m_view.self())}}, [](const platform::WriteResult &result) {
+    m_environment.table.transact({{key, std::nullopt, daemonRecordText(m_view.self())}}, [](const platform::WriteResult &result) {
         // Without an answer the next read of the records shows whether it took effect.
         if (!result) {
             telemetry::log(LogLevel::Warning, "membership", "registration not confirmed");
@@ -420,47 +387,4 @@
     return turn == 0 ? routing::PollDuty::Primary : turn == 1 ? routing::PollDuty::Backup : routing::PollDuty::Other;
 }
 
-void MembershipShell::answerEntry(const net::ExchangePointer &exchange)
-{
-    const auto &target = exchange->request().target;
-    const base::ModelName model(net::queryParameter(target, "model"));
-    if (!model.isEmpty() && m_hooks.isRouted && !m_hooks.isRouted(model)) {
-        exchange->respond(errorResponse({404, "unknown_model", base::Outcome::NotRun, "no model or adapter of this name is configured"}));
-        return;
-    }
-    const base::ZoneName zone(net::queryParameter(target, "zone"));
-    const auto now = base::now();
-    const auto answer = m_directory.answer(members(), zone, now, m_environment.random);
-    if (!answer) {
-        exchange->respond(errorResponse({503, "no_daemon", base::Outcome::NotRun, "no daemon takes new callers", now + std::chrono::seconds(1)}));
-        return;
-    }
-    nlohmann::json addresses = nlohmann::json::array();
-    for (const auto &it : answer->addresses) {
-        addresses.push_back(toString(it));
-    }
-    exchange->respond(jsonResponse({{"addresses", addresses}, {"use_until", base::toMilliseconds(answer->useUntil)}, {"revision", answer->revision.value()}}));
-}
-
-void MembershipShell::answerMembers(const net::ExchangePointer &exchange)
-{
-    nlohmann::json daemons = nlohmann::json::array();
-    for (const auto &it : members()) {
-        daemons.push_back({{"id", it.record.id.text()},
-                           {"zone", it.record.zone.text()},
-                           {"state", toString(it.state)},
-                           {"reachable", it.isReachable},
-                           {"incarnation", it.incarnation.value()},
-                           {"load", it.load},
-                           {"revision", it.revision.value()},
-                           {"caller_address", toString(it.record.callerAddress)},
-                           {"peer_address", toString(it.record.peerAddress)}});
-    }
-    nlohmann::json endpoints = nlohmann::json::array();
-    for (const auto &[id, state] : m_marks) {
-        endpoints.push_back({{"id", id.text()}, {"state", toString(state)}});
-    }
-    exchange->respond(jsonResponse({{"daemons", daemons}, {"endpoints", endpoints}}));
-}
-
 } // namespace turmericplank::daemon
