--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include "turmericplank/net/beastconversion.hpp"
+#include "turmericplank/net/serverexchange.hpp"
 
 namespace turmericplank::net {
 
@@ -25,9 +26,6 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-class Connection;
-using ConnectionPointer = boost::intrusive_ptr<Connection>;
-
 HttpResponse plainError(int status)
 {
     return {status, {{"Content-Type", "text/plain"}}, std::string(http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)))) + '\n'};
@@ -49,43 +47,10 @@
     return ec.category() == http::make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-/// One request of a connection; outlives the connection as long as its handler holds it.
-class Exchange final : public HttpExchange
-{
-public:
-    Exchange(ConnectionPointer connection, HttpRequest request);
-    ~Exchange() override;
-
-    const HttpRequest &request() const override
-    {
-        return m_request;
-    }
-    void respond(HttpResponse response) override;
-    void startStream(int status, Headers headers) override;
-    void writePiece(std::string piece) override;
-    void endStream() override;
-    void abort() override;
-    std::size_t queuedBytes() const override;
-    void setOnClosed(std::function<void()> onClosed) override
-    {
-        m_onClosed = std::move(onClosed);
-    }
-
-    void notifyClosed();
-
-private:
-    void finish(bool keepsAlive);
-    void queueHead(int status, const Headers &headers, std::optional<std::size_t> length);
-
-    enum class Phase { Waiting, Streaming, Ended };
-
-    ConnectionPointer m_connection;
-    HttpRequest m_request;
-    std::function<void()> m_onClosed;
-    Phase m_phase = Phase::Waiting;
-};
+class Connection;
+using ConnectionPointer = boost::intrusive_ptr<Connection>;
 
-class Connection : public boost::intrusive_ref_counter<Connection, boost::thread_unsafe_counter>
+class Connection final : public ExchangeSink
 {
 public:
     Connection(tcp::socket socket, boost::intrusive_ptr<ServerShared> shared)
@@ -115,7 +80,7 @@
         });
     }
 
-    void write(std::string bytes)
+    void write(std::string bytes) override
     {
         if (m_isClosed) {
             return;
@@ -127,7 +92,7 @@
         }
     }
 
-    void endExchange(bool keepsAlive)
+    void endExchange(bool keepsAlive) override
     {
         m_closesAfterWrite = !keepsAlive || m_shared->isStopping;
         m_current = nullptr;
@@ -153,29 +118,28 @@
         }
     }
 
-    /// Closes without an answer; starts no operation, since the context may be going away.
-    void drop()
+    void drop() override
     {
         m_current = nullptr;
         close();
     }
 
-    std::size_t queuedBytes() const
+    std::size_t queuedBytes() const override
     {
         return m_queuedBytes;
     }
 
-    ServerShared &shared()
+    void countExchange(int change) override
     {
-        return *m_shared;
+        m_shared->exchangesInProgress += static_cast<std::size_t>(change);
     }
 
-    bool isOldHttp() const
+    bool isOldHttp() const override
     {
         return m_isOldHttp;
     }
 
-    bool wantsKeepAlive() const
+    bool wantsKeepAlive() const override
     {
         return m_wantsKeepAlive;
     }
@@ -222,7 +186,7 @@
         m_wantsKeepAlive = message.keep_alive();
         m_isOldHttp = message.version() < 11;
         HttpRequest request{std::string(message.method_string()), std::string(message.target()), toHeaders(message), std::move(message.body())};
-        const auto exchange = boost::intrusive_ptr<Exchange>(new Exchange(ConnectionPointer(this), std::move(request)));
+        const auto exchange = boost::intrusive_ptr<ServerExchange>(new ServerExchange(SinkPointer(this), std::move(request)));
         m_current = exchange.get();
         watchForClose();
         if (m_shared->options.onRequest) {
@@ -343,7 +307,7 @@
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     asio::steady_timer m_requestTimer;
-    Exchange *m_current = nullptr;
+    ServerExchange *m_current = nullptr;
     std::deque<std::string> m_queue;
     std::vector<std::string> m_inFlight;
     std::size_t m_queuedBytes = 0;
@@ -356,116 +320,6 @@
     bool m_isOldHttp = false;
 };
 
-Exchange::Exchange(ConnectionPointer connection, HttpRequest request)
-    : m_connection(std::move(connection))
-    , m_request(std::move(request))
-{
-    ++m_connection->shared().exchangesInProgress;
-}
-
-Exchange::~Exchange()
-{
-    --m_connection->shared().exchangesInProgress;
-    if (m_phase != Phase::Ended) {
-        m_phase = Phase::Ended;
-        m_connection->drop();
-    }
-}
-
-void Exchange::queueHead(int status, const Headers &headers, std::optional<std::size_t> length)
-{
-    http::response<http::empty_body> head(http::int_to_status(static_cast<unsigned>(status)), 11);
-    addHeaders(headers, head);
-    if (length) {
-        head.content_length(*length);
-    } else if (!m_connection->isOldHttp()) {
-        head.chunked(true);
-    }
-    head.keep_alive(m_connection->wantsKeepAlive() && (length || !m_connection->isOldHttp()));
-    std::ostringstream buf;
-    buf << head.base();
-    m_connection->write(buf.str());
-}
-
-void Exchange::respond(HttpResponse response)
-{
-    if (m_phase != Phase::Waiting) {
-        return;
-    }
-    queueHead(response.status, response.headers, response.body.size());
-    if (m_request.method != "HEAD" && !response.body.empty()) {
-        m_connection->write(std::move(response.body));
-    }
-    finish(m_connection->wantsKeepAlive());
-}
-
-void Exchange::startStream(int status, Headers headers)
-{
-    if (m_phase != Phase::Waiting) {
-        return;
-    }
-    m_phase = Phase::Streaming;
-    queueHead(status, headers, std::nullopt);
-}
-
-void Exchange::writePiece(std::string piece)
-{
-    if (m_phase != Phase::Streaming || piece.empty()) {
-        return;
-    }
-    if (m_connection->isOldHttp()) {
-        m_connection->write(std::move(piece));
-        return;
-    }
-    std::array<char, 20> buf{};
-    const int n = std::snprintf(buf.data(), buf.size(), "%zx\r\n", piece.size());
-    std::string chunk(buf.data(), static_cast<std::size_t>(n));
-    chunk += piece;
-    chunk += "\r\n";
-    m_connection->write(std::move(chunk));
-}
-
-void Exchange::endStream()
-{
-    if (m_phase != Phase::Streaming) {
-        return;
-    }
-    if (!m_connection->isOldHttp()) {
-        m_connection->write("0\r\n\r\n");
-    }
-    finish(m_connection->wantsKeepAlive() && !m_connection->isOldHttp());
-}
-
-void Exchange::abort()
-{
-    if (m_phase == Phase::Ended) {
-        return;
-    }
-    m_phase = Phase::Ended;
-    m_onClosed = nullptr;
-    m_connection->drop();
-}
-
-std::size_t Exchange::queuedBytes() const
-{
-    return m_connection->queuedBytes();
-}
-
-void Exchange::finish(bool keepsAlive)
-{
-    m_phase = Phase::Ended;
-    m_onClosed = nullptr;
-    m_connection->endExchange(keepsAlive);
-}
-
-void Exchange::notifyClosed()
-{
-    m_phase = Phase::Ended;
-    if (const auto hook = std::exchange(m_onClosed, nullptr)) {
-        hook();
-    }
-}
-
 } // namespace
 
 void startConnection(tcp::socket socket, boost::intrusive_ptr<ServerShared> shared)
