Measure the requests and let urgent calls pass bulk under overload

Change: the expected wait counts the rate at which higher classes were started lately, so that bulk which cannot finish is refused at the door; aged calls have a queue of their own with one start in eight; the queue limit counts a class and those above it. Found by libFuzzer: a message that claims an array of 2^33 entries made the decoder allocate for it; lengths are bounded now.

--- a/include/turmericplank/requests/admission.hpp
+++ b/include/turmericplank/requests/admission.hpp
@@ -35,9 +35,11 @@
 {
     std::function<std::uint32_t(const base::ModelName &)> modelLimit; ///< calls at endpoints at once; zero for no limit
     std::function<CallerLimit(const base::CallerName &)> callerLimit;
-    std::size_t queueLimit = 4096; ///< calls that wait, over all models
+    std::size_t queueLimit = 4096; ///< calls of a class and those above it that wait, over all models
+    double waitSafety = 1.2; ///< factor on the expected wait of classes below urgent
     unsigned bulkShare = 16; ///< one start in so many goes to the lowest waiting class
-    base::Duration ageingMargin = std::chrono::seconds(2); ///< a waiting call is urgent this long before its latest start
+    unsigned agedShare = 8; ///< one start in so many goes to an aged call while urgent ones wait
+    base::Duration ageingMargin = std::chrono::seconds(2); ///< a waiting call is aged this long before its latest start
     base::Duration initialServiceTime = std::chrono::milliseconds(500); ///< estimate before the first answer
     std::function<bool(base::Priority, base::Priority)> goesBefore; ///< order of classes; urgent first if empty
 };
@@ -104,16 +106,31 @@
     {
         AdmissionRequest request;
         base::Time startedAt;
+        std::size_t queue = 0;
         bool isStarted = false;
     };
     using Queue = boost::intrusive::multiset<Entry, boost::intrusive::compare<ByDeadline>, boost::intrusive::constant_time_size<false>>;
 
+    static constexpr std::size_t ClassCount = 3;
+    static constexpr std::size_t AgedQueue = ClassCount; ///< calls of lower classes whose latest start is near
+
+    /// Starts per second, of which the last ten seconds count most.
+    struct Rate
+    {
+        double perSecond = 0;
+        base::Time countedAt;
+
+        void count(base::Time now);
+        double at(base::Time now) const;
+    };
     struct ModelState
     {
-        std::array<Queue, 3> queues;
-        std::array<std::size_t, 3> sizes{};
+        std::array<Queue, ClassCount + 1> queues;
+        std::array<std::size_t, ClassCount + 1> sizes{};
+        std::array<Rate, ClassCount> starts;
         std::uint32_t started = 0;
         unsigned startsSinceLowest = 0;
+        unsigned startsSinceAged = 0;
         base::Duration serviceTime{};
     };
     struct CallerState
@@ -125,12 +142,15 @@
 
     std::optional<CallError> callerRefusal(const AdmissionRequest &request, base::Time now);
     std::optional<CallError> queueRefusal(const AdmissionRequest &request, const ModelState &model, std::uint32_t limit, base::Time now) const;
-    base::Duration expectedWait(const ModelState &model, base::Priority priority, std::uint32_t limit) const;
+    base::Duration expectedWait(const ModelState &model, base::Priority priority, std::uint32_t limit, base::Time now) const;
     std::uint32_t limitOf(const base::ModelName &model) const;
     bool goesBefore(base::Priority left, base::Priority right) const;
-    void enqueue(Entry &entry, ModelState &model);
+    base::Duration serviceTime(const ModelState &model) const;
+    void enqueue(Entry &entry, std::size_t queue, ModelState &model);
     void dequeue(Entry &entry, ModelState &model);
+    bool isAged(const AdmissionRequest &request, const ModelState &model, base::Time now) const;
     void raiseAged(ModelState &model, base::Time now);
+    std::optional<std::size_t> nextQueue(ModelState &model) const;
     Entry *takeNext(ModelState &model);
     void startWaiting(ModelState &model, const base::ModelName &name, base::Time now, std::vector<AdmissionAction> &actions);
     void refuse(Entry &entry, CallError error, std::vector<AdmissionAction> &actions);
@@ -140,7 +160,7 @@
     std::unordered_map<CallNumber, std::unique_ptr<Entry>> m_entries;
     std::unordered_map<base::ModelName, ModelState> m_models;
     std::unordered_map<base::CallerName, CallerState> m_callers;
-    std::size_t m_waiting = 0;
+    std::array<std::size_t, ClassCount> m_waiting{}; ///< by class
 };
 
 } // namespace turmericplank::requests
--- a/src/turmericplank/requests/admission.cpp
+++ b/src/turmericplank/requests/admission.cpp
@@ -1,6 +1,8 @@
 #include "turmericplank/requests/admission.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace turmericplank::requests {
 
@@ -8,6 +10,7 @@
 
 constexpr auto Classes = {base::Priority::Urgent, base::Priority::Normal, base::Priority::Bulk};
 constexpr double ServiceTimeSmoothing = 0.1;
+constexpr double RateSeconds = 10; ///< time constant of the rates of starts
 constexpr auto MinimumRetryDelay = std::chrono::milliseconds(100);
 
 std::size_t indexOf(base::Priority priority)
@@ -22,6 +25,17 @@
 
 } // namespace
 
+void Admission::Rate::count(base::Time now)
+{
+    perSecond = at(now) + 1 / RateSeconds;
+    countedAt = now;
+}
+
+double Admission::Rate::at(base::Time now) const
+{
+    return perSecond * std::exp(-std::chrono::duration<double>(now - countedAt).count() / RateSeconds);
+}
+
 bool Admission::ByDeadline::operator()(const Entry &left, const Entry &right) const
 {
     return left.request.deadline < right.request.deadline;
@@ -52,7 +66,7 @@
     auto entry = std::make_unique<Entry>();
     entry->request = request;
     auto &stored = *m_entries.emplace(request.call, std::move(entry)).first->second;
-    enqueue(stored, model);
+    enqueue(stored, isAged(request, model, now) ? AgedQueue : indexOf(request.priority), model);
     startWaiting(model, request.model, now, actions);
     return actions;
 }
@@ -87,11 +101,15 @@
     if (limit == 0 || model.started < limit) {
         return std::nullopt;
     }
-    const auto wait = expectedWait(model, request.priority, limit);
-    if (m_waiting >= m_options.queueLimit) {
+    const auto wait = expectedWait(model, request.priority, limit, now);
+    std::size_t aheadOrBeside = 0;
+    for (const auto it : Classes) {
+        aheadOrBeside += goesBefore(request.priority, it) ? 0 : m_waiting[indexOf(it)];
+    }
+    if (aheadOrBeside >= m_options.queueLimit) {
         return refusal(ErrorCode::QueueFull, now + std::max<base::Duration>(wait, MinimumRetryDelay));
     }
-    const auto service = model.serviceTime.count() == 0 ? m_options.initialServiceTime : model.serviceTime;
+    const auto service = serviceTime(model);
     if (now + wait + service > request.deadline) {
         const auto excess = now + wait + service - request.deadline;
         return refusal(ErrorCode::DeadlineTooNear, now + std::max<base::Duration>(excess, MinimumRetryDelay));
@@ -99,16 +117,25 @@
     return std::nullopt;
 }
 
-base::Duration Admission::expectedWait(const ModelState &model, base::Priority priority, std::uint32_t limit) const
+base::Duration Admission::serviceTime(const ModelState &model) const
+{
+    return model.serviceTime.count() == 0 ? m_options.initialServiceTime : model.serviceTime;
+}
+
+base::Duration Admission::expectedWait(const ModelState &model, base::Priority priority, std::uint32_t limit, base::Time now) const
 {
-    std::size_t ahead = 0;
+    const double capacity = limit / std::chrono::duration<double>(serviceTime(model)).count();
+    double ahead = 1;
+    double higher = 0;
     for (const auto it : Classes) {
-        if (it == priority || goesBefore(it, priority)) {
-            ahead += model.sizes[indexOf(it)];
-        }
+        const bool isHigher = goesBefore(it, priority);
+        ahead += it == priority || isHigher ? static_cast<double>(model.sizes[indexOf(it)]) : 0;
+        higher += isHigher ? model.starts[indexOf(it)].at(now) : 0;
     }
-    const auto service = model.serviceTime.count() == 0 ? m_options.initialServiceTime : model.serviceTime;
-    return service * (ahead + 1) / limit;
+    // Higher classes go on arriving at the rate at which they were started lately.
+    const double left = std::max(capacity - higher, capacity / m_options.bulkShare);
+    const double safety = priority == base::Priority::Urgent ? 1 : m_options.waitSafety;
+    return std::chrono::ceil<base::Duration>(std::chrono::duration<double>(safety * ahead / left));
 }
 
 std::vector<AdmissionAction> Admission::finish(CallNumber call, bool wasAnswered, base::Time now)
@@ -142,7 +169,6 @@
 {
     std::vector<AdmissionAction> actions;
     for (auto &[name, model] : m_models) {
-        raiseAged(model, now);
         for (auto &queue : model.queues) {
             while (!queue.empty() && queue.begin()->request.deadline <= now) {
                 auto &entry = *queue.begin();
@@ -155,22 +181,29 @@
     return actions;
 }
 
+bool Admission::isAged(const AdmissionRequest &request, const ModelState &model, base::Time now) const
+{
+    if (request.priority == base::Priority::Urgent) {
+        return false;
+    }
+    const auto &aged = model.queues[AgedQueue];
+    const bool isBeforeAged = !aged.empty() && request.deadline < aged.rbegin()->request.deadline;
+    return isBeforeAged || request.deadline <= now + serviceTime(model) + m_options.ageingMargin;
+}
+
 void Admission::raiseAged(ModelState &model, base::Time now)
 {
-    const auto service = model.serviceTime.count() == 0 ? m_options.initialServiceTime : model.serviceTime;
-    const auto latest = now + service + m_options.ageingMargin;
     for (const auto it : {base::Priority::Normal, base::Priority::Bulk}) {
         auto &queue = model.queues[indexOf(it)];
-        while (!queue.empty() && queue.begin()->request.deadline <= latest) {
+        while (!queue.empty() && isAged(queue.begin()->request, model, now)) {
             auto &entry = *queue.begin();
             dequeue(entry, model);
-            entry.request.priority = base::Priority::Urgent;
-            enqueue(entry, model);
+            enqueue(entry, AgedQueue, model);
         }
     }
 }
 
-Admission::Entry *Admission::takeNext(ModelState &model)
+std::optional<std::size_t> Admission::nextQueue(ModelState &model) const
 {
     std::optional<base::Priority> first;
     std::optional<base::Priority> lowest;
@@ -181,18 +214,33 @@
         first = !first || goesBefore(it, *first) ? it : *first;
         lowest = !lowest || goesBefore(*lowest, it) ? it : *lowest;
     }
+    const bool hasAged = model.sizes[AgedQueue] != 0;
+    const bool isLowestsTurn = model.startsSinceLowest >= m_options.bulkShare;
+    if (hasAged && (first != base::Priority::Urgent || isLowestsTurn || model.startsSinceAged >= m_options.agedShare)) {
+        return AgedQueue;
+    }
     if (!first) {
-        return nullptr;
+        return std::nullopt;
     }
+    return indexOf(isLowestsTurn ? *lowest : *first);
+}
+
+Admission::Entry *Admission::takeNext(ModelState &model)
+{
     ++model.startsSinceLowest;
-    auto chosen = *first;
-    if (first != lowest && model.startsSinceLowest >= m_options.bulkShare) {
-        chosen = *lowest;
+    ++model.startsSinceAged;
+    const auto queue = nextQueue(model);
+    if (!queue) {
+        return nullptr;
+    }
+    auto &entry = *model.queues[*queue].begin();
+    const bool wasLowestsTurn = model.startsSinceLowest >= m_options.bulkShare;
+    if (*queue == AgedQueue) {
+        model.startsSinceAged = 0;
     }
-    if (chosen == *lowest) {
+    if (wasLowestsTurn || entry.request.priority == base::Priority::Bulk) {
         model.startsSinceLowest = 0;
     }
-    auto &entry = *model.queues[indexOf(chosen)].begin();
     dequeue(entry, model);
     return &entry;
 }
@@ -200,6 +248,7 @@
 void Admission::startWaiting(ModelState &model, const base::ModelName &name, base::Time now, std::vector<AdmissionAction> &actions)
 {
     const auto limit = limitOf(name);
+    raiseAged(model, now);
     while (limit == 0 || model.started < limit) {
         auto *entry = takeNext(model);
         if (entry == nullptr) {
@@ -212,22 +261,24 @@
         entry->isStarted = true;
         entry->startedAt = now;
         ++model.started;
+        model.starts[indexOf(entry->request.priority)].count(now);
         actions.emplace_back(StartCall{entry->request.call});
     }
 }
 
-void Admission::enqueue(Entry &entry, ModelState &model)
+void Admission::enqueue(Entry &entry, std::size_t queue, ModelState &model)
 {
-    model.queues[indexOf(entry.request.priority)].insert(entry);
-    ++model.sizes[indexOf(entry.request.priority)];
-    ++m_waiting;
+    entry.queue = queue;
+    model.queues[queue].insert(entry);
+    ++model.sizes[queue];
+    ++m_waiting[indexOf(entry.request.priority)];
 }
 
 void Admission::dequeue(Entry &entry, ModelState &model)
 {
     entry.unlink();
-    --model.sizes[indexOf(entry.request.priority)];
-    --m_waiting;
+    --model.sizes[entry.queue];
+    --m_waiting[indexOf(entry.request.priority)];
 }
 
 void Admission::refuse(Entry &entry, CallError error, std::vector<AdmissionAction> &actions)
@@ -257,12 +308,12 @@
 
 std::size_t Admission::waiting() const
 {
-    return m_waiting;
+    return std::accumulate(m_waiting.begin(), m_waiting.end(), std::size_t(0));
 }
 
 std::size_t Admission::started() const
 {
-    return m_entries.size() - m_waiting;
+    return m_entries.size() - waiting();
 }
 
 } // namespace turmericplank::requests
--- a/src/turmericplank/requests/messages.cpp
+++ b/src/turmericplank/requests/messages.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t Version = 1;
 constexpr std::size_t HeadFields = 3;
+constexpr std::size_t DepthLimit = 8;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -202,7 +203,9 @@
 tl::expected<Message, DecodeFailure> decodeMessage(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // Every element takes a byte at least; a length beyond that is a lie that would be allocated for.
+        const msgpack::unpack_limit limit(bytes.size(), 0, bytes.size(), 0, 0, DepthLimit);
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         Fields fields(handle.get());
         if (fields.next<std::uint32_t>() < Version) {
             return tl::make_unexpected(DecodeFailure::UnknownVersion);
