--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,15 +1,17 @@
 #include "turmericplank/daemon/daemon.hpp"
 
+#include "turmericplank/daemon/configurationshell.hpp"
 #include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
-#include "turmericplank/daemon/frontdoor.hpp"
-#include "turmericplank/daemon/loadpoller.hpp"
+#include "turmericplank/daemon/membershipshell.hpp"
+#include "turmericplank/daemon/operatorapi.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
 #include "turmericplank/daemon/requestsshell.hpp"
+#include "turmericplank/daemon/routingshell.hpp"
 #include "turmericplank/daemon/timers.hpp"
-#include "turmericplank/routing/router.hpp"
 #include "turmericplank/telemetry/log.hpp"
+#include "turmericplank/telemetry/process.hpp"
 
 namespace turmericplank::daemon {
 
@@ -37,10 +39,11 @@
     return net::listenHttp(context, options);
 }
 
-void addOperatorRoutes(Routes &routes, const telemetry::Metrics &metrics)
+void addOperatorRoutes(Routes &routes, const telemetry::Metrics &metrics, const std::function<void()> &refresh)
 {
     routes.add("GET", "/healthz", [](const net::ExchangePointer &exchange) { exchange->respond({200, {{"Content-Type", "text/plain"}}, "ok\n"}); });
-    routes.add("GET", "/metrics", [&metrics](const net::ExchangePointer &exchange) {
+    routes.add("GET", "/metrics", [&metrics, refresh](const net::ExchangePointer &exchange) {
+        refresh();
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text()});
     });
     routes.add("PUT", "/admin/log-level", [](const net::ExchangePointer &exchange) {
@@ -58,67 +61,156 @@
 
 struct Daemon::Parts
 {
-    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> startDocument)
+    Parts(boost::asio::io_context &ioContext, Settings daemonSettings, std::shared_ptr<const configuration::Document> documentToStart)
         : context(ioContext)
         , settings(std::move(daemonSettings))
-        , document(std::move(startDocument))
+        , startDocument(std::move(documentToStart))
         , mesh(openMeshFor(context, settings))
-        , platformClient(makePlatformClient(context, {settings.platform}))
+        , platformClient(makePlatformClient(context, platformOptions()))
         , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
-                      metrics, random}
-        , loadPoller(environment, router)
-        , frontDoor(environment)
-        , engineChoice(router, random)
+                      metrics, random,   controlBytes}
+        , configuration(environment, configurationHooks())
+        , operatorApi(environment, configuration)
+        , routing(environment)
+        , membership(environment, routing, membershipHooks())
+        , engineChoice(routing.router(), random)
         , requests(environment, requestsOptions())
     {
-        addOperatorRoutes(operatorRoutes, metrics);
-        addOperatorRoutes(callerRoutes, metrics);
+        const auto refresh = [this] {
+            metrics.gauge("control_bytes_total", static_cast<double>(mesh->bytesTransferred() + controlBytes));
+            metrics.gauge("mesh_bytes_total", static_cast<double>(mesh->bytesTransferred()));
+            telemetry::gaugeProcess(metrics);
+        };
+        addOperatorRoutes(operatorRoutes, metrics, refresh);
+        addOperatorRoutes(callerRoutes, metrics, refresh);
         callerServer = listen(context, settings.callerListen, callerRoutes);
         operatorServer = listen(context, settings.operatorListen, operatorRoutes);
         applyDocument();
+        configuration.onActivated([this](const configuration::InForce &) { applyDocument(); });
+    }
+
+    /// The accepted document, or before the first the one that the daemon was started with.
+    std::shared_ptr<const configuration::Document> document() const
+    {
+        const auto &accepted = configuration.inForce().document;
+        return accepted ? accepted : startDocument;
+    }
+
+    PlatformOptions platformOptions()
+    {
+        PlatformOptions options;
+        options.addresses = settings.platform;
+        options.byteCounter = &controlBytes;
+        return options;
+    }
+
+    std::vector<PeerTarget> peerTargets() const
+    {
+        std::vector<PeerTarget> targets;
+        for (const auto &it : membership.others()) {
+            targets.push_back({it.record.id, it.record.peerAddress});
+        }
+        return targets;
+    }
+
+    ConfigurationShellHooks configurationHooks()
+    {
+        ConfigurationShellHooks hooks;
+        hooks.peers = [this] {
+            return peerTargets();
+        };
+        return hooks;
+    }
+
+    /// A start document serves until a first one is accepted; after that the accepted one decides.
+    std::optional<ErrorBody> refusal()
+    {
+        const auto isBeforeFirst = startDocument && configuration.pointer().entries.empty();
+        return isBeforeFirst ? std::nullopt : configuration.refusal();
     }
 
     RequestsShellOptions requestsOptions()
     {
         RequestsShellOptions it;
         it.document = [this] {
-            return document;
+            return document();
+        };
+        it.revision = [this] {
+            return configuration.inForce().revision;
+        };
+        it.refusal = [this] {
+            return refusal();
         };
         it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
             return engineChoice.choose(query, now);
         };
         it.engineFeedback = engineChoice.feedback();
         it.modelLimit = [this](const base::ModelName &model) {
-            return static_cast<std::uint32_t>(router.replicas(model)) * StreamsPerReplica;
+            return static_cast<std::uint32_t>(routing.router().replicas(model)) * StreamsPerReplica;
+        };
+        it.peers = [this] {
+            return peerTargets();
+        };
+        it.otherEntries = [this] {
+            return membership.otherAddresses();
+        };
+        it.mayUseInstance = [this](const base::EndpointId &instance) {
+            return membership.mayUse(instance);
+        };
+        return it;
+    }
+
+    MembershipShellHooks membershipHooks()
+    {
+        MembershipShellHooks it;
+        it.load = [this] {
+            return callerServer ? static_cast<std::uint32_t>(callerServer->exchangesInProgress()) : 0;
+        };
+        it.isRouted = [this](const base::ModelName &model) {
+            const auto current = document();
+            return !current || current->models.contains(model) || current->adapters.contains(base::AdapterName(model.text()));
+        };
+        it.revision = [this] {
+            return configuration.notice().highest;
+        };
+        it.onRevision = [this](const base::DaemonId &peer, base::Revision revision) {
+            configuration.heardRevision(peer, revision);
+        };
+        it.onDrainAsked = [this] {
+            onDrainAsked();
         };
         return it;
     }
 
     void applyDocument()
     {
-        if (document) {
-            applyTo(router, *document);
-            loadPoller.setEndpoints(*document);
+        if (const auto current = document()) {
+            routing.apply(*current);
+            membership.apply(*current);
         }
     }
 
     boost::asio::io_context &context;
     Settings settings;
-    std::shared_ptr<const configuration::Document> document;
+    std::shared_ptr<const configuration::Document> startDocument;
     telemetry::Metrics metrics;
+    std::uint64_t controlBytes = 0;
     std::mt19937_64 random{std::random_device()()};
     Routes callerRoutes;
     Routes operatorRoutes;
     std::unique_ptr<peer::Mesh> mesh;
     PlatformClient platformClient;
     Environment environment;
-    routing::Router router;
-    LoadPoller loadPoller;
-    FrontDoor frontDoor;
+    ConfigurationShell configuration;
+    OperatorApi operatorApi;
+    RoutingShell routing;
+    MembershipShell membership;
     EngineChoice engineChoice;
     RequestsShell requests;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
+    std::function<void()> onDrainAsked = [] {
+    };
     bool isDraining = false;
 };
 
@@ -128,6 +220,9 @@
     const auto &it = m_parts->settings;
     telemetry::log(telemetry::LogLevel::Info, "daemon", "started",
                    {{"id", it.id.text()}, {"zone", it.zone.text()}, {"callers", toString(it.callerListen)}, {"peers", toString(it.peerListen)}});
+    m_parts->onDrainAsked = [this, &context] {
+        beginDrain([&context] { context.stop(); });
+    };
 }
 
 Daemon::~Daemon() = default;
@@ -138,14 +233,18 @@
         return;
     }
     telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
-    m_parts->callerServer->stopAccepting();
-    const auto done = std::make_shared<bool>(false);
-    every(m_parts->context, DrainCheckInterval, [this, done, onDrained = std::move(onDrained)] {
-        if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
-            *done = true;
-            telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
-            onDrained();
-        }
+    // Callers may hold this address for a while: what they send until then is still served.
+    m_parts->membership.leave([this, onDrained = std::move(onDrained)] {
+        m_parts->requests.startDraining();
+        const auto done = std::make_shared<bool>(false);
+        every(m_parts->context, DrainCheckInterval, [this, done, onDrained] {
+            if (!*done && m_parts->callerServer->exchangesInProgress() == 0 && m_parts->requests.inProgress() == 0) {
+                *done = true;
+                m_parts->callerServer->stopAccepting();
+                telemetry::log(telemetry::LogLevel::Info, "daemon", "drained");
+                onDrained();
+            }
+        });
     });
 }
 
