--- a/daemons/turmericplank/loadrunner.cpp
+++ b/daemons/turmericplank/loadrunner.cpp
@@ -1,5 +1,7 @@
 #include "loadrunner.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace turmericplank::cli {
@@ -8,7 +10,8 @@
 
 using nlohmann::json;
 
-constexpr int MostAddresses = 3; // addresses that one call tries
+constexpr std::size_t MostAddresses = 3; // addresses that one call tries
+constexpr base::Duration RunsTimeout = std::chrono::seconds(6);
 constexpr base::Duration AnswerTimeout = std::chrono::seconds(60);
 
 json messagesOf(const PlannedCall &call)
@@ -40,7 +43,7 @@
     base::Time due;
     AnswerCheck check;
     bool isTwin = false; ///< the second sending of a duplicated booking
-    int attempts = 0;
+    std::vector<base::Address> tried;
     int status = 0;
     std::string body; ///< of a whole answer or an error
 };
@@ -57,7 +60,7 @@
     , m_end(m_context)
     , m_entries(m_context, m_options.entries)
     , m_plan(m_options.plan)
-    , m_result{LoadTally(m_options.expectation), LoadTally(m_options.expectation), {}, true, 0, 0, {}}
+    , m_result{LoadTally(m_options.expectation), LoadTally(m_options.expectation), {}, 0, 0, 0, {}}
 {
 }
 
@@ -68,9 +71,11 @@
     m_context.run();
     m_result.elapsed = base::now() - m_started;
     m_result.unanswered = m_inProgress;
-    m_context.restart();
     collectRuns();
     m_result.bookings = m_bookings.faults();
+    if (m_options.serviceInstances.empty()) {
+        m_result.bookings.lost = 0;
+    }
     return std::move(m_result);
 }
 
@@ -81,15 +86,21 @@
     if (isOver) {
         m_isPlanned = true;
         m_end.expires_after(m_options.grace);
-        m_end.async_wait([this](const boost::system::error_code &) { m_context.stop(); });
+        m_end.async_wait([this](const boost::system::error_code &ec) {
+            if (!ec) {
+                m_context.stop();
+            }
+        });
         stopIfDone();
         return;
     }
     ++m_planned;
     m_nextCall.expires_after(m_started + call.after - base::now());
-    m_nextCall.async_wait([this, call = std::move(call)](const boost::system::error_code &) {
-        launch(call);
-        planNext();
+    m_nextCall.async_wait([this, call = std::move(call)](const boost::system::error_code &ec) {
+        if (!ec) {
+            launch(call);
+            planNext();
+        }
     });
 }
 
@@ -123,13 +134,24 @@
             finish(flight, tl::unexpected(net::CallFailure::NotSent));
             return;
         }
-        const auto index = static_cast<std::size_t>(flight->attempts + (flight->isTwin ? 1 : 0));
         // The twin goes through another daemon where one is known.
-        const bool isAlone = flight->isTwin && addresses.size() == 1;
-        send(flight, isAlone ? m_options.entries[m_planned % m_options.entries.size()] : addresses[index % addresses.size()]);
+        const bool isAlone = flight->isTwin && addresses.size() == 1 && flight->tried.empty();
+        send(flight, isAlone ? m_options.entries[m_planned % m_options.entries.size()] : nextAddress(*flight, addresses));
     });
 }
 
+// An address that refused a connection is not tried again while there are others.
+const base::Address &LoadRunner::nextAddress(const Flight &flight, const std::vector<base::Address> &addresses)
+{
+    for (std::size_t n = 0; n < addresses.size(); ++n) {
+        const auto &it = addresses[(n + (flight.isTwin ? 1 : 0)) % addresses.size()];
+        if (std::find(flight.tried.begin(), flight.tried.end(), it) == flight.tried.end()) {
+            return it;
+        }
+    }
+    return addresses.front();
+}
+
 net::HttpRequest LoadRunner::makeRequest(const Flight &flight) const
 {
     const auto &call = flight.call;
@@ -149,7 +171,7 @@
 
 void LoadRunner::send(const FlightPointer &flight, const base::Address &to)
 {
-    ++flight->attempts;
+    flight->tried.push_back(to);
     flight->body.clear();
     flight->status = 0;
     net::HttpCallOptions options;
@@ -210,7 +232,7 @@
 
 bool LoadRunner::sendsAgain(const FlightPointer &flight, const AnswerError &error, bool isNotSent)
 {
-    if (flight->attempts == 0 || flight->attempts >= MostAddresses || flight->check.tokens() > 0) {
+    if (flight->tried.empty() || flight->tried.size() >= MostAddresses || flight->check.tokens() > 0) {
         return false;
     }
     if (isNotSent) {
@@ -285,7 +307,7 @@
         options.request = {"GET", "/runs", {}, {}};
         net::fetchWhole(m_context, std::move(options), [this](const auto &response) {
             const auto list = response ? json::parse(response->body, nullptr, false) : json();
-            m_result.areRunsKnown = m_result.areRunsKnown && list.is_array();
+            m_result.instancesHeard += list.is_array() ? 1 : 0;
             for (const auto &run : list.is_array() ? list : json::array()) {
                 m_bookings.noteRuns(run.at("key").template get<std::string>(), run.at("runs").template get<std::uint64_t>());
             }
@@ -293,8 +315,11 @@
     }
     m_nextCall.cancel();
     m_end.cancel();
+    m_context.restart();
     // Calls without an answer would keep the context running; the runs come within their own timeout.
-    m_context.run_for(std::chrono::seconds(6));
+    const auto deadline = std::chrono::steady_clock::now() + RunsTimeout;
+    while (m_result.instancesHeard < m_options.serviceInstances.size() && m_context.run_one_until(deadline) > 0) {
+    }
 }
 
 } // namespace turmericplank::cli
--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -92,6 +92,7 @@
     bool reservesForRestart = true; ///< loads that may reach a new incarnation fit it together
     bool sendsTermFirst = true;
     bool discardsStaleInventories = true;
+    bool settlesByLaterInventories = true; ///< an inventory settles only orders without an attempt since it was asked for
     bool keepsLastReplica = true;
     bool stopsBeforeLapse = true;
 
@@ -109,6 +110,7 @@
     base::Duration tableRetryInterval = std::chrono::seconds(1);
     base::Duration orderRetryInterval = std::chrono::milliseconds(500);
     base::Duration inventoryInterval = std::chrono::seconds(2);
+    base::Duration replicaFreshness = std::chrono::milliseconds(2500); ///< age of the inventory that an unload elsewhere may rely on
     base::Duration planInterval = std::chrono::seconds(1);
     base::Duration acknowledgementInterval = std::chrono::seconds(5);
     Safeguards safeguards;
@@ -151,6 +153,9 @@
     /// @brief Notes that an entry VM is gone for good: nothing that it meant to send can still be sent.
     void holderGone(const base::DaemonId &daemon);
 
+    /// @brief Notes that there is an entry VM of this name, perhaps a new one after an old one was gone.
+    void holderListed(const base::DaemonId &daemon);
+
     /// @brief Notes that an endpoint's VM is gone for good: no order reaches it any more.
     void endpointGone(const base::EndpointId &endpoint);
 
@@ -186,6 +191,7 @@
         std::optional<base::Incarnation> settledIn;
         std::optional<base::Incarnation> sentTo;
         base::Time nextAttempt;
+        std::uint64_t lastAttempt = 0; ///< event number of the last send or answer
     };
 
     struct Endpoint
@@ -201,7 +207,10 @@
         bool isInventoryUnderWay = false;
         std::uint64_t changes = 0; ///< orders opened and settled
         std::uint64_t changesAtRequest = 0;
+        std::uint64_t eventsAtRequest = 0;
         base::Time nextInventory;
+        base::Time requestedAt; ///< when the last inventory was asked for
+        base::Time confirmedAt; ///< when the last one that the ledger took was asked for
         base::Time nextTerm;
     };
 
@@ -216,8 +225,8 @@
     void planMoves(base::Time now, Actions &actions);
     bool open(base::Time now, const Move &move, Actions &actions);
     bool isLoadSafe(const Move &move, const Endpoint &endpoint) const;
-    bool isUnloadSafe(const Move &move, const Endpoint &endpoint) const;
-    bool hasOtherReplica(const Resident &resident, const base::EndpointId &except) const;
+    bool isUnloadSafe(base::Time now, const Move &move, const Endpoint &endpoint) const;
+    bool hasOtherReplica(base::Time now, const Resident &resident, const base::EndpointId &except) const;
     bool maySend(base::Time now, const Record &record, const Endpoint &endpoint) const;
     bool isOrderable(base::Time now, const base::EndpointId &id, const Endpoint &endpoint) const;
     bool checksFencing(const base::EndpointId &id) const;
@@ -247,6 +256,7 @@
     CellRows m_rows;
     base::Term m_tenure;
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_events = 0; ///< sends and answers so far
     bool m_isSuperseded = false;
     bool m_isReadingAcknowledgements = false;
     std::map<std::string, Record> m_records;
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,11 +1,13 @@
 #include "turmericplank/daemon/daemon.hpp"
 
 #include "turmericplank/daemon/configurationshell.hpp"
+#include "turmericplank/daemon/demandmeter.hpp"
 #include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/membershipshell.hpp"
 #include "turmericplank/daemon/operatorapi.hpp"
+#include "turmericplank/daemon/placementshell.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
 #include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/routingshell.hpp"
@@ -67,18 +69,31 @@
         , startDocument(std::move(documentToStart))
         , mesh(openMeshFor(context, settings))
         , platformClient(makePlatformClient(context, platformOptions()))
-        , environment{context, settings, platformClient.table, platformClient.objects, platformClient.listVirtualMachines, *mesh, callerRoutes, operatorRoutes,
-                      metrics, random,   controlBytes}
+        , environment{context,
+                      settings,
+                      platformClient.table,
+                      platformClient.objects,
+                      platformClient.listVirtualMachines,
+                      *mesh,
+                      callerRoutes,
+                      operatorRoutes,
+                      metrics,
+                      random,
+                      pollBytes}
         , configuration(environment, configurationHooks())
         , operatorApi(environment, configuration)
         , routing(environment)
         , membership(environment, routing, membershipHooks())
         , engineChoice(routing.router(), random)
+        , demand([this] { return document(); })
         , requests(environment, requestsOptions())
+        , placement(environment, placementOptions())
     {
+        operatorApi.addStatusPart("placement", [this] { return placement.status(); });
         const auto refresh = [this] {
-            metrics.gauge("control_bytes_total", static_cast<double>(mesh->bytesTransferred() + controlBytes));
-            metrics.gauge("mesh_bytes_total", static_cast<double>(mesh->bytesTransferred()));
+            metrics.gauge("control_bytes_total{part=\"mesh\"}", static_cast<double>(mesh->bytesTransferred()));
+            metrics.gauge("control_bytes_total{part=\"platform\"}", static_cast<double>(platformBytes));
+            metrics.gauge("control_bytes_total{part=\"polls\"}", static_cast<double>(pollBytes));
             telemetry::gaugeProcess(metrics);
         };
         addOperatorRoutes(operatorRoutes, metrics, refresh);
@@ -100,7 +115,7 @@
     {
         PlatformOptions options;
         options.addresses = settings.platform;
-        options.byteCounter = &controlBytes;
+        options.byteCounter = &platformBytes;
         return options;
     }
 
@@ -141,10 +156,8 @@
         it.refusal = [this] {
             return refusal();
         };
-        it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
-            return engineChoice.choose(query, now);
-        };
-        it.engineFeedback = engineChoice.feedback();
+        it.chooseEngine = demand.wrap([this](const requests::ChoiceQuery &query, base::Time now) { return engineChoice.choose(query, now); });
+        it.engineFeedback = demand.wrap(engineChoice.feedback());
         it.modelLimit = [this](const base::ModelName &model) {
             return static_cast<std::uint32_t>(routing.router().replicas(model)) * StreamsPerReplica;
         };
@@ -154,6 +167,9 @@
         it.otherEntries = [this] {
             return membership.otherAddresses();
         };
+        it.callerShare = [this](const base::CallerName &caller, const requests::CallerLimit &whole) {
+            return membership.shareOf(caller, whole);
+        };
         it.mayUseInstance = [this](const base::EndpointId &instance) {
             return membership.mayUse(instance);
         };
@@ -182,6 +198,27 @@
         return it;
     }
 
+    PlacementShellOptions placementOptions()
+    {
+        PlacementShellOptions it;
+        it.document = [this] {
+            return document();
+        };
+        it.revision = [this] {
+            return configuration.inForce().revision;
+        };
+        it.demand = [this] {
+            return demand.counters();
+        };
+        it.peers = [this] {
+            return peerTargets();
+        };
+        it.isLive = [this](const base::EndpointId &endpoint) {
+            return membership.mayUse(endpoint);
+        };
+        return it;
+    }
+
     void applyDocument()
     {
         if (const auto current = document()) {
@@ -194,7 +231,8 @@
     Settings settings;
     std::shared_ptr<const configuration::Document> startDocument;
     telemetry::Metrics metrics;
-    std::uint64_t controlBytes = 0;
+    std::uint64_t platformBytes = 0;
+    std::uint64_t pollBytes = 0;
     std::mt19937_64 random{std::random_device()()};
     Routes callerRoutes;
     Routes operatorRoutes;
@@ -206,7 +244,9 @@
     RoutingShell routing;
     MembershipShell membership;
     EngineChoice engineChoice;
+    DemandMeter demand;
     RequestsShell requests;
+    PlacementShell placement;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
     std::function<void()> onDrainAsked = [] {
@@ -234,6 +274,7 @@
     }
     telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
     // Callers may hold this address for a while: what they send until then is still served.
+    m_parts->placement.stop();
     m_parts->membership.leave([this, onDrained = std::move(onDrained)] {
         m_parts->requests.startDraining();
         const auto done = std::make_shared<bool>(false);
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -23,7 +23,7 @@
 constexpr auto StartInterval = std::chrono::seconds(1); ///< between reads of the records at first
 constexpr auto StartPhase = std::chrono::seconds(15);
 constexpr auto CallTimeout = std::chrono::seconds(2);
-constexpr std::size_t ResponsibleCount = 2; ///< daemons that poll an endpoint closely
+constexpr std::size_t WorkLimit = 20; ///< endpoints in a heartbeat, which keeps seven of them a second within 6 KB
 constexpr const char *HeartbeatKind = "membership/heartbeat";
 
 std::string recordPrefix(const Settings &settings)
@@ -90,6 +90,7 @@
     , m_hooks(std::move(hooks))
     , m_incarnation(static_cast<std::uint64_t>(base::toMilliseconds(base::now())))
     , m_view(ownRecord(environment.settings), m_incarnation)
+    , m_callerLimits(environment.settings.id)
     , m_startedAt(base::now())
 {
     RoutingShellHooks routingHooks;
@@ -101,8 +102,8 @@
         m_endpoints.noteFailure(endpoint, base::now());
         updateMarks();
     };
-    routingHooks.isResponsible = [this](const base::EndpointId &endpoint) {
-        return isResponsible(endpoint);
+    routingHooks.duty = [this](const base::EndpointId &endpoint) {
+        return duty(endpoint);
     };
     m_routing.setHooks(std::move(routingHooks));
     environment.peers.handle(HeartbeatKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
@@ -140,12 +141,24 @@
         marks.emplace(it, known == m_marks.end() ? LiveState::Live : known->second);
     }
     m_marks = std::move(marks);
+    m_pollOrder.clear();
+    for (const auto &[id, it] : document.endpoints) {
+        m_pollOrder.emplace(id, m_pollOrder.size());
+    }
 }
 
 void MembershipShell::tick()
 {
     const auto now = base::now();
     m_view.tick(now);
+    m_callerLimits.update(m_view.members(now), now);
+    m_live.clear();
+    for (const auto &it : m_view.members(now)) {
+        if (it.state == LiveState::Live) {
+            m_live.push_back(it.record.id);
+        }
+    }
+    std::ranges::sort(m_live);
     if (now >= m_nextRecordsAt) {
         m_nextRecordsAt = now + (now < m_startedAt + StartPhase ? StartInterval : RecordsInterval);
         readRecords();
@@ -172,8 +185,13 @@
     m_endpoints.fill(heartbeat);
     heartbeat.load = m_hooks.load ? m_hooks.load() : 0;
     heartbeat.revision = m_hooks.revision ? m_hooks.revision() : base::Revision();
-    for (const auto &it : m_routing.router().ownWork()) {
-        heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentTokens, it.otherTokens});
+    for (const auto &it : m_work.pick(m_routing.router().ownWork(), WorkLimit, now)) {
+        heartbeat.work.push_back({membership::shortName(it.endpoint.text()), it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
+    }
+    heartbeat.shares = m_callerLimits.claims(heartbeat.sequence, now);
+    for (const auto &it : m_routing.ownReports()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count();
+        heartbeat.reports.push_back({membership::shortName(it.endpoint.text()), static_cast<std::uint32_t>(age), it.running, it.waiting, it.content});
     }
     for (const auto &it : m_view.members(now)) {
         if (it.record.id != m_view.self().id) {
@@ -212,6 +230,8 @@
     m_taken[from] = heartbeat->sequence;
     m_endpoints.noteHeartbeat(*heartbeat);
     takeWork(*heartbeat);
+    m_callerLimits.take(*heartbeat);
+    takeReports(*heartbeat);
     if (m_hooks.onRevision) {
         m_hooks.onRevision(from, heartbeat->revision);
     }
@@ -227,16 +247,37 @@
 
 void MembershipShell::takeWork(const membership::Heartbeat &heartbeat)
 {
+    auto &incarnation = m_incarnations[heartbeat.from];
+    if (incarnation != heartbeat.incarnation) {
+        m_routing.router().forgetPeer(heartbeat.from);
+        incarnation = heartbeat.incarnation;
+    }
     std::vector<routing::EndpointWork> work;
     for (const auto &it : heartbeat.work) {
         const auto name = m_endpointNames.find(it.endpoint);
         if (name != m_endpointNames.end()) {
-            work.push_back({name->second, it.streams, it.urgentTokens, it.otherTokens});
+            work.push_back({name->second, it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
         }
     }
     m_routing.router().notePeerWork(heartbeat.from, work, base::now());
 }
 
+void MembershipShell::takeReports(const membership::Heartbeat &heartbeat)
+{
+    for (const auto &it : heartbeat.reports) {
+        const auto name = m_endpointNames.find(it.endpoint);
+        if (name != m_endpointNames.end()) {
+            m_routing.takeReport({name->second, std::chrono::milliseconds(it.ageMilliseconds), it.running, it.waiting, it.content});
+        }
+    }
+    for (const auto &it : heartbeat.suspects) {
+        const auto name = m_endpointNames.find(it.endpoint);
+        if (name != m_endpointNames.end()) {
+            m_routing.lookAt(name->second);
+        }
+    }
+}
+
 void MembershipShell::readRecords()
 {
     m_environment.table.readPrefix(recordPrefix(m_environment.settings), [this](const platform::ReadResult &rows) {
@@ -349,6 +390,11 @@
     return all;
 }
 
+requests::CallerLimit MembershipShell::shareOf(const base::CallerName &caller, const requests::CallerLimit &whole)
+{
+    return m_callerLimits.shareOf(caller, whole, base::now());
+}
+
 bool MembershipShell::mayUse(const base::EndpointId &endpoint) const
 {
     const auto it = m_marks.find(endpoint);
@@ -361,17 +407,17 @@
     return answer ? answer->addresses : std::vector<base::Address>();
 }
 
-bool MembershipShell::isResponsible(const base::EndpointId &endpoint) const
+/// Endpoints go around the live daemons in order, so that each polls as many as the others.
+routing::PollDuty MembershipShell::duty(const base::EndpointId &endpoint) const
 {
-    const auto weight = [&](const base::DaemonId &daemon) {
-        return base::fingerprint(daemon.text(), base::fingerprint(endpoint.text()));
-    };
-    const auto own = weight(m_view.self().id);
-    std::size_t before = 0;
-    for (const auto &it : members()) {
-        before += it.state == LiveState::Live && weight(it.record.id) > own ? 1 : 0;
+    const auto order = m_pollOrder.find(endpoint);
+    const auto self = std::ranges::find(m_live, m_view.self().id);
+    if (order == m_pollOrder.end() || self == m_live.end()) {
+        return routing::PollDuty::Primary;
     }
-    return before < ResponsibleCount;
+    const auto own = static_cast<std::size_t>(self - m_live.begin());
+    const auto turn = (own + m_live.size() - order->second % m_live.size()) % m_live.size();
+    return turn == 0 ? routing::PollDuty::Primary : turn == 1 ? routing::PollDuty::Backup : routing::PollDuty::Other;
 }
 
 void MembershipShell::answerEntry(const net::ExchangePointer &exchange)
--- a/src/turmericplank/membership/heartbeat.cpp
+++ b/src/turmericplank/membership/heartbeat.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::uint32_t OldestVersion = 1;
 constexpr std::uint32_t Version = 1;
-constexpr std::uint32_t FieldCount = 14;
+constexpr std::uint32_t FieldCount = 15;
 constexpr std::uint32_t TokenUnit = 16; ///< tokens are rounded up to this many, which makes them shorter
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
@@ -88,6 +88,17 @@
     return units * TokenUnit;
 }
 
+LoadDigest readReport(Reader &fields)
+{
+    LoadDigest it;
+    it.endpoint = fields.next<ShortName>();
+    it.ageMilliseconds = fields.next<std::uint32_t>();
+    it.running = fields.next<std::uint32_t>();
+    it.waiting = fields.next<std::uint32_t>();
+    it.content = fields.next<std::uint32_t>();
+    return it;
+}
+
 Heartbeat readHeartbeat(Reader &reader)
 {
     Heartbeat it;
@@ -110,6 +121,8 @@
         WorkDigest work;
         work.endpoint = fields.next<ShortName>();
         work.streams = fields.next<std::uint32_t>();
+        work.urgentWaiting = fields.next<std::uint32_t>();
+        work.otherWaiting = fields.next<std::uint32_t>();
         work.urgentTokens = readTokens(fields);
         work.otherTokens = readTokens(fields);
         return work;
@@ -123,6 +136,9 @@
     });
     it.receiverSequence = reader.next<std::uint64_t>();
     it.receiverUseUntil = base::timeFromMilliseconds(reader.next<std::int64_t>());
+    if (reader.hasMore()) {
+        it.reports = reader.list<LoadDigest>(readReport);
+    }
     return it;
 }
 
@@ -157,10 +173,12 @@
         packer.pack(it.incarnation.value());
     }
     packList(packer, heartbeat.suspects, [&](const EndpointOpinion &it) { packer.pack(it.endpoint); });
-    packer.pack_array(static_cast<std::uint32_t>(4 * heartbeat.work.size()));
+    packer.pack_array(static_cast<std::uint32_t>(6 * heartbeat.work.size()));
     for (const auto &it : heartbeat.work) {
         packer.pack(it.endpoint);
         packer.pack(it.streams);
+        packer.pack(it.urgentWaiting);
+        packer.pack(it.otherWaiting);
         packer.pack(inUnits(it.urgentTokens));
         packer.pack(inUnits(it.otherTokens));
     }
@@ -172,6 +190,14 @@
     }
     packer.pack(heartbeat.receiverSequence);
     packer.pack(base::toMilliseconds(heartbeat.receiverUseUntil));
+    packer.pack_array(static_cast<std::uint32_t>(5 * heartbeat.reports.size()));
+    for (const auto &it : heartbeat.reports) {
+        packer.pack(it.endpoint);
+        packer.pack(it.ageMilliseconds);
+        packer.pack(it.running);
+        packer.pack(it.waiting);
+        packer.pack(it.content);
+    }
     return {buf.data(), buf.size()};
 }
 
