--- a/src/turmericplank/requests/messages.cpp
+++ b/src/turmericplank/requests/messages.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t Version = 1;
 constexpr std::size_t HeadFields = 3;
+constexpr std::size_t DepthLimit = 8;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -86,7 +87,8 @@
             Fields verdict(it.object());
             const Fingerprint fingerprint(verdict.next<std::uint64_t>());
             const auto isCleared = verdict.next<bool>();
-            verdicts.push_back(TrialVerdict{fingerprint, isCleared, verdict.endpoints()});
+            auto lost = verdict.endpoints();
+            verdicts.push_back(TrialVerdict{fingerprint, isCleared, std::move(lost), verdict.next<std::uint64_t>()});
         }
         return verdicts;
     }
@@ -166,10 +168,11 @@
     packHead(packer, message.head, 1);
     packer.pack_array(static_cast<std::uint32_t>(message.suspects.size()));
     for (const auto &it : message.suspects) {
-        packer.pack_array(3);
+        packer.pack_array(4);
         packer.pack(it.fingerprint.value());
         packer.pack(it.isCleared);
         packEndpoints(packer, it.lost);
+        packer.pack(it.endedTrial);
     }
     return bytesOf(buf);
 }
@@ -202,7 +205,9 @@
 tl::expected<Message, DecodeFailure> decodeMessage(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // Every element takes a byte at least; a length beyond that is a lie that would be allocated for.
+        const msgpack::unpack_limit limit(bytes.size(), 0, bytes.size(), 0, 0, DepthLimit);
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         Fields fields(handle.get());
         if (fields.next<std::uint32_t>() < Version) {
             return tl::make_unexpected(DecodeFailure::UnknownVersion);
