A daemon that restarts while the platform is down learns of its peers from their notices

Cause: tried with real processes, a daemon killed and restarted during an outage stayed without a configuration: addresses of peers come from the table, and peers no longer spoke to a suspect. Change: notices carry their sender's address and go to suspects too.

--- a/include/turmericplank/daemon/configurationshell.hpp
+++ b/include/turmericplank/daemon/configurationshell.hpp
@@ -21,6 +21,7 @@
 struct PeerRevision
 {
     configuration::RevisionNotice notice;
+    base::Address address; ///< where it listens for peers
     base::Time heardAt;
 };
 
@@ -90,6 +91,7 @@
     void carryOut(const configuration::Notify &action);
     void tellPeers();
     void callPeer(const base::DaemonId &peer, const std::string &kind, std::string body, std::function<void(bool isWhole, std::string answer)> onDone);
+    std::optional<base::Address> addressOf(const base::DaemonId &peer) const;
     void answerPeers();
     void remember(const std::string &name, const std::string &bytes);
     const std::string *held(const std::string &name) const;
--- a/src/turmericplank/daemon/configurationmessages.cpp
+++ b/src/turmericplank/daemon/configurationmessages.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint32_t NoticeVersion = 1;
-constexpr std::size_t NoticeFields = 6;
+constexpr std::size_t NoticeFields = 7;
 
 template<typename Value>
 std::string packed(const Value &value)
@@ -21,13 +21,14 @@
 
 } // namespace
 
-std::string encodeNotice(const configuration::RevisionNotice &notice)
+std::string encodeNotice(const NoticeMessage &message)
 {
+    const auto &notice = message.notice;
     return packed(std::make_tuple(NoticeVersion, notice.highest.value(), base::toMilliseconds(notice.inForceFrom), notice.ready.value(), notice.inForce.value(),
-                                  base::toMilliseconds(notice.confirmedAt)));
+                                  base::toMilliseconds(notice.confirmedAt), toString(message.sender)));
 }
 
-std::optional<configuration::RevisionNotice> decodeNotice(std::string_view bytes)
+std::optional<NoticeMessage> decodeNotice(std::string_view bytes)
 {
     try {
         const auto handle = msgpack::unpack(bytes.data(), bytes.size());
@@ -35,13 +36,19 @@
         if (fields.size() < NoticeFields) {
             return std::nullopt;
         }
-        configuration::RevisionNotice notice;
+        NoticeMessage message;
+        auto &notice = message.notice;
         notice.highest = base::Revision(fields[1].as<std::uint64_t>());
         notice.inForceFrom = base::timeFromMilliseconds(fields[2].as<std::int64_t>());
         notice.ready = base::Revision(fields[3].as<std::uint64_t>());
         notice.inForce = base::Revision(fields[4].as<std::uint64_t>());
         notice.confirmedAt = base::timeFromMilliseconds(fields[5].as<std::int64_t>());
-        return notice;
+        const auto sender = base::parseAddress(fields[6].as<std::string>());
+        if (!sender) {
+            return std::nullopt;
+        }
+        message.sender = *sender;
+        return message;
     } catch (const std::exception &) {
         return std::nullopt;
     }
--- a/src/turmericplank/daemon/configurationmessages.hpp
+++ b/src/turmericplank/daemon/configurationmessages.hpp
@@ -9,12 +9,21 @@
 
 namespace turmericplank::daemon {
 
+/// @brief A notice and where its sender listens for peers, so that a daemon that knows no addresses yet can ask back.
+struct NoticeMessage
+{
+    configuration::RevisionNotice notice;
+    base::Address sender;
+
+    friend bool operator==(const NoticeMessage &, const NoticeMessage &) = default;
+};
+
 /// @brief Writes a notice as msgpack, the version first.
-std::string encodeNotice(const configuration::RevisionNotice &notice);
+std::string encodeNotice(const NoticeMessage &message);
 
 /// @brief Reads a notice; fields that a later version adds are ignored.
 /// @return nothing if it is malformed
-std::optional<configuration::RevisionNotice> decodeNotice(std::string_view bytes);
+std::optional<NoticeMessage> decodeNotice(std::string_view bytes);
 
 /// @brief Writes names of objects as msgpack.
 std::string encodeNames(const std::vector<std::string> &names);
--- a/src/turmericplank/daemon/configurationshell.cpp
+++ b/src/turmericplank/daemon/configurationshell.cpp
@@ -249,7 +249,7 @@
 
 void ConfigurationShell::tellPeers()
 {
-    const auto body = encodeNotice(m_activation.notice());
+    const auto body = encodeNotice({m_activation.notice(), m_environment.settings.peerListen});
     for (const auto &it : m_hooks.peers()) {
         peer::PeerCall call;
         call.kind = noticeKind;
@@ -266,9 +266,8 @@
 void ConfigurationShell::callPeer(const base::DaemonId &peer, const std::string &kind, std::string body,
                                   std::function<void(bool isWhole, std::string answer)> onDone)
 {
-    const auto peers = m_hooks.peers();
-    const auto found = std::find_if(peers.begin(), peers.end(), [&peer](const auto &it) { return it.id == peer; });
-    if (found == peers.end()) {
+    const auto address = addressOf(peer);
+    if (!address) {
         boost::asio::post(m_environment.context, [onDone = std::move(onDone)] { onDone(false, {}); });
         return;
     }
@@ -283,16 +282,28 @@
     call.onEnd = [answer, onDone = std::move(onDone)](const auto &result) {
         onDone(result.has_value(), std::move(*answer));
     };
-    m_environment.peers.call(found->address, std::move(call));
+    m_environment.peers.call(*address, std::move(call));
+}
+
+/// While the platform is down, a daemon that has just started knows its peers only by what they say of themselves.
+std::optional<base::Address> ConfigurationShell::addressOf(const base::DaemonId &peer) const
+{
+    const auto peers = m_hooks.peers();
+    const auto found = std::find_if(peers.begin(), peers.end(), [&peer](const auto &it) { return it.id == peer; });
+    if (found != peers.end()) {
+        return found->address;
+    }
+    const auto noticed = m_peerRevisions.find(peer);
+    return noticed == m_peerRevisions.end() ? std::nullopt : std::optional(noticed->second.address);
 }
 
 void ConfigurationShell::answerPeers()
 {
     m_environment.peers.handle(noticeKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
         answer.end();
-        if (const auto notice = decodeNotice(body)) {
-            m_peerRevisions[from] = {*notice, base::now()};
-            handle(configuration::PeerNoticed{from, *notice});
+        if (const auto message = decodeNotice(body)) {
+            m_peerRevisions[from] = {message->notice, message->sender, base::now()};
+            handle(configuration::PeerNoticed{from, message->notice});
         }
     });
     m_environment.peers.handle(pointerKind, [this](const base::DaemonId &, const std::string &, const peer::PeerAnswer &answer) {
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -123,11 +123,18 @@
         return targets;
     }
 
+    /// Revisions are told to suspects too: one that restarts while the platform is down learns of its peers in no other way.
     ConfigurationShellHooks configurationHooks()
     {
         ConfigurationShellHooks hooks;
         hooks.peers = [this] {
-            return peerTargets();
+            std::vector<PeerTarget> targets;
+            for (const auto &it : membership.members()) {
+                if (it.record.id != settings.id) {
+                    targets.push_back({it.record.id, it.record.peerAddress});
+                }
+            }
+            return targets;
         };
         return hooks;
     }
--- a/src/turmericplank/daemon/operatorapi_test.cpp
+++ b/src/turmericplank/daemon/operatorapi_test.cpp
@@ -127,6 +127,7 @@
     std::unique_ptr<peer::Mesh> openMesh(const std::string &name, std::uint16_t port)
     {
         settings.id = base::DaemonId(name);
+        settings.peerListen = {"127.0.0.1", port};
         peer::MeshOptions options;
         options.listen = {"127.0.0.1", port};
         options.self = settings.id;
@@ -221,14 +222,14 @@
     CHECK(body["error"]["outcome"] == "not_run");
 }
 
-TEST_CASE("an accepted document is in force on both daemons, also on one that sees no store")
+TEST_CASE("an accepted document is in force on both daemons, also on one that sees neither store nor list of daemons")
 {
     boost::asio::io_context context;
     MemoryStore store;
     MemoryStore outage;
     outage.isDown = true;
     Node first(context, store, "d-1", 23012, {{base::DaemonId("d-2"), {"127.0.0.1", 23013}}});
-    Node second(context, outage, "d-2", 23013, {{base::DaemonId("d-1"), {"127.0.0.1", 23012}}});
+    Node second(context, outage, "d-2", 23013, {}); // it knows no address before the first speaks to it
     int activations = 0;
     second.shell.onActivated([&activations](const configuration::InForce &) { activations += 1; });
     submit(first);
