--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -89,6 +89,7 @@
     bool repeatsOpenOrders = true; ///< an order without an answer is repeated, not taken for lost
     bool settlesInheritedOrders = true;
     bool reopensAfterRestart = true; ///< an unacknowledged holder's orders count again on a new incarnation
+    bool mindsEveryHolder = true; ///< a recorded order is kept for every holder since, not only for the one that issued it
     bool reservesForRestart = true; ///< loads that may reach a new incarnation fit it together
     bool sendsTermFirst = true;
     bool discardsStaleInventories = true;
@@ -231,6 +232,7 @@
     bool isOrderable(base::Time now, const base::EndpointId &id, const Endpoint &endpoint) const;
     bool checksFencing(const base::EndpointId &id) const;
     bool isUnacknowledged(const base::DaemonId &holder) const;
+    bool mayAnotherSend(const Order &order) const;
     std::uint32_t unacknowledgedHolders() const;
     std::uint64_t loadsAfterRestart(const base::EndpointId &id, const Endpoint &endpoint) const;
     std::uint32_t openLoads(OrderKind kind) const;
--- a/include/turmericplank/placement/planner.hpp
+++ b/include/turmericplank/placement/planner.hpp
@@ -76,7 +76,7 @@
 /// @brief Numbers of the policy that are the same for all sites.
 struct PlannerOptions
 {
-    double horizonSeconds = 20; ///< how long a saved rate of late requests is credited
+    double horizonSeconds = 10; ///< how long a saved rate of late requests is credited
     double headroom = 1.15; ///< demand that is planned for, in parts of the estimate
     std::uint32_t movesPerStep = 12;
     double adapterShare = 0.02; ///< share of its base model's requests from which an adapter follows each replica
--- a/src/turmericplank/placement/controller.cpp
+++ b/src/turmericplank/placement/controller.cpp
@@ -222,6 +222,18 @@
     return it == m_rows.holders.end() || it->second.acknowledged <= it->second.held;
 }
 
+/// The holder that issued an order may still send it, and so may every later one that inherited it.
+bool Controller::mayAnotherSend(const Order &order) const
+{
+    if (isUnacknowledged(order.holder)) {
+        return true;
+    }
+    const auto inherited = [this, &order](const auto &entry) {
+        return entry.second.held >= order.term && isUnacknowledged(entry.first);
+    };
+    return m_options.safeguards.mindsEveryHolder && std::any_of(m_rows.holders.begin(), m_rows.holders.end(), inherited);
+}
+
 std::uint32_t Controller::unacknowledgedHolders() const
 {
     const auto owes = [this](const auto &entry) {
@@ -240,7 +252,7 @@
 {
     std::vector<platform::RowWrite> rows;
     for (auto &[id, record] : m_records) {
-        const bool isKept = record.isInherited && isUnacknowledged(record.order.holder);
+        const bool isKept = record.isInherited && mayAnotherSend(record.order);
         if (record.isSettled && !record.isUnderWay && record.isWritten && !isKept) {
             record.isDeleting = true;
             rows.push_back({m_keys.order(id), std::nullopt, std::nullopt});
--- a/src/turmericplank/placement/controllerorders.cpp
+++ b/src/turmericplank/placement/controllerorders.cpp
@@ -220,7 +220,7 @@
     }
     ++endpoint.changes;
     for (auto &[orderId, record] : m_records) {
-        const bool mayArriveAgain = record.isInherited && record.isSettled && !record.isDeleting && isUnacknowledged(record.order.holder);
+        const bool mayArriveAgain = record.isInherited && record.isSettled && !record.isDeleting && mayAnotherSend(record.order);
         if (record.order.endpoint == id && mayArriveAgain && m_options.safeguards.reopensAfterRestart) {
             record.isSettled = false;
             record.settledIn.reset();
--- a/src/turmericplank/placement/plandemand.cpp
+++ b/src/turmericplank/placement/plandemand.cpp
@@ -9,6 +9,8 @@
 
 constexpr unsigned Rounds = 4;
 constexpr double SmallestShortage = 0.05; // streams
+constexpr std::size_t ModelsTried = 4; // those with the dearest shortage
+constexpr std::size_t EndpointsTried = 12; // those with most free streams
 
 struct Candidate
 {
@@ -36,14 +38,45 @@
     return streams;
 }
 
-void consider(const PlanState &state, const BalanceInput &input, const Balance &spread, const std::vector<double> &room, std::uint32_t model, Candidate &best)
+/// The first few of some indexes, those of the highest rank.
+template<typename Rank>
+std::vector<std::uint32_t> highest(std::size_t size, std::size_t count, const Rank &rank)
+{
+    std::vector<std::pair<double, std::uint32_t>> ranked;
+    for (std::uint32_t n = 0; n < size; ++n) {
+        const double value = rank(n);
+        if (value > 0) {
+            ranked.emplace_back(-value, n);
+        }
+    }
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end());
+    std::vector<std::uint32_t> found;
+    for (auto it = ranked.begin(); it != end; ++it) {
+        found.push_back(it->second);
+    }
+    return found;
+}
+
+std::vector<std::uint32_t> roomiest(const BalanceInput &input, const Balance &spread)
+{
+    return highest(input.capacity.size(), EndpointsTried, [&](std::uint32_t n) { return slack(input, spread, n); });
+}
+
+std::vector<std::uint32_t> dearestShortages(const PlanState &state, const BalanceInput &input, const Balance &spread)
+{
+    return highest(state.models.size(), ModelsTried, [&](std::uint32_t n) {
+        const double streams = relief(input, spread, n);
+        return streams < SmallestShortage ? 0.0 : streams * state.models[n].latePrice;
+    });
+}
+
+void consider(const PlanState &state, const BalanceInput &input, const Balance &spread, const std::vector<double> &room,
+              const std::vector<std::uint32_t> &endpoints, std::uint32_t model, Candidate &best)
 {
     const auto &policy = state.document.placement;
     const double wanted = relief(input, spread, model);
-    if (wanted < SmallestShortage) {
-        return;
-    }
-    for (std::uint32_t endpoint = 0; endpoint < state.endpoints.size(); ++endpoint) {
+    for (const auto endpoint : endpoints) {
         if (state.models[model].model->memoryMib > state.endpoints[endpoint].view->loadLimitMib) {
             continue;
         }
@@ -133,8 +166,9 @@
     while (state.hasMovesLeft()) {
         Candidate best;
         const auto room = roomOfModels(state, spread);
-        for (std::uint32_t model = 0; model < state.models.size(); ++model) {
-            consider(state, input, spread, room, model, best);
+        const auto endpoints = roomiest(input, spread);
+        for (const auto model : dearestShortages(state, input, spread)) {
+            consider(state, input, spread, room, endpoints, model, best);
         }
         if (!best.isFound || best.value <= 0) {
             return;
--- a/src/turmericplank/placement/planner.cpp
+++ b/src/turmericplank/placement/planner.cpp
@@ -89,7 +89,10 @@
         }
         const auto spread = balance(balanceInput(state), 1);
         const double gain = std::max(1.0, state.models[model].streams) * state.models[model].latePrice;
-        auto site = findSite(state, spread, model, state.need(model), true, false);
+        auto site = findSite(state, spread, model, state.need(model), false, true);
+        if (!site) {
+            site = findSite(state, spread, model, state.need(model), true, false);
+        }
         if (!site && reason == MoveReason::Unreachable) {
             site = findSite(state, spread, model, state.models[model].model->memoryMib, true, false);
         }
--- a/src/turmericplank/placement/safeguards_test.cpp
+++ b/src/turmericplank/placement/safeguards_test.cpp
@@ -58,6 +58,27 @@
     world.run(Takeover);
 }
 
+/// A second holder is paused before it repeats an order of the first, which restarts and acknowledges.
+void wakeHeir(World &world)
+{
+    world.run(Takeover);
+    world.pauseBefore(isLoad);
+    world.run(std::chrono::seconds(4));
+    world.pauseBefore(isLoad);
+    world.run(std::chrono::seconds(16));
+    for (std::size_t n = 0; n < 3; ++n) {
+        if (world.isPaused(n)) {
+            world.restartHolder(n);
+            break;
+        }
+    }
+    world.run(std::chrono::seconds(40));
+    world.restartEngines();
+    world.run(std::chrono::seconds(15));
+    world.resumeAll();
+    world.run(std::chrono::seconds(5));
+}
+
 /// The first holder went on without the table, so no row tells of its last order.
 void wakeWithoutTable(World &world)
 {
@@ -119,6 +140,7 @@
         {"chargesOpenLoads", "overcommitted", &Safeguards::chargesOpenLoads, runLong},
         {"repeatsOpenOrders", "overcommitted", &Safeguards::repeatsOpenOrders, loseAnswers},
         {"reopensAfterRestart", "overcommitted", &Safeguards::reopensAfterRestart, wakeAfterRestart},
+        {"mindsEveryHolder", "overcommitted", &Safeguards::mindsEveryHolder, wakeHeir, {false, false, false}},
         {"reservesForRestart", "overcommitted", &Safeguards::reservesForRestart, wakeTwoAfterRestart},
         {"sendsTermFirst", "overcommitted", &Safeguards::sendsTermFirst, wakeWithoutTable, {true, true}},
         {"discardsStaleInventories", "overcommitted", &Safeguards::discardsStaleInventories, runLong},
--- a/src/turmericplank/placement/testworld.hpp
+++ b/src/turmericplank/placement/testworld.hpp
@@ -105,6 +105,11 @@
         m_pauseBefore = std::move(matches);
     }
 
+    bool isPaused(std::size_t n) const
+    {
+        return m_holders[n].isPaused;
+    }
+
     void resumeAll()
     {
         for (std::size_t n = 0; n < m_holders.size(); ++n) {
