--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -1,11 +1,13 @@
 #include "turmericplank/daemon/daemon.hpp"
 
 #include "turmericplank/daemon/configurationshell.hpp"
+#include "turmericplank/daemon/demandmeter.hpp"
 #include "turmericplank/daemon/enginechoice.hpp"
 #include "turmericplank/daemon/environment.hpp"
 #include "turmericplank/daemon/errorbody.hpp"
 #include "turmericplank/daemon/membershipshell.hpp"
 #include "turmericplank/daemon/operatorapi.hpp"
+#include "turmericplank/daemon/placementshell.hpp"
 #include "turmericplank/daemon/platformclient.hpp"
 #include "turmericplank/daemon/requestsshell.hpp"
 #include "turmericplank/daemon/routingshell.hpp"
@@ -83,8 +85,11 @@
         , routing(environment)
         , membership(environment, routing, membershipHooks())
         , engineChoice(routing.router(), random)
+        , demand([this] { return document(); })
         , requests(environment, requestsOptions())
+        , placement(environment, placementOptions())
     {
+        operatorApi.addStatusPart("placement", [this] { return placement.status(); });
         const auto refresh = [this] {
             metrics.gauge("control_bytes_total{part=\"mesh\"}", static_cast<double>(mesh->bytesTransferred()));
             metrics.gauge("control_bytes_total{part=\"platform\"}", static_cast<double>(platformBytes));
@@ -158,10 +163,8 @@
         it.refusal = [this] {
             return refusal();
         };
-        it.chooseEngine = [this](const requests::ChoiceQuery &query, base::Time now) {
-            return engineChoice.choose(query, now);
-        };
-        it.engineFeedback = engineChoice.feedback();
+        it.chooseEngine = demand.wrap([this](const requests::ChoiceQuery &query, base::Time now) { return engineChoice.choose(query, now); });
+        it.engineFeedback = demand.wrap(engineChoice.feedback());
         it.modelLimit = [this](const base::ModelName &model) {
             return static_cast<std::uint32_t>(routing.router().replicas(model)) * StreamsPerReplica;
         };
@@ -171,6 +174,9 @@
         it.otherEntries = [this] {
             return membership.otherAddresses();
         };
+        it.callerShare = [this](const base::CallerName &caller, const requests::CallerLimit &whole) {
+            return membership.shareOf(caller, whole);
+        };
         it.mayUseInstance = [this](const base::EndpointId &instance) {
             return membership.mayUse(instance);
         };
@@ -199,6 +205,27 @@
         return it;
     }
 
+    PlacementShellOptions placementOptions()
+    {
+        PlacementShellOptions it;
+        it.document = [this] {
+            return document();
+        };
+        it.revision = [this] {
+            return configuration.inForce().revision;
+        };
+        it.demand = [this] {
+            return demand.counters();
+        };
+        it.peers = [this] {
+            return peerTargets();
+        };
+        it.isLive = [this](const base::EndpointId &endpoint) {
+            return membership.mayUse(endpoint);
+        };
+        return it;
+    }
+
     void applyDocument()
     {
         if (const auto current = document()) {
@@ -224,7 +251,9 @@
     RoutingShell routing;
     MembershipShell membership;
     EngineChoice engineChoice;
+    DemandMeter demand;
     RequestsShell requests;
+    PlacementShell placement;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> operatorServer;
     std::function<void()> onDrainAsked = [] {
@@ -252,6 +281,7 @@
     }
     telemetry::log(telemetry::LogLevel::Info, "daemon", "drain started", {{"in_progress", std::uint64_t(m_parts->callerServer->exchangesInProgress())}});
     // Callers may hold this address for a while: what they send until then is still served.
+    m_parts->placement.stop();
     m_parts->membership.leave([this, onDrained = std::move(onDrained)] {
         m_parts->requests.startDraining();
         const auto done = std::make_shared<bool>(false);
--- a/src/turmericplank/placement/plandemand.cpp
+++ b/src/turmericplank/placement/plandemand.cpp
@@ -9,6 +9,8 @@
 
 constexpr unsigned Rounds = 4;
 constexpr double SmallestShortage = 0.05; // streams
+constexpr std::size_t ModelsTried = 4; // those with the dearest shortage
+constexpr std::size_t EndpointsTried = 12; // those with most free streams
 
 struct Candidate
 {
@@ -36,21 +38,55 @@
     return streams;
 }
 
-void consider(const PlanState &state, const BalanceInput &input, const Balance &spread, std::uint32_t model, Candidate &best)
+/// The first few of some indexes, those of the highest rank.
+template<typename Rank>
+std::vector<std::uint32_t> highest(std::size_t size, std::size_t count, const Rank &rank)
+{
+    std::vector<std::pair<double, std::uint32_t>> ranked;
+    for (std::uint32_t n = 0; n < size; ++n) {
+        const double value = rank(n);
+        if (value > 0) {
+            ranked.emplace_back(-value, n);
+        }
+    }
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end());
+    std::vector<std::uint32_t> found;
+    for (auto it = ranked.begin(); it != end; ++it) {
+        found.push_back(it->second);
+    }
+    return found;
+}
+
+std::vector<std::uint32_t> roomiest(const BalanceInput &input, const Balance &spread)
+{
+    return highest(input.capacity.size(), EndpointsTried, [&](std::uint32_t n) { return slack(input, spread, n); });
+}
+
+std::vector<std::uint32_t> dearestShortages(const PlanState &state, const BalanceInput &input, const Balance &spread)
+{
+    return highest(state.models.size(), ModelsTried, [&](std::uint32_t n) {
+        const double streams = relief(input, spread, n);
+        return streams < SmallestShortage ? 0.0 : streams * state.models[n].latePrice;
+    });
+}
+
+void consider(const PlanState &state, const BalanceInput &input, const Balance &spread, const std::vector<double> &room,
+              const std::vector<std::uint32_t> &endpoints, std::uint32_t model, Candidate &best)
 {
     const auto &policy = state.document.placement;
     const double wanted = relief(input, spread, model);
-    if (wanted < SmallestShortage) {
-        return;
-    }
-    for (std::uint32_t endpoint = 0; endpoint < state.endpoints.size(); ++endpoint) {
+    for (const auto endpoint : endpoints) {
+        if (state.models[model].model->memoryMib > state.endpoints[endpoint].view->loadLimitMib) {
+            continue;
+        }
         const double saved = std::min(wanted, slack(input, spread, endpoint)) * state.models[model].latePrice;
         if (saved - policy.movePrice <= std::max(0.0, best.value) || state.isTaken(endpoint, model)) {
             continue;
         }
         Candidate candidate{model, endpoint, {}, saved - policy.movePrice, true};
         if (state.endpoints[endpoint].freeSoon < state.need(model)) {
-            candidate.eviction = findEviction(state, spread, endpoint, state.need(model));
+            candidate.eviction = findEviction(state, spread, room, endpoint, state.need(model));
             if (!candidate.eviction.isPossible) {
                 continue;
             }
@@ -64,7 +100,18 @@
 
 } // namespace
 
-Eviction findEviction(const PlanState &state, const Balance &spread, std::uint32_t endpoint, std::int64_t memoryMib)
+std::vector<double> roomOfModels(const PlanState &state, const Balance &spread)
+{
+    std::vector<double> room(state.models.size(), 0.0);
+    for (std::uint32_t model = 0; model < room.size(); ++model) {
+        for (const auto endpoint : state.replicas(model)) {
+            room[model] += std::max(0.0, state.endpoints[endpoint].view->concurrency - spread.load[endpoint]);
+        }
+    }
+    return room;
+}
+
+Eviction findEviction(const PlanState &state, const Balance &spread, const std::vector<double> &room, std::uint32_t endpoint, std::int64_t memoryMib)
 {
     struct Victim
     {
@@ -80,27 +127,17 @@
         if (held.model == UINT32_MAX || held.state != ResidentState::Present || held.isPlanned || !target.view->isOrderable) {
             continue;
         }
-        auto others = state.replicas(held.model);
-        std::erase(others, endpoint);
         // A replica that is still arriving does not serve yet.
-        std::size_t present = 0;
-        double room = 0;
-        double share = 0;
-        for (const auto other : others) {
-            const auto &models = state.endpoints[other].models;
-            present +=
-                std::any_of(models.begin(), models.end(), [&held](const auto &it) { return it.model == held.model && it.state == ResidentState::Present; });
-            room += std::max(0.0, state.endpoints[other].view->concurrency - spread.load[other]);
-        }
-        if (present < state.floor(held.model)) {
+        const auto &list = state.replicaList(held.model);
+        if (list.present < state.floor(held.model) + 1) {
             continue;
         }
         // Without it the streams on this endpoint have to find room elsewhere.
-        const auto all = state.replicas(held.model);
-        const auto index = static_cast<std::size_t>(std::find(all.begin(), all.end(), endpoint) - all.begin());
-        share = index < spread.shares[held.model].size() ? spread.shares[held.model][index] : 0;
-        double loss = policy.movePrice + std::max(0.0, share - room) * state.models[held.model].latePrice;
-        const bool breaksSpread = state.zones(others) < std::min<std::size_t>(policy.spreadZones, state.zones(all));
+        const auto index = static_cast<std::size_t>(std::lower_bound(list.endpoints.begin(), list.endpoints.end(), endpoint) - list.endpoints.begin());
+        const double share = index < spread.shares[held.model].size() ? spread.shares[held.model][index] : 0;
+        const double elsewhere = room[held.model] - std::max(0.0, target.view->concurrency - spread.load[endpoint]);
+        double loss = policy.movePrice + std::max(0.0, share - elsewhere) * state.models[held.model].latePrice;
+        const bool breaksSpread = list.perZone[target.zone] == 1 && list.zones() <= policy.spreadZones;
         loss += breaksSpread ? 2 * policy.movePrice : 0;
         for (const auto &adapter : target.adapters) {
             loss += adapter.model == held.model ? 2 * policy.movePrice : 0;
@@ -128,8 +165,10 @@
     auto spread = balance(input, Rounds);
     while (state.hasMovesLeft()) {
         Candidate best;
-        for (std::uint32_t model = 0; model < state.models.size(); ++model) {
-            consider(state, input, spread, model, best);
+        const auto room = roomOfModels(state, spread);
+        const auto endpoints = roomiest(input, spread);
+        for (const auto model : dearestShortages(state, input, spread)) {
+            consider(state, input, spread, room, endpoints, model, best);
         }
         if (!best.isFound || best.value <= 0) {
             return;
--- a/src/turmericplank/placement/safeguards_test.cpp
+++ b/src/turmericplank/placement/safeguards_test.cpp
@@ -58,6 +58,27 @@
     world.run(Takeover);
 }
 
+/// A second holder is paused before it repeats an order of the first, which restarts and acknowledges.
+void wakeHeir(World &world)
+{
+    world.run(Takeover);
+    world.pauseBefore(isLoad);
+    world.run(std::chrono::seconds(4));
+    world.pauseBefore(isLoad);
+    world.run(std::chrono::seconds(16));
+    for (std::size_t n = 0; n < 3; ++n) {
+        if (world.isPaused(n)) {
+            world.restartHolder(n);
+            break;
+        }
+    }
+    world.run(std::chrono::seconds(40));
+    world.restartEngines();
+    world.run(std::chrono::seconds(15));
+    world.resumeAll();
+    world.run(std::chrono::seconds(5));
+}
+
 /// The first holder went on without the table, so no row tells of its last order.
 void wakeWithoutTable(World &world)
 {
@@ -92,6 +113,19 @@
     }
 }
 
+/// A paused holder asks again after an order; the engine restarts, and an inventory from before comes in last.
+void restartWhileAsking(World &world)
+{
+    world.run(std::chrono::seconds(10));
+    world.pauseBefore(isLoad);
+    world.run(std::chrono::seconds(3));
+    world.addSendFate(SendFate::Late);
+    world.restartEngines();
+    world.resumeAll();
+    world.run(Takeover);
+    world.deliverLate(0);
+}
+
 void runLong(World &world)
 {
     world.run(std::chrono::minutes(2));
@@ -106,9 +140,11 @@
         {"chargesOpenLoads", "overcommitted", &Safeguards::chargesOpenLoads, runLong},
         {"repeatsOpenOrders", "overcommitted", &Safeguards::repeatsOpenOrders, loseAnswers},
         {"reopensAfterRestart", "overcommitted", &Safeguards::reopensAfterRestart, wakeAfterRestart},
+        {"mindsEveryHolder", "overcommitted", &Safeguards::mindsEveryHolder, wakeHeir, {false, false, false}},
         {"reservesForRestart", "overcommitted", &Safeguards::reservesForRestart, wakeTwoAfterRestart},
         {"sendsTermFirst", "overcommitted", &Safeguards::sendsTermFirst, wakeWithoutTable, {true, true}},
         {"discardsStaleInventories", "overcommitted", &Safeguards::discardsStaleInventories, runLong},
+        {"settlesByLaterInventories", "overcommitted", &Safeguards::settlesByLaterInventories, restartWhileAsking},
         {"keepsLastReplica", "unreachable", &Safeguards::keepsLastReplica, runLong},
         {"stopsBeforeLapse", "two holders", &Safeguards::stopsBeforeLapse, wakeBeforeWrite},
     };
