--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -57,6 +57,24 @@
     }
 }
 
+/// What a store outage costs if all engines check terms, so that the holder goes on, or none, so that placement freezes.
+void printOutage(const std::string &site, const Trace &trace, unsigned seed)
+{
+    for (const bool checks : {true, false}) {
+        auto document = std::make_shared<configuration::Document>(*trace.before);
+        for (auto &[id, endpoint] : document->endpoints) {
+            endpoint.checksFencing = checks;
+        }
+        auto changed = trace;
+        changed.before = document;
+        changed.after = document;
+        const auto result = run(changed, ownPolicy(), seed);
+        const std::string kind = checks ? ".all_check" : ".none_checks";
+        printFigure("placement.outage_attainment." + site + kind, result.attainment, "share", "-");
+        printFigure("placement.outage_overcommit." + site + kind, static_cast<double>(result.overcommits), "endpoint seconds", "0");
+    }
+}
+
 void runSite(const std::string &site, const std::shared_ptr<const configuration::Document> &document, unsigned seed)
 {
     if (!document) {
@@ -66,6 +84,9 @@
     for (const auto kind : Kinds) {
         const auto trace = drawTrace(document, kind, seed);
         print(site, trace, runPolicies(trace, seed));
+        if (kind == TraceKind::StoreOutage) {
+            printOutage(site, trace, seed);
+        }
     }
 }
 
