Keep routing's and requests' decisions for explain; settings in ASCII only

Cause: explain found only configuration's decisions, and toml++ 3.3 does not survive some characters beyond ASCII in a settings file. Change: both slices log through logDecision; the settings reader names the line. Conclusion: daemon tests pass, one new.

--- a/src/turmericplank/daemon/enginechoice.cpp
+++ b/src/turmericplank/daemon/enginechoice.cpp
@@ -1,6 +1,6 @@
 #include "turmericplank/daemon/enginechoice.hpp"
 
-#include "turmericplank/telemetry/log.hpp"
+#include "turmericplank/telemetry/decisionlog.hpp"
 
 namespace turmericplank::daemon {
 
@@ -52,19 +52,19 @@
     auto request = routeRequest(query);
     auto choice = m_router.choose(request, now, m_random);
     if (!choice) {
-        telemetry::log(telemetry::LogLevel::Info, "routing", "found no endpoint",
-                       {{"request", query.request.text()}, {"model", query.model.text()}, {"reason", toString(choice.error().reason)}});
+        telemetry::logDecision("routing", "found no endpoint",
+                               {{"request", query.request.text()}, {"model", query.model.text()}, {"reason", toString(choice.error().reason)}});
         return std::nullopt;
     }
-    telemetry::log(telemetry::LogLevel::Info, "routing", "chose endpoint",
-                   {{"request", query.request.text()},
-                    {"model", query.model.text()},
-                    {"endpoint", choice->endpoint.text()},
-                    {"reason", toString(choice->reason)},
-                    {"runner_up", choice->runnerUp ? std::string_view(choice->runnerUp->text()) : std::string_view("-")},
-                    {"expected_ms", base::inMilliseconds(choice->expectedFirstToken)},
-                    {"runner_up_ms", base::inMilliseconds(choice->runnerUpFirstToken)},
-                    {"cached_tokens", std::uint64_t(choice->cachedTokens)}});
+    telemetry::logDecision("routing", "chose endpoint",
+                           {{"request", query.request.text()},
+                            {"model", query.model.text()},
+                            {"endpoint", choice->endpoint.text()},
+                            {"reason", toString(choice->reason)},
+                            {"runner_up", choice->runnerUp ? std::string_view(choice->runnerUp->text()) : std::string_view("-")},
+                            {"expected_ms", base::inMilliseconds(choice->expectedFirstToken)},
+                            {"runner_up_ms", base::inMilliseconds(choice->runnerUpFirstToken)},
+                            {"cached_tokens", std::uint64_t(choice->cachedTokens)}});
     const requests::Choice result{choice->endpoint, choice->address, choice->ticket};
     if (m_unsent.size() >= UnsentLimit) {
         m_unsent.clear();
--- a/src/turmericplank/daemon/requestsactions.cpp
+++ b/src/turmericplank/daemon/requestsactions.cpp
@@ -2,7 +2,7 @@
 #include <utility>
 
 #include "requestsparts.hpp"
-#include "turmericplank/telemetry/log.hpp"
+#include "turmericplank/telemetry/decisionlog.hpp"
 
 namespace turmericplank::daemon {
 
@@ -109,12 +109,12 @@
 
 void RequestsShell::Parts::sendAttempt(requests::CallNumber call, Session &session, const requests::SendAttempt &send)
 {
-    telemetry::log(LogLevel::Info, "requests", send.isResume ? "resumed stream" : "sent attempt",
-                   {{"request", session.id.text()},
-                    {"attempt", send.attempt.value()},
-                    {"endpoint", send.choice.endpoint.text()},
-                    {"offset", send.offset},
-                    {"revision", options.revision ? options.revision().value() : 0}});
+    telemetry::logDecision("requests", send.isResume ? "resumed stream" : "sent attempt",
+                           {{"request", session.id.text()},
+                            {"attempt", send.attempt.value()},
+                            {"endpoint", send.choice.endpoint.text()},
+                            {"offset", send.offset},
+                            {"revision", options.revision ? options.revision().value() : 0}});
     EndpointAttemptOptions attempt;
     attempt.to = send.choice.address;
     attempt.request = attemptRequest(session, send);
@@ -180,7 +180,7 @@
     const auto took = base::now() - session.arrivedAt;
     environment.metrics.count("requests_total{outcome=\"answered\"}");
     environment.metrics.observe("requests_seconds", base::inMilliseconds(took) / 1000);
-    telemetry::log(LogLevel::Info, "requests", "answered", {{"request", session.id.text()}, {"ms", base::inMilliseconds(took)}});
+    telemetry::logDecision("requests", "answered", {{"request", session.id.text()}, {"ms", base::inMilliseconds(took)}});
     if (session.caller) {
         session.caller->complete();
     }
@@ -193,7 +193,7 @@
     const std::string outcome(toString(error.outcome));
     environment.metrics.count("requests_total{outcome=\"" + outcome + "\"}");
     environment.metrics.count("requests_errors_total{code=\"" + std::string(toString(error.code)) + "\"}");
-    telemetry::log(LogLevel::Info, "requests", "refused or failed", {{"request", session.id.text()}, {"code", toString(error.code)}, {"outcome", outcome}});
+    telemetry::logDecision("requests", "refused or failed", {{"request", session.id.text()}, {"code", toString(error.code)}, {"outcome", outcome}});
     auto body = errorBody(error);
     const bool mayGoElsewhere = error.code == requests::ErrorCode::Draining || error.code == requests::ErrorCode::Starting;
     if (mayGoElsewhere && options.otherEntries) {
@@ -211,7 +211,7 @@
     if (it == sessions.end()) {
         return;
     }
-    telemetry::log(LogLevel::Info, "requests", "caller closed", {{"request", it->second.id.text()}});
+    telemetry::logDecision("requests", "caller closed", {{"request", it->second.id.text()}});
     it->second.caller.reset();
     perform(dispatcher->callerClosed(call, base::now()));
     if (!dispatcher->isCarrying(call)) {
--- a/src/turmericplank/daemon/settings.cpp
+++ b/src/turmericplank/daemon/settings.cpp
@@ -1,5 +1,6 @@
 #include "turmericplank/daemon/settings.hpp"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <sstream>
@@ -27,8 +28,19 @@
     return std::find(KnownKeys.begin(), KnownKeys.end(), key) != KnownKeys.end();
 }
 
+/// Line of the first character beyond ASCII, which toml++ 3.3 does not survive everywhere; zero if there is none.
+int lineBeyondAscii(const std::string &text)
+{
+    const auto it = std::find_if(text.begin(), text.end(), [](unsigned char c) { return c > 127; });
+    return it == text.end() ? 0 : 1 + static_cast<int>(std::count(text.begin(), it, '\n'));
+}
+
 void takeFile(const std::string &text, Values &values, Mistakes &mistakes)
 {
+    if (const int line = lineBeyondAscii(text)) {
+        mistakes.push_back({"", line, "ASCII characters only"});
+        return;
+    }
     const auto parsed = toml::parse(text);
     if (!parsed) {
         const auto &error = parsed.error();
--- a/src/turmericplank/daemon/settings_test.cpp
+++ b/src/turmericplank/daemon/settings_test.cpp
@@ -52,6 +52,13 @@
     CHECK(settings.error().front().line >= 2);
 }
 
+TEST_CASE("characters beyond ASCII are a mistake with their line")
+{
+    const auto settings = readSettings("id = \"a\"\nzone = \"caf\xc3\xa9\"\n", {});
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().front().line == 2);
+}
+
 TEST_CASE("settings and documents are read in one program")
 {
     CHECK(readSettings(wholeSettings, {}));
