--- a/standins/common/program.cpp
+++ b/standins/common/program.cpp
@@ -52,7 +52,12 @@
     options.onBadRequest = [](int status) {
         return errorResponse(status, "bad_request");
     };
-    m_server = net::listenHttp(m_context, std::move(options));
+    try {
+        m_server = net::listenHttp(m_context, std::move(options));
+    } catch (const boost::system::system_error &error) {
+        std::fprintf(stderr, "--listen %s: %s\n", m_listen.c_str(), error.what());
+        return BadAddressExitCode;
+    }
     boost::asio::signal_set signals(m_context, SIGTERM, SIGINT);
     signals.async_wait([this](const boost::system::error_code &, int) { m_context.stop(); });
     m_context.run();
