Admit by configured concurrency, weigh zones, rewrite chunks in place

Cause: admission counted 32 streams a replica whatever its endpoint batches (a trial with concurrency 300 waited 8.1 s at the daemon and 22 ms at the engine); the router's zone distance was never set; each chunk of a stream was built up in memory twice. Change: the limit is two batches of the replicas' configured concurrency; distances come from the zones' names; of a chunk only the offset is built up, and an id that repeats ours is replaced in the text.

--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -127,6 +127,9 @@
     /// @brief Endpoints that are believed to hold a model and may get work, for directing callers.
     std::size_t replicas(const base::ModelName &model) const;
 
+    /// @brief Streams that a model's replicas batch at full speed, all together.
+    std::uint32_t streamCapacity(const base::ModelName &model) const;
+
 private:
     struct EndpointState
     {
@@ -198,6 +201,7 @@
     };
 
     static bool isBetter(const Weighed &a, const Weighed &b);
+    std::vector<EndpointIndex> usableReplicas(const base::ModelName &model) const;
     std::optional<Resolved> resolve(const base::ModelName &name) const;
     void setResidents(EndpointIndex index, const LoadReport &report);
     void dropResident(EndpointIndex index, const base::ModelName &model);
--- a/src/turmericplank/daemon/daemon.cpp
+++ b/src/turmericplank/daemon/daemon.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
-constexpr std::uint32_t StreamsPerReplica = 32; ///< of one model, beyond which calls wait here by priority
+constexpr std::uint32_t BatchesAdmitted = 2; ///< a running and a waiting one; calls beyond them wait here by priority
 
 std::unique_ptr<peer::Mesh> openMeshFor(boost::asio::io_context &context, const Settings &settings)
 {
@@ -166,7 +166,7 @@
         it.chooseEngine = demand.wrap([this](const requests::ChoiceQuery &query, base::Time now) { return engineChoice.choose(query, now); });
         it.engineFeedback = demand.wrap(engineChoice.feedback());
         it.modelLimit = [this](const base::ModelName &model) {
-            return static_cast<std::uint32_t>(routing.router().replicas(model)) * StreamsPerReplica;
+            return routing.router().streamCapacity(model) * BatchesAdmitted;
         };
         it.peers = [this] {
             return peerTargets();
--- a/src/turmericplank/daemon/routingshell.cpp
+++ b/src/turmericplank/daemon/routingshell.cpp
@@ -4,6 +4,7 @@
 
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/net/httpclient.hpp"
+#include "turmericplank/routing/zonedistance.hpp"
 #include "turmericplank/telemetry/log.hpp"
 
 namespace turmericplank::daemon {
@@ -52,10 +53,20 @@
     return events;
 }
 
+routing::RouterOptions routerOptions(const base::ZoneName &own)
+{
+    routing::RouterOptions options;
+    options.zoneDistance = [own](const base::ZoneName &zone) {
+        return routing::zoneDistance(own, zone);
+    };
+    return options;
+}
+
 } // namespace
 
 RoutingShell::RoutingShell(Environment &environment)
     : m_environment(environment)
+    , m_router(routerOptions(environment.settings.zone))
 {
     every(environment.context, TickInterval, [this] { poll(); });
 }
--- a/src/turmericplank/requests/eventstream.cpp
+++ b/src/turmericplank/requests/eventstream.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view DataField = "data:";
 constexpr std::string_view EndMark = "[DONE]";
+constexpr const char *OffsetField = "turmericplank_offset";
 constexpr auto Replace = json::error_handler_t::replace;
 
 std::string_view trimmed(std::string_view text)
@@ -25,13 +26,19 @@
     return text;
 }
 
+/// Of a chunk only the offset is built up in memory; the rest is checked and passed on as it came.
+bool keepsOffset(int depth, json::parse_event_t event, const json &parsed)
+{
+    return event != json::parse_event_t::key || depth != 1 || parsed == OffsetField;
+}
+
 std::optional<StreamedToken> readToken(std::string_view data)
 {
     if (data == EndMark) {
         return StreamedToken{0, {}, true};
     }
-    const auto document = json::parse(data, nullptr, false);
-    const auto offset = document.is_object() ? document.find("turmericplank_offset") : document.end();
+    const auto document = json::parse(data, keepsOffset, false);
+    const auto offset = document.is_object() ? document.find(OffsetField) : document.end();
     if (!document.is_object() || offset == document.end() || !offset->is_number_unsigned()) {
         return std::nullopt;
     }
@@ -76,6 +83,14 @@
 
 std::string renamedChunk(std::string_view chunk, std::string_view id)
 {
+    // An engine repeats the name that it was sent, which is ours and the attempt's number; a quoted text cannot hold this.
+    const auto named = "\"id\":\"" + std::string(id) + '-';
+    const auto at = chunk.find(named);
+    const auto digits = at == std::string_view::npos ? at : at + named.size();
+    const auto end = digits == std::string_view::npos ? digits : chunk.find_first_not_of("0123456789", digits);
+    if (end != std::string_view::npos && end > digits && chunk[end] == '"') {
+        return std::string(chunk.substr(0, digits - 1)).append(chunk.substr(end));
+    }
     auto document = json::parse(chunk, nullptr, false);
     if (!document.is_object()) {
         return std::string(chunk);
--- a/src/turmericplank/routing/router.cpp
+++ b/src/turmericplank/routing/router.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/routing/router.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace turmericplank::routing {
 
@@ -258,17 +259,33 @@
     std::erase_if(m_attempts, [now](const auto &it) { return it.second.forgetAt <= now; });
 }
 
-std::size_t Router::replicas(const base::ModelName &model) const
+std::vector<EndpointIndex> Router::usableReplicas(const base::ModelName &model) const
 {
+    std::vector<EndpointIndex> usable;
     const auto resolved = resolve(model);
     const auto it = resolved ? m_residents.find(resolved->model) : m_residents.end();
     if (it == m_residents.end()) {
-        return 0;
+        return usable;
     }
-    return static_cast<std::size_t>(std::ranges::count_if(it->second, [this](EndpointIndex index) {
+    std::ranges::copy_if(it->second, std::back_inserter(usable), [this](EndpointIndex index) {
         const auto &state = m_endpoints[index];
         return state.isConfigured && !state.isLeavingByReport && (state.mark == EndpointMark::Live || state.mark == EndpointMark::Suspect);
-    }));
+    });
+    return usable;
+}
+
+std::size_t Router::replicas(const base::ModelName &model) const
+{
+    return usableReplicas(model).size();
+}
+
+std::uint32_t Router::streamCapacity(const base::ModelName &model) const
+{
+    std::uint32_t capacity = 0;
+    for (const auto it : usableReplicas(model)) {
+        capacity += m_endpoints[it].endpoint.concurrency;
+    }
+    return capacity;
 }
 
 std::optional<Router::Resolved> Router::resolve(const base::ModelName &name) const
--- a/standins/engine/scheduler_test.cpp
+++ b/standins/engine/scheduler_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const auto Start = base::timeFromMilliseconds(1000);
+const auto start = base::timeFromMilliseconds(1000);
 
 Job job(const std::string &id, base::Priority priority = base::Priority::Normal, std::uint32_t tokens = 2)
 {
@@ -20,11 +20,11 @@
 TEST_CASE("tokens of streams in the batch come interleaved, each at its own times")
 {
     Scheduler scheduler({2, 4, 20ms});
-    REQUIRE(scheduler.admit(job("a"), Start));
-    REQUIRE(scheduler.admit(job("b"), Start + 10ms));
-    CHECK(scheduler.advance(Start + 99ms).empty());
+    REQUIRE(scheduler.admit(job("a"), start));
+    REQUIRE(scheduler.admit(job("b"), start + 10ms));
+    CHECK(scheduler.advance(start + 99ms).empty());
     const std::vector<GeneratedToken> expected = {{"a", true, false}, {"b", true, false}, {"a", false, true}, {"b", false, true}};
-    CHECK(scheduler.advance(Start + 200ms) == expected);
+    CHECK(scheduler.advance(start + 200ms) == expected);
     CHECK(scheduler.running() == 0);
     CHECK_FALSE(scheduler.nextDue());
 }
@@ -32,25 +32,25 @@
 TEST_CASE("a waiting stream starts when another ends, urgent ones first")
 {
     Scheduler scheduler({1, 2, 20ms});
-    REQUIRE(scheduler.admit(job("a", base::Priority::Normal, 1), Start));
-    REQUIRE(scheduler.admit(job("b", base::Priority::Bulk, 1), Start));
-    REQUIRE(scheduler.admit(job("c", base::Priority::Urgent, 1), Start));
-    CHECK_FALSE(scheduler.admit(job("d"), Start));
+    REQUIRE(scheduler.admit(job("a", base::Priority::Normal, 1), start));
+    REQUIRE(scheduler.admit(job("b", base::Priority::Bulk, 1), start));
+    REQUIRE(scheduler.admit(job("c", base::Priority::Urgent, 1), start));
+    CHECK_FALSE(scheduler.admit(job("d"), start));
     CHECK(scheduler.waiting() == 2);
-    CHECK(scheduler.advance(Start + 100ms) == std::vector<GeneratedToken>{{"a", true, true}});
-    CHECK(scheduler.advance(Start + 200ms) == std::vector<GeneratedToken>{{"c", true, true}});
-    CHECK(scheduler.advance(Start + 300ms) == std::vector<GeneratedToken>{{"b", true, true}});
+    CHECK(scheduler.advance(start + 100ms) == std::vector<GeneratedToken>{{"a", true, true}});
+    CHECK(scheduler.advance(start + 200ms) == std::vector<GeneratedToken>{{"c", true, true}});
+    CHECK(scheduler.advance(start + 300ms) == std::vector<GeneratedToken>{{"b", true, true}});
 }
 
 TEST_CASE("a cancelled stream generates nothing more and makes room")
 {
     Scheduler scheduler({1, 2, 20ms});
-    REQUIRE(scheduler.admit(job("a"), Start));
-    REQUIRE(scheduler.admit(job("b"), Start));
-    REQUIRE(scheduler.admit(job("c"), Start));
-    scheduler.cancel("b", Start);
-    scheduler.cancel("a", Start + 50ms);
+    REQUIRE(scheduler.admit(job("a"), start));
+    REQUIRE(scheduler.admit(job("b"), start));
+    REQUIRE(scheduler.admit(job("c"), start));
+    scheduler.cancel("b", start);
+    scheduler.cancel("a", start + 50ms);
     CHECK(scheduler.waiting() == 0);
-    CHECK(scheduler.nextDue() == Start + 150ms);
-    CHECK(scheduler.advance(Start + 150ms) == std::vector<GeneratedToken>{{"c", true, false}});
+    CHECK(scheduler.nextDue() == start + 150ms);
+    CHECK(scheduler.advance(start + 150ms) == std::vector<GeneratedToken>{{"c", true, false}});
 }
