--- a/include/turmericplank/requests/bookingledger.hpp
+++ b/include/turmericplank/requests/bookingledger.hpp
@@ -173,6 +173,7 @@
         bool isAbandoned = false; ///< no caller is left and nothing was sent
     };
 
+    Entry *takeGranted(CallNumber call);
     void acquire(Entry &entry, base::RowVersion expected, base::Time now);
     void join(Entry &entry, const BookingRequest &request, base::Time now, BookingActions &actions);
     void queue(Entry &entry, BookingState target, base::RowVersion expected, base::Time at);
--- a/src/turmericplank/requests/bookingledger.cpp
+++ b/src/turmericplank/requests/bookingledger.cpp
@@ -102,44 +102,44 @@
     }
 }
 
-BookingActions BookingLedger::answered(CallNumber call, const StoredAnswer &answer, base::Time now)
+/// The entry of a call that this daemon sent; the call needs no answer of the ledger any more.
+BookingLedger::Entry *BookingLedger::takeGranted(CallNumber call)
 {
-    BookingActions actions;
     const auto key = m_keys.find(call);
     if (key == m_keys.end()) {
-        return actions;
+        return nullptr;
     }
     auto &entry = m_entries.at(key->second);
     if (entry.phase != Phase::Granted || entry.sender != call) {
-        return actions;
+        return nullptr;
     }
     m_keys.erase(key);
     std::erase(entry.calls, call);
-    entry.answer = answer;
-    replayAll(entry, answer, actions);
-    entry.cleanUntil = now + m_options.cleanUp;
-    queue(entry, BookingState::Done, entry.expected, now);
-    flush(now, actions);
+    return &entry;
+}
+
+BookingActions BookingLedger::answered(CallNumber call, const StoredAnswer &answer, base::Time now)
+{
+    BookingActions actions;
+    if (auto *entry = takeGranted(call)) {
+        entry->answer = answer;
+        replayAll(*entry, answer, actions);
+        entry->cleanUntil = now + m_options.cleanUp;
+        queue(*entry, BookingState::Done, entry->expected, now);
+        flush(now, actions);
+    }
     return actions;
 }
 
 BookingActions BookingLedger::failed(CallNumber call, const CallError &error, base::Time now)
 {
     BookingActions actions;
-    const auto key = m_keys.find(call);
-    if (key == m_keys.end()) {
-        return actions;
-    }
-    auto &entry = m_entries.at(key->second);
-    if (entry.phase != Phase::Granted || entry.sender != call) {
-        return actions;
+    if (auto *entry = takeGranted(call)) {
+        rejectAll(*entry, error, actions);
+        entry->cleanUntil = now + m_options.cleanUp;
+        queue(*entry, error.outcome == base::Outcome::NotRun ? BookingState::NotRun : BookingState::Unknown, entry->expected, now);
+        flush(now, actions);
     }
-    m_keys.erase(key);
-    std::erase(entry.calls, call);
-    rejectAll(entry, error, actions);
-    entry.cleanUntil = now + m_options.cleanUp;
-    queue(entry, error.outcome == base::Outcome::NotRun ? BookingState::NotRun : BookingState::Unknown, entry.expected, now);
-    flush(now, actions);
     return actions;
 }
 
