--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -119,8 +119,6 @@
     std::function<std::vector<Move>(const PlanInput &)> plan;
     /// Present demand of the cell; asked only while this daemon holds the lease.
     std::function<Demand()> demand;
-    /// Whether no stream of this daemon's knowledge still runs on a replica; without it unloads do not wait.
-    std::function<bool(const base::EndpointId &, const Resident &)> isIdleReplica;
 };
 
 /// @brief Holds the lease of one cell and carries out what the policy chooses, so that no memory is overcommitted.
