fuzz: the chat body's target follows its members

Cause: the target still named a member that the body no longer has, so it did not build; only the whole run builds the fuzz targets. Change: it holds the prompt against the one sent, which is stricter than before. An unused constant of the planner goes.

--- a/fuzz/chatbody_fuzz.cpp
+++ b/fuzz/chatbody_fuzz.cpp
@@ -12,7 +12,7 @@
         return 0;
     }
     const auto sent = readChatBody(endpointBody(*body, 7));
-    if (!sent || sent->fingerprint != body->fingerprint || !sent->isStreamed || body->messages.empty()) {
+    if (!sent || sent->fingerprint != body->fingerprint || !sent->isStreamed || sent->prompt != body->prompt || body->prompt.empty()) {
         std::abort();
     }
     return 0;
--- a/src/turmericplank/placement/planner.cpp
+++ b/src/turmericplank/placement/planner.cpp
@@ -8,11 +8,8 @@
 #include "planstate.hpp"
 
 namespace turmericplank::placement {
-
 namespace {
 
-constexpr unsigned Rounds = 3;
-
 struct Site
 {
     std::uint32_t endpoint = 0;
