--- a/bench/placementrun.cpp
+++ b/bench/placementrun.cpp
@@ -209,16 +209,16 @@
         m_result.adapterMoves += order.resident.adapter.isEmpty() ? 0 : 1;
     }
 
-    platform::WriteResult write(const std::vector<platform::RowWrite> &rows)
+    store::WriteResult write(const std::vector<store::RowWrite> &rows)
     {
         if (m_isTableDown) {
-            return tl::unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            return tl::unexpected(store::TableError{store::TableFailure::Unavailable, {}});
         }
         std::vector<base::RowVersion> versions;
         for (const auto &row : rows) {
             versions.emplace_back(++m_version);
             if (row.value) {
-                m_rows[row.key] = platform::Row{row.key, versions.back(), *row.value};
+                m_rows[row.key] = store::Row{row.key, versions.back(), *row.value};
             } else {
                 m_rows.erase(row.key);
             }
@@ -226,12 +226,12 @@
         return versions;
     }
 
-    platform::ReadResult read() const
+    store::ReadResult read() const
     {
         if (m_isTableDown) {
-            return tl::unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            return tl::unexpected(store::TableError{store::TableFailure::Unavailable, {}});
         }
-        std::vector<platform::Row> rows;
+        std::vector<store::Row> rows;
         for (const auto &[key, row] : m_rows) {
             rows.push_back(row);
         }
@@ -324,7 +324,7 @@
     std::shared_ptr<const configuration::Document> m_document;
     placement::Controller m_controller;
     std::map<base::EndpointId, Engine> m_engines;
-    std::map<std::string, platform::Row> m_rows;
+    std::map<std::string, store::Row> m_rows;
     std::uint64_t m_version = 0;
     bool m_isTableDown = false;
     std::size_t m_second = 0;
--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -1,7 +1,8 @@
 # One library in two tiers: the decisions are pure and include no socket library, the shells turn bytes into their
 # events and their actions into bytes.
-set(TURMERICPLANK_DECISION_SLICES base platform configuration membership routing requests placement)
-set(TURMERICPLANK_SHELL_SLICES telemetry net peer daemon)
+set(TURMERICPLANK_DECISION_SLICES base store configuration membership routing requests placement routes discovery
+    forwarding)
+set(TURMERICPLANK_SHELL_SLICES telemetry net peer daemon gateway)
 
 function(turmericplank_slice_sources output)
   set(sources)
@@ -23,3 +24,10 @@
 add_library(turmericplank STATIC ${shell_sources})
 target_include_directories(turmericplank PRIVATE "${PROJECT_SOURCE_DIR}/src")
 target_link_libraries(turmericplank PUBLIC turmericplank_decisions Threads::Threads CLI11::CLI11 ${NGHTTP2_LIBRARY} ${LOG4CXX_LIBRARY})
+
+# Names, formats and calls of the users' platform; the only code that knows them.
+file(GLOB platform_sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/platform/*.cpp")
+list(FILTER platform_sources EXCLUDE REGEX "_test\\.cpp$")
+add_library(turmericplank_platform STATIC ${platform_sources})
+target_include_directories(turmericplank_platform PUBLIC "${PROJECT_SOURCE_DIR}/platform")
+target_link_libraries(turmericplank_platform PUBLIC turmericplank)
--- a/daemons/turmericplankd/main.cpp
+++ b/daemons/turmericplankd/main.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -9,15 +10,20 @@
 
 #include <CLI/CLI.hpp>
 
+#include "settingsfile.hpp"
+#include "storeclient.hpp"
 #include "turmericplank/configuration/reader.hpp"
 #include "turmericplank/daemon/daemon.hpp"
+#include "turmericplank/gateway/gateway.hpp"
 #include "turmericplank/telemetry/log.hpp"
+#include "wireformat.hpp"
 
 namespace {
 
 using namespace turmericplank;
 
 constexpr int WrongSettings = 2;
+constexpr const char *PlatformSettingsVariable = "TURMERICPLANK_CONFIG";
 
 std::string readFile(const std::string &name)
 {
@@ -39,34 +45,78 @@
     return nullptr;
 }
 
-int run(const daemon::Settings &settings, std::shared_ptr<const configuration::Document> document)
+/// Calls a hook at each reload signal.
+void onReload(boost::asio::signal_set &signals, const std::function<void()> &hook)
 {
-    telemetry::startLogging(settings.logLevel);
-    boost::asio::io_context context(1);
-    daemon::Daemon daemon(context, settings, std::move(document));
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([&](boost::system::error_code ec, int) {
+    signals.async_wait([&signals, hook](boost::system::error_code ec, int) {
+        if (!ec) {
+            hook();
+            onReload(signals, hook);
+        }
+    });
+}
+
+/// Runs a daemon until its graceful shutdown has ended.
+template<typename Daemon>
+void runUntilDrained(boost::asio::io_context &context, Daemon &daemon, const std::function<void()> &reload)
+{
+    boost::asio::signal_set stopSignals(context, SIGTERM, SIGINT);
+    stopSignals.async_wait([&](boost::system::error_code ec, int) {
         if (!ec) {
             daemon.beginDrain([&] { context.stop(); });
         }
     });
+    boost::asio::signal_set reloadSignals(context, SIGHUP);
+    onReload(reloadSignals, reload);
     context.run();
+    telemetry::log(telemetry::LogLevel::Info, "daemon", "stopped");
+}
+
+int run(const daemon::Settings &settings, std::shared_ptr<const configuration::Document> document)
+{
+    telemetry::startLogging(settings.logLevel);
+    boost::asio::io_context context(1);
+    daemon::Daemon daemon(context, settings, std::move(document));
+    runUntilDrained(context, daemon, [] { telemetry::log(telemetry::LogLevel::Info, "daemon", "reload: nothing to read again"); });
     return 0;
 }
 
-} // namespace
+std::optional<platform::PlatformSettings> readPlatformSettings(const std::string &file)
+{
+    const auto settings = platform::readSettingsFile(readFile(file));
+    if (settings) {
+        return *settings;
+    }
+    const auto &error = settings.error();
+    std::cerr << "setting " << (error.key.empty() ? "file" : error.key) << " line " << error.line << ": expected " << error.expected << '\n';
+    return std::nullopt;
+}
 
-int main(int argc, char **argv)
+/// A changed file takes effect at the next start: addresses and identity of a running process do not change.
+void reloadPlatformSettings(const std::string &file, const platform::PlatformSettings &running)
 {
-    CLI::App app("The daemon of an entry VM. It ends after a graceful shutdown on SIGTERM or SIGINT.");
-    std::string settingsFile;
-    std::string documentFile;
-    std::vector<std::string> overrides;
-    app.add_option("--settings", settingsFile, "settings in TOML")->check(CLI::ExistingFile);
-    app.add_option("--set", overrides, "a setting as KEY=VALUE; goes before the file");
-    app.add_option("--document", documentFile, "configuration to serve until one is accepted")->check(CLI::ExistingFile);
-    CLI11_PARSE(app, argc, argv);
+    const auto settings = readPlatformSettings(file);
+    const auto *outcome = !settings ? "unreadable" : (*settings == running ? "unchanged" : "at the next start");
+    telemetry::log(telemetry::LogLevel::Info, "daemon", "reload", {{"outcome", outcome}});
+}
 
+int runOnPlatform(const std::string &file)
+{
+    const auto settings = readPlatformSettings(file);
+    if (!settings) {
+        return WrongSettings;
+    }
+    telemetry::startLogging(telemetry::LogLevel::Info);
+    boost::asio::io_context context(1);
+    platform::StoreClientOptions store;
+    store.address = settings->store;
+    gateway::Gateway gateway(context, settings->gateway, platform::wireFormat(), platform::makeSiteStore(context, store));
+    runUntilDrained(context, gateway, [&] { reloadPlatformSettings(file, *settings); });
+    return 0;
+}
+
+int runOwn(const std::string &settingsFile, const std::vector<std::string> &overrides, const std::string &documentFile)
+{
     std::vector<std::pair<std::string, std::string>> pairs;
     for (const auto &it : overrides) {
         const auto equals = it.find('=');
@@ -86,8 +136,30 @@
             return WrongSettings;
         }
     }
+    return run(*settings, document);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("The daemon of an entry VM. It ends after a graceful shutdown on SIGTERM or SIGINT.");
+    std::string settingsFile;
+    std::string documentFile;
+    std::vector<std::string> overrides;
+    std::string site = "own";
+    app.add_option("--settings", settingsFile, "settings in TOML; on the platform by default the file that " + std::string(PlatformSettingsVariable) + " names")
+        ->check(CLI::ExistingFile);
+    app.add_option("--set", overrides, "a setting as KEY=VALUE; goes before the file");
+    app.add_option("--document", documentFile, "configuration to serve until one is accepted")->check(CLI::ExistingFile);
+    app.add_option("--site", site, "whose interface is spoken: own, or that of the users' platform")->check(CLI::IsMember({"own", "platform"}));
+    CLI11_PARSE(app, argc, argv);
     try {
-        return run(*settings, document);
+        if (site == "own") {
+            return runOwn(settingsFile, overrides, documentFile);
+        }
+        const char *variable = std::getenv(PlatformSettingsVariable);
+        return runOnPlatform(settingsFile.empty() && variable != nullptr ? variable : settingsFile);
     } catch (const std::exception &error) {
         std::cerr << "turmericplankd: " << error.what() << '\n';
         return 1;
--- a/examples/bookingonce.cpp
+++ b/examples/bookingonce.cpp
@@ -13,14 +13,14 @@
 class MemoryTable
 {
 public:
-    platform::WriteResult transact(const std::vector<platform::RowWrite> &writes)
+    store::WriteResult transact(const std::vector<store::RowWrite> &writes)
     {
-        platform::TableError error{platform::TableFailure::Conflict, {}};
+        store::TableError error{store::TableFailure::Conflict, {}};
         for (const auto &it : writes) {
             const auto row = m_rows.find(it.key);
             const auto version = row == m_rows.end() ? base::RowVersion() : row->second.version;
             if (it.expected && *it.expected != version) {
-                error.conflicts.push_back(row == m_rows.end() ? platform::Row{it.key, version, {}} : row->second);
+                error.conflicts.push_back(row == m_rows.end() ? store::Row{it.key, version, {}} : row->second);
             }
         }
         if (!error.conflicts.empty()) {
@@ -36,7 +36,7 @@
     }
 
 private:
-    std::map<std::string, platform::Row> m_rows;
+    std::map<std::string, store::Row> m_rows;
     base::RowVersion m_lastVersion;
 };
 
--- a/include/turmericplank/configuration/activation.hpp
+++ b/include/turmericplank/configuration/activation.hpp
@@ -15,7 +15,7 @@
 #include "turmericplank/configuration/image.hpp"
 #include "turmericplank/configuration/pointer.hpp"
 #include "turmericplank/configuration/rules.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::configuration {
 
@@ -58,7 +58,7 @@
 struct PointerRead
 {
     std::uint64_t read = 0; ///< number of the ReadPointer that it answers
-    tl::expected<std::optional<Pointer>, platform::TableFailure> pointer;
+    tl::expected<std::optional<Pointer>, store::TableFailure> pointer;
 };
 
 /// @brief A peer's notice came in.
--- a/include/turmericplank/configuration/storedriver.hpp
+++ b/include/turmericplank/configuration/storedriver.hpp
@@ -8,15 +8,15 @@
 
 #include "turmericplank/base/time.hpp"
 #include "turmericplank/configuration/storestep.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::configuration {
 
 /// @brief What a driver needs of its surroundings.
 struct StoreDriverOptions
 {
-    platform::Table table;
-    platform::ObjectStore objects;
+    store::Table table;
+    store::ObjectStore objects;
     std::function<void(base::Time, std::function<void()>)> callAt; ///< calls a hook once at a time
     std::function<base::Time()> now;
     std::function<void(const std::string &digest, const std::string &bytes)> onObject; ///< told of each object put or fetched; may be empty
@@ -36,8 +36,8 @@
 /// @param objects where from
 /// @param names digests or changeName()s
 /// @param onDone gets the objects by name
-void fetchObjects(const platform::ObjectStore &objects, const std::vector<std::string> &names,
-                  std::function<void(tl::expected<ObjectCache, platform::TableFailure>)> onDone);
+void fetchObjects(const store::ObjectStore &objects, const std::vector<std::string> &names,
+                  std::function<void(tl::expected<ObjectCache, store::TableFailure>)> onDone);
 
 /// @brief Runs an Edit or an Accept to its end.
 /// @tparam Operation Edit or Accept
--- a/include/turmericplank/configuration/storestep.hpp
+++ b/include/turmericplank/configuration/storestep.hpp
@@ -10,7 +10,7 @@
 
 #include "turmericplank/base/time.hpp"
 #include "turmericplank/configuration/image.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::configuration {
 
@@ -39,7 +39,7 @@
 /// @brief Writes rows if their conditions hold.
 struct WriteRows
 {
-    std::vector<platform::RowWrite> writes;
+    std::vector<store::RowWrite> writes;
 
     friend bool operator==(const WriteRows &, const WriteRows &) = default;
 };
@@ -64,25 +64,25 @@
 /// @brief Answer to ReadRows.
 struct RowsRead
 {
-    platform::ReadResult rows;
+    store::ReadResult rows;
 };
 
 /// @brief Answer to FetchObjects; objects that are absent are left out.
 struct ObjectsFetched
 {
-    tl::expected<ObjectCache, platform::TableFailure> objects;
+    tl::expected<ObjectCache, store::TableFailure> objects;
 };
 
 /// @brief Answer to PutObjects.
 struct ObjectsPut
 {
-    tl::expected<void, platform::TableFailure> result;
+    tl::expected<void, store::TableFailure> result;
 };
 
 /// @brief Answer to WriteRows.
 struct RowsWritten
 {
-    platform::WriteResult result;
+    store::WriteResult result;
 };
 
 /// @brief Answer to WaitUntil.
--- a/include/turmericplank/daemon/environment.hpp
+++ b/include/turmericplank/daemon/environment.hpp
@@ -7,8 +7,8 @@
 #include "turmericplank/daemon/routes.hpp"
 #include "turmericplank/daemon/settings.hpp"
 #include "turmericplank/peer/mesh.hpp"
-#include "turmericplank/platform/table.hpp"
-#include "turmericplank/platform/virtualmachine.hpp"
+#include "turmericplank/store/table.hpp"
+#include "turmericplank/store/virtualmachine.hpp"
 #include "turmericplank/telemetry/metrics.hpp"
 
 namespace turmericplank::daemon {
@@ -18,9 +18,9 @@
 {
     boost::asio::io_context &context;
     const Settings &settings;
-    platform::Table table;
-    platform::ObjectStore objects;
-    platform::ListVirtualMachines listVirtualMachines;
+    store::Table table;
+    store::ObjectStore objects;
+    store::ListVirtualMachines listVirtualMachines;
     peer::Mesh &peers;
     Routes &callerRoutes; ///< paths of the callers' listener
     Routes &operatorRoutes; ///< paths of the operators' listener
--- a/include/turmericplank/daemon/platformclient.hpp
+++ b/include/turmericplank/daemon/platformclient.hpp
@@ -7,8 +7,8 @@
 
 #include "turmericplank/base/address.hpp"
 #include "turmericplank/base/time.hpp"
-#include "turmericplank/platform/table.hpp"
-#include "turmericplank/platform/virtualmachine.hpp"
+#include "turmericplank/store/table.hpp"
+#include "turmericplank/store/virtualmachine.hpp"
 
 namespace turmericplank::daemon {
 
@@ -23,9 +23,9 @@
 /// @brief The platform's interfaces over HTTP.
 struct PlatformClient
 {
-    platform::Table table;
-    platform::ObjectStore objects;
-    platform::ListVirtualMachines listVirtualMachines;
+    store::Table table;
+    store::ObjectStore objects;
+    store::ListVirtualMachines listVirtualMachines;
 };
 
 /// @brief Makes the client.
--- /dev/null
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
+
+#include "turmericplank/forwarding/retryadvice.hpp"
+#include "turmericplank/gateway/endpointpool.hpp"
+#include "turmericplank/gateway/fleet.hpp"
+#include "turmericplank/gateway/interface.hpp"
+#include "turmericplank/gateway/settings.hpp"
+#include "turmericplank/net/httpserver.hpp"
+#include "turmericplank/placement/demand.hpp"
+#include "turmericplank/requests/retrybudget.hpp"
+#include "turmericplank/telemetry/metrics.hpp"
+
+namespace turmericplank::gateway {
+
+class Transfer;
+
+/// @brief Waiting times and shares of forwarding.
+struct ForwarderOptions
+{
+    base::Duration parkInterval = std::chrono::milliseconds(20); ///< between two looks for an endpoint of a call that waits here
+    double parkShare = 0.5; ///< of the objective that a call waits here at most before it is refused
+    base::Duration shortestPark = std::chrono::milliseconds(150); ///< about a round of notices, after which an adapter may be there
+    double firstEventShare = 2.5; ///< of the objective, after which a silent endpoint is given up for a stream that may go on elsewhere
+    base::Duration shortestFirstEvent = std::chrono::milliseconds(1000);
+    double eventGapShare = 4; ///< of the objective between two events, likewise
+    double retryBudgetShare = 0.8; ///< of what the site allows; the rest is for what the daemons do not yet know of each other
+    forwarding::RetryAdviceOptions advice;
+};
+
+/// @brief Parts of the daemon that forwarding works with.
+struct ForwarderParts
+{
+    boost::asio::io_context &context;
+    const WireFormat &wire;
+    Fleet &fleet;
+    routing::Router &router;
+    EndpointPool &pool;
+    telemetry::Metrics &metrics;
+    std::mt19937_64 &random;
+    std::function<std::size_t()> daemons; ///< that share the retry budget and the connections, this one included
+    std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for weights
+};
+
+/// @brief Sends each caller's call to an endpoint and its answer back.
+class Forwarder
+{
+public:
+    Forwarder(ForwarderParts parts, SiteBounds bounds, ForwarderOptions options = {});
+    ~Forwarder();
+
+    /// @brief Takes a caller's call.
+    void take(const net::ExchangePointer &exchange);
+
+    /// @brief Looks again for endpoints of the calls that wait here.
+    void retryParked();
+
+    /// @brief Calls that have no final answer yet.
+    std::size_t inProgress() const;
+
+    /// @brief Calls counted since the start, by model and adapter.
+    const placement::DemandCounters &demand() const;
+
+private:
+    friend class Transfer;
+    using TransferList = boost::intrusive::list<Transfer, boost::intrusive::constant_time_size<false>>;
+
+    bool hasBudget(const base::ServiceName &service, base::Time now);
+    bool mayRetry(const base::ServiceName &service, base::Time now);
+    requests::RetryBudget &budget(const base::ServiceName &service);
+    void countDemand(const base::ServiceName &service, const base::ModelName &model);
+    void countStreamTime(const base::ServiceName &service, const base::ModelName &model, base::Duration time);
+
+    ForwarderParts m_parts;
+    SiteBounds m_bounds;
+    ForwarderOptions m_options;
+    std::map<base::ServiceName, requests::RetryBudget> m_budgets;
+    placement::DemandCounters m_demand;
+    std::unique_ptr<TransferList> m_parked;
+    std::shared_ptr<std::size_t> m_inProgress = std::make_shared<std::size_t>(0); ///< hooks of late connections may outlive this
+};
+
+} // namespace turmericplank::gateway
--- /dev/null
+++ b/include/turmericplank/gateway/peers.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "turmericplank/gateway/peernotice.hpp"
+#include "turmericplank/gateway/settings.hpp"
+#include "turmericplank/peer/mesh.hpp"
+#include "turmericplank/store/table.hpp"
+
+namespace turmericplank::gateway {
+
+/// @brief Waiting times between daemons.
+struct PeersOptions
+{
+    base::Duration noticeInterval = std::chrono::milliseconds(400); ///< some 1 KB to each daemon; 2.5 KB/s each way at 7 daemons, under 6
+    base::Duration silentAfter = std::chrono::milliseconds(1400); ///< three notices missed
+    base::Duration forgetAfter = std::chrono::seconds(10); ///< a daemon that is silent for longer gets no notices between reads of the list
+    base::Duration listInterval = std::chrono::milliseconds(4000); ///< new daemons are heard by their own notices meanwhile
+    base::Duration firstListInterval = std::chrono::milliseconds(1000); ///< until all that started together have been seen
+    base::Duration firstListTime = std::chrono::seconds(6);
+};
+
+/// @brief Where another daemon is.
+struct PeerAddress
+{
+    base::DaemonId id;
+    base::Address peers;
+    base::Address callers;
+    base::ZoneName zone;
+
+    friend bool operator==(const PeerAddress &, const PeerAddress &) = default;
+};
+
+/// @brief Writes a daemon's row of the list.
+std::string encode(const PeerAddress &address);
+
+/// @brief Reads a row of the list.
+/// @return nothing if it is none
+std::optional<PeerAddress> decodePeerAddress(const std::string &text);
+
+/// @brief Finds the other daemons through rows of the store and exchanges notices with them.
+class Peers
+{
+public:
+    struct Hooks
+    {
+        std::function<void(PeerNotice &)> fillNotice; ///< adds what this daemon has to tell
+        std::function<void(const PeerNotice &)> onNotice;
+        std::function<void(const base::DaemonId &)> onSilent; ///< a daemon is no longer heard
+    };
+
+    Peers(boost::asio::io_context &context, const Settings &settings, store::Table table, peer::Mesh &mesh, Hooks hooks, PeersOptions options = {});
+
+    /// @brief Tells the others now.
+    void tell();
+
+    /// @brief Says that this daemon leaves, in all notices from now on, and removes its row.
+    void leave();
+
+    /// @brief Daemons that are heard, without this one.
+    std::size_t heard() const;
+
+    /// @brief The last notice of each daemon that is heard and does not leave, with where it is.
+    std::vector<std::pair<PeerAddress, PeerNotice>> serving() const;
+
+    /// @brief The daemon that says it holds the placement lease, if one is heard.
+    std::optional<base::DaemonId> holder() const;
+
+private:
+    struct Peer
+    {
+        std::optional<PeerAddress> address;
+        std::optional<PeerNotice> notice;
+        base::Time heardAt;
+        bool isSilent = true;
+    };
+
+    void registerSelf();
+    void readList();
+    void takeList(const std::vector<store::Row> &rows);
+    void onMessage(const std::string &body);
+    void checkSilence();
+
+    boost::asio::io_context &m_context;
+    PeerAddress m_self;
+    base::Incarnation m_incarnation;
+    store::Table m_table;
+    peer::Mesh &m_mesh;
+    Hooks m_hooks;
+    PeersOptions m_options;
+    base::Time m_startedAt;
+    base::Time m_nextList;
+    std::map<base::DaemonId, Peer> m_peers;
+    bool m_isLeaving = false;
+    bool m_isRegistered = false;
+    bool m_isRegistering = false;
+    bool m_isReading = false;
+};
+
+} // namespace turmericplank::gateway
--- /dev/null
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+
+#include "turmericplank/gateway/endpointpool.hpp"
+#include "turmericplank/gateway/fleet.hpp"
+#include "turmericplank/gateway/interface.hpp"
+#include "turmericplank/gateway/settings.hpp"
+#include "turmericplank/placement/demand.hpp"
+#include "turmericplank/placement/engineorders.hpp"
+#include "turmericplank/placement/lease.hpp"
+#include "turmericplank/placement/ratelimit.hpp"
+#include "turmericplank/telemetry/metrics.hpp"
+
+namespace turmericplank::gateway {
+
+/// @brief Parts of the daemon that placement works with.
+struct PlacementParts
+{
+    boost::asio::io_context &context;
+    const WireFormat &wire;
+    Fleet &fleet;
+    EndpointPool &pool;
+    telemetry::Metrics &metrics;
+    store::Table table;
+    std::function<void(const EngineNotice &)> onEngine; ///< an engine holds something else
+    std::function<void()> tellPeers;
+};
+
+/// @brief Waiting times of placement.
+struct PlacementRunnerOptions
+{
+    base::Duration tickInterval = std::chrono::milliseconds(100);
+    base::Duration planInterval = std::chrono::milliseconds(250);
+    base::Duration summaryInterval = std::chrono::milliseconds(2000); ///< between two log lines on the demand
+    base::Duration renewInterval = std::chrono::milliseconds(1500);
+    base::Duration followInterval = std::chrono::milliseconds(2000); ///< between two looks at another daemon's lease
+    base::Duration holdTime = std::chrono::milliseconds(3500); ///< a holder may give orders this long after its last renewal
+    base::Duration tellTime = std::chrono::milliseconds(2500); ///< by then the engines' entries show what was ordered
+    base::Duration orderTimeout = std::chrono::milliseconds(1000);
+    base::Duration thawReserve = std::chrono::milliseconds(500); ///< beyond the pause between two holders
+    placement::DemandOptions demand{std::chrono::milliseconds(1500), std::chrono::seconds(8), std::chrono::minutes(1), std::chrono::seconds(3), 2.0};
+    double weightLoadShare = 0.9; ///< of the weight store's rate
+    std::uint32_t adapterLoadsAtOnce = 24;
+};
+
+/// @brief Holds the placement lease when it can, and then decides and orders what the engines hold.
+class PlacementRunner
+{
+public:
+    PlacementRunner(PlacementParts parts, const Settings &settings, PlacementRunnerOptions options = {});
+
+    /// @brief Another version of the configuration is in force.
+    void onConfiguration();
+    /// @brief The endpoints' entries were read.
+    void onEndpoints();
+    /// @brief Adds the lease and what is known of the engines.
+    void fillNotice(PeerNotice &notice) const;
+    /// @brief Takes another daemon's demand.
+    void takeNotice(const PeerNotice &notice);
+    /// @brief Gives no more orders.
+    void stop();
+    /// @brief Takes what this daemon has counted.
+    void setOwnDemand(std::function<const placement::DemandCounters &()> demand);
+
+private:
+    struct Service
+    {
+        placement::EngineOrders orders;
+        placement::RateLimit weightLoads;
+        std::shared_ptr<const configuration::Document> document;
+    };
+
+    void tick();
+    void stepLease(base::Time now);
+    void followTenure(base::Time now);
+    void plan(base::Time now);
+    void planService(const base::ServiceName &name, Service &service, base::Time now);
+    void order(const base::ServiceName &name, const placement::Move &move, base::Time now);
+    void send(const base::ServiceName &name, const placement::ConditionalOrder &order);
+    void orderAnswered(const base::ServiceName &name, const placement::ConditionalOrder &order, placement::ConditionalAnswer answer);
+    void ask(const base::ServiceName &name, const base::EndpointId &id);
+    void summarize(const base::ServiceName &name, const placement::PlanInput &input, base::Time now);
+    void publish(const base::ServiceName &name, const base::EndpointId &id);
+    placement::Demand demandOf(const base::ServiceName &name) const;
+
+    PlacementParts m_parts;
+    base::DaemonId m_self;
+    SiteBounds m_bounds;
+    PlacementRunnerOptions m_options;
+    placement::Lease m_lease;
+    placement::DemandEstimator m_demand;
+    std::function<const placement::DemandCounters &()> m_ownDemand;
+    std::map<base::ServiceName, Service> m_services;
+    struct Known
+    {
+        EngineNotice notice;
+        base::Time tellUntil;
+    };
+
+    std::map<base::EndpointId, Known> m_known; ///< engines that were ordered something lately
+    base::Term m_tenure;
+    base::Term m_refused; ///< an engine has seen a higher term than this
+    base::Time m_nextPlan;
+    base::Time m_nextSummary;
+    bool m_isStopped = false;
+};
+
+} // namespace turmericplank::gateway
--- /dev/null
+++ b/include/turmericplank/gateway/siteview.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "turmericplank/gateway/fleet.hpp"
+#include "turmericplank/gateway/interface.hpp"
+#include "turmericplank/telemetry/metrics.hpp"
+
+namespace turmericplank::gateway {
+
+/// @brief Waiting times of the reads of the site's store.
+struct SiteViewOptions
+{
+    base::Duration endpointsInterval = std::chrono::milliseconds(1000); ///< half of the shortest drain time of a site
+    base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a call that brought nothing
+};
+
+/// @brief Keeps the fleet's view up to date with the site's store.
+class SiteView
+{
+public:
+    struct Hooks
+    {
+        std::function<void()> onConfiguration; ///< another version is in force
+        std::function<void(const std::vector<discovery::EndpointChange> &)> onEndpoints; ///< the entries were read
+    };
+
+    SiteView(boost::asio::io_context &context, SiteStore store, Fleet &fleet, telemetry::Metrics &metrics, Hooks hooks, SiteViewOptions options = {});
+
+    /// @brief Starts reading.
+    void start();
+
+    /// @brief Another daemon has a later version in force than this one.
+    void heardRevision(base::Revision revision);
+
+private:
+    void readConfiguration();
+    void awaitConfiguration();
+    void takeConfiguration(const tl::expected<ReadConfiguration, TableFailure> &result);
+    void readEndpoints();
+    void takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result, base::Time askedAt);
+    void noteStore(bool isAnswering);
+
+    boost::asio::io_context &m_context;
+    SiteStore m_store;
+    Fleet &m_fleet;
+    telemetry::Metrics &m_metrics;
+    Hooks m_hooks;
+    SiteViewOptions m_options;
+    std::uint64_t m_position = 0;
+    std::size_t m_unreadable = 0;
+    bool m_isReadingAgain = false;
+    bool m_isAnswering = true;
+    base::Time m_changedAt;
+};
+
+} // namespace turmericplank::gateway
--- a/include/turmericplank/net/httpserver.hpp
+++ b/include/turmericplank/net/httpserver.hpp
@@ -63,6 +63,10 @@
 
     /// @brief Stops accepting; requests in progress go on.
     virtual void stopAccepting() = 0;
+    /// @brief From now on each connection is closed behind the answer that it gets next, and the answer says so.
+    virtual void closeBehindAnswers() = 0;
+    /// @brief Changes the limits for requests that begin from now on.
+    virtual void setLimits(std::size_t headerLimit, std::size_t bodyLimit, base::Duration requestTimeout, base::Duration idleTimeout) = 0;
     /// @brief Requests that are being answered.
     virtual std::size_t exchangesInProgress() const = 0;
 };
--- a/include/turmericplank/placement/controller.hpp
+++ b/include/turmericplank/placement/controller.hpp
@@ -38,7 +38,7 @@
 /// @brief Write rows in one transaction; answered by Controller::rowsWritten().
 struct WriteRows
 {
-    std::vector<platform::RowWrite> rows;
+    std::vector<store::RowWrite> rows;
 
     friend bool operator==(const WriteRows &, const WriteRows &) = default;
 };
@@ -46,7 +46,7 @@
 /// @brief Write the row that says that this daemon sends nothing of an earlier term; its answer is not needed.
 struct WriteAcknowledgement
 {
-    platform::RowWrite row;
+    store::RowWrite row;
 
     friend bool operator==(const WriteAcknowledgement &, const WriteAcknowledgement &) = default;
 };
@@ -132,10 +132,10 @@
     Actions tick(base::Time now);
 
     /// @brief Takes the answer to ReadRows.
-    Actions rowsRead(base::Time now, ReadPurpose purpose, const platform::ReadResult &result);
+    Actions rowsRead(base::Time now, ReadPurpose purpose, const store::ReadResult &result);
 
     /// @brief Takes the answer to WriteRows.
-    Actions rowsWritten(base::Time now, const platform::WriteResult &result);
+    Actions rowsWritten(base::Time now, const store::WriteResult &result);
 
     /// @brief Takes the answer to FetchInventory; nothing if none came.
     Actions inventoryFetched(base::Time now, const base::EndpointId &endpoint, const std::optional<Inventory> &inventory);
--- a/include/turmericplank/placement/lease.hpp
+++ b/include/turmericplank/placement/lease.hpp
@@ -9,7 +9,7 @@
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/number.hpp"
 #include "turmericplank/base/time.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::placement {
 
@@ -44,7 +44,7 @@
     base::Duration renewInterval = std::chrono::seconds(2);
     base::Duration retryInterval = std::chrono::seconds(1);
     bool isConditional = true; ///< writes depend on the row's version; off only to show what that is for
-    std::function<std::vector<platform::RowWrite>(base::Term)> rowsOnAcquire; ///< rows that the first write of a tenure adds
+    std::function<std::vector<store::RowWrite>(base::Term)> rowsOnAcquire; ///< rows that the first write of a tenure adds
 };
 
 /// @brief What a lease wants done on the table; at most one call is under way.
@@ -70,20 +70,20 @@
 
     /// @brief Adds rows to the holder's next write and makes it due at once.
     /// @param rows rows that must be written together with the lease's row
-    void attach(std::vector<platform::RowWrite> rows);
+    void attach(std::vector<store::RowWrite> rows);
 
     /// @brief Rows of the write that is under way.
-    const std::vector<platform::RowWrite> &pendingWrites() const;
+    const std::vector<store::RowWrite> &pendingWrites() const;
 
     /// @brief Takes the answer to a read.
     /// @param now present time
     /// @param result the cell's rows, or why there are none
-    void rowsRead(base::Time now, const platform::ReadResult &result);
+    void rowsRead(base::Time now, const store::ReadResult &result);
 
     /// @brief Takes the answer to a write.
     /// @param now present time
     /// @param result new versions, or why there are none
-    void rowsWritten(base::Time now, const platform::WriteResult &result);
+    void rowsWritten(base::Time now, const store::WriteResult &result);
 
     /// @brief Whether orders may be sent: this daemon holds the lease and nobody can have taken it over yet.
     /// @param now present time
@@ -126,8 +126,8 @@
     base::Time m_safeUntil;
     base::Term m_term;
     LeaseRow m_writing;
-    std::vector<platform::RowWrite> m_attached;
-    std::vector<platform::RowWrite> m_pending;
+    std::vector<store::RowWrite> m_attached;
+    std::vector<store::RowWrite> m_pending;
 };
 
 } // namespace turmericplank::placement
--- a/include/turmericplank/placement/orderbook.hpp
+++ b/include/turmericplank/placement/orderbook.hpp
@@ -9,7 +9,7 @@
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/number.hpp"
 #include "turmericplank/placement/order.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::placement {
 
@@ -70,6 +70,6 @@
 /// @brief Sorts the rows of one cell by kind.
 /// @param keys the cell's keys
 /// @param rows rows with the cell's prefix
-CellRows readCellRows(const CellKeys &keys, const std::vector<platform::Row> &rows);
+CellRows readCellRows(const CellKeys &keys, const std::vector<store::Row> &rows);
 
 } // namespace turmericplank::placement
--- a/include/turmericplank/placement/planner.hpp
+++ b/include/turmericplank/placement/planner.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,7 +58,9 @@
     std::uint32_t concurrency = 1;
     std::string role;
     bool isOrderable = false; ///< takes a new order now
+    std::uint32_t adapterSlots = UINT32_MAX; ///< adapters that it may hold or be loading
     std::uint32_t loadLimitMib = UINT32_MAX; ///< largest load that may be ordered; smaller while the table is down
+    std::set<base::ModelName> atHand; ///< models that it loads from a copy of its own, quickly and without the weight store
     std::map<Resident, ResidentState> residents;
 
     friend bool operator==(const EndpointView &, const EndpointView &) = default;
--- a/include/turmericplank/requests/bookingledger.hpp
+++ b/include/turmericplank/requests/bookingledger.hpp
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "turmericplank/base/number.hpp"
-#include "turmericplank/platform/table.hpp"
 #include "turmericplank/requests/admission.hpp"
 #include "turmericplank/requests/bookingrow.hpp"
 #include "turmericplank/requests/callerror.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::requests {
 
@@ -56,7 +56,7 @@
 struct WriteRows
 {
     TableOperation operation;
-    std::vector<platform::RowWrite> writes;
+    std::vector<store::RowWrite> writes;
 
     friend bool operator==(const WriteRows &, const WriteRows &) = default;
 };
@@ -131,9 +131,9 @@
     /// @param now the present
     BookingActions failed(CallNumber call, const CallError &error, base::Time now);
     /// @brief A transaction's result came.
-    BookingActions written(TableOperation operation, const platform::WriteResult &result, base::Time now);
+    BookingActions written(TableOperation operation, const store::WriteResult &result, base::Time now);
     /// @brief A read's result came; rows beside the one that was asked for are ignored.
-    BookingActions read(TableOperation operation, const platform::ReadResult &result, base::Time now);
+    BookingActions read(TableOperation operation, const store::ReadResult &result, base::Time now);
     /// @brief Sends due transactions and reads, and ends waits whose time is over.
     BookingActions tick(base::Time now);
 
@@ -180,14 +180,14 @@
     void flush(base::Time now, BookingActions &actions);
     std::vector<std::string> takeDue(base::Time now);
     void readNow(Entry &entry, BookingActions &actions);
-    platform::RowWrite makeWrite(const Entry &entry, base::Time now) const;
-    void applyResult(Entry &entry, const platform::WriteResult &result, std::size_t index, base::Time now, BookingActions &actions);
-    void onConflict(Entry &entry, const platform::TableError &error, base::Time now, BookingActions &actions);
+    store::RowWrite makeWrite(const Entry &entry, base::Time now) const;
+    void applyResult(Entry &entry, const store::WriteResult &result, std::size_t index, base::Time now, BookingActions &actions);
+    void onConflict(Entry &entry, const store::TableError &error, base::Time now, BookingActions &actions);
     void onWritten(Entry &entry, base::RowVersion version, base::Time now, BookingActions &actions);
     void onMarkedSent(Entry &entry, base::Time now, BookingActions &actions);
     void onAmbiguous(Entry &entry, base::Time now, BookingActions &actions);
     void onUnavailable(Entry &entry, base::Time now, BookingActions &actions);
-    void onRow(Entry &entry, const platform::Row &row, base::Time now, BookingActions &actions);
+    void onRow(Entry &entry, const store::Row &row, base::Time now, BookingActions &actions);
     void onAbsentRow(Entry &entry, base::Time now);
     void onOwnRow(Entry &entry, BookingState stored, base::RowVersion version, base::Time now, BookingActions &actions);
     void onForeignRow(Entry &entry, const BookingRow &stored, base::RowVersion version, base::Time now, BookingActions &actions);
--- a/include/turmericplank/requests/dispatcher.hpp
+++ b/include/turmericplank/requests/dispatcher.hpp
@@ -88,9 +88,9 @@
     /// @brief An attempt ended.
     DispatchActions attemptEnded(CallNumber call, base::Attempt attempt, AttemptEnd end, base::Time now);
     /// @brief A transaction ended.
-    DispatchActions tableWritten(TableOperation operation, const platform::WriteResult &result, base::Time now);
+    DispatchActions tableWritten(TableOperation operation, const store::WriteResult &result, base::Time now);
     /// @brief A read of a row ended.
-    DispatchActions tableRead(TableOperation operation, const platform::ReadResult &result, base::Time now);
+    DispatchActions tableRead(TableOperation operation, const store::ReadResult &result, base::Time now);
     /// @brief Another daemon asks for a trial.
     /// @param reply receives what it is answered
     DispatchActions question(const base::DaemonId &from, const TrialQuestion &question, base::Time now, TrialReply &reply);
--- a/include/turmericplank/requests/retrybudget.hpp
+++ b/include/turmericplank/requests/retrybudget.hpp
@@ -22,9 +22,14 @@
     /// @param options share and reserve
     explicit RetryBudget(RetryBudgetOptions options = {});
 
+    /// @brief Changes the reserve, for example when the number of daemons that share one has changed.
+    void setReserve(double reserve);
+
     /// @brief A request was answered.
     /// @param now the present
     void succeeded(base::Time now);
+    /// @brief Whether a retry would be allowed; nothing is charged.
+    bool hasRoom(base::Time now);
     /// @brief Asks for one retry.
     /// @param now the present
     /// @return whether it may be made; it is then charged
--- a/include/turmericplank/platform/table.hpp
+++ b/include/turmericplank/store/table.hpp
@@ -9,7 +9,7 @@
 
 #include "turmericplank/base/number.hpp"
 
-namespace turmericplank::platform {
+namespace turmericplank::store {
 
 /// @brief One row of the platform's transactional table.
 struct Row
@@ -71,4 +71,4 @@
     std::function<void(std::string, std::function<void(tl::expected<std::optional<std::string>, TableFailure>)>)> fetch;
 };
 
-} // namespace turmericplank::platform
+} // namespace turmericplank::store
--- a/include/turmericplank/platform/virtualmachine.hpp
+++ b/include/turmericplank/store/virtualmachine.hpp
@@ -8,9 +8,9 @@
 
 #include "turmericplank/base/address.hpp"
 #include "turmericplank/base/identifier.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
-namespace turmericplank::platform {
+namespace turmericplank::store {
 
 /// @brief One row of the platform's late list of VMs.
 struct VirtualMachine
@@ -26,4 +26,4 @@
 /// @brief Asks the platform for its list; the hook is called exactly once.
 using ListVirtualMachines = std::function<void(std::function<void(tl::expected<std::vector<VirtualMachine>, TableFailure>)>)>;
 
-} // namespace turmericplank::platform
+} // namespace turmericplank::store
--- a/src/turmericplank/configuration/accept.cpp
+++ b/src/turmericplank/configuration/accept.cpp
@@ -70,13 +70,13 @@
             return finish(Accepted{m_entry.revision, m_entry.digest, m_entry.inForceFrom});
         }
         switch (answer.result.error().failure) {
-        case platform::TableFailure::Conflict:
+        case store::TableFailure::Conflict:
             m_settlement.refuse();
             return ReadRows();
-        case platform::TableFailure::Unavailable:
+        case store::TableFailure::Unavailable:
             m_settlement.refuse();
             return m_settlement.isOpen() ? retry(now) : fail(StoreFailure::Unavailable);
-        case platform::TableFailure::Ambiguous:
+        case store::TableFailure::Ambiguous:
             return ReadRows();
         }
         return ReadRows();
--- a/src/turmericplank/configuration/fakecluster.hpp
+++ b/src/turmericplank/configuration/fakecluster.hpp
@@ -332,8 +332,8 @@
 
     void carryOut(std::size_t n, const ReadPointer &action)
     {
-        const auto answer = [this, n, read = action.read, back = guardedAnswer(n)](const platform::ReadResult &rows) {
-            PointerRead event{read, tl::unexpected(platform::TableFailure::Unavailable)};
+        const auto answer = [this, n, read = action.read, back = guardedAnswer(n)](const store::ReadResult &rows) {
+            PointerRead event{read, tl::unexpected(store::TableFailure::Unavailable)};
             if (rows && !daemons[n].isCutFromStore) {
                 event.pointer = rows->empty() ? std::nullopt : decodePointer(rows->front().value);
                 back(PeersListed{options.daemons > 1 && options.cellSize > 1}); // the table lists the cell's daemons too
--- a/src/turmericplank/configuration/fakestore.hpp
+++ b/src/turmericplank/configuration/fakestore.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "turmericplank/base/time.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::configuration {
 
@@ -65,7 +65,7 @@
 class FakeStore
 {
 public:
-    using Rows = std::map<std::string, platform::Row>;
+    using Rows = std::map<std::string, store::Row>;
 
     FakeStore(EventQueue &queue, std::mt19937_64 &random)
         : m_queue(queue)
@@ -83,7 +83,7 @@
     std::uint64_t bytesMoved = 0;
     std::uint64_t calls = 0;
 
-    platform::Table table()
+    store::Table table()
     {
         return {[this](auto writes, auto hook) { transact(std::move(writes), std::move(hook)); },
                 [this](auto prefix, auto hook) {
@@ -91,7 +91,7 @@
                 }};
     }
 
-    platform::ObjectStore objectStore()
+    store::ObjectStore objectStore()
     {
         return {[this](auto name, auto bytes, auto hook) { put(name, bytes, std::move(hook)); },
                 [this](auto name, auto hook) {
@@ -107,30 +107,30 @@
         return base::Duration(std::uniform_int_distribution<std::int64_t>(latency.count() / 4, latency.count() / 2)(m_random));
     }
 
-    void transact(std::vector<platform::RowWrite> writes, std::function<void(platform::WriteResult)> hook)
+    void transact(std::vector<store::RowWrite> writes, std::function<void(store::WriteResult)> hook)
     {
         calls += 1;
         const auto isLost = answersToLose > 0;
         answersToLose -= isLost ? 1 : 0;
         m_queue.after(half() + (isLost ? lateBy : base::Duration()), [this, writes, hook, isLost] {
-            const auto result = isDown ? tl::unexpected(platform::TableError{platform::TableFailure::Unavailable, {}}) : apply(writes);
+            const auto result = isDown ? tl::unexpected(store::TableError{store::TableFailure::Unavailable, {}}) : apply(writes);
             if (!isLost) {
                 m_queue.after(half(), [hook, result] { hook(result); });
             }
         });
         if (isLost) {
-            m_queue.after(LostAnswerTimeout, [hook] { hook(tl::unexpected(platform::TableError{platform::TableFailure::Ambiguous, {}})); });
+            m_queue.after(LostAnswerTimeout, [hook] { hook(tl::unexpected(store::TableError{store::TableFailure::Ambiguous, {}})); });
         }
     }
 
-    platform::WriteResult apply(const std::vector<platform::RowWrite> &writes)
+    store::WriteResult apply(const std::vector<store::RowWrite> &writes)
     {
-        platform::TableError conflict{platform::TableFailure::Conflict, {}};
+        store::TableError conflict{store::TableFailure::Conflict, {}};
         for (const auto &it : writes) {
             const auto found = rows.find(it.key);
             const auto version = found == rows.end() ? base::RowVersion() : found->second.version;
             if (it.expected && *it.expected != version) {
-                conflict.conflicts.push_back(found == rows.end() ? platform::Row{it.key, {}, ""} : found->second);
+                conflict.conflicts.push_back(found == rows.end() ? store::Row{it.key, {}, ""} : found->second);
             }
         }
         if (!conflict.conflicts.empty()) {
@@ -149,13 +149,13 @@
         return versions;
     }
 
-    void read(const std::string &prefix, std::function<void(platform::ReadResult)> hook)
+    void read(const std::string &prefix, std::function<void(store::ReadResult)> hook)
     {
         calls += 1;
         m_queue.after(half(), [this, prefix, hook] {
-            platform::ReadResult result = tl::unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            store::ReadResult result = tl::unexpected(store::TableError{store::TableFailure::Unavailable, {}});
             if (!isDown) {
-                std::vector<platform::Row> found;
+                std::vector<store::Row> found;
                 for (const auto &it : rows) {
                     if (it.first.rfind(prefix, 0) == 0) {
                         found.push_back(it.second);
@@ -168,13 +168,13 @@
         });
     }
 
-    void put(const std::string &name, const std::string &bytes, std::function<void(tl::expected<void, platform::TableFailure>)> hook)
+    void put(const std::string &name, const std::string &bytes, std::function<void(tl::expected<void, store::TableFailure>)> hook)
     {
         calls += 1;
         m_queue.after(half(), [this, name, bytes, hook] {
-            tl::expected<void, platform::TableFailure> result;
+            tl::expected<void, store::TableFailure> result;
             if (isDown) {
-                result = tl::unexpected(platform::TableFailure::Unavailable);
+                result = tl::unexpected(store::TableFailure::Unavailable);
             } else {
                 objects[name] = bytes;
                 bytesMoved += bytes.size();
@@ -183,13 +183,13 @@
         });
     }
 
-    void fetch(const std::string &name, std::function<void(tl::expected<std::optional<std::string>, platform::TableFailure>)> hook)
+    void fetch(const std::string &name, std::function<void(tl::expected<std::optional<std::string>, store::TableFailure>)> hook)
     {
         calls += 1;
         m_queue.after(half(), [this, name, hook] {
-            tl::expected<std::optional<std::string>, platform::TableFailure> result;
+            tl::expected<std::optional<std::string>, store::TableFailure> result;
             if (isDown) {
-                result = tl::unexpected(platform::TableFailure::Unavailable);
+                result = tl::unexpected(store::TableFailure::Unavailable);
             } else if (const auto found = objects.find(name); found != objects.end()) {
                 result = found->second;
                 bytesMoved += found->second.size();
--- a/src/turmericplank/configuration/rows.cpp
+++ b/src/turmericplank/configuration/rows.cpp
@@ -2,7 +2,7 @@
 
 namespace turmericplank::configuration {
 
-std::optional<Rows> parseRows(const std::vector<platform::Row> &rows)
+std::optional<Rows> parseRows(const std::vector<store::Row> &rows)
 {
     Rows result;
     for (const auto &it : rows) {
--- a/src/turmericplank/configuration/rows.hpp
+++ b/src/turmericplank/configuration/rows.hpp
@@ -7,7 +7,7 @@
 #include "turmericplank/configuration/draft.hpp"
 #include "turmericplank/configuration/pointer.hpp"
 #include "turmericplank/configuration/rules.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::configuration {
 
@@ -23,7 +23,7 @@
 /// @brief Reads the rows.
 /// @param rows what the table returned
 /// @return nothing if one of them is malformed
-std::optional<Rows> parseRows(const std::vector<platform::Row> &rows);
+std::optional<Rows> parseRows(const std::vector<store::Row> &rows);
 
 /// @brief Finds out whether writes of one operation took effect, all of which carry the same token.
 class Settlement
--- a/src/turmericplank/configuration/storedriver.cpp
+++ b/src/turmericplank/configuration/storedriver.cpp
@@ -22,8 +22,8 @@
     }
 };
 
-using PutResult = tl::expected<void, platform::TableFailure>;
-using FetchResult = tl::expected<ObjectCache, platform::TableFailure>;
+using PutResult = tl::expected<void, store::TableFailure>;
+using FetchResult = tl::expected<ObjectCache, store::TableFailure>;
 
 void putObjects(const StoreDriverOptions &options, const PutObjects &step, std::function<void(PutResult)> onDone)
 {
@@ -51,14 +51,14 @@
     return std::string(RowPrefix) + name;
 }
 
-void fetchObjects(const platform::ObjectStore &objects, const std::vector<std::string> &names, std::function<void(FetchResult)> onDone)
+void fetchObjects(const store::ObjectStore &objects, const std::vector<std::string> &names, std::function<void(FetchResult)> onDone)
 {
     if (names.empty()) {
         return onDone(ObjectCache());
     }
     auto gathering = std::make_shared<Gathering<FetchResult>>(Gathering<FetchResult>{names.size(), ObjectCache(), std::move(onDone)});
     for (const auto &name : names) {
-        objects.fetch(storedName(name), [gathering, name](const tl::expected<std::optional<std::string>, platform::TableFailure> &answer) {
+        objects.fetch(storedName(name), [gathering, name](const tl::expected<std::optional<std::string>, store::TableFailure> &answer) {
             auto &result = gathering->result;
             if (!answer) {
                 result = tl::unexpected(answer.error());
@@ -73,7 +73,7 @@
 void carryOut(const StoreDriverOptions &options, const StoreStep &step, std::function<void(StoreAnswer)> onAnswer)
 {
     if (std::holds_alternative<ReadRows>(step)) {
-        options.table.readPrefix(std::string(RowPrefix), [onAnswer](const platform::ReadResult &rows) { onAnswer(RowsRead{rows}); });
+        options.table.readPrefix(std::string(RowPrefix), [onAnswer](const store::ReadResult &rows) { onAnswer(RowsRead{rows}); });
     } else if (const auto *fetch = std::get_if<FetchObjects>(&step)) {
         fetchObjects(options.objects, fetch->names, [onAnswer, hook = options.onObject](const FetchResult &result) {
             for (const auto &it : result ? *result : ObjectCache()) {
@@ -86,7 +86,7 @@
     } else if (const auto *put = std::get_if<PutObjects>(&step)) {
         putObjects(options, *put, [onAnswer](const PutResult &result) { onAnswer(ObjectsPut{result}); });
     } else if (const auto *write = std::get_if<WriteRows>(&step)) {
-        options.table.transact(write->writes, [onAnswer](const platform::WriteResult &result) { onAnswer(RowsWritten{result}); });
+        options.table.transact(write->writes, [onAnswer](const store::WriteResult &result) { onAnswer(RowsWritten{result}); });
     } else if (const auto *wait = std::get_if<WaitUntil>(&step)) {
         options.callAt(wait->time, [onAnswer] { onAnswer(Waited()); });
     }
--- a/src/turmericplank/daemon/configurationshell.cpp
+++ b/src/turmericplank/daemon/configurationshell.cpp
@@ -30,9 +30,9 @@
 const std::string pointerKind = "configuration/pointer";
 const std::string objectsKind = "configuration/objects";
 
-configuration::PointerRead pointerRead(std::uint64_t read, const platform::ReadResult &rows)
+configuration::PointerRead pointerRead(std::uint64_t read, const store::ReadResult &rows)
 {
-    configuration::PointerRead event{read, tl::unexpected(platform::TableFailure::Unavailable)};
+    configuration::PointerRead event{read, tl::unexpected(store::TableFailure::Unavailable)};
     if (!rows) {
         return event;
     }
@@ -202,7 +202,7 @@
 void ConfigurationShell::carryOut(const configuration::ReadPointer &action)
 {
     m_environment.table.readPrefix(std::string(configuration::PointerKey),
-                                   [this, read = action.read](const platform::ReadResult &rows) { handle(pointerRead(read, rows)); });
+                                   [this, read = action.read](const store::ReadResult &rows) { handle(pointerRead(read, rows)); });
 }
 
 void ConfigurationShell::carryOut(const configuration::AskPointer &action)
--- a/src/turmericplank/daemon/membershipshell.cpp
+++ b/src/turmericplank/daemon/membershipshell.cpp
@@ -247,7 +247,7 @@
 
 void MembershipShell::readRecords()
 {
-    m_environment.table.readPrefix(recordPrefix(m_environment.settings), [this](const platform::ReadResult &rows) {
+    m_environment.table.readPrefix(recordPrefix(m_environment.settings), [this](const store::ReadResult &rows) {
         if (!rows) {
             return;
         }
@@ -268,7 +268,7 @@
 void MembershipShell::writeRecord()
 {
     const auto key = recordPrefix(m_environment.settings) + m_view.self().id.text();
-    m_environment.table.transact({{key, std::nullopt, daemonRecordText(m_view.self())}}, [](const platform::WriteResult &result) {
+    m_environment.table.transact({{key, std::nullopt, daemonRecordText(m_view.self())}}, [](const store::WriteResult &result) {
         // Without an answer the next read of the records shows whether it took effect.
         if (!result) {
             telemetry::log(LogLevel::Warning, "membership", "registration not confirmed");
@@ -278,7 +278,7 @@
 
 void MembershipShell::readList()
 {
-    m_environment.listVirtualMachines([this](const tl::expected<std::vector<platform::VirtualMachine>, platform::TableFailure> &list) {
+    m_environment.listVirtualMachines([this](const tl::expected<std::vector<store::VirtualMachine>, store::TableFailure> &list) {
         if (!list) {
             return;
         }
@@ -340,7 +340,7 @@
     telemetry::log(LogLevel::Info, "membership", "leaving");
     beat();
     const auto key = recordPrefix(m_environment.settings) + m_view.self().id.text();
-    m_environment.table.transact({{key, std::nullopt, std::nullopt}}, [](const platform::WriteResult &) {});
+    m_environment.table.transact({{key, std::nullopt, std::nullopt}}, [](const store::WriteResult &) {});
 }
 
 std::vector<membership::Member> MembershipShell::members() const
--- a/src/turmericplank/daemon/operatorapi_test.cpp
+++ b/src/turmericplank/daemon/operatorapi_test.cpp
@@ -14,15 +14,15 @@
 /// Table and object store of one process, answering at once.
 struct MemoryStore
 {
-    platform::Table table()
+    store::Table table()
     {
-        return {[this](const std::vector<platform::RowWrite> &writes, const std::function<void(platform::WriteResult)> &hook) { hook(write(writes)); },
-                [this](const std::string &prefix, const std::function<void(platform::ReadResult)> &hook) {
+        return {[this](const std::vector<store::RowWrite> &writes, const std::function<void(store::WriteResult)> &hook) { hook(write(writes)); },
+                [this](const std::string &prefix, const std::function<void(store::ReadResult)> &hook) {
                     hook(read(prefix));
                 }};
     }
 
-    platform::ObjectStore objectStore()
+    store::ObjectStore objectStore()
     {
         return {[this](const std::string &name, const std::string &bytes, const auto &hook) {
                     objects[name] = bytes;
@@ -34,11 +34,11 @@
                 }};
     }
 
-    platform::WriteResult write(const std::vector<platform::RowWrite> &writes)
+    store::WriteResult write(const std::vector<store::RowWrite> &writes)
     {
         for (const auto &it : writes) {
             if (it.expected && rows[it.key].version != *it.expected) {
-                return tl::unexpected(platform::TableError{platform::TableFailure::Conflict, {}});
+                return tl::unexpected(store::TableError{store::TableFailure::Conflict, {}});
             }
         }
         std::vector<base::RowVersion> versions;
@@ -50,12 +50,12 @@
         return versions;
     }
 
-    platform::ReadResult read(const std::string &prefix) const
+    store::ReadResult read(const std::string &prefix) const
     {
         if (isDown) {
-            return tl::unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            return tl::unexpected(store::TableError{store::TableFailure::Unavailable, {}});
         }
-        std::vector<platform::Row> found;
+        std::vector<store::Row> found;
         for (const auto &[key, row] : rows) {
             if (key.starts_with(prefix) && row.version.value() > 0) {
                 found.push_back(row);
@@ -64,7 +64,7 @@
         return found;
     }
 
-    std::map<std::string, platform::Row> rows;
+    std::map<std::string, store::Row> rows;
     std::map<std::string, std::string> objects;
     base::RowVersion version;
     bool isDown = false;
--- a/src/turmericplank/daemon/placementshell.cpp
+++ b/src/turmericplank/daemon/placementshell.cpp
@@ -145,7 +145,7 @@
         return;
     }
     m_nextMachines = now + MachinesInterval;
-    m_environment.listVirtualMachines([this](const tl::expected<std::vector<platform::VirtualMachine>, platform::TableFailure> &machines) {
+    m_environment.listVirtualMachines([this](const tl::expected<std::vector<store::VirtualMachine>, store::TableFailure> &machines) {
         if (!machines) {
             return;
         }
@@ -203,13 +203,12 @@
 void PlacementShell::performOne(const placement::Action &action)
 {
     if (const auto *read = std::get_if<placement::ReadRows>(&action)) {
-        m_environment.table.readPrefix(read->prefix, [this, purpose = read->purpose](const platform::ReadResult &result) {
-            perform(m_controller.rowsRead(base::now(), purpose, result));
-        });
+        m_environment.table.readPrefix(
+            read->prefix, [this, purpose = read->purpose](const store::ReadResult &result) { perform(m_controller.rowsRead(base::now(), purpose, result)); });
     } else if (const auto *write = std::get_if<placement::WriteRows>(&action)) {
-        m_environment.table.transact(write->rows, [this](const platform::WriteResult &result) { perform(m_controller.rowsWritten(base::now(), result)); });
+        m_environment.table.transact(write->rows, [this](const store::WriteResult &result) { perform(m_controller.rowsWritten(base::now(), result)); });
     } else if (const auto *note = std::get_if<placement::WriteAcknowledgement>(&action)) {
-        m_environment.table.transact({note->row}, [](const platform::WriteResult &) {});
+        m_environment.table.transact({note->row}, [](const store::WriteResult &) {});
     } else if (const auto *send = std::get_if<placement::SendOrder>(&action)) {
         sendOrder(send->order);
     } else if (const auto *fetch = std::get_if<placement::FetchInventory>(&action)) {
--- a/src/turmericplank/daemon/platformclient.cpp
+++ b/src/turmericplank/daemon/platformclient.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 using nlohmann::json;
-using platform::Row;
-using platform::TableError;
-using platform::TableFailure;
+using store::Row;
+using store::TableError;
+using store::TableFailure;
 using Reply = tl::expected<net::HttpResponse, TableFailure>;
 using ReplyHook = std::function<void(Reply)>;
 
@@ -66,7 +66,7 @@
     return buf;
 }
 
-json toJson(const platform::RowWrite &write)
+json toJson(const store::RowWrite &write)
 {
     json it = {{"key", write.key}, {"expect", nullptr}, {"value", nullptr}};
     if (write.expected) {
@@ -88,7 +88,7 @@
     return result;
 }
 
-platform::WriteResult toWriteResult(const Reply &reply)
+store::WriteResult toWriteResult(const Reply &reply)
 {
     if (!reply) {
         return tl::make_unexpected(TableError{reply.error(), {}});
@@ -111,7 +111,7 @@
     }
 }
 
-platform::ReadResult toReadResult(const Reply &reply)
+store::ReadResult toReadResult(const Reply &reply)
 {
     const auto body = reply && reply->status == 200 ? json::parse(reply->body, nullptr, false) : json();
     try {
@@ -121,10 +121,10 @@
     }
 }
 
-tl::expected<std::vector<platform::VirtualMachine>, TableFailure> toVirtualMachines(const Reply &reply)
+tl::expected<std::vector<store::VirtualMachine>, TableFailure> toVirtualMachines(const Reply &reply)
 {
     const auto body = reply && reply->status == 200 ? json::parse(reply->body, nullptr, false) : json();
-    std::vector<platform::VirtualMachine> machines;
+    std::vector<store::VirtualMachine> machines;
     try {
         for (const auto &it : body.at("vms")) {
             const auto address = base::parseAddress(it.at("address").get<std::string>());
@@ -136,10 +136,10 @@
     return machines;
 }
 
-platform::Table makeTable(const ClientPointer &client)
+store::Table makeTable(const ClientPointer &client)
 {
-    platform::Table table;
-    table.transact = [client](const std::vector<platform::RowWrite> &writes, std::function<void(platform::WriteResult)> onResult) {
+    store::Table table;
+    table.transact = [client](const std::vector<store::RowWrite> &writes, std::function<void(store::WriteResult)> onResult) {
         json body = {{"writes", json::array()}};
         for (const auto &it : writes) {
             body["writes"].push_back(toJson(it));
@@ -147,18 +147,18 @@
         const net::HttpRequest request{"POST", "/table/transact", {{"Content-Type", "application/json"}}, body.dump()};
         call(client, request, [onResult = std::move(onResult)](const Reply &reply) { onResult(toWriteResult(reply)); });
     };
-    table.readPrefix = [client](const std::string &prefix, std::function<void(platform::ReadResult)> onResult) {
+    table.readPrefix = [client](const std::string &prefix, std::function<void(store::ReadResult)> onResult) {
         const net::HttpRequest request{"GET", "/table/rows?prefix=" + escaped(prefix), {}, {}};
         call(client, request, [onResult = std::move(onResult)](const Reply &reply) { onResult(toReadResult(reply)); });
     };
     return table;
 }
 
-platform::ObjectStore makeObjectStore(const ClientPointer &client)
+store::ObjectStore makeObjectStore(const ClientPointer &client)
 {
     using PutResult = tl::expected<void, TableFailure>;
     using FetchResult = tl::expected<std::optional<std::string>, TableFailure>;
-    platform::ObjectStore objects;
+    store::ObjectStore objects;
     objects.put = [client](const std::string &name, std::string bytes, std::function<void(PutResult)> onResult) {
         const net::HttpRequest request{"PUT", "/objects/" + escaped(name), {}, std::move(bytes)};
         call(client, request, [onResult = std::move(onResult)](const Reply &reply) {
@@ -194,7 +194,7 @@
     PlatformClient result;
     result.table = makeTable(client);
     result.objects = makeObjectStore(client);
-    result.listVirtualMachines = [client](std::function<void(tl::expected<std::vector<platform::VirtualMachine>, TableFailure>)> onResult) {
+    result.listVirtualMachines = [client](std::function<void(tl::expected<std::vector<store::VirtualMachine>, TableFailure>)> onResult) {
         call(client, {"GET", "/vms", {}, {}}, [onResult = std::move(onResult)](const Reply &reply) { onResult(toVirtualMachines(reply)); });
     };
     return result;
--- a/src/turmericplank/daemon/platformclient_test.cpp
+++ b/src/turmericplank/daemon/platformclient_test.cpp
@@ -6,7 +6,7 @@
 
 using namespace turmericplank;
 using namespace turmericplank::daemon;
-using platform::TableFailure;
+using store::TableFailure;
 
 namespace {
 
@@ -23,9 +23,9 @@
         client = makePlatformClient(context, {{platformAddress}, std::chrono::milliseconds(200), nullptr});
     }
 
-    platform::WriteResult transact()
+    store::WriteResult transact()
     {
-        platform::WriteResult result;
+        store::WriteResult result;
         client.table.transact({{"a", base::RowVersion(3), "x"}, {"b", std::nullopt, std::nullopt}}, [&](const auto &it) {
             result = it;
             context.stop();
@@ -61,7 +61,7 @@
     const auto result = fixture.transact();
     REQUIRE_FALSE(result);
     CHECK(result.error().failure == TableFailure::Conflict);
-    CHECK(result.error().conflicts.front() == platform::Row{"a", base::RowVersion(5), "y"});
+    CHECK(result.error().conflicts.front() == store::Row{"a", base::RowVersion(5), "y"});
 }
 
 TEST_CASE("only a write that was refused or not sent is known to have no effect")
--- a/src/turmericplank/daemon/requestsactions.cpp
+++ b/src/turmericplank/daemon/requestsactions.cpp
@@ -51,13 +51,13 @@
             performCall(*call);
         } else if (const auto *write = std::get_if<requests::WriteRows>(&it)) {
             environment.metrics.count("requests_table_transactions_total");
-            environment.table.transact(write->writes, [weak, operation = write->operation](const platform::WriteResult &result) {
+            environment.table.transact(write->writes, [weak, operation = write->operation](const store::WriteResult &result) {
                 if (const auto parts = weak.lock()) {
                     parts->perform(parts->dispatcher->tableWritten(operation, result, base::now()));
                 }
             });
         } else if (const auto *read = std::get_if<requests::ReadRow>(&it)) {
-            environment.table.readPrefix(read->key, [weak, operation = read->operation](const platform::ReadResult &result) {
+            environment.table.readPrefix(read->key, [weak, operation = read->operation](const store::ReadResult &result) {
                 if (const auto parts = weak.lock()) {
                     parts->perform(parts->dispatcher->tableRead(operation, result, base::now()));
                 }
--- /dev/null
+++ b/src/turmericplank/discovery/endpointcatalog.cpp
@@ -0,0 +1,94 @@
+#include "turmericplank/discovery/endpointcatalog.hpp"
+
+#include <string_view>
+
+namespace turmericplank::discovery {
+
+namespace {
+
+std::optional<EndpointEvent> eventBetween(const EndpointEntry &before, const EndpointEntry &after)
+{
+    if (after.incarnation != before.incarnation) {
+        return EndpointEvent::Restarted;
+    }
+    if (after.address != before.address) {
+        return EndpointEvent::Moved;
+    }
+    if (after.isLeaving != before.isLeaving) {
+        return after.isLeaving ? EndpointEvent::Leaving : EndpointEvent::Returned;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string_view toString(EndpointEvent event)
+{
+    switch (event) {
+    case EndpointEvent::Appeared:
+        return "appeared";
+    case EndpointEvent::Restarted:
+        return "restarted";
+    case EndpointEvent::Moved:
+        return "moved";
+    case EndpointEvent::Leaving:
+        return "leaving";
+    case EndpointEvent::Returned:
+        return "returned";
+    case EndpointEvent::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+EndpointCatalog::EndpointCatalog(CatalogOptions options)
+    : m_options(options)
+{
+}
+
+std::vector<EndpointChange> EndpointCatalog::apply(const std::vector<EndpointEntry> &entries, base::Time now)
+{
+    if (m_lastRead && now > *m_lastRead + m_options.outageAfter) {
+        m_keepsMissingUntil = now + m_options.returnTime;
+    }
+    m_lastRead = now;
+    std::vector<EndpointChange> changes;
+    std::map<base::EndpointId, EndpointEntry> next;
+    for (const auto &it : entries) {
+        const auto known = m_entries.find(it.id);
+        if (known == m_entries.end()) {
+            changes.push_back({EndpointEvent::Appeared, it});
+        } else if (it.incarnation < known->second.incarnation) {
+            // A read that was overtaken by a newer one.
+            next.insert(*known);
+            continue;
+        } else if (const auto event = eventBetween(known->second, it)) {
+            changes.push_back({*event, it});
+        }
+        next.insert_or_assign(it.id, it);
+    }
+    for (const auto &[id, entry] : m_entries) {
+        if (next.contains(id)) {
+            continue;
+        }
+        if (now < m_keepsMissingUntil && !entry.isLeaving) {
+            next.emplace(id, entry);
+        } else {
+            changes.push_back({EndpointEvent::Gone, entry});
+        }
+    }
+    m_entries = std::move(next);
+    return changes;
+}
+
+const std::map<base::EndpointId, EndpointEntry> &EndpointCatalog::entries() const
+{
+    return m_entries;
+}
+
+std::optional<base::Time> EndpointCatalog::lastRead() const
+{
+    return m_lastRead;
+}
+
+} // namespace turmericplank::discovery
--- /dev/null
+++ b/src/turmericplank/discovery/endpointcatalog_test.cpp
@@ -0,0 +1,66 @@
+#include "turmericplank/discovery/endpointcatalog.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::discovery;
+
+namespace {
+
+EndpointEntry entry(const std::string &id, std::uint64_t incarnation = 1)
+{
+    EndpointEntry it;
+    it.id = base::EndpointId(id);
+    it.address = {"10.0.0.1", 80};
+    it.incarnation = base::Incarnation(incarnation);
+    return it;
+}
+
+base::Time at(std::int64_t milliseconds)
+{
+    return base::timeFromMilliseconds(milliseconds);
+}
+
+} // namespace
+
+TEST_CASE("a missing entry is gone while the table is read all the time")
+{
+    EndpointCatalog catalog;
+    catalog.apply({entry("a"), entry("b")}, at(0));
+    const auto changes = catalog.apply({entry("a")}, at(1000));
+    REQUIRE(changes.size() == 1);
+    CHECK((changes[0].event == EndpointEvent::Gone));
+    CHECK(changes[0].entry.id.text() == "b");
+    CHECK(catalog.entries().size() == 1);
+}
+
+TEST_CASE("entries that lapsed during an outage are kept until they had time to return")
+{
+    EndpointCatalog catalog;
+    catalog.apply({entry("a"), entry("b")}, at(0));
+    CHECK(catalog.apply({}, at(10000)).empty());
+    CHECK(catalog.apply({entry("a")}, at(11000)).empty());
+    CHECK(catalog.entries().size() == 2);
+    const auto changes = catalog.apply({entry("a")}, at(12700));
+    REQUIRE(changes.size() == 1);
+    CHECK((changes[0].event == EndpointEvent::Gone));
+}
+
+TEST_CASE("an endpoint that was leaving before an outage is not kept")
+{
+    EndpointCatalog catalog;
+    auto leaving = entry("a");
+    leaving.isLeaving = true;
+    catalog.apply({entry("a")}, at(0));
+    CHECK((catalog.apply({leaving}, at(1000)).front().event == EndpointEvent::Leaving));
+    CHECK((catalog.apply({}, at(10000)).front().event == EndpointEvent::Gone));
+}
+
+TEST_CASE("a restart under the same name is told, an overtaken read is not")
+{
+    EndpointCatalog catalog;
+    catalog.apply({entry("a", 1)}, at(0));
+    CHECK((catalog.apply({entry("a", 2)}, at(1000)).front().event == EndpointEvent::Restarted));
+    CHECK(catalog.apply({entry("a", 1)}, at(1100)).empty());
+    CHECK(catalog.entries().at(base::EndpointId("a")).incarnation == base::Incarnation(2));
+}
--- /dev/null
+++ b/src/turmericplank/forwarding/eventcursor.cpp
@@ -0,0 +1,92 @@
+#include "turmericplank/forwarding/eventcursor.hpp"
+
+#include <charconv>
+
+namespace turmericplank::forwarding {
+
+namespace {
+
+/// End of the first event in the text, behind its blank line; npos if it is not whole.
+std::size_t eventEnd(std::string_view text)
+{
+    for (auto n = text.find('\n'); n != std::string_view::npos; n = text.find('\n', n + 1)) {
+        if (n + 1 < text.size() && text[n + 1] == '\n') {
+            return n + 2;
+        }
+        if (n + 2 < text.size() && text[n + 1] == '\r' && text[n + 2] == '\n') {
+            return n + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> eventNumber(std::string_view event)
+{
+    constexpr std::string_view Field = "id:";
+    for (std::size_t begin = 0; begin < event.size();) {
+        const auto end = std::min(event.find('\n', begin), event.size());
+        auto line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with(Field)) {
+            continue;
+        }
+        line.remove_prefix(Field.size());
+        while (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        std::uint64_t number = 0;
+        const auto [rest, ec] = std::from_chars(line.data(), line.data() + line.size(), number);
+        return ec == std::errc() ? std::optional(number) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+EventCursor::EventCursor(std::optional<std::uint64_t> lastEvent)
+    : m_lastEvent(lastEvent)
+{
+}
+
+std::string EventCursor::feed(std::string_view bytes)
+{
+    m_rest.append(bytes);
+    std::string whole;
+    std::string_view rest = m_rest;
+    for (auto end = eventEnd(rest); end != std::string_view::npos; end = eventEnd(rest)) {
+        const auto event = rest.substr(0, end);
+        rest.remove_prefix(end);
+        const auto number = eventNumber(event);
+        const bool isRepeated = number && m_lastEvent && *number <= *m_lastEvent;
+        if (isRepeated) {
+            continue;
+        }
+        m_lastEvent = number ? number : m_lastEvent;
+        ++m_events;
+        whole.append(event);
+    }
+    m_rest.erase(0, m_rest.size() - rest.size());
+    return whole;
+}
+
+void EventCursor::restart()
+{
+    m_rest.clear();
+}
+
+std::optional<std::uint64_t> EventCursor::lastEvent() const
+{
+    return m_lastEvent;
+}
+
+bool EventCursor::hasPartialEvent() const
+{
+    return !m_rest.empty();
+}
+
+std::uint64_t EventCursor::events() const
+{
+    return m_events;
+}
+
+} // namespace turmericplank::forwarding
--- /dev/null
+++ b/src/turmericplank/forwarding/eventcursor_test.cpp
@@ -0,0 +1,37 @@
+#include "turmericplank/forwarding/eventcursor.hpp"
+
+#include <doctest/doctest.h>
+
+using turmericplank::forwarding::EventCursor;
+
+TEST_CASE("only whole events pass, however the bytes are cut")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions:3\nid: 3\ndata: c\n\n";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        EventCursor cursor;
+        std::string passed;
+        for (std::size_t n = 0; n < stream.size(); n += size) {
+            passed += cursor.feed(std::string_view(stream).substr(n, size));
+        }
+        CHECK(passed == stream);
+        CHECK(cursor.lastEvent() == 3);
+        CHECK(cursor.events() == 3);
+        CHECK_FALSE(cursor.hasPartialEvent());
+    }
+}
+
+TEST_CASE("a stream that goes on elsewhere leaves out what the caller has")
+{
+    EventCursor cursor;
+    CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(cursor.hasPartialEvent());
+    cursor.restart();
+    CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(cursor.lastEvent() == 2);
+}
+
+TEST_CASE("a caller that resumes gets only what follows")
+{
+    EventCursor cursor(12);
+    CHECK(cursor.feed("id: 12\ndata: x\n\nid: 13\ndata: y\n\n") == "id: 13\ndata: y\n\n");
+}
--- /dev/null
+++ b/src/turmericplank/forwarding/retryadvice_test.cpp
@@ -0,0 +1,34 @@
+#include "turmericplank/forwarding/retryadvice.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::forwarding;
+using std::chrono::milliseconds;
+
+TEST_CASE("callers that are refused together do not return together")
+{
+    std::mt19937_64 random(1);
+    std::vector<base::Duration> returns;
+    for (int n = 0; n < 200; ++n) {
+        returns.push_back(retryAdvice(milliseconds(400), milliseconds(15000), {}, random));
+    }
+    const auto [least, most] = std::ranges::minmax(returns);
+    CHECK(least >= milliseconds(400));
+    CHECK(most <= milliseconds(800));
+    for (int slot = 0; slot < 4; ++slot) {
+        const auto from = milliseconds(400 + slot * 100);
+        const auto inSlot = std::ranges::count_if(returns, [from](auto it) { return it >= from && it < from + milliseconds(100); });
+        CHECK(inSlot < 80);
+    }
+}
+
+TEST_CASE("the advice stays inside the part of the caller's time that it follows")
+{
+    std::mt19937_64 random(1);
+    CHECK(retryAdvice(milliseconds(5000), milliseconds(1500), {}, random) == milliseconds(450));
+    CHECK(retryAdvice(milliseconds(5000), milliseconds(-20), {}, random) == milliseconds(0));
+}
--- /dev/null
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -0,0 +1,101 @@
+#include "turmericplank/gateway/forwarder.hpp"
+
+#include <vector>
+
+#include "transfer.hpp"
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::gateway {
+
+Forwarder::Forwarder(ForwarderParts parts, SiteBounds bounds, ForwarderOptions options)
+    : m_parts(std::move(parts))
+    , m_bounds(bounds)
+    , m_options(options)
+    , m_parked(std::make_unique<TransferList>())
+{
+}
+
+Forwarder::~Forwarder()
+{
+    while (!m_parked->empty()) {
+        const boost::intrusive_ptr<Transfer> transfer(&m_parked->front());
+        transfer->abandon();
+    }
+}
+
+void Forwarder::take(const net::ExchangePointer &exchange)
+{
+    const auto &request = exchange->request();
+    auto call = m_parts.wire.readCall(request);
+    const auto &routes = m_parts.fleet.routes();
+    const auto *route = routes ? routes->find(call.host, net::path(request.target)) : nullptr;
+    if (route == nullptr) {
+        const auto reason = routes ? RefusalReason::NoRoute : RefusalReason::NoConfiguration;
+        telemetry::log(telemetry::LogLevel::Warning, "requests", "refused",
+                       {{"request", call.id},
+                        {"reason", toString(reason)},
+                        {"target", request.target},
+                        {"revision", routes ? routes->configuration().revision.value() : std::uint64_t(0)}});
+        m_parts.metrics.count("requests_total{outcome=\"" + std::string(toString(reason)) + "\"}");
+        exchange->respond(m_parts.wire.makeRefusal({reason, std::nullopt}));
+        return;
+    }
+    const boost::intrusive_ptr<Transfer> transfer(new Transfer(*this, exchange, std::move(call), routes, *route, base::now()));
+    transfer->start();
+}
+
+void Forwarder::retryParked()
+{
+    std::vector<boost::intrusive_ptr<Transfer>> waiting;
+    for (auto &it : *m_parked) {
+        waiting.emplace_back(&it);
+    }
+    for (const auto &it : waiting) {
+        it->retry();
+    }
+}
+
+std::size_t Forwarder::inProgress() const
+{
+    return *m_inProgress;
+}
+
+const placement::DemandCounters &Forwarder::demand() const
+{
+    return m_demand;
+}
+
+requests::RetryBudget &Forwarder::budget(const base::ServiceName &service)
+{
+    const auto share = m_options.retryBudgetShare;
+    auto [it, isNew] = m_budgets.try_emplace(service, requests::RetryBudgetOptions{m_bounds.retryShare * share, 0});
+    it->second.setReserve(m_bounds.retrySlack * share / static_cast<double>(std::max<std::size_t>(1, m_parts.daemons())));
+    return it->second;
+}
+
+bool Forwarder::hasBudget(const base::ServiceName &service, base::Time now)
+{
+    return budget(service).hasRoom(now);
+}
+
+bool Forwarder::mayRetry(const base::ServiceName &service, base::Time now)
+{
+    return budget(service).tryRetry(now);
+}
+
+void Forwarder::countDemand(const base::ServiceName &service, const base::ModelName &model)
+{
+    const auto slash = model.text().find('/');
+    ++m_demand.models[workName(service, base::ModelName(model.text().substr(0, slash)))].requests;
+    if (slash != std::string::npos) {
+        ++m_demand.adapters[base::AdapterName(workName(service, model).text())];
+    }
+}
+
+void Forwarder::countStreamTime(const base::ServiceName &service, const base::ModelName &model, base::Duration time)
+{
+    const auto name = workName(service, base::ModelName(model.text().substr(0, model.text().find('/'))));
+    m_demand.models[name].streamMilliseconds += static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace turmericplank::gateway
--- /dev/null
+++ b/src/turmericplank/net/answerparser.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <string_view>
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include "turmericplank/net/httptypes.hpp"
+
+namespace turmericplank::net {
+
+/// @brief Parses one HTTP/1.1 answer and hands on its body piece by piece.
+class AnswerParser final : public boost::beast::http::basic_parser<false>
+{
+public:
+    using ErrorCode = boost::beast::error_code;
+
+    /// @param onHead called once with the whole head
+    /// @param onBody called with each part of the body, without the framing
+    AnswerParser(std::function<void()> onHead, std::function<void(std::string_view)> onBody)
+        : m_onHead(std::move(onHead))
+        , m_onBody(std::move(onBody))
+    {
+        eager(true);
+    }
+
+    int status() const
+    {
+        return m_status;
+    }
+
+    const Headers &headers() const
+    {
+        return m_headers;
+    }
+
+private:
+    using View = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb, View, View, int, ErrorCode &) override
+    {
+    }
+
+    void on_response_impl(int code, View, int, ErrorCode &) override
+    {
+        m_status = code;
+    }
+
+    void on_field_impl(boost::beast::http::field, View name, View value, ErrorCode &) override
+    {
+        m_headers.push_back({std::string(name), std::string(value)});
+    }
+
+    void on_header_impl(ErrorCode &) override
+    {
+        m_onHead();
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override
+    {
+    }
+
+    std::size_t on_body_impl(View body, ErrorCode &) override
+    {
+        m_onBody({body.data(), body.size()});
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, View, ErrorCode &) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, View body, ErrorCode &) override
+    {
+        m_onBody({body.data(), body.size()});
+        return body.size();
+    }
+
+    void on_finish_impl(ErrorCode &) override
+    {
+    }
+
+    std::function<void()> m_onHead;
+    std::function<void(std::string_view)> m_onBody;
+    int m_status = 0;
+    Headers m_headers;
+};
+
+} // namespace turmericplank::net
--- a/src/turmericplank/net/httpserver.cpp
+++ b/src/turmericplank/net/httpserver.cpp
@@ -29,6 +29,19 @@
         m_shared->isStopping = true;
     }
 
+    void closeBehindAnswers() override
+    {
+        m_shared->isClosingBehindAnswers = true;
+    }
+
+    void setLimits(std::size_t headerLimit, std::size_t bodyLimit, base::Duration requestTimeout, base::Duration idleTimeout) override
+    {
+        m_shared->options.headerLimit = headerLimit;
+        m_shared->options.bodyLimit = bodyLimit;
+        m_shared->options.requestTimeout = requestTimeout;
+        m_shared->options.idleTimeout = idleTimeout;
+    }
+
     std::size_t exchangesInProgress() const override
     {
         return m_shared->exchangesInProgress;
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -141,7 +141,7 @@
 
     bool wantsKeepAlive() const override
     {
-        return m_wantsKeepAlive;
+        return m_wantsKeepAlive && !m_shared->isClosingBehindAnswers;
     }
 
 private:
--- a/src/turmericplank/net/serverconnection.hpp
+++ b/src/turmericplank/net/serverconnection.hpp
@@ -16,7 +16,8 @@
 
     HttpServerOptions options;
     std::size_t exchangesInProgress = 0;
-    bool isStopping = false; ///< connections close after the answer in progress
+    bool isStopping = false;
+    bool isClosingBehindAnswers = false; ///< each answer is the last of its connection ///< connections close after the answer in progress
 };
 
 /// @brief Serves one accepted connection until it ends.
--- a/src/turmericplank/placement/controller.cpp
+++ b/src/turmericplank/placement/controller.cpp
@@ -17,7 +17,7 @@
     lease.renewInterval = options.renewInterval;
     lease.retryInterval = options.tableRetryInterval;
     lease.rowsOnAcquire = [keys, self = options.self](base::Term term) {
-        return std::vector<platform::RowWrite>{{keys.holder(self), std::nullopt, encode(HolderRow{term, base::Term()})}};
+        return std::vector<store::RowWrite>{{keys.holder(self), std::nullopt, encode(HolderRow{term, base::Term()})}};
     };
     return lease;
 }
@@ -55,7 +55,7 @@
     return actions;
 }
 
-Actions Controller::rowsRead(base::Time now, ReadPurpose purpose, const platform::ReadResult &result)
+Actions Controller::rowsRead(base::Time now, ReadPurpose purpose, const store::ReadResult &result)
 {
     if (purpose == ReadPurpose::Acknowledgements) {
         m_isReadingAcknowledgements = false;
@@ -74,7 +74,7 @@
     return tick(now);
 }
 
-Actions Controller::rowsWritten(base::Time now, const platform::WriteResult &result)
+Actions Controller::rowsWritten(base::Time now, const store::WriteResult &result)
 {
     m_lease.rowsWritten(now, result);
     return tick(now);
@@ -250,7 +250,7 @@
 
 void Controller::deleteSettled()
 {
-    std::vector<platform::RowWrite> rows;
+    std::vector<store::RowWrite> rows;
     for (auto &[id, record] : m_records) {
         const bool isKept = record.isInherited && mayAnotherSend(record.order);
         if (record.isSettled && !record.isUnderWay && record.isWritten && !isKept) {
--- a/src/turmericplank/placement/controllerplan.cpp
+++ b/src/turmericplank/placement/controllerplan.cpp
@@ -125,7 +125,7 @@
     if (isWithoutTable() || !m_options.safeguards.recordsBeforeSending) {
         return;
     }
-    std::vector<platform::RowWrite> rows;
+    std::vector<store::RowWrite> rows;
     for (auto &[id, record] : m_records) {
         if (!record.isWritten && !record.isSettled) {
             record.isUnrecorded = false;
--- a/src/turmericplank/placement/lease.cpp
+++ b/src/turmericplank/placement/lease.cpp
@@ -73,12 +73,12 @@
     return LeaseStep::Read;
 }
 
-void Lease::attach(std::vector<platform::RowWrite> rows)
+void Lease::attach(std::vector<store::RowWrite> rows)
 {
     m_attached.insert(m_attached.end(), std::make_move_iterator(rows.begin()), std::make_move_iterator(rows.end()));
 }
 
-const std::vector<platform::RowWrite> &Lease::pendingWrites() const
+const std::vector<store::RowWrite> &Lease::pendingWrites() const
 {
     return m_pending;
 }
@@ -124,7 +124,7 @@
     m_nextCall = now + m_options.retryInterval;
 }
 
-void Lease::rowsRead(base::Time now, const platform::ReadResult &result)
+void Lease::rowsRead(base::Time now, const store::ReadResult &result)
 {
     m_call = Call::None;
     m_isTableDown = !result;
@@ -152,7 +152,7 @@
     follow(now, row, version);
 }
 
-void Lease::rowsWritten(base::Time now, const platform::WriteResult &result)
+void Lease::rowsWritten(base::Time now, const store::WriteResult &result)
 {
     m_call = Call::None;
     if (result) {
@@ -160,7 +160,7 @@
         confirmWrite(result->front());
         return;
     }
-    m_isTableDown = result.error().failure != platform::TableFailure::Conflict;
+    m_isTableDown = result.error().failure != store::TableFailure::Conflict;
     m_nextCall = now + m_options.retryInterval;
     if (!m_isTableDown) {
         // An earlier attempt of the same write may be what it conflicts with: reading tells.
--- a/src/turmericplank/placement/orderbook.cpp
+++ b/src/turmericplank/placement/orderbook.cpp
@@ -108,7 +108,7 @@
     return HolderRow{base::Term(json["held"].get<std::uint64_t>()), base::Term(json["acknowledged"].get<std::uint64_t>())};
 }
 
-CellRows readCellRows(const CellKeys &keys, const std::vector<platform::Row> &rows)
+CellRows readCellRows(const CellKeys &keys, const std::vector<store::Row> &rows)
 {
     const auto orderPrefix = keys.order("");
     const auto holderPrefix = keys.holder(base::DaemonId());
--- a/src/turmericplank/placement/planadapters.cpp
+++ b/src/turmericplank/placement/planadapters.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "planstate.hpp"
 
@@ -7,6 +8,7 @@
 namespace {
 
 constexpr std::size_t AdapterReplicas = 2;
+constexpr double YieldShare = 2; // times less asked for, so that two adapters do not take turns
 constexpr std::size_t DearAdapterReplicas = 1; // where a move costs more than a late request: a lost one loads again in milliseconds
 
 bool holdsAdapter(const HeldEndpoint &endpoint, const base::AdapterName &adapter)
@@ -32,7 +34,8 @@
     for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
         const auto &endpoint = state.endpoints[n];
         const bool hasRoom = endpoint.freeNow >= std::int64_t(adapter.memoryMib);
-        if (holdsBase(endpoint, model) && endpoint.view->isOrderable && hasRoom && !holdsAdapter(endpoint, adapter.name)) {
+        const bool hasSlot = endpoint.adapters.size() < endpoint.view->adapterSlots;
+        if (holdsBase(endpoint, model) && endpoint.view->isOrderable && hasRoom && hasSlot && !holdsAdapter(endpoint, adapter.name)) {
             places.push_back(n);
         }
     }
@@ -44,36 +47,65 @@
     return places;
 }
 
-void planAdapter(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, std::uint32_t &allowed)
+/// Where one adapter is, and where its base model is.
+struct Copies
 {
     std::set<base::ZoneName> zones;
     std::size_t holders = 0;
     std::size_t bases = 0;
+};
+
+Copies copiesOf(const PlanState &state, const base::AdapterName &adapter, std::uint32_t model)
+{
+    Copies copies;
     for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
         const auto &endpoint = state.endpoints[n];
-        bases += holdsBase(endpoint, model) ? 1 : 0;
+        copies.bases += holdsBase(endpoint, model) ? 1 : 0;
         for (const auto &held : endpoint.adapters) {
-            if (held.adapter == adapter.name && held.state != ResidentState::Leaving && !state.leavingAdapters.contains({adapter.name, n})) {
-                zones.insert(endpoint.view->zone);
-                ++holders;
+            if (held.adapter == adapter && held.state != ResidentState::Leaving && !state.leavingAdapters.contains({adapter, n})) {
+                copies.zones.insert(endpoint.view->zone);
+                ++copies.holders;
             }
         }
     }
-    const auto demand = state.input.demand.adapters.find(adapter.name);
-    const double rate = demand == state.input.demand.adapters.end() ? 0 : demand->second;
+    return copies;
+}
+
+double rateOf(const PlanState &state, const base::AdapterName &adapter)
+{
+    const auto demand = state.input.demand.adapters.find(adapter);
+    return demand == state.input.demand.adapters.end() ? 0 : demand->second;
+}
+
+std::size_t wantedCopies(const PlanState &state, const base::AdapterName &adapter, std::uint32_t model, std::size_t bases)
+{
+    const double rate = rateOf(state, adapter);
     const bool isDear = state.document.placement.movePrice > state.document.placement.latenessPrice;
     const bool isPopular = !isDear && rate > state.options.adapterShare * state.models[model].requestsPerSecond && rate > 0;
-    const std::size_t target = isPopular ? bases : std::min(isDear ? DearAdapterReplicas : AdapterReplicas, bases);
-    for (const auto n : placesFor(state, adapter, model, zones)) {
-        if (holders >= target || allowed == 0) {
+    return isPopular ? bases : std::min(isDear ? DearAdapterReplicas : AdapterReplicas, bases);
+}
+
+/// Adds copies of one adapter where there is room, up to a number of them.
+void planAdapter(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, std::size_t target, std::uint32_t &allowed)
+{
+    auto copies = copiesOf(state, adapter.name, model);
+    target = std::min(target, copies.bases);
+    for (const auto n : placesFor(state, adapter, model, copies.zones)) {
+        if (copies.holders >= target || allowed == 0) {
             return;
         }
         auto &endpoint = state.endpoints[n];
         endpoint.freeNow -= adapter.memoryMib;
         endpoint.adapters.push_back({adapter.name, model, adapter.memoryMib, ResidentState::Arriving});
-        ++holders;
+        ++copies.holders;
         --allowed;
-        state.moves.push_back({OrderKind::LoadAdapter, endpoint.view->id, {adapter.model, {}, adapter.name}, {}, adapter.memoryMib, MoveReason::Adapter, rate});
+        state.moves.push_back({OrderKind::LoadAdapter,
+                               endpoint.view->id,
+                               {adapter.model, {}, adapter.name},
+                               {},
+                               adapter.memoryMib,
+                               MoveReason::Adapter,
+                               rateOf(state, adapter.name)});
     }
 }
 
@@ -104,6 +136,36 @@
     }
 }
 
+/// Frees a slot for an adapter that is asked for and is nowhere: what is least asked for yields, spare copies first.
+void makeSlot(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model)
+{
+    const double rate = rateOf(state, adapter.name);
+    if (rate <= 0 || copiesOf(state, adapter.name, model).holders > 0) {
+        return;
+    }
+    HeldAdapter *victim = nullptr;
+    std::uint32_t at = 0;
+    std::tuple<bool, double> lowest(true, rate / YieldShare);
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        auto &endpoint = state.endpoints[n];
+        const bool isFull = endpoint.adapters.size() >= endpoint.view->adapterSlots;
+        if (!isFull || !holdsBase(endpoint, model) || !endpoint.view->isOrderable) {
+            continue;
+        }
+        for (auto &held : endpoint.adapters) {
+            const std::tuple rank(!isElsewhere(state, held.adapter, n), rateOf(state, held.adapter));
+            if (held.state == ResidentState::Present && rank < lowest) {
+                lowest = rank;
+                victim = &held;
+                at = n;
+            }
+        }
+    }
+    if (victim != nullptr) {
+        unloadAdapter(state, at, *victim, MoveReason::MakeRoom);
+    }
+}
+
 } // namespace
 
 void planAdapters(PlanState &state)
@@ -119,12 +181,23 @@
         }
     }
     auto allowed = state.input.adapterLoadsAllowed;
+    // One copy of each adapter comes before a second one of any, and the asked for before the others.
+    std::vector<std::pair<const configuration::Adapter *, std::uint32_t>> wanted;
     for (const auto &[name, adapter] : state.document.adapters) {
         const auto it = state.modelIndex.find(adapter.model);
         if (it != state.modelIndex.end()) {
-            planAdapter(state, adapter, it->second, allowed);
+            wanted.emplace_back(&adapter, it->second);
         }
     }
+    std::stable_sort(wanted.begin(), wanted.end(),
+                     [&state](const auto &a, const auto &b) { return rateOf(state, a.first->name) > rateOf(state, b.first->name); });
+    for (const auto &[adapter, model] : wanted) {
+        planAdapter(state, *adapter, model, 1, allowed);
+        makeSlot(state, *adapter, model);
+    }
+    for (const auto &[adapter, model] : wanted) {
+        planAdapter(state, *adapter, model, wantedCopies(state, adapter->name, model, state.endpoints.size()), allowed);
+    }
 }
 
 } // namespace turmericplank::placement
--- a/src/turmericplank/placement/plandemand.cpp
+++ b/src/turmericplank/placement/plandemand.cpp
@@ -10,6 +10,7 @@
 constexpr unsigned Rounds = 4;
 constexpr double SmallestShortage = 0.05; // streams
 constexpr std::size_t ModelsTried = 4; // those with the dearest shortage
+constexpr double StoreLoadShare = 0.7; // of the horizon that is left once a load from the weight store has ended
 constexpr std::size_t EndpointsTried = 12; // those with most free streams
 
 struct Candidate
@@ -80,8 +81,10 @@
         if (state.models[model].model->memoryMib > state.endpoints[endpoint].view->loadLimitMib) {
             continue;
         }
-        const double saved = std::min(wanted, slack(input, spread, endpoint)) * state.models[model].latePrice;
-        if (saved - policy.movePrice <= std::max(0.0, best.value) || state.isTaken(endpoint, model)) {
+        const double takesEffect = state.isAtHand(endpoint, model) ? 1 : StoreLoadShare;
+        const double saved = std::min(wanted, slack(input, spread, endpoint)) * state.models[model].latePrice * takesEffect;
+        const bool isRuledOut = !state.mayLoad(endpoint, model) || state.isTaken(endpoint, model);
+        if (saved - policy.movePrice <= std::max(0.0, best.value) || isRuledOut) {
             continue;
         }
         Candidate candidate{model, endpoint, {}, saved - policy.movePrice, true};
@@ -179,9 +182,6 @@
         state.load(best.endpoint, best.model, MoveReason::Demand, best.value);
         input = balanceInput(state);
         spread = balance(input, Rounds);
-        if (state.loadsLeft == 0) {
-            return;
-        }
     }
 }
 
--- a/src/turmericplank/placement/planner.cpp
+++ b/src/turmericplank/placement/planner.cpp
@@ -30,12 +30,12 @@
     const auto &perZone = state.replicaList(model).perZone;
     const auto room = roomOfModels(state, spread);
     std::optional<Site> best;
-    std::tuple<bool, bool, double, double> bestRank;
+    std::tuple<bool, bool, bool, double, double> bestRank;
     for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
         const auto &endpoint = state.endpoints[n];
         const bool isOldZone = perZone[endpoint.zone] > 0;
         const bool isTooLarge = state.models[model].model->memoryMib > endpoint.view->loadLimitMib;
-        if (isTooLarge || state.isTaken(n, model) || (needsNewZone && isOldZone)) {
+        if (isTooLarge || !state.mayLoad(n, model) || state.isTaken(n, model) || (needsNewZone && isOldZone)) {
             continue;
         }
         Site site{n, {}};
@@ -47,7 +47,8 @@
         }
         const double capacity = std::max(1U, endpoint.view->concurrency);
         const double fullness = 1.0 - static_cast<double>(endpoint.freeSoon) / std::max(1U, endpoint.view->capacityMib);
-        const std::tuple rank(!holdsOldVersion(endpoint, model), isOldZone, site.eviction.loss, spread.load[n] / capacity + fullness);
+        const std::tuple rank(!holdsOldVersion(endpoint, model), !state.isAtHand(n, model), isOldZone, site.eviction.loss,
+                              spread.load[n] / capacity + fullness);
         if (!best || rank < bestRank) {
             best = site;
             bestRank = rank;
@@ -81,7 +82,7 @@
     for (const auto model : byLatePrice(state)) {
         const auto &existing = state.replicas(model);
         const bool isMissing = reason == MoveReason::Unreachable ? existing.empty() : existing.size() < state.floor(model);
-        if (!isMissing || state.loadsLeft == 0) {
+        if (!isMissing) {
             continue;
         }
         const auto spread = balance(balanceInput(state), 1);
@@ -103,7 +104,7 @@
 {
     for (const auto model : byLatePrice(state)) {
         const std::size_t wanted = std::min(state.document.placement.spreadZones, state.zoneCount);
-        if (state.replicaList(model).zones() >= wanted || state.loadsLeft == 0) {
+        if (state.replicaList(model).zones() >= wanted) {
             continue;
         }
         const auto site = findSite(state, balance(balanceInput(state), 1), model, state.need(model), false, true);
@@ -163,7 +164,7 @@
         state.unload(count.old.back().first, count.old.back().second, MoveReason::Version, 0);
         count.old.pop_back();
     }
-    if (count.current >= target || !state.mayLoad() || count.current > count.currentPresent) {
+    if (count.current >= target || !state.hasMovesLeft() || count.current > count.currentPresent) {
         return;
     }
     const auto spread = balance(balanceInput(state), 1);
--- a/src/turmericplank/placement/planstate.cpp
+++ b/src/turmericplank/placement/planstate.cpp
@@ -128,9 +128,14 @@
     return std::int64_t(models[model].model->memoryMib) + models[model].adapterMib;
 }
 
-bool PlanState::mayLoad() const
+bool PlanState::isAtHand(std::uint32_t endpoint, std::uint32_t model) const
 {
-    return loadsLeft > 0 && hasMovesLeft();
+    return endpoints[endpoint].view->atHand.contains(models[model].model->name);
+}
+
+bool PlanState::mayLoad(std::uint32_t endpoint, std::uint32_t model) const
+{
+    return (loadsLeft > 0 || isAtHand(endpoint, model)) && hasMovesLeft();
 }
 
 bool PlanState::hasMovesLeft() const
@@ -146,9 +151,9 @@
     target.freeSoon -= need(model);
     target.models.push_back({model, resident, wanted.memoryMib, ResidentState::Arriving, true, true});
     listReplicas(model);
-    if (target.view->isOrderable && target.freeNow >= std::int64_t(wanted.memoryMib) && mayLoad()) {
+    if (target.view->isOrderable && target.freeNow >= std::int64_t(wanted.memoryMib) && mayLoad(endpoint, model)) {
         target.freeNow -= wanted.memoryMib;
-        --loadsLeft;
+        loadsLeft -= isAtHand(endpoint, model) ? 0 : 1;
         moves.push_back({OrderKind::Load, target.view->id, resident, {}, wanted.memoryMib, reason, gain});
     }
 }
--- a/src/turmericplank/placement/planstate.hpp
+++ b/src/turmericplank/placement/planstate.hpp
@@ -78,8 +78,10 @@
     std::size_t floor(std::uint32_t model) const;
     /// @brief Memory that a model takes with room for its adapters, MiB.
     std::int64_t need(std::uint32_t model) const;
-    /// @brief Whether another load may start in this step.
-    bool mayLoad() const;
+    /// @brief Whether an endpoint has a copy of a model, so that its load does not need the weight store.
+    bool isAtHand(std::uint32_t endpoint, std::uint32_t model) const;
+    /// @brief Whether a load of a model may start in this step.
+    bool mayLoad(std::uint32_t endpoint, std::uint32_t model) const;
     /// @brief Whether another move may be chosen in this step.
     bool hasMovesLeft() const;
 
--- a/src/turmericplank/placement/testfakes.hpp
+++ b/src/turmericplank/placement/testfakes.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "turmericplank/placement/order.hpp"
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::placement::test {
 
@@ -113,10 +113,10 @@
     bool isDown = false;
     std::deque<Fate> fates; ///< of the next writes
 
-    platform::WriteResult write(const std::vector<platform::RowWrite> &rows)
+    store::WriteResult write(const std::vector<store::RowWrite> &rows)
     {
         if (isDown) {
-            return tl::unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            return tl::unexpected(store::TableError{store::TableFailure::Unavailable, {}});
         }
         if (fates.empty()) {
             return apply(rows);
@@ -128,15 +128,15 @@
         } else if (fate == Fate::Late) {
             m_late.push_back(rows);
         }
-        return tl::unexpected(platform::TableError{platform::TableFailure::Ambiguous, {}});
+        return tl::unexpected(store::TableError{store::TableFailure::Ambiguous, {}});
     }
 
-    platform::ReadResult read(const std::string &prefix) const
+    store::ReadResult read(const std::string &prefix) const
     {
         if (isDown) {
-            return tl::unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            return tl::unexpected(store::TableError{store::TableFailure::Unavailable, {}});
         }
-        std::vector<platform::Row> found;
+        std::vector<store::Row> found;
         for (const auto &[key, row] : m_rows) {
             if (key.starts_with(prefix)) {
                 found.push_back(row);
@@ -155,14 +155,14 @@
     }
 
 private:
-    platform::WriteResult apply(const std::vector<platform::RowWrite> &rows)
+    store::WriteResult apply(const std::vector<store::RowWrite> &rows)
     {
-        platform::TableError error{platform::TableFailure::Conflict, {}};
+        store::TableError error{store::TableFailure::Conflict, {}};
         for (const auto &write : rows) {
             const auto it = m_rows.find(write.key);
             const auto version = it == m_rows.end() ? base::RowVersion() : it->second.version;
             if (write.expected && *write.expected != version) {
-                error.conflicts.push_back(it == m_rows.end() ? platform::Row{write.key, {}, {}} : it->second);
+                error.conflicts.push_back(it == m_rows.end() ? store::Row{write.key, {}, {}} : it->second);
             }
         }
         if (!error.conflicts.empty()) {
@@ -173,7 +173,7 @@
             const base::RowVersion version(++m_version);
             versions.push_back(version);
             if (write.value) {
-                m_rows[write.key] = platform::Row{write.key, version, *write.value};
+                m_rows[write.key] = store::Row{write.key, version, *write.value};
             } else {
                 m_rows.erase(write.key);
             }
@@ -181,9 +181,9 @@
         return versions;
     }
 
-    std::map<std::string, platform::Row> m_rows;
+    std::map<std::string, store::Row> m_rows;
     std::uint64_t m_version = 0;
-    std::vector<std::vector<platform::RowWrite>> m_late;
+    std::vector<std::vector<store::RowWrite>> m_late;
 };
 
 } // namespace turmericplank::placement::test
--- a/src/turmericplank/requests/bookingledger.cpp
+++ b/src/turmericplank/requests/bookingledger.cpp
@@ -195,7 +195,7 @@
     }
 }
 
-platform::RowWrite BookingLedger::makeWrite(const Entry &entry, base::Time now) const
+store::RowWrite BookingLedger::makeWrite(const Entry &entry, base::Time now) const
 {
     BookingRow row;
     row.state = entry.target;
@@ -204,10 +204,10 @@
     row.bodyDigest = entry.bodyDigest;
     row.answer = entry.answer;
     row.writtenAt = now;
-    return platform::RowWrite{entry.key, entry.expected, encode(row)};
+    return store::RowWrite{entry.key, entry.expected, encode(row)};
 }
 
-BookingActions BookingLedger::written(TableOperation operation, const platform::WriteResult &result, base::Time now)
+BookingActions BookingLedger::written(TableOperation operation, const store::WriteResult &result, base::Time now)
 {
     BookingActions actions;
     const auto it = m_transactions.find(operation);
@@ -222,7 +222,7 @@
             applyResult(entry->second, result, n, now, actions);
         }
     }
-    if (!result && result.error().failure == platform::TableFailure::Conflict) {
+    if (!result && result.error().failure == store::TableFailure::Conflict) {
         // The rows beside the conflicting ones were not written; they go on at once.
         m_nextTransactionAt = now;
     }
@@ -230,26 +230,26 @@
     return actions;
 }
 
-void BookingLedger::applyResult(Entry &entry, const platform::WriteResult &result, std::size_t index, base::Time now, BookingActions &actions)
+void BookingLedger::applyResult(Entry &entry, const store::WriteResult &result, std::size_t index, base::Time now, BookingActions &actions)
 {
     if (result) {
         onWritten(entry, index < result->size() ? (*result)[index] : base::RowVersion(), now, actions);
         return;
     }
     switch (result.error().failure) {
-    case platform::TableFailure::Conflict:
+    case store::TableFailure::Conflict:
         onConflict(entry, result.error(), now, actions);
         return;
-    case platform::TableFailure::Unavailable:
+    case store::TableFailure::Unavailable:
         onUnavailable(entry, now, actions);
         return;
-    case platform::TableFailure::Ambiguous:
+    case store::TableFailure::Ambiguous:
         onAmbiguous(entry, now, actions);
         return;
     }
 }
 
-void BookingLedger::onConflict(Entry &entry, const platform::TableError &error, base::Time now, BookingActions &actions)
+void BookingLedger::onConflict(Entry &entry, const store::TableError &error, base::Time now, BookingActions &actions)
 {
     for (const auto &it : error.conflicts) {
         if (it.key == entry.key) {
@@ -274,7 +274,7 @@
     actions.emplace_back(ReadRow{m_lastOperation, entry.key});
 }
 
-BookingActions BookingLedger::read(TableOperation operation, const platform::ReadResult &result, base::Time now)
+BookingActions BookingLedger::read(TableOperation operation, const store::ReadResult &result, base::Time now)
 {
     BookingActions actions;
     const auto it = m_reads.find(operation);
@@ -297,8 +297,8 @@
         flush(now, actions);
         return actions;
     }
-    const auto row = std::find_if(result->begin(), result->end(), [&key](const platform::Row &candidate) { return candidate.key == key; });
-    onRow(entry, row == result->end() ? platform::Row{key, base::RowVersion(), {}} : *row, now, actions);
+    const auto row = std::find_if(result->begin(), result->end(), [&key](const store::Row &candidate) { return candidate.key == key; });
+    onRow(entry, row == result->end() ? store::Row{key, base::RowVersion(), {}} : *row, now, actions);
     flush(now, actions);
     return actions;
 }
--- a/src/turmericplank/requests/bookingtransitions.cpp
+++ b/src/turmericplank/requests/bookingtransitions.cpp
@@ -9,7 +9,7 @@
 
 constexpr unsigned LongestBackoff = 32; ///< multiples of the read interval
 
-bool isPresent(const platform::Row &row)
+bool isPresent(const store::Row &row)
 {
     return row.version != base::RowVersion();
 }
@@ -90,7 +90,7 @@
     }
 }
 
-void BookingLedger::onRow(Entry &entry, const platform::Row &row, base::Time now, BookingActions &actions)
+void BookingLedger::onRow(Entry &entry, const store::Row &row, base::Time now, BookingActions &actions)
 {
     if (!isPresent(row)) {
         onAbsentRow(entry, now);
--- a/src/turmericplank/requests/dispatcher.cpp
+++ b/src/turmericplank/requests/dispatcher.cpp
@@ -106,7 +106,7 @@
     return actions;
 }
 
-DispatchActions Dispatcher::tableWritten(TableOperation operation, const platform::WriteResult &result, base::Time now)
+DispatchActions Dispatcher::tableWritten(TableOperation operation, const store::WriteResult &result, base::Time now)
 {
     DispatchActions actions;
     apply(m_bookings.written(operation, result, now), now, actions);
@@ -114,7 +114,7 @@
     return actions;
 }
 
-DispatchActions Dispatcher::tableRead(TableOperation operation, const platform::ReadResult &result, base::Time now)
+DispatchActions Dispatcher::tableRead(TableOperation operation, const store::ReadResult &result, base::Time now)
 {
     DispatchActions actions;
     apply(m_bookings.read(operation, result, now), now, actions);
--- a/src/turmericplank/requests/faketable.hpp
+++ b/src/turmericplank/requests/faketable.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::requests::fake {
 
@@ -13,12 +13,12 @@
 {
 public:
     /// @brief Applies a transaction whole or not at all.
-    platform::WriteResult transact(const std::vector<platform::RowWrite> &writes)
+    store::WriteResult transact(const std::vector<store::RowWrite> &writes)
     {
         if (isDown) {
-            return tl::make_unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            return tl::make_unexpected(store::TableError{store::TableFailure::Unavailable, {}});
         }
-        platform::TableError error{platform::TableFailure::Conflict, {}};
+        store::TableError error{store::TableFailure::Conflict, {}};
         for (const auto &it : writes) {
             const auto present = row(it.key);
             if (it.expected && *it.expected != present.version) {
@@ -32,33 +32,33 @@
         std::vector<base::RowVersion> versions;
         for (const auto &it : writes) {
             m_lastVersion = m_lastVersion.next();
-            m_rows[it.key] = platform::Row{it.key, m_lastVersion, it.value.value_or("")};
+            m_rows[it.key] = store::Row{it.key, m_lastVersion, it.value.value_or("")};
             versions.push_back(m_lastVersion);
         }
         return versions;
     }
 
     /// @brief Reads one row.
-    platform::ReadResult read(const std::string &key) const
+    store::ReadResult read(const std::string &key) const
     {
         if (isDown) {
-            return tl::make_unexpected(platform::TableError{platform::TableFailure::Unavailable, {}});
+            return tl::make_unexpected(store::TableError{store::TableFailure::Unavailable, {}});
         }
         const auto it = m_rows.find(key);
-        return it == m_rows.end() ? std::vector<platform::Row>() : std::vector<platform::Row>{it->second};
+        return it == m_rows.end() ? std::vector<store::Row>() : std::vector<store::Row>{it->second};
     }
 
     bool isDown = false;
     std::uint64_t transactions = 0;
 
 private:
-    platform::Row row(const std::string &key) const
+    store::Row row(const std::string &key) const
     {
         const auto it = m_rows.find(key);
-        return it == m_rows.end() ? platform::Row{key, base::RowVersion(), {}} : it->second;
+        return it == m_rows.end() ? store::Row{key, base::RowVersion(), {}} : it->second;
     }
 
-    std::map<std::string, platform::Row> m_rows;
+    std::map<std::string, store::Row> m_rows;
     base::RowVersion m_lastVersion;
 };
 
--- a/src/turmericplank/requests/fakeworld.hpp
+++ b/src/turmericplank/requests/fakeworld.hpp
@@ -531,11 +531,11 @@
 
     void performWrite(std::size_t daemon, const WriteRows &write)
     {
-        const auto answer = [this, daemon, operation = write.operation](const platform::WriteResult &result) {
+        const auto answer = [this, daemon, operation = write.operation](const store::WriteResult &result) {
             post(daemon, [this, daemon, operation, result] { perform(daemon, m_daemons[daemon].dispatcher->tableWritten(operation, result, now)); });
         };
         const auto giveUp = [answer] {
-            answer(tl::make_unexpected(platform::TableError{platform::TableFailure::Ambiguous, {}}));
+            answer(tl::make_unexpected(store::TableError{store::TableFailure::Ambiguous, {}}));
         };
         const auto incarnation = m_daemons[daemon].incarnation;
         const auto arrive = [this, daemon, incarnation, write, answer, giveUp] {
@@ -554,11 +554,11 @@
 
     void performRead(std::size_t daemon, const ReadRow &read)
     {
-        const auto answer = [this, daemon, operation = read.operation](const platform::ReadResult &result) {
+        const auto answer = [this, daemon, operation = read.operation](const store::ReadResult &result) {
             post(daemon, [this, daemon, operation, result] { perform(daemon, m_daemons[daemon].dispatcher->tableRead(operation, result, now)); });
         };
         const auto giveUp = [answer] {
-            answer(tl::make_unexpected(platform::TableError{platform::TableFailure::Ambiguous, {}}));
+            answer(tl::make_unexpected(store::TableError{store::TableFailure::Ambiguous, {}}));
         };
         m_messages.push_back(Message{std::nullopt, [this, read, answer] { answer(table.read(read.key)); }, giveUp, false});
     }
--- a/src/turmericplank/requests/retrybudget.cpp
+++ b/src/turmericplank/requests/retrybudget.cpp
@@ -28,14 +28,19 @@
     return it;
 }
 
+void RetryBudget::setReserve(double reserve)
+{
+    m_options.reserve = reserve;
+}
+
 void RetryBudget::succeeded(base::Time now)
 {
     ++slot(now).successes;
 }
 
-bool RetryBudget::tryRetry(base::Time now)
+bool RetryBudget::hasRoom(base::Time now)
 {
-    auto &current = slot(now);
+    const auto &current = slot(now);
     double successes = 0;
     double retries = 0;
     for (const auto &it : m_slots) {
@@ -44,10 +49,15 @@
             retries += it.retries;
         }
     }
-    if (retries + 1 > m_options.reserve + m_options.share * successes) {
+    return retries + 1 <= m_options.reserve + m_options.share * successes;
+}
+
+bool RetryBudget::tryRetry(base::Time now)
+{
+    if (!hasRoom(now)) {
         return false;
     }
-    ++current.retries;
+    ++slot(now).retries;
     return true;
 }
 
--- /dev/null
+++ b/src/turmericplank/routes/routetable.cpp
@@ -0,0 +1,54 @@
+#include "turmericplank/routes/routetable.hpp"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace turmericplank::routes {
+
+RouteTable::RouteTable(std::shared_ptr<const SiteConfiguration> configuration)
+    : m_configuration(std::move(configuration))
+{
+    for (const auto &it : m_configuration->routes) {
+        m_byHost[it.host].push_back(&it);
+    }
+    for (auto &[host, routes] : m_byHost) {
+        std::ranges::stable_sort(routes, [](const auto *a, const auto *b) { return a->prefix.size() > b->prefix.size(); });
+    }
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto found = m_byHost.find(std::string(host.substr(0, host.find(':'))));
+    if (found == m_byHost.end()) {
+        return nullptr;
+    }
+    const auto it = std::ranges::find_if(found->second, [path](const auto *route) { return path.starts_with(route->prefix); });
+    return it == found->second.end() ? nullptr : *it;
+}
+
+const SiteConfiguration &RouteTable::configuration() const
+{
+    return *m_configuration;
+}
+
+base::ServiceName chooseService(const Route &route, std::string_view requestId)
+{
+    std::uint64_t whole = 0;
+    for (const auto &it : route.services) {
+        whole += it.weight;
+    }
+    if (whole == 0) {
+        return route.services.empty() ? base::ServiceName() : route.services.front().service;
+    }
+    auto point = XXH3_64bits(requestId.data(), requestId.size()) % whole;
+    for (const auto &it : route.services) {
+        if (point < it.weight) {
+            return it.service;
+        }
+        point -= it.weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace turmericplank::routes
--- a/standins/platform/table.hpp
+++ b/standins/platform/table.hpp
@@ -6,12 +6,12 @@
 
 #include <tl/expected.hpp>
 
-#include "turmericplank/platform/table.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::standins::platform {
 
-using turmericplank::platform::Row;
-using turmericplank::platform::RowWrite;
+using turmericplank::store::Row;
+using turmericplank::store::RowWrite;
 
 /// @brief Rows of the transactional table; versions are never used twice, also not by a row that was deleted.
 class Table
