Placement on the platform: replica planner with intents, holder goes on without the store

Cause: on model shifts the general planner made room for one model and gave it to another in the next step, moved adapters before every unload, and reckoned demand in waiting time, which grows with every queue. A holder that the store turned away left all engines without orders for 8 s and more. Change: placement/replicaplanner decides which engines hold which models by engine time and keeps its intents; loads from an engine's own copies come first; the holder orders on under its term while the store is away, others wait while they hear it. After SIGTERM new calls are refused once the last kept answer has run out.

--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -68,6 +68,7 @@
     BadRequest, ///< not run; the call cannot be read
     NoEndpoint, ///< not run; no endpoint of the service can take it
     NotResident, ///< not run; no engine holds the model or adapter yet
+    Leaving, ///< not run; this daemon stops
     Overloaded, ///< not run; it could not be answered in time
     Refused, ///< not run; the endpoints refused it
     Unknown, ///< it may have run; its connection was lost
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -34,6 +34,8 @@
     base::Duration shortestFirstEvent = std::chrono::milliseconds(1000);
     double eventGapShare = 4; ///< of the objective between two events, likewise
     double retryBudgetShare = 0.8; ///< of what the site allows; the rest is for what the daemons do not yet know of each other
+    double promptTokenMilliseconds = 0.034; ///< of an engine's time, at about 30 prompt tokens a millisecond
+    double answerTokenMilliseconds = 0.15; ///< of an engine's time with a batch of some 40 requests
     forwarding::RetryAdviceOptions advice;
 };
 
@@ -61,6 +63,9 @@
     /// @brief Takes a caller's call.
     void take(const net::ExchangePointer &exchange);
 
+    /// @brief Refuses calls that come from now on; those in progress go on.
+    void refuseNew();
+
     /// @brief Looks again for endpoints of the calls that wait here.
     void retryParked();
 
@@ -77,15 +82,16 @@
     bool hasBudget(const base::ServiceName &service, base::Time now);
     bool mayRetry(const base::ServiceName &service, base::Time now);
     requests::RetryBudget &budget(const base::ServiceName &service);
-    void countDemand(const base::ServiceName &service, const base::ModelName &model);
-    void countStreamTime(const base::ServiceName &service, const base::ModelName &model, base::Duration time);
+    void countDemand(const base::ServiceName &service, const Call &call);
 
     ForwarderParts m_parts;
     SiteBounds m_bounds;
     ForwarderOptions m_options;
     std::map<base::ServiceName, requests::RetryBudget> m_budgets;
     placement::DemandCounters m_demand;
+    double m_fractionOfDemand = 0; ///< milliseconds not counted yet
     std::unique_ptr<TransferList> m_parked;
+    bool m_refusesNew = false;
     std::shared_ptr<std::size_t> m_inProgress = std::make_shared<std::size_t>(0); ///< hooks of late connections may outlive this
 };
 
--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -15,6 +15,7 @@
 #include "turmericplank/placement/engineorders.hpp"
 #include "turmericplank/placement/lease.hpp"
 #include "turmericplank/placement/ratelimit.hpp"
+#include "turmericplank/placement/replicaplanner.hpp"
 #include "turmericplank/telemetry/metrics.hpp"
 
 namespace turmericplank::gateway {
@@ -29,22 +30,26 @@
     telemetry::Metrics &metrics;
     store::Table table;
     std::function<void(const EngineNotice &)> onEngine; ///< an engine holds something else
-    std::function<void()> tellPeers;
+    std::function<bool()> hearsHolder; ///< another daemon says that it gives the orders
 };
 
 /// @brief Waiting times of placement.
 struct PlacementRunnerOptions
 {
-    base::Duration tickInterval = std::chrono::milliseconds(100);
+    base::Duration tickInterval = std::chrono::milliseconds(50);
     base::Duration planInterval = std::chrono::milliseconds(250);
     base::Duration summaryInterval = std::chrono::milliseconds(2000); ///< between two log lines on the demand
-    base::Duration renewInterval = std::chrono::milliseconds(1500);
+    base::Duration renewInterval = std::chrono::milliseconds(1200);
     base::Duration followInterval = std::chrono::milliseconds(2000); ///< between two looks at another daemon's lease
-    base::Duration holdTime = std::chrono::milliseconds(3500); ///< a holder may give orders this long after its last renewal
+    base::Duration holdTime = std::chrono::milliseconds(2600); ///< a holder may give orders this long after its last renewal
     base::Duration tellTime = std::chrono::milliseconds(2500); ///< by then the engines' entries show what was ordered
     base::Duration orderTimeout = std::chrono::milliseconds(1000);
+    base::Duration storelessTime = std::chrono::seconds(20); ///< a holder goes on without the store; engines refuse it once another has ordered
+    base::Duration longestPause = std::chrono::milliseconds(1000); ///< between two ticks of a process that was not suspended
     base::Duration thawReserve = std::chrono::milliseconds(500); ///< beyond the pause between two holders
-    placement::DemandOptions demand{std::chrono::milliseconds(1500), std::chrono::seconds(8), std::chrono::minutes(1), std::chrono::seconds(3), 2.0};
+    /// Follows demand that moves within seconds: fast, middle and slow average, how far ahead, and the first guess of a request's time.
+    placement::DemandOptions demand{std::chrono::milliseconds(1500), std::chrono::seconds(4), std::chrono::seconds(4), std::chrono::seconds(2), 0.05};
+    base::Duration appearTime = std::chrono::milliseconds(3500); ///< from the first engine's entry to that of the last that started with it
     double weightLoadShare = 0.9; ///< of the weight store's rate
     std::uint32_t adapterLoadsAtOnce = 24;
 };
@@ -73,12 +78,15 @@
     {
         placement::EngineOrders orders;
         placement::RateLimit weightLoads;
+        placement::ReplicaPlanner replicas;
         std::shared_ptr<const configuration::Document> document;
+        std::optional<base::Time> restoresFrom; ///< models without an engine are loaded; by then all engines have appeared
     };
 
     void tick();
     void stepLease(base::Time now);
     void followTenure(base::Time now);
+    bool mayOrder(base::Time now) const;
     void plan(base::Time now);
     void planService(const base::ServiceName &name, Service &service, base::Time now);
     void order(const base::ServiceName &name, const placement::Move &move, base::Time now);
@@ -106,6 +114,8 @@
     std::map<base::EndpointId, Known> m_known; ///< engines that were ordered something lately
     base::Term m_tenure;
     base::Term m_refused; ///< an engine has seen a higher term than this
+    base::Time m_lastTick;
+    base::Time m_storelessUntil; ///< of the tenure, while the store does not answer
     base::Time m_nextPlan;
     base::Time m_nextSummary;
     bool m_isStopped = false;
--- a/include/turmericplank/placement/demand.hpp
+++ b/include/turmericplank/placement/demand.hpp
@@ -12,7 +12,7 @@
 struct DemandCounter
 {
     std::uint64_t requests = 0;
-    std::uint64_t streamMilliseconds = 0; ///< time that engines spent on them
+    std::uint64_t streamMilliseconds = 0; ///< time that engines spend on them
 
     friend auto operator<=>(const DemandCounter &, const DemandCounter &) = default;
     friend bool operator==(const DemandCounter &, const DemandCounter &) = default;
--- a/include/turmericplank/placement/planner.hpp
+++ b/include/turmericplank/placement/planner.hpp
@@ -85,6 +85,11 @@
     double adapterShare = 0.02; ///< share of its base model's requests from which an adapter follows each replica
 };
 
+/// @brief Chooses the loads and unloads of adapters only, beside models that are where they are.
+/// @param input state, demand and limits
+/// @param options numbers of the policy
+std::vector<Move> planAdapterMoves(const PlanInput &input, const PlannerOptions &options);
+
 /// @brief Chooses the moves of one step, the most valuable first.
 /// @param input state, demand and limits
 /// @param options numbers of the policy
--- /dev/null
+++ b/include/turmericplank/placement/replicaplanner.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "turmericplank/base/time.hpp"
+#include "turmericplank/placement/planner.hpp"
+
+namespace turmericplank::placement {
+
+/// @brief What one model asks of the engines.
+struct ModelLoad
+{
+    std::uint32_t memoryMb = 0;
+    double load = 0; ///< engine time that its requests take, in engines
+
+    friend auto operator<=>(const ModelLoad &, const ModelLoad &) = default;
+    friend bool operator==(const ModelLoad &, const ModelLoad &) = default;
+};
+
+/// @brief Everything that one step of the replica planner may know.
+struct ReplicaInput
+{
+    std::vector<EndpointView> engines; ///< those that leave are not in it
+    std::map<base::ModelName, ModelLoad> models; ///< every configured model
+    std::uint32_t storeLoads = 0; ///< loads from the weight store that may start now
+    bool mayRestore = true; ///< whether a model without any engine is to be loaded; not before all engines had time to appear
+};
+
+/// @brief Numbers of the replica planner.
+struct ReplicaPlannerOptions
+{
+    double busy = 0.30; ///< load of a model's least busy engine above which another engine is worth a load; late gaps begin about there
+    double leastGain = 0.12; ///< by which the new engine has to be less busy, so that replicas do not go back and forth
+    double smallestLoad = 0.03; ///< of a model that is given another engine
+    double evictionPrice = 0.08; ///< in load: an unload waits for the requests in progress
+    double storePrice = 0.05; ///< in load: a load from the weight store takes seconds longer than one from a copy
+    double yieldingShare = 0.15; ///< largest load that a model may have on an engine that it yields
+    base::Duration intentTime = std::chrono::seconds(12); ///< an unload and a load have ended by then, or never will
+};
+
+/// @brief Decides which engines hold which models.
+///
+/// Load pattern: the demand for a model multiplies within seconds while that for others falls silent. What was chosen is
+/// kept as an intent until it is done, so that the room made for one model is not given to another in the next step.
+class ReplicaPlanner
+{
+public:
+    explicit ReplicaPlanner(ReplicaPlannerOptions options = {});
+
+    /// @brief Chooses the loads and unloads that may be ordered now.
+    /// @param input engines, loads and limits
+    /// @param now present time
+    std::vector<Move> plan(const ReplicaInput &input, base::Time now);
+
+    /// @brief Engines that are to hold a model that they do not hold yet.
+    std::size_t intents() const;
+
+private:
+    struct Intent
+    {
+        base::ModelName model;
+        MoveReason reason = MoveReason::Demand;
+        base::Time until;
+        double gain = 0;
+    };
+
+    struct Step;
+
+    void dropSettled(const ReplicaInput &input, base::Time now);
+    void restoreMissing(Step &step, base::Time now);
+    void relieveBusy(Step &step, base::Time now);
+    void emit(Step &step, std::vector<Move> &moves) const;
+
+    ReplicaPlannerOptions m_options;
+    std::map<base::EndpointId, Intent> m_intents; ///< at most one for each engine
+};
+
+} // namespace turmericplank::placement
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -15,6 +15,8 @@
         return "no_endpoint";
     case RefusalReason::NotResident:
         return "not_resident";
+    case RefusalReason::Leaving:
+        return "leaving";
     case RefusalReason::Overloaded:
         return "overloaded";
     case RefusalReason::Refused:
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -29,21 +29,28 @@
     auto call = m_parts.wire.readCall(request);
     const auto &routes = m_parts.fleet.routes();
     const auto *route = routes ? routes->find(call.host, net::path(request.target)) : nullptr;
-    if (route == nullptr) {
-        const auto reason = routes ? RefusalReason::NoRoute : RefusalReason::NoConfiguration;
+    if (route == nullptr || m_refusesNew) {
+        const auto reason = m_refusesNew ? RefusalReason::Leaving : (routes ? RefusalReason::NoRoute : RefusalReason::NoConfiguration);
         telemetry::log(telemetry::LogLevel::Warning, "requests", "refused",
                        {{"request", call.id},
                         {"reason", toString(reason)},
                         {"target", request.target},
                         {"revision", routes ? routes->configuration().revision.value() : std::uint64_t(0)}});
         m_parts.metrics.count("requests_total{outcome=\"" + std::string(toString(reason)) + "\"}");
-        exchange->respond(m_parts.wire.makeRefusal({reason, std::nullopt}));
+        // Another daemon can take it at once; a route that this one does not know yet may be in force there.
+        const auto retryAfter = reason == RefusalReason::NoRoute ? std::optional<base::Duration>() : std::optional(base::Duration(0));
+        exchange->respond(m_parts.wire.makeRefusal({reason, retryAfter}));
         return;
     }
     const boost::intrusive_ptr<Transfer> transfer(new Transfer(*this, exchange, std::move(call), routes, *route, base::now()));
     transfer->start();
 }
 
+void Forwarder::refuseNew()
+{
+    m_refusesNew = true;
+}
+
 void Forwarder::retryParked()
 {
     std::vector<boost::intrusive_ptr<Transfer>> waiting;
@@ -83,19 +90,19 @@
     return budget(service).tryRetry(now);
 }
 
-void Forwarder::countDemand(const base::ServiceName &service, const base::ModelName &model)
+/// Engine time is reckoned from the size of the call, since time measured grows with every queue.
+void Forwarder::countDemand(const base::ServiceName &service, const Call &call)
 {
-    const auto slash = model.text().find('/');
-    ++m_demand.models[workName(service, base::ModelName(model.text().substr(0, slash)))].requests;
+    const auto slash = call.model.text().find('/');
+    auto &counter = m_demand.models[workName(service, base::ModelName(call.model.text().substr(0, slash)))];
+    ++counter.requests;
+    m_fractionOfDemand += call.promptTokens * m_options.promptTokenMilliseconds + call.answerTokens * m_options.answerTokenMilliseconds;
+    const auto whole = static_cast<std::uint64_t>(m_fractionOfDemand);
+    m_fractionOfDemand -= static_cast<double>(whole);
+    counter.streamMilliseconds += whole;
     if (slash != std::string::npos) {
-        ++m_demand.adapters[base::AdapterName(workName(service, model).text())];
+        ++m_demand.adapters[base::AdapterName(workName(service, call.model).text())];
     }
 }
 
-void Forwarder::countStreamTime(const base::ServiceName &service, const base::ModelName &model, base::Duration time)
-{
-    const auto name = workName(service, base::ModelName(model.text().substr(0, model.text().find('/'))));
-    m_demand.models[name].streamMilliseconds += static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -19,8 +19,9 @@
 
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
-constexpr auto EntryKeepTime = std::chrono::seconds(2); ///< callers ask again after it; some keep an answer three times as long
+constexpr auto EntryKeepTime = std::chrono::seconds(1); ///< callers ask again after it; some keep an answer three times as long
 constexpr int LongestKept = 3; ///< times the keep time
+constexpr auto LingerTime = std::chrono::milliseconds(500); ///< calls that come behind that are refused, not reset
 constexpr auto StopReserve = std::chrono::milliseconds(500); ///< before the platform kills the process
 constexpr std::size_t EntriesOfZone = 2; ///< one may be lost
 constexpr double ConnectionShare = 0.9; ///< of an endpoint's connections; the rest is for daemons that are not heard
@@ -125,8 +126,8 @@
             fleet.takeEngine(notice, base::now());
             forwarder.retryParked();
         };
-        parts.tellPeers = [this] {
-            peers.tell();
+        parts.hearsHolder = [this] {
+            return peers.holder().has_value();
         };
         return parts;
     }
@@ -317,7 +318,8 @@
     const auto now = base::now();
     const auto kept = std::min<base::Duration>(EntryKeepTime, m_parts->settings.bounds.entryKeepTime) * LongestKept;
     const auto latest = now + m_parts->settings.bounds.stopTime - StopReserve;
-    const auto earliest = std::min(now + kept, latest);
+    const auto earliest = std::min(now + kept + LingerTime, latest);
+    daemon::callAt(m_parts->context, std::min(now + kept, latest), [this] { m_parts->forwarder.refuseNew(); });
     daemon::every(m_parts->context, DrainCheckInterval, [this, earliest, latest, onDrained = std::move(onDrained)] {
         const auto left = m_parts->forwarder.inProgress();
         const bool isDone = base::now() >= earliest && (left == 0 || base::now() >= latest);
--- a/src/turmericplank/gateway/placementrunner.cpp
+++ b/src/turmericplank/gateway/placementrunner.cpp
@@ -84,6 +84,7 @@
         for (const auto &[id, entry] : endpoints) {
             if (entry.service == name) {
                 service.orders.setEngine(entry, m_parts.fleet.isLeaving(id), base::now());
+                service.restoresFrom = service.restoresFrom.value_or(base::now() + m_options.appearTime);
             }
         }
     }
@@ -95,17 +96,36 @@
         return;
     }
     const auto now = base::now();
+    const bool wasSuspended = now > m_lastTick + m_options.longestPause;
+    m_lastTick = now;
+    if (wasSuspended) {
+        m_storelessUntil = base::Time();
+    }
     stepLease(now);
     followTenure(now);
-    const bool mayOrder = m_lease.isHeld(now) && m_lease.term() > m_refused;
-    if (mayOrder && now >= m_nextPlan) {
+    if (m_ownDemand) {
+        m_demand.report(m_self, m_ownDemand());
+    }
+    m_demand.advance(now);
+    if (mayOrder(now) && now >= m_nextPlan) {
         m_nextPlan = now + m_options.planInterval;
         plan(now);
     }
 }
 
+/// Without the store the holder goes on under its term: no other daemon can take it over there either, or if only this
+/// one is turned away, the engines refuse its term once the next holder has ordered.
+bool PlacementRunner::mayOrder(base::Time now) const
+{
+    const bool isStoreless = m_lease.isUncontested() && m_lease.isTableDown() && now < m_storelessUntil;
+    return (m_lease.isHeld(now) || isStoreless) && m_lease.term() > m_refused;
+}
+
 void PlacementRunner::stepLease(base::Time now)
 {
+    if (!m_lease.isUncontested() && m_parts.hearsHolder()) {
+        return;
+    }
     switch (m_lease.tick(now)) {
     case placement::LeaseStep::None:
         return;
@@ -122,7 +142,10 @@
 
 void PlacementRunner::followTenure(base::Time now)
 {
-    const auto tenure = m_lease.isHeld(now) ? m_lease.term() : base::Term();
+    if (m_lease.isHeld(now)) {
+        m_storelessUntil = now + m_options.storelessTime;
+    }
+    const auto tenure = mayOrder(now) ? m_lease.term() : base::Term();
     if (tenure == m_tenure) {
         return;
     }
@@ -158,10 +181,6 @@
 
 void PlacementRunner::plan(base::Time now)
 {
-    if (m_ownDemand) {
-        m_demand.report(m_self, m_ownDemand());
-    }
-    m_demand.advance(now);
     for (auto &[name, service] : m_services) {
         for (const auto &id : service.orders.toAsk(now)) {
             ask(name, id);
@@ -179,7 +198,16 @@
     input.loadsAllowed = service.weightLoads.available(now);
     input.adapterLoadsAllowed = m_options.adapterLoadsAtOnce;
     summarize(name, input, now);
-    for (const auto &it : placement::plan(input, {})) {
+    placement::ReplicaInput replicas{input.endpoints, {}, input.loadsAllowed, service.restoresFrom && now >= *service.restoresFrom};
+    for (const auto &[model, spec] : service.document->models) {
+        const auto demand = input.demand.models.find(model);
+        replicas.models.emplace(model, placement::ModelLoad{spec.memoryMib, demand == input.demand.models.end() ? 0 : demand->second.streams});
+    }
+    for (const auto &it : service.replicas.plan(replicas, now)) {
+        order(name, it, now);
+    }
+    input.endpoints = service.orders.views();
+    for (const auto &it : placement::planAdapterMoves(input, {})) {
         order(name, it, now);
     }
 }
@@ -203,9 +231,9 @@
         const auto engines = std::ranges::count_if(input.endpoints, [&model](const auto &it) {
             return it.residents.contains(placement::Resident{model, {}, {}});
         });
-        text += (text.empty() ? "" : ",") + model.text() + ':' + std::to_string(static_cast<int>(streams)) + '/' + std::to_string(engines);
+        text += (text.empty() ? "" : ",") + model.text() + ':' + std::to_string(static_cast<int>(streams * 100)) + '/' + std::to_string(engines);
     }
-    telemetry::log(LogLevel::Info, "placement", "demand", {{"service", name.text()}, {"streams_per_engines", text}});
+    telemetry::log(LogLevel::Info, "placement", "demand", {{"service", name.text()}, {"percent_per_engines", text}});
 }
 
 void PlacementRunner::order(const base::ServiceName &name, const placement::Move &move, base::Time now)
@@ -272,7 +300,7 @@
     m_known[id] = {notice, base::now() + m_options.tellTime};
     m_parts.onEngine(notice);
     // The engine is free again: what it still lacks need not wait for the next round.
-    m_nextPlan = std::min(m_nextPlan, base::now() + m_options.tickInterval);
+    m_nextPlan = base::now();
 }
 
 void PlacementRunner::ask(const base::ServiceName &name, const base::EndpointId &id)
--- a/src/turmericplank/gateway/transfer.cpp
+++ b/src/turmericplank/gateway/transfer.cpp
@@ -75,7 +75,7 @@
     m_exchange->setOnClosed([self = Pointer(this)] { self->onCallerGone(); });
     const auto longestPark = std::chrono::duration_cast<base::Duration>(m_route.objective * m_forwarder.m_options.parkShare);
     m_parkedUntil = std::min(m_arrivedAt + std::max(longestPark, m_forwarder.m_options.shortestPark), m_attempts.deadline());
-    m_forwarder.countDemand(m_service, m_call.model);
+    m_forwarder.countDemand(m_service, m_call);
     watchDeadline();
     place();
 }
@@ -406,7 +406,6 @@
 {
     const auto now = base::now();
     m_forwarder.m_parts.router.noteEnded(m_send->choice.ticket, end, now);
-    m_forwarder.countStreamTime(m_service, m_call.model, now - m_send->sentAt);
 }
 
 void Transfer::releaseConnection(bool isWhole)
--- a/src/turmericplank/placement/demand.cpp
+++ b/src/turmericplank/placement/demand.cpp
@@ -34,7 +34,12 @@
 
 void DemandEstimator::report(const base::DaemonId &daemon, const DemandCounters &counters)
 {
-    const auto &last = m_last[daemon];
+    const auto [known, isNew] = m_last.try_emplace(daemon, counters);
+    if (isNew) {
+        // What was counted before it was first heard belongs to no known time.
+        return;
+    }
+    const auto &last = known->second;
     for (const auto &[model, counter] : counters.models) {
         const auto it = last.models.find(model);
         const auto before = it == last.models.end() ? DemandCounter{} : it->second;
--- a/src/turmericplank/placement/planner.cpp
+++ b/src/turmericplank/placement/planner.cpp
@@ -229,6 +229,13 @@
     return "demand";
 }
 
+std::vector<Move> planAdapterMoves(const PlanInput &input, const PlannerOptions &options)
+{
+    PlanState state(input, options);
+    planAdapters(state);
+    return std::move(state.moves);
+}
+
 std::vector<Move> plan(const PlanInput &input, const PlannerOptions &options)
 {
     PlanState state(input, options);
--- /dev/null
+++ b/src/turmericplank/placement/replicaplanner.cpp
@@ -0,0 +1,239 @@
+#include "turmericplank/placement/replicaplanner.hpp"
+
+#include <algorithm>
+
+#include "turmericplank/placement/balance.hpp"
+
+namespace turmericplank::placement {
+
+namespace {
+
+constexpr unsigned BalanceRounds = 3;
+constexpr std::size_t MostIntentsPerStep = 4; ///< each changes the loads that the next one is chosen by
+
+Resident modelResident(const base::ModelName &model)
+{
+    return {model, {}, {}};
+}
+
+bool holds(const EndpointView &engine, const base::ModelName &model)
+{
+    const auto it = engine.residents.find(modelResident(model));
+    return it != engine.residents.end() && it->second != ResidentState::Leaving;
+}
+
+} // namespace
+
+/// The engines and models of one step by index, with the loads as they will be once all intents are done.
+struct ReplicaPlanner::Step
+{
+    Step(const ReplicaInput &stepInput, const std::map<base::EndpointId, Intent> &intents)
+        : input(stepInput)
+        , storeLoads(stepInput.storeLoads)
+    {
+        for (const auto &[name, load] : input.models) {
+            names.push_back(name);
+            spread.demand.push_back(load.load);
+            auto &engines = spread.replicas.emplace_back();
+            for (std::uint32_t n = 0; n < input.engines.size(); ++n) {
+                const auto intent = intents.find(input.engines[n].id);
+                const bool isIntended = intent != intents.end() && intent->second.model == name;
+                if (holds(input.engines[n], name) || isIntended) {
+                    engines.push_back(n);
+                }
+            }
+        }
+        spread.capacity.assign(input.engines.size(), 1.0);
+        rebalanceAll();
+    }
+
+    void rebalanceAll()
+    {
+        result = balance(spread, BalanceRounds);
+    }
+
+    const ModelLoad &load(std::uint32_t model) const
+    {
+        return input.models.at(names[model]);
+    }
+
+    /// Load of a model on one engine.
+    double share(std::uint32_t model, std::uint32_t engine) const
+    {
+        const auto &engines = spread.replicas[model];
+        const auto it = std::ranges::find(engines, engine);
+        return it == engines.end() ? 0 : result.shares[model][static_cast<std::size_t>(it - engines.begin())];
+    }
+
+    /// Load of the least busy engine that holds a model.
+    double pressure(std::uint32_t model) const
+    {
+        double least = 1e9;
+        for (const auto engine : spread.replicas[model]) {
+            least = std::min(least, result.load[engine]);
+        }
+        return least;
+    }
+
+    /// Engines that serve a model now and go on to.
+    std::size_t presentReplicas(const base::ModelName &model) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(input.engines, [&model](const auto &it) {
+            const auto resident = it.residents.find(modelResident(model));
+            return resident != it.residents.end() && resident->second == ResidentState::Present;
+        }));
+    }
+
+    bool isAtHand(std::uint32_t engine, std::uint32_t model) const
+    {
+        return input.engines[engine].atHand.contains(names[model]);
+    }
+
+    std::int64_t freeMemory(std::uint32_t engine) const
+    {
+        return std::int64_t(input.engines[engine].capacityMib) - input.engines[engine].chargedMib;
+    }
+
+    /// Models of an engine that may yield, those with the least load there first.
+    std::vector<std::uint32_t> victims(std::uint32_t engine, double yieldingShare) const
+    {
+        std::vector<std::uint32_t> found;
+        for (std::uint32_t model = 0; model < names.size(); ++model) {
+            const auto resident = input.engines[engine].residents.find(modelResident(names[model]));
+            const bool isPresent = resident != input.engines[engine].residents.end() && resident->second == ResidentState::Present;
+            if (isPresent && presentReplicas(names[model]) > 1 && share(model, engine) <= yieldingShare) {
+                found.push_back(model);
+            }
+        }
+        std::ranges::stable_sort(found, {}, [&](auto model) { return share(model, engine); });
+        return found;
+    }
+
+    const ReplicaInput &input;
+    std::vector<base::ModelName> names;
+    BalanceInput spread;
+    Balance result;
+    std::uint32_t storeLoads = 0;
+};
+
+ReplicaPlanner::ReplicaPlanner(ReplicaPlannerOptions options)
+    : m_options(options)
+{
+}
+
+std::size_t ReplicaPlanner::intents() const
+{
+    return m_intents.size();
+}
+
+std::vector<Move> ReplicaPlanner::plan(const ReplicaInput &input, base::Time now)
+{
+    dropSettled(input, now);
+    Step step(input, m_intents);
+    if (input.mayRestore) {
+        restoreMissing(step, now);
+    }
+    relieveBusy(step, now);
+    std::vector<Move> moves;
+    emit(step, moves);
+    return moves;
+}
+
+void ReplicaPlanner::dropSettled(const ReplicaInput &input, base::Time now)
+{
+    std::erase_if(m_intents, [&](const auto &it) {
+        const auto engine = std::ranges::find(input.engines, it.first, &EndpointView::id);
+        const bool isOver = engine == input.engines.end() || !input.models.contains(it.second.model) || now >= it.second.until;
+        return isOver || holds(*engine, it.second.model);
+    });
+}
+
+void ReplicaPlanner::restoreMissing(Step &step, base::Time now)
+{
+    for (std::uint32_t model = 0; model < step.names.size(); ++model) {
+        if (!step.spread.replicas[model].empty()) {
+            continue;
+        }
+        std::optional<std::uint32_t> best;
+        std::tuple<bool, bool, double> bestRank;
+        for (std::uint32_t engine = 0; engine < step.input.engines.size(); ++engine) {
+            const auto &view = step.input.engines[engine];
+            const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
+            const bool canMakeRoom = !step.victims(engine, 1e9).empty();
+            if (m_intents.contains(view.id) || (!fits && !canMakeRoom)) {
+                continue;
+            }
+            const std::tuple rank(!fits, !step.isAtHand(engine, model), step.result.load[engine]);
+            if (!best || rank < bestRank) {
+                best = engine;
+                bestRank = rank;
+            }
+        }
+        if (best) {
+            m_intents.insert_or_assign(step.input.engines[*best].id, Intent{step.names[model], MoveReason::Unreachable, now + m_options.intentTime, 1});
+            step.spread.replicas[model].push_back(*best);
+            step.rebalanceAll();
+        }
+    }
+}
+
+void ReplicaPlanner::relieveBusy(Step &step, base::Time now)
+{
+    for (std::size_t n = 0; n < MostIntentsPerStep; ++n) {
+        double bestGain = m_options.leastGain;
+        std::uint32_t bestModel = 0;
+        std::optional<std::uint32_t> best;
+        for (std::uint32_t model = 0; model < step.names.size(); ++model) {
+            const double pressure = step.pressure(model);
+            const bool isBusy = step.load(model).load >= m_options.smallestLoad && pressure > m_options.busy && !step.spread.replicas[model].empty();
+            for (std::uint32_t engine = 0; isBusy && engine < step.input.engines.size(); ++engine) {
+                const auto &view = step.input.engines[engine];
+                const bool isTaken = m_intents.contains(view.id) || view.residents.contains(modelResident(step.names[model]));
+                const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
+                if (isTaken || (!fits && step.victims(engine, m_options.yieldingShare).empty())) {
+                    continue;
+                }
+                const double price = (fits ? 0 : m_options.evictionPrice) + (step.isAtHand(engine, model) ? 0 : m_options.storePrice);
+                const double gain = pressure - step.result.load[engine] - price;
+                if (gain > bestGain) {
+                    bestGain = gain;
+                    bestModel = model;
+                    best = engine;
+                }
+            }
+        }
+        if (!best) {
+            return;
+        }
+        m_intents.insert_or_assign(step.input.engines[*best].id, Intent{step.names[bestModel], MoveReason::Demand, now + m_options.intentTime, bestGain});
+        step.spread.replicas[bestModel].push_back(*best);
+        step.rebalanceAll();
+    }
+}
+
+void ReplicaPlanner::emit(Step &step, std::vector<Move> &moves) const
+{
+    for (std::uint32_t engine = 0; engine < step.input.engines.size(); ++engine) {
+        const auto &view = step.input.engines[engine];
+        const auto intent = m_intents.find(view.id);
+        if (intent == m_intents.end() || !view.isOrderable) {
+            continue;
+        }
+        const auto &[model, reason, until, gain] = intent->second;
+        const auto memory = step.input.models.at(model).memoryMb;
+        if (step.freeMemory(engine) >= std::int64_t(memory)) {
+            const bool isAtHand = view.atHand.contains(model);
+            if (isAtHand || step.storeLoads > 0) {
+                step.storeLoads -= isAtHand ? 0 : 1;
+                moves.push_back({OrderKind::Load, view.id, modelResident(model), {}, memory, reason, gain});
+            }
+            continue;
+        }
+        const auto victims = step.victims(engine, 1e9);
+        if (!victims.empty()) {
+            moves.push_back({OrderKind::Unload, view.id, modelResident(step.names[victims.front()]), {}, 0, MoveReason::MakeRoom, gain});
+        }
+    }
+}
+
+} // namespace turmericplank::placement
--- /dev/null
+++ b/src/turmericplank/placement/replicaplanner_test.cpp
@@ -0,0 +1,156 @@
+#include "turmericplank/placement/replicaplanner.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::placement;
+
+namespace {
+
+constexpr std::uint32_t ModelMemory = 70;
+constexpr std::uint32_t EngineMemory = 230; ///< three models
+
+Resident model(const std::string &name)
+{
+    return {base::ModelName(name), {}, {}};
+}
+
+/// Engines that carry out every order at once.
+struct World
+{
+    explicit World(std::size_t engines)
+    {
+        for (std::size_t n = 0; n < engines; ++n) {
+            EndpointView it;
+            it.id = base::EndpointId("e" + std::to_string(n));
+            it.capacityMib = EngineMemory;
+            it.isOrderable = true;
+            input.engines.push_back(it);
+        }
+        input.storeLoads = 2;
+    }
+
+    void hold(std::size_t engine, const std::string &name)
+    {
+        auto &it = input.engines[engine];
+        it.residents[model(name)] = ResidentState::Present;
+        it.chargedMib += ModelMemory;
+        input.models.try_emplace(base::ModelName(name), ModelLoad{ModelMemory, 0});
+    }
+
+    void load(const std::string &name, double engines)
+    {
+        input.models[base::ModelName(name)] = {ModelMemory, engines};
+    }
+
+    std::size_t replicas(const std::string &name) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(input.engines, [&](const auto &it) { return it.residents.contains(model(name)); }));
+    }
+
+    /// @return loads carried out
+    std::size_t run(int steps)
+    {
+        std::size_t loads = 0;
+        for (int n = 0; n < steps; ++n) {
+            now += std::chrono::milliseconds(250);
+            for (const auto &move : planner.plan(input, now)) {
+                auto &it = *std::ranges::find(input.engines, move.endpoint, &EndpointView::id);
+                if (move.kind == OrderKind::Load) {
+                    it.residents[move.resident] = ResidentState::Present;
+                    it.chargedMib += ModelMemory;
+                    ++loads;
+                } else {
+                    it.residents.erase(move.resident);
+                    it.chargedMib -= ModelMemory;
+                }
+                CHECK(it.chargedMib <= EngineMemory);
+                for (const auto &[name, load] : input.models) {
+                    CHECK(replicas(name.text()) > 0);
+                }
+            }
+        }
+        return loads;
+    }
+
+    ReplicaInput input;
+    ReplicaPlanner planner;
+    base::Time now = base::timeFromMilliseconds(1000);
+};
+
+} // namespace
+
+TEST_CASE("a model whose demand multiplies gets engines from one that fell silent")
+{
+    // Twelve engines full with copies of an old favourite and single copies of rare models; the demand moves to one of those.
+    World world(12);
+    for (std::size_t n = 0; n < 12; ++n) {
+        world.hold(n, "old");
+        world.hold(n, "rare" + std::to_string(n));
+        world.hold(n, "spare" + std::to_string(n / 2));
+    }
+    world.load("old", 0.2);
+    world.load("rare0", 3.0);
+    world.run(20);
+    CHECK(world.replicas("rare0") >= 6);
+    for (std::size_t n = 0; n < 12; ++n) {
+        CHECK(world.replicas("rare" + std::to_string(n)) >= 1);
+    }
+}
+
+TEST_CASE("steady demand does not move replicas back and forth")
+{
+    World world(6);
+    for (std::size_t n = 0; n < 6; ++n) {
+        world.hold(n, "a");
+        world.hold(n, "b");
+        world.hold(n, "c");
+    }
+    world.load("a", 1.6);
+    world.load("b", 0.9);
+    CHECK(world.run(40) == 0);
+}
+
+TEST_CASE("a model that no engine holds is loaded where a copy is at hand, unless engines may still appear")
+{
+    World world(3);
+    world.hold(0, "a");
+    world.hold(1, "a");
+    world.load("lost", 0);
+    world.input.engines[2].atHand.insert(base::ModelName("lost"));
+    world.input.storeLoads = 0;
+    world.input.mayRestore = false;
+    CHECK(world.planner.plan(world.input, world.now).empty());
+    world.input.mayRestore = true;
+    const auto moves = world.planner.plan(world.input, world.now);
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].endpoint.text() == "e2");
+    CHECK(moves[0].resident.model.text() == "lost");
+}
+
+TEST_CASE("room that was made for one model is not given to another")
+{
+    World world(2);
+    for (std::size_t n = 0; n < 2; ++n) {
+        world.hold(n, "x");
+        world.hold(n, "y");
+        world.hold(n, "z");
+    }
+    world.hold(0, "hot");
+    world.input.engines[0].residents.erase(model("z"));
+    world.input.engines[0].chargedMib -= ModelMemory;
+    world.load("hot", 0.9);
+    const auto first = world.planner.plan(world.input, world.now);
+    REQUIRE(first.size() == 1);
+    CHECK((first[0].kind == OrderKind::Unload));
+    auto &engine = world.input.engines[1];
+    engine.residents.erase(first[0].resident);
+    engine.chargedMib -= ModelMemory;
+    world.load("x", 5);
+    const auto second = world.planner.plan(world.input, world.now + std::chrono::milliseconds(250));
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].resident.model.text() == "hot");
+}
