Endpoints that go while the store turns a daemon away are dropped in time

Change: missing entries are kept for 2 s, the read that ends this is made in time, and notices name endpoints that the sender read to be gone, with their incarnation. The test of the fleet fails without the change.

--- a/include/turmericplank/discovery/endpointcatalog.hpp
+++ b/include/turmericplank/discovery/endpointcatalog.hpp
@@ -27,7 +27,7 @@
 struct CatalogOptions
 {
     base::Duration outageAfter = std::chrono::milliseconds(2500); ///< without a read; entries may have lapsed unseen by then
-    base::Duration returnTime = std::chrono::milliseconds(2600); ///< lapsed entries of live endpoints are back by then (platform: about 2 s)
+    base::Duration returnTime = std::chrono::milliseconds(2000); ///< lapsed entries of live endpoints are back by then, says the platform
 };
 
 /// @brief The endpoints that may be used, from successive reads of the platform's table.
@@ -48,6 +48,9 @@
     /// @brief All endpoints that are not gone, those that leave included.
     const std::map<base::EndpointId, EndpointEntry> &entries() const;
 
+    /// @brief When entries that may have lapsed during an outage are given up; in the past if none are kept.
+    base::Time keepsMissingUntil() const;
+
     /// @brief When the table was last read; nothing before the first read.
     std::optional<base::Time> lastRead() const;
 
--- a/include/turmericplank/gateway/fleet.hpp
+++ b/include/turmericplank/gateway/fleet.hpp
@@ -44,7 +44,7 @@
     bool takeEngine(const EngineNotice &notice, base::Time now);
 
     /// @brief Another daemon has read that endpoints leave.
-    void takeLeaving(const std::vector<base::EndpointId> &endpoints, base::Time now);
+    void takeLeaving(const std::vector<LeavingEndpoint> &endpoints, base::Time now);
 
     /// @brief Routes in force; null before the first configuration.
     const std::shared_ptr<const routes::RouteTable> &routes() const;
@@ -58,8 +58,11 @@
     /// @brief When the endpoints' entries were last read.
     std::optional<base::Time> lastRead() const;
 
-    /// @brief Endpoints whose entries say that they leave.
-    std::vector<base::EndpointId> leavingEndpoints() const;
+    /// @brief Endpoints whose entries say that they leave, or that were gone a moment ago.
+    std::vector<LeavingEndpoint> leavingEndpoints(base::Time now) const;
+
+    /// @brief When entries that may have lapsed during an outage of the table are given up; in the past if none are kept.
+    base::Time keepsMissingUntil() const;
 
     /// @brief What an engine holds, by the newest source.
     const EngineNotice *engine(const base::EndpointId &id) const;
@@ -79,7 +82,8 @@
     };
 
     std::map<base::EndpointId, Engine> m_engines;
-    std::map<base::EndpointId, base::Time> m_heardLeaving; ///< until when what another daemon read counts
+    std::map<LeavingEndpoint, base::Time> m_heardLeaving; ///< until when what another daemon read counts
+    std::map<LeavingEndpoint, base::Time> m_gone; ///< until when the others are told
 };
 
 } // namespace turmericplank::gateway
--- a/include/turmericplank/gateway/peernotice.hpp
+++ b/include/turmericplank/gateway/peernotice.hpp
@@ -26,6 +26,16 @@
     friend bool operator==(const EngineNotice &, const EngineNotice &) = default;
 };
 
+/// @brief An endpoint that gets nothing new; a later incarnation is not meant.
+struct LeavingEndpoint
+{
+    base::EndpointId endpoint;
+    base::Incarnation incarnation;
+
+    friend auto operator<=>(const LeavingEndpoint &, const LeavingEndpoint &) = default;
+    friend bool operator==(const LeavingEndpoint &, const LeavingEndpoint &) = default;
+};
+
 /// @brief What a gateway daemon tells each other one, again and again; always whole, so that a lost one does no harm.
 struct PeerNotice
 {
@@ -36,7 +46,7 @@
     base::Term term; ///< of the placement lease that the sender holds; zero if it holds none
     base::Revision revision; ///< of the configuration that it has in force
     std::vector<routing::EndpointWork> work;
-    std::vector<base::EndpointId> leavingEndpoints;
+    std::vector<LeavingEndpoint> leavingEndpoints; ///< that the sender has read to leave or to be gone
     std::vector<EngineNotice> engines; ///< told by the holder of the lease
     placement::DemandCounters demand;
 
--- a/include/turmericplank/gateway/siteview.hpp
+++ b/include/turmericplank/gateway/siteview.hpp
@@ -42,6 +42,7 @@
     void takeConfiguration(const tl::expected<ReadConfiguration, TableFailure> &result);
     void readEndpoints();
     void takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result, base::Time askedAt);
+    void scheduleRead(base::Time askedAt);
     void noteStore(bool isAnswering);
 
     boost::asio::io_context &m_context;
--- a/src/turmericplank/discovery/endpointcatalog.cpp
+++ b/src/turmericplank/discovery/endpointcatalog.cpp
@@ -86,6 +86,11 @@
     return m_entries;
 }
 
+base::Time EndpointCatalog::keepsMissingUntil() const
+{
+    return m_keepsMissingUntil;
+}
+
 std::optional<base::Time> EndpointCatalog::lastRead() const
 {
     return m_lastRead;
--- a/src/turmericplank/discovery/endpointcatalog_test.cpp
+++ b/src/turmericplank/discovery/endpointcatalog_test.cpp
@@ -41,7 +41,9 @@
     CHECK(catalog.apply({}, at(10000)).empty());
     CHECK(catalog.apply({entry("a")}, at(11000)).empty());
     CHECK(catalog.entries().size() == 2);
-    const auto changes = catalog.apply({entry("a")}, at(12700));
+    CHECK(catalog.keepsMissingUntil() == at(12000));
+    CHECK(catalog.apply({entry("a")}, at(11999)).empty());
+    const auto changes = catalog.apply({entry("a")}, at(12000));
     REQUIRE(changes.size() == 1);
     CHECK((changes[0].event == EndpointEvent::Gone));
 }
--- a/src/turmericplank/gateway/fleet.cpp
+++ b/src/turmericplank/gateway/fleet.cpp
@@ -8,6 +8,7 @@
 
 constexpr auto HeardLeavingTime = std::chrono::seconds(3); ///< by then our own read of the table shows it, or it was wrong
 
+constexpr auto GoneToldTime = std::chrono::seconds(3); ///< a daemon that the table turns away hears of it in some notices
 constexpr auto EntryLag = std::chrono::milliseconds(3000); ///< a heartbeat of the endpoint, a read of the table and some slack
 
 } // namespace
@@ -49,10 +50,12 @@
 std::vector<discovery::EndpointChange> Fleet::takeEntries(const std::vector<discovery::EndpointEntry> &entries, base::Time now)
 {
     auto changes = m_catalog.apply(entries, now);
+    std::erase_if(m_gone, [now](const auto &it) { return it.second <= now; });
     for (const auto &it : changes) {
         if (it.event == discovery::EndpointEvent::Gone) {
             m_router.setMark(it.entry.id, routing::EndpointMark::Gone, now);
             m_engines.erase(it.entry.id);
+            m_gone[{it.entry.id, it.entry.incarnation}] = now + GoneToldTime;
         }
     }
     applyEndpoints(now);
@@ -76,12 +79,13 @@
     return true;
 }
 
-void Fleet::takeLeaving(const std::vector<base::EndpointId> &endpoints, base::Time now)
+void Fleet::takeLeaving(const std::vector<LeavingEndpoint> &endpoints, base::Time now)
 {
-    for (const auto &id : endpoints) {
-        m_heardLeaving[id] = now + HeardLeavingTime;
-        const auto entry = m_catalog.entries().find(id);
-        if (entry != m_catalog.entries().end() && !entry->second.isLeaving) {
+    for (const auto &it : endpoints) {
+        m_heardLeaving[it] = now + HeardLeavingTime;
+        const auto entry = m_catalog.entries().find(it.endpoint);
+        const bool isMeant = entry != m_catalog.entries().end() && entry->second.incarnation == it.incarnation;
+        if (isMeant && !entry->second.isLeaving) {
             applyEngine(entry->second, now);
         }
     }
@@ -155,7 +159,7 @@
 bool Fleet::isLeaving(const base::EndpointId &id) const
 {
     const auto entry = m_catalog.entries().find(id);
-    return m_heardLeaving.contains(id) || (entry != m_catalog.entries().end() && entry->second.isLeaving);
+    return entry != m_catalog.entries().end() && (entry->second.isLeaving || m_heardLeaving.contains({id, entry->second.incarnation}));
 }
 
 std::optional<base::Time> Fleet::lastRead() const
@@ -163,17 +167,27 @@
     return m_catalog.lastRead();
 }
 
-std::vector<base::EndpointId> Fleet::leavingEndpoints() const
+std::vector<LeavingEndpoint> Fleet::leavingEndpoints(base::Time now) const
 {
-    std::vector<base::EndpointId> leaving;
+    std::vector<LeavingEndpoint> leaving;
     for (const auto &[id, entry] : m_catalog.entries()) {
         if (entry.isLeaving) {
-            leaving.push_back(id);
+            leaving.push_back({id, entry.incarnation});
+        }
+    }
+    for (const auto &[endpoint, until] : m_gone) {
+        if (now < until) {
+            leaving.push_back(endpoint);
         }
     }
     return leaving;
 }
 
+base::Time Fleet::keepsMissingUntil() const
+{
+    return m_catalog.keepsMissingUntil();
+}
+
 const EngineNotice *Fleet::engine(const base::EndpointId &id) const
 {
     const auto it = m_engines.find(id);
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -163,7 +163,7 @@
         notice.isReady = isReady();
         notice.revision = fleet.routes() ? fleet.routes()->configuration().revision : base::Revision();
         notice.work = router.ownWork();
-        notice.leavingEndpoints = fleet.leavingEndpoints();
+        notice.leavingEndpoints = fleet.leavingEndpoints(base::now());
         notice.demand = forwarder.demand();
         placementRunner.fillNotice(notice);
     }
--- a/src/turmericplank/gateway/peernotice.cpp
+++ b/src/turmericplank/gateway/peernotice.cpp
@@ -40,7 +40,7 @@
                                it.at(3).get<std::uint32_t>(), it.at(4).get<std::uint32_t>(), it.at(5).get<std::uint32_t>()});
     }
     for (const auto &it : json.at("gone")) {
-        notice.leavingEndpoints.emplace_back(it.get<std::string>());
+        notice.leavingEndpoints.push_back({base::EndpointId(it.at(0).get<std::string>()), base::Incarnation(it.at(1).get<std::uint64_t>())});
     }
     for (const auto &it : json.at("engines")) {
         notice.engines.push_back({base::EndpointId(it.at(0).get<std::string>()), base::Incarnation(it.at(1).get<std::uint64_t>()),
@@ -66,7 +66,7 @@
         json["work"].push_back({it.endpoint.text(), it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
     }
     for (const auto &it : notice.leavingEndpoints) {
-        json["gone"].push_back(it.text());
+        json["gone"].push_back({it.endpoint.text(), it.incarnation.value()});
     }
     for (const auto &it : notice.engines) {
         json["engines"].push_back({it.endpoint.text(), it.incarnation.value(), it.sequence, modelsToJson(it.models)});
--- a/src/turmericplank/gateway/siteview.cpp
+++ b/src/turmericplank/gateway/siteview.cpp
@@ -101,10 +101,9 @@
 void SiteView::takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result, base::Time askedAt)
 {
     noteStore(result.has_value());
-    const auto pause = result ? m_options.endpointsInterval : m_options.retryInterval;
-    daemon::callAt(m_context, std::max(askedAt + pause, base::now()), [this] { readEndpoints(); });
     if (!result) {
         m_metrics.count("store_failures_total{call=\"endpoints\"}");
+        daemon::callAt(m_context, base::now() + m_options.retryInterval, [this] { readEndpoints(); });
         return;
     }
     if (result->unreadable.size() != m_unreadable) {
@@ -113,6 +112,7 @@
                        {{"entries", std::uint64_t(m_unreadable)}, {"first", result->unreadable.empty() ? "" : result->unreadable.front()}});
     }
     const auto changes = m_fleet.takeEntries(result->entries, base::now());
+    scheduleRead(askedAt);
     for (const auto &it : changes) {
         telemetry::log(LogLevel::Info, "endpoints", toString(it.event),
                        {{"endpoint", it.entry.id.text()},
@@ -125,6 +125,15 @@
     m_hooks.onEndpoints(changes);
 }
 
+/// The next read is earlier if by then entries that lapsed unseen must be back.
+void SiteView::scheduleRead(base::Time askedAt)
+{
+    const auto now = base::now();
+    const auto keeps = m_fleet.keepsMissingUntil();
+    const auto due = askedAt + m_options.endpointsInterval;
+    daemon::callAt(m_context, std::max(keeps > now ? std::min(due, keeps) : due, now), [this] { readEndpoints(); });
+}
+
 void SiteView::noteStore(bool isAnswering)
 {
     if (isAnswering == m_isAnswering) {
