One daemon of a group reads the store and passes the entries on

Change: daemons form groups (the whole site up to 10 daemons, else 8 of one zone); the first of a group reads for it; notices go inside the group, to and from the holder of the placement lease. Whoever misses the reader's entries for 1.45 s reads itself. The router scales the work that it hears of to the whole site.

--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -20,7 +20,10 @@
     base::Duration noticeInterval = std::chrono::milliseconds(400); ///< some 1 KB to each daemon; 2.5 KB/s each way at 7 daemons, under 6
     base::Duration silentAfter = std::chrono::milliseconds(1400); ///< three notices missed
     base::Duration forgetAfter = std::chrono::seconds(10); ///< a daemon that is silent for longer gets no notices between reads of the list
-    base::Duration listInterval = std::chrono::milliseconds(4000); ///< new daemons are heard by their own notices meanwhile
+    base::Duration farInterval = std::chrono::milliseconds(1000); ///< between notices of the holder to all, and of all to the holder
+    base::Duration listInterval = std::chrono::seconds(20); ///< new daemons are heard by their own notices meanwhile
+    std::size_t wholeSite = 10; ///< daemons up to which all tell all; above, only those of a group
+    std::size_t groupSize = 8; ///< daemons of one zone that tell each other everything: 8 KB/s each way at some 120 endpoints
     base::Duration firstListInterval = std::chrono::milliseconds(1000); ///< until all that started together have been seen
     base::Duration firstListTime = std::chrono::seconds(6);
 };
@@ -62,8 +65,17 @@
     /// @brief Says that this daemon leaves, in all notices from now on, and removes its row.
     void leave();
 
-    /// @brief Daemons that are heard, without this one.
-    std::size_t heard() const;
+    /// @brief Daemons that share the site's budgets, without this one: those of the group that are heard, and all others.
+    std::size_t others() const;
+
+    /// @brief Daemons whose work this one hears of, without this one.
+    std::size_t near() const;
+
+    /// @brief Whether this daemon reads the store for its group.
+    bool isReader() const;
+
+    /// @brief Sends a message to all daemons of the group that are heard.
+    void tellGroup(const std::string &kind, const std::string &body);
 
     /// @brief The last notice of each daemon that is heard and does not leave, with where it is.
     std::vector<std::pair<PeerAddress, PeerNotice>> serving() const;
@@ -78,6 +90,7 @@
         std::optional<PeerNotice> notice;
         base::Time heardAt;
         bool isSilent = true;
+        bool isNear = true; ///< of this daemon's group
     };
 
     void registerSelf();
@@ -85,6 +98,8 @@
     void takeList(const std::vector<store::Row> &rows);
     void onMessage(const std::string &body);
     void checkSilence();
+    void group();
+    bool isDue(const Peer &peer, base::Time now) const;
 
     boost::asio::io_context &m_context;
     PeerAddress m_self;
@@ -96,6 +111,8 @@
     base::Time m_startedAt;
     base::Time m_nextList;
     std::map<base::DaemonId, Peer> m_peers;
+    base::Time m_nextFar;
+    bool m_isHolder = false;
     bool m_isLeaving = false;
     bool m_isRegistered = false;
     bool m_isRegistering = false;
--- a/include/turmericplank/gateway/siteview.hpp
+++ b/include/turmericplank/gateway/siteview.hpp
@@ -15,6 +15,8 @@
 struct SiteViewOptions
 {
     base::Duration endpointsInterval = std::chrono::milliseconds(1000); ///< half of the shortest drain time of a site
+    base::Duration passedLimit = std::chrono::milliseconds(1450); ///< without entries from the reader; with a read still inside the drain time
+    base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a call that brought nothing
 };
 
@@ -25,7 +27,9 @@
     struct Hooks
     {
         std::function<void()> onConfiguration; ///< another version is in force
-        std::function<void(const std::vector<discovery::EndpointChange> &)> onEndpoints; ///< the entries were read
+        std::function<void(const std::vector<discovery::EndpointChange> &)> onEndpoints; ///< the entries were read or passed on
+        std::function<bool()> isReader; ///< this daemon reads for others too
+        std::function<void(const std::vector<discovery::EndpointEntry> &)> onRead; ///< entries for the others
     };
 
     SiteView(boost::asio::io_context &context, SiteStore store, Fleet &fleet, telemetry::Metrics &metrics, Hooks hooks, SiteViewOptions options = {});
@@ -33,6 +37,9 @@
     /// @brief Starts reading.
     void start();
 
+    /// @brief Takes entries that the reader of the group has read.
+    void takePassed(const std::vector<discovery::EndpointEntry> &entries);
+
     /// @brief Another daemon has a later version in force than this one.
     void heardRevision(base::Revision revision);
 
@@ -41,8 +48,10 @@
     void awaitConfiguration();
     void takeConfiguration(const tl::expected<ReadConfiguration, TableFailure> &result);
     void readEndpoints();
-    void takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result, base::Time askedAt);
-    void scheduleRead(base::Time askedAt);
+    void takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result);
+    void tick();
+    bool isReadDue(base::Time now) const;
+    void takeEntries(const std::vector<discovery::EndpointEntry> &entries);
     void noteStore(bool isAnswering);
 
     boost::asio::io_context &m_context;
@@ -53,6 +62,10 @@
     SiteViewOptions m_options;
     std::uint64_t m_position = 0;
     std::size_t m_unreadable = 0;
+    base::Time m_askedAt;
+    base::Time m_takenAt; ///< entries were read or passed on
+    bool m_isReading = false;
+    bool m_isAwaiting = false;
     bool m_isReadingAgain = false;
     bool m_isAnswering = true;
     base::Time m_changedAt;
--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -99,6 +99,10 @@
     /// @brief Takes another daemon's work from its heartbeat; what it said before of other endpoints stands.
     void notePeerWork(const base::DaemonId &from, const std::vector<EndpointWork> &work, base::Time now);
 
+    /// @brief Sets how much more work there is than this daemon and those that it hears have, on a site that is too large to hear all.
+    /// @param factor all daemons over those heard
+    void setUnheardFactor(double factor);
+
     /// @brief Forgets a daemon that is gone.
     void forgetPeer(const base::DaemonId &from);
 
@@ -223,6 +227,7 @@
     PrefixIndex m_prefixes;
     std::unordered_map<Ticket, Attempt> m_attempts;
     std::map<base::DaemonId, Peer> m_peers;
+    double m_unheardFactor = 1;
     Ticket m_lastTicket = 0;
     std::vector<EndpointIndex> m_candidates; ///< scratch space of choose()
     std::vector<std::pair<EndpointIndex, Prefix>> m_cached; ///< scratch space of choose()
--- /dev/null
+++ b/src/turmericplank/gateway/endpointsnotice.cpp
@@ -0,0 +1,83 @@
+#include "turmericplank/gateway/endpointsnotice.hpp"
+
+#include <msgpack.hpp>
+
+namespace turmericplank::gateway {
+
+namespace {
+
+using discovery::EndpointEntry;
+
+/// One entry in the order of its members; durations in microseconds, none as -1.
+using PackedEntry = std::tuple<std::string, std::string, std::string, std::uint16_t, std::string, std::uint32_t, bool, std::int64_t, std::uint64_t,
+                               std::uint64_t, std::map<std::string, std::set<std::string>>, std::set<std::string>>;
+
+PackedEntry packed(const EndpointEntry &it)
+{
+    std::map<std::string, std::set<std::string>> models;
+    for (const auto &[model, adapters] : it.models) {
+        models.emplace(model.text(), adapters);
+    }
+    std::set<std::string> atHand;
+    for (const auto &model : it.atHand) {
+        atHand.insert(model.text());
+    }
+    return {it.id.text(),           it.service.text(), it.address.host,   it.address.port,
+            it.zone.text(),         it.slots,          it.isLeaving,      it.leavesWithin ? it.leavesWithin->count() : -1,
+            it.incarnation.value(), it.heartbeat,      std::move(models), std::move(atHand)};
+}
+
+EndpointEntry unpacked(const PackedEntry &packed)
+{
+    const auto &[id, service, host, port, zone, slots, isLeaving, leavesWithin, incarnation, heartbeat, models, atHand] = packed;
+    EndpointEntry it;
+    it.id = base::EndpointId(id);
+    it.service = base::ServiceName(service);
+    it.address = {host, port};
+    it.zone = base::ZoneName(zone);
+    it.slots = slots;
+    it.isLeaving = isLeaving;
+    if (leavesWithin >= 0) {
+        it.leavesWithin = base::Duration(leavesWithin);
+    }
+    it.incarnation = base::Incarnation(incarnation);
+    it.heartbeat = heartbeat;
+    for (const auto &[model, adapters] : models) {
+        it.models.emplace(base::ModelName(model), adapters);
+    }
+    for (const auto &model : atHand) {
+        it.atHand.emplace(model);
+    }
+    return it;
+}
+
+} // namespace
+
+std::string encode(const std::vector<EndpointEntry> &entries)
+{
+    std::vector<PackedEntry> all;
+    all.reserve(entries.size());
+    for (const auto &it : entries) {
+        all.push_back(packed(it));
+    }
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, all);
+    return {buf.data(), buf.size()};
+}
+
+tl::expected<std::vector<EndpointEntry>, NoticeFailure> decodeEntries(std::string_view bytes)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        std::vector<EndpointEntry> entries;
+        for (const auto &it : handle.get().as<std::vector<PackedEntry>>()) {
+            entries.push_back(unpacked(it));
+        }
+        return entries;
+    } catch (const std::exception &) {
+        // The library reports short or other bytes only in this way.
+        return tl::unexpected(NoticeFailure::Malformed);
+    }
+}
+
+} // namespace turmericplank::gateway
--- /dev/null
+++ b/src/turmericplank/gateway/endpointsnotice_test.cpp
@@ -0,0 +1,32 @@
+#include "turmericplank/gateway/endpointsnotice.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::gateway;
+
+TEST_CASE("entries survive being passed on")
+{
+    discovery::EndpointEntry it;
+    it.id = base::EndpointId("e1");
+    it.service = base::ServiceName("s");
+    it.address = {"10.0.0.1", 81};
+    it.zone = base::ZoneName("z");
+    it.slots = 7;
+    it.isLeaving = true;
+    it.leavesWithin = std::chrono::milliseconds(1500);
+    it.incarnation = base::Incarnation(1779388595746);
+    it.heartbeat = 12;
+    it.models[base::ModelName("m")] = {"a1", "a2"};
+    it.atHand = {base::ModelName("m"), base::ModelName("n")};
+    const std::vector<discovery::EndpointEntry> entries = {it, discovery::EndpointEntry()};
+    CHECK(decodeEntries(encode(entries)) == entries);
+}
+
+TEST_CASE("other bytes are no entries")
+{
+    CHECK_FALSE(decodeEntries("").has_value());
+    CHECK_FALSE(decodeEntries("\x91\x01").has_value());
+    const auto whole = encode(std::vector<discovery::EndpointEntry>(3));
+    CHECK_FALSE(decodeEntries(std::string_view(whole).substr(0, whole.size() - 4)).has_value());
+}
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/gateway/endpointsnotice.hpp"
 #include "turmericplank/gateway/entryanswer.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
 #include "turmericplank/gateway/peers.hpp"
@@ -17,6 +18,7 @@
 
 using telemetry::LogLevel;
 
+constexpr const char *EndpointsKind = "gateway/endpoints";
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr auto EntryKeepTime = std::chrono::seconds(1); ///< callers ask again after it; some keep an answer three times as long
@@ -93,6 +95,10 @@
             pool.expire(base::now());
         });
         placementRunner.setOwnDemand([this]() -> const placement::DemandCounters & { return forwarder.demand(); });
+        mesh->handle(EndpointsKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
+            answer.end();
+            takeEntries(from, body);
+        });
         view.start();
     }
 
@@ -113,9 +119,9 @@
 
     SiteView::Hooks viewHooks()
     {
-        return {[this] { onConfiguration(); },
-                [this](const auto &changes) {
-                    onEndpoints(changes);
+        return {[this] { onConfiguration(); }, [this](const auto &changes) { onEndpoints(changes); }, [this] { return peers.isReader(); },
+                [this](const auto &entries) {
+                    peers.tellGroup(EndpointsKind, encode(entries));
                 }};
     }
 
@@ -148,9 +154,19 @@
         return hooks;
     }
 
+    void takeEntries(const base::DaemonId &from, const std::string &body)
+    {
+        const auto entries = decodeEntries(body);
+        if (entries) {
+            view.takePassed(*entries);
+        } else {
+            telemetry::log(LogLevel::Warning, "peers", "entries cannot be read", {{"daemon", from.text()}, {"bytes", std::uint64_t(body.size())}});
+        }
+    }
+
     std::size_t daemons() const
     {
-        return peers.heard() + 1;
+        return peers.others() + 1;
     }
 
     bool isReady() const
@@ -172,6 +188,7 @@
     {
         const auto now = base::now();
         router.notePeerWork(notice.from, completeWork(notice), now);
+        router.setUnheardFactor(static_cast<double>(daemons()) / static_cast<double>(peers.near() + 1));
         fleet.takeLeaving(notice.leavingEndpoints, now);
         view.heardRevision(notice.revision);
         placementRunner.takeNotice(notice);
@@ -187,14 +204,18 @@
     /// A notice leaves out endpoints without work; the router keeps what it was told before.
     std::vector<routing::EndpointWork> completeWork(const PeerNotice &notice) const
     {
-        auto work = notice.work;
+        std::map<base::EndpointId, routing::EndpointWork> work;
         for (const auto &[id, entry] : fleet.endpoints()) {
-            const bool isTold = std::ranges::any_of(work, [&id](const auto &it) { return it.endpoint == id; });
-            if (!isTold) {
-                work.push_back({id});
-            }
+            work[id].endpoint = id;
+        }
+        for (const auto &it : notice.work) {
+            work[it.endpoint] = it;
+        }
+        std::vector<routing::EndpointWork> all;
+        for (const auto &[id, it] : work) {
+            all.push_back(it);
         }
-        return work;
+        return all;
     }
 
     void onConfiguration()
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -1,5 +1,7 @@
 #include "turmericplank/gateway/peers.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "turmericplank/daemon/timers.hpp"
@@ -111,12 +113,46 @@
     for (const auto &[id, address] : listed) {
         m_peers[id].address = address;
     }
+    group();
     const auto now = base::now();
     std::erase_if(m_peers, [&](const auto &it) { return !listed.contains(it.first) && it.second.isSilent && now > it.second.heardAt + m_options.forgetAfter; });
 }
 
+/// Large sites are told apart into groups of one zone, by the order of the names, which all daemons read alike.
+void Peers::group()
+{
+    const bool isWhole = m_peers.size() + 1 <= m_options.wholeSite;
+    std::vector<base::DaemonId> zone{m_self.id};
+    for (const auto &[id, peer] : m_peers) {
+        if (peer.address && peer.address->zone == m_self.zone) {
+            zone.push_back(id);
+        }
+    }
+    std::ranges::sort(zone);
+    const auto groups = std::max<std::size_t>(1, (zone.size() + m_options.groupSize - 1) / m_options.groupSize);
+    const auto size = (zone.size() + groups - 1) / groups;
+    const auto groupOf = [&](const base::DaemonId &id) {
+        return static_cast<std::size_t>(std::ranges::lower_bound(zone, id) - zone.begin()) / size;
+    };
+    const auto own = groupOf(m_self.id);
+    for (auto &[id, peer] : m_peers) {
+        const bool isOfZone = peer.address && peer.address->zone == m_self.zone;
+        peer.isNear = isWhole || (isOfZone && groupOf(id) == own);
+    }
+}
+
+bool Peers::isDue(const Peer &peer, base::Time now) const
+{
+    if (peer.isNear) {
+        return true;
+    }
+    const bool isOfHolder = !peer.isSilent && peer.notice && peer.notice->term != base::Term();
+    return (m_isHolder || isOfHolder) && now >= m_nextFar;
+}
+
 void Peers::tell()
 {
+    const auto now = base::now();
     PeerNotice notice;
     notice.from = m_self.id;
     notice.incarnation = m_incarnation;
@@ -124,15 +160,31 @@
     if (m_hooks.fillNotice) {
         m_hooks.fillNotice(notice);
     }
+    m_isHolder = notice.term != base::Term();
     const auto body = encode(notice);
     for (const auto &[id, peer] : m_peers) {
-        if (peer.address) {
+        if (peer.address && isDue(peer, now)) {
             peer::PeerCall call;
             call.kind = NoticeKind;
             call.body = body;
             m_mesh.call(peer.address->peers, std::move(call));
         }
     }
+    if (now >= m_nextFar) {
+        m_nextFar = now + m_options.farInterval;
+    }
+}
+
+void Peers::tellGroup(const std::string &kind, const std::string &body)
+{
+    for (const auto &[id, peer] : m_peers) {
+        if (peer.address && peer.isNear && !peer.isSilent) {
+            peer::PeerCall call;
+            call.kind = kind;
+            call.body = body;
+            m_mesh.call(peer.address->peers, std::move(call));
+        }
+    }
 }
 
 void Peers::onMessage(const std::string &body)
@@ -149,7 +201,7 @@
     }
     if (!peer.address) {
         // Not on the list as it was last read: it has started since.
-        m_nextList = base::now();
+        m_nextList = std::min(m_nextList, base::now() + m_options.firstListInterval);
     }
     if (std::exchange(peer.isSilent, false)) {
         telemetry::log(LogLevel::Info, "peers", "heard", {{"daemon", notice->from.text()}, {"incarnation", notice->incarnation.value()}});
@@ -168,7 +220,8 @@
 {
     const auto now = base::now();
     for (auto &[id, peer] : m_peers) {
-        if (peer.isSilent || now < peer.heardAt + m_options.silentAfter) {
+        const auto limit = peer.isNear ? m_options.silentAfter : m_options.silentAfter + m_options.farInterval;
+        if (peer.isSilent || now < peer.heardAt + limit) {
             continue;
         }
         peer.isSilent = true;
@@ -191,16 +244,30 @@
     });
 }
 
-std::size_t Peers::heard() const
+std::size_t Peers::others() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [](const auto &it) { return !it.second.isSilent || !it.second.isNear; }));
+}
+
+std::size_t Peers::near() const
 {
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto &it) { return !it.second.isSilent; }));
+    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [](const auto &it) { return !it.second.isSilent && it.second.isNear; }));
+}
+
+bool Peers::isReader() const
+{
+    return std::ranges::none_of(m_peers, [this](const auto &it) {
+        const auto &peer = it.second;
+        const bool isServing = !peer.isSilent && peer.isNear && peer.notice && !peer.notice->isLeaving;
+        return isServing && it.first < m_self.id;
+    });
 }
 
 std::vector<std::pair<PeerAddress, PeerNotice>> Peers::serving() const
 {
     std::vector<std::pair<PeerAddress, PeerNotice>> serving;
     for (const auto &[id, peer] : m_peers) {
-        if (!peer.isSilent && peer.address && peer.notice && peer.notice->isReady && !peer.notice->isLeaving) {
+        if (!peer.isSilent && peer.isNear && peer.address && peer.notice && peer.notice->isReady && !peer.notice->isLeaving) {
             serving.emplace_back(*peer.address, *peer.notice);
         }
     }
--- a/src/turmericplank/gateway/siteview.cpp
+++ b/src/turmericplank/gateway/siteview.cpp
@@ -30,7 +30,30 @@
 void SiteView::start()
 {
     readConfiguration();
-    readEndpoints();
+    daemon::every(m_context, m_options.tickInterval, [this] { tick(); });
+}
+
+void SiteView::tick()
+{
+    const auto now = base::now();
+    if (!m_isReading && isReadDue(now)) {
+        readEndpoints();
+    }
+    const bool isOnItsOwn = m_hooks.isReader() || now >= m_takenAt + m_options.passedLimit;
+    if (!m_isAwaiting && m_fleet.routes() && isOnItsOwn) {
+        awaitConfiguration();
+    }
+}
+
+bool SiteView::isReadDue(base::Time now) const
+{
+    if (now < m_askedAt + m_options.retryInterval) {
+        return false;
+    }
+    const auto keeps = m_fleet.keepsMissingUntil();
+    const bool endsKeeping = m_takenAt < keeps && now >= keeps;
+    const bool isReadersTurn = m_hooks.isReader() && now + m_options.tickInterval / 2 >= m_askedAt + m_options.endpointsInterval;
+    return endsKeeping || isReadersTurn || now >= m_takenAt + m_options.passedLimit;
 }
 
 void SiteView::readConfiguration()
@@ -38,10 +61,7 @@
     m_metrics.count("store_calls_total{call=\"read_configuration\"}");
     m_store.readConfiguration([this](const tl::expected<ReadConfiguration, TableFailure> &result) {
         takeConfiguration(result);
-        const bool isThere = result && result->configuration;
-        if (isThere) {
-            awaitConfiguration();
-        } else {
+        if (!m_fleet.routes()) {
             daemon::callAt(m_context, base::now() + m_options.retryInterval, [this] { readConfiguration(); });
         }
     });
@@ -49,14 +69,22 @@
 
 void SiteView::awaitConfiguration()
 {
+    m_isAwaiting = true;
     m_metrics.count("store_calls_total{call=\"await_configuration\"}");
     m_store.awaitConfiguration(m_position, [this](const tl::expected<ReadConfiguration, TableFailure> &result) {
         takeConfiguration(result);
         if (result) {
-            awaitConfiguration();
-        } else {
-            daemon::callAt(m_context, base::now() + m_options.retryInterval, [this] { readConfiguration(); });
+            m_isAwaiting = false;
+            return;
         }
+        // The history may be gone: all is read again before the next wait.
+        daemon::callAt(m_context, base::now() + m_options.retryInterval, [this] {
+            m_metrics.count("store_calls_total{call=\"read_configuration\"}");
+            m_store.readConfiguration([this](const tl::expected<ReadConfiguration, TableFailure> &again) {
+                takeConfiguration(again);
+                m_isAwaiting = false;
+            });
+        });
     });
 }
 
@@ -94,16 +122,18 @@
 
 void SiteView::readEndpoints()
 {
+    m_isReading = true;
+    m_askedAt = base::now();
     m_metrics.count("store_calls_total{call=\"read_endpoints\"}");
-    m_store.readEndpoints([this, askedAt = base::now()](const tl::expected<ReadEndpoints, TableFailure> &result) { takeEndpoints(result, askedAt); });
+    m_store.readEndpoints([this](const tl::expected<ReadEndpoints, TableFailure> &result) { takeEndpoints(result); });
 }
 
-void SiteView::takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result, base::Time askedAt)
+void SiteView::takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result)
 {
+    m_isReading = false;
     noteStore(result.has_value());
     if (!result) {
         m_metrics.count("store_failures_total{call=\"endpoints\"}");
-        daemon::callAt(m_context, base::now() + m_options.retryInterval, [this] { readEndpoints(); });
         return;
     }
     if (result->unreadable.size() != m_unreadable) {
@@ -111,8 +141,22 @@
         telemetry::log(LogLevel::Warning, "endpoints", "entries that cannot be read are left out",
                        {{"entries", std::uint64_t(m_unreadable)}, {"first", result->unreadable.empty() ? "" : result->unreadable.front()}});
     }
-    const auto changes = m_fleet.takeEntries(result->entries, base::now());
-    scheduleRead(askedAt);
+    takeEntries(result->entries);
+    if (m_hooks.isReader()) {
+        m_hooks.onRead(result->entries);
+    }
+}
+
+void SiteView::takePassed(const std::vector<discovery::EndpointEntry> &entries)
+{
+    m_metrics.count("endpoints_passed_on_total");
+    takeEntries(entries);
+}
+
+void SiteView::takeEntries(const std::vector<discovery::EndpointEntry> &entries)
+{
+    m_takenAt = base::now();
+    const auto changes = m_fleet.takeEntries(entries, m_takenAt);
     for (const auto &it : changes) {
         telemetry::log(LogLevel::Info, "endpoints", toString(it.event),
                        {{"endpoint", it.entry.id.text()},
@@ -125,15 +169,6 @@
     m_hooks.onEndpoints(changes);
 }
 
-/// The next read is earlier if by then entries that lapsed unseen must be back.
-void SiteView::scheduleRead(base::Time askedAt)
-{
-    const auto now = base::now();
-    const auto keeps = m_fleet.keepsMissingUntil();
-    const auto due = askedAt + m_options.endpointsInterval;
-    daemon::callAt(m_context, std::max(keeps > now ? std::min(due, keeps) : due, now), [this] { readEndpoints(); });
-}
-
 void SiteView::noteStore(bool isAnswering)
 {
     if (isAnswering == m_isAnswering) {
--- a/src/turmericplank/routing/router.cpp
+++ b/src/turmericplank/routing/router.cpp
@@ -160,6 +160,11 @@
     }
 }
 
+void Router::setUnheardFactor(double factor)
+{
+    m_unheardFactor = factor;
+}
+
 void Router::forgetPeer(const base::DaemonId &from)
 {
     const auto it = m_peers.find(from);
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -127,7 +127,10 @@
     Weighed weighed;
     weighed.index = index;
     auto &cost = weighed.cost;
-    const auto work = state.load.estimate(moment.isPeerWorkComplete, moment.alikeDaemons, moment.now);
+    auto work = state.load.estimate(moment.isPeerWorkComplete, moment.alikeDaemons, moment.now);
+    for (auto *it : {&work.streams, &work.urgentWaiting, &work.otherWaiting, &work.urgentTokens, &work.otherTokens}) {
+        *it *= m_unheardFactor;
+    }
     const double slowness = state.health.slowness(moment.now, m_options.health);
     cost.cachedTokens = std::min(cachedOn(index), request.promptTokens);
     cost.work = waitMilliseconds(state, work, request.priority);
