--- /dev/null
+++ b/standins/siteendpoint/main.cpp
@@ -0,0 +1,231 @@
+#include <map>
+#include <set>
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include "common/program.hpp"
+#include "turmericplank/net/httpclient.hpp"
+
+namespace turmericplank::standins::siteendpoint {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto HeartbeatInterval = std::chrono::milliseconds(300);
+constexpr auto OrderTime = std::chrono::milliseconds(200);
+
+struct Options
+{
+    std::string id = "e1";
+    std::string service = "advisor";
+    std::string zone = "a";
+    std::string address;
+    std::string store;
+    std::vector<std::string> models;
+    std::int64_t eventMilliseconds = 10;
+    std::uint64_t events = 20;
+};
+
+std::string base64(const std::string &text)
+{
+    std::string buf(4 * (text.size() / 3 + 1) + 1, '\0');
+    const int n =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char *>(buf.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    buf.resize(static_cast<std::size_t>(n));
+    return buf;
+}
+
+/// @brief An endpoint of the users: answers calls with its seal, carries out orders and keeps its entry in the store.
+///
+/// With models it is an engine and streams numbered events; without it answers whole. GET /runs lists how often each
+/// call was run; POST /drain makes it say that it leaves.
+class Endpoint
+{
+public:
+    Endpoint(Program &program, Options options)
+        : m_program(program)
+        , m_options(std::move(options))
+    {
+        for (const auto &it : m_options.models) {
+            m_models[it];
+        }
+    }
+
+    void beat()
+    {
+        Json entry{{"service", m_options.service},
+                   {"address", m_options.address},
+                   {"zone", m_options.zone},
+                   {"version", "v1"},
+                   {"slots", 16},
+                   {"state", m_isLeaving ? "draining" : "ready"},
+                   {"coldLeftMs", 0},
+                   {"seq", ++m_beats},
+                   {"born", m_born}};
+        if (isEngine()) {
+            entry["models"] = models();
+        }
+        const Json row{{"table", "servers"}, {"part", ""}, {"key", m_options.id}, {"value", base64(entry.dump())}};
+        net::HttpCallOptions call;
+        call.to = *base::parseAddress(m_options.store);
+        call.request = {"POST", "/-/rows-tx", {{"Content-Type", "application/json"}}, Json{{"writes", {row}}}.dump()};
+        net::fetchWhole(m_program.context(), std::move(call), [](const auto &) {});
+        callAfter(m_program.context(), HeartbeatInterval, [this] { beat(); });
+    }
+
+    void answer(const net::ExchangePointer &exchange)
+    {
+        const auto &request = exchange->request();
+        const auto path = net::path(request.target);
+        if (path == "/runs") {
+            exchange->respond(jsonResponse(200, m_runs));
+            return;
+        }
+        if (path == "/drain") {
+            m_isLeaving = true;
+            exchange->respond({204, {}, {}});
+            return;
+        }
+        const auto expected = header(request.headers, "Expect-Instance");
+        if (!expected.empty() && expected != m_options.id) {
+            exchange->respond({421, {{"Instance-Id", m_options.id}}, {}});
+            return;
+        }
+        if (path == "/-/report") {
+            exchange->respond(jsonResponse(200, {{"stage", "mixed"}, {"models", models()}, {"busy", m_isBusy}, {"seq", m_orders}, {"born", m_born}}));
+        } else if (path == "/-/order") {
+            order(exchange);
+        } else {
+            call(exchange);
+        }
+    }
+
+private:
+    bool isEngine() const
+    {
+        return !m_options.models.empty();
+    }
+
+    Json models() const
+    {
+        auto list = Json::array();
+        for (const auto &[name, adapters] : m_models) {
+            list.push_back({{"name", name}, {"version", 1}, {"adapters", adapters}});
+        }
+        return list;
+    }
+
+    void order(const net::ExchangePointer &exchange)
+    {
+        const auto json = Json::parse(exchange->request().body, nullptr, false);
+        if (!json.is_object() || json.value("holder", "").empty()) {
+            exchange->respond({400, {}, {}});
+            return;
+        }
+        const auto fence = json.value("fence", std::uint64_t(0));
+        if (fence < m_fence) {
+            exchange->respond({412, {}, {}});
+            return;
+        }
+        m_fence = fence;
+        if (m_isBusy || json.value("expected", m_orders) != m_orders) {
+            exchange->respond({409, {}, {}});
+            return;
+        }
+        ++m_orders;
+        m_isBusy = true;
+        exchange->respond({202, {}, {}});
+        callAfter(m_program.context(), OrderTime, [this, json] { carryOut(json); });
+    }
+
+    void carryOut(const Json &order)
+    {
+        const auto model = order.value("model", "");
+        const auto adapter = order.value("adapter", "");
+        const bool isLoad = order.value("operation", "") == "load";
+        m_isBusy = false;
+        if (!adapter.empty()) {
+            isLoad ? void(m_models[model].insert(adapter)) : void(m_models[model].erase(adapter));
+        } else {
+            isLoad ? void(m_models[model]) : void(m_models.erase(model));
+        }
+    }
+
+    bool holds(const std::string &name) const
+    {
+        const auto slash = name.find('/');
+        const auto it = m_models.find(name.substr(0, slash));
+        return it != m_models.end() && (slash == std::string::npos || it->second.contains(name.substr(slash + 1)));
+    }
+
+    void call(const net::ExchangePointer &exchange)
+    {
+        const auto &request = exchange->request();
+        const std::string id(header(request.headers, "Request-Id"));
+        if (isEngine() && !holds(std::string(header(request.headers, "Model")))) {
+            exchange->respond({421, {{"Instance-Id", m_options.id}, {"Request-Id", id}}, {}});
+            return;
+        }
+        if (m_program.faults().faults.crashesOn(request.body)) {
+            crash();
+        }
+        ++m_runs[id];
+        const net::Headers headers{
+            {"Request-Id", id}, {"Server-Seal", "seal-" + m_options.id}, {"Content-Type", isEngine() ? "text/event-stream" : "text/plain"}};
+        if (!isEngine()) {
+            exchange->respond({200, headers, "run by " + m_options.id + '\n'});
+            return;
+        }
+        const std::string last(header(request.headers, "Last-Event-Id"));
+        exchange->startStream(200, headers);
+        stream(exchange, last.empty() ? 1 : std::stoull(last) + 1);
+    }
+
+    void stream(const net::ExchangePointer &exchange, std::uint64_t number)
+    {
+        if (number > m_options.events) {
+            exchange->endStream();
+            return;
+        }
+        exchange->writePiece("id: " + std::to_string(number) + "\ndata: word" + std::to_string(number) + "\n\n");
+        callAfter(m_program.context(), std::chrono::milliseconds(m_options.eventMilliseconds), [this, exchange, number] { stream(exchange, number + 1); });
+    }
+
+    Program &m_program;
+    Options m_options;
+    std::map<std::string, std::set<std::string>> m_models;
+    std::map<std::string, int> m_runs;
+    std::int64_t m_born = base::toMilliseconds(base::now());
+    std::uint64_t m_beats = 0;
+    std::uint64_t m_orders = 0;
+    std::uint64_t m_fence = 0;
+    bool m_isBusy = false;
+    bool m_isLeaving = false;
+};
+
+} // namespace
+
+} // namespace turmericplank::standins::siteendpoint
+
+int main(int argc, char **argv)
+{
+    using namespace turmericplank::standins;
+    CLI::App app("Stand-in of a users' endpoint: a model engine, or without models a plain service.");
+    siteendpoint::Options options;
+    app.add_option("--id", options.id, "its name in the store");
+    app.add_option("--service", options.service, "service that it belongs to");
+    app.add_option("--zone", options.zone, "availability zone");
+    app.add_option("--address", options.address, "address that it tells")->required();
+    app.add_option("--store", options.store, "address of the metadata store")->required();
+    app.add_option("--model", options.models, "a model that it holds; repeatable");
+    app.add_option("--event-ms", options.eventMilliseconds, "time between two events");
+    app.add_option("--events", options.events, "events of a stream");
+    Program program(app);
+    CLI11_PARSE(app, argc, argv);
+    siteendpoint::Endpoint endpoint(program, options);
+    endpoint.beat();
+    return program.serve([&endpoint](const turmericplank::net::ExchangePointer &exchange) { endpoint.answer(exchange); });
+}
--- /dev/null
+++ b/standins/sitestore/main.cpp
@@ -0,0 +1,108 @@
+#include <list>
+
+#include <CLI/CLI.hpp>
+
+#include "common/program.hpp"
+#include "sitestore/tables.hpp"
+
+namespace turmericplank::standins::sitestore {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t MostRows = 500;
+
+/// @brief The users' metadata store: transactions, reads, and reads that wait for a change.
+class Store
+{
+public:
+    explicit Store(Program &program)
+        : m_program(program)
+    {
+    }
+
+    void answer(const net::ExchangePointer &exchange)
+    {
+        const auto &request = exchange->request();
+        const auto path = net::path(request.target);
+        if (path == "/-/rows-tx") {
+            transact(exchange);
+        } else if (path == "/-/rows-get") {
+            read(exchange);
+        } else if (path == "/-/rows-feed") {
+            watch(exchange);
+        } else {
+            exchange->respond(errorResponse(404, "no_such_call"));
+        }
+    }
+
+private:
+    struct Watch
+    {
+        std::string table;
+        std::uint64_t after = 0;
+        net::ExchangePointer exchange;
+    };
+
+    void transact(const net::ExchangePointer &exchange)
+    {
+        const auto json = Json::parse(exchange->request().body, nullptr, false);
+        if (!json.is_object()) {
+            exchange->respond(errorResponse(400, "not_json"));
+            return;
+        }
+        const auto [status, body] = m_tables.transact(json);
+        exchange->respond(jsonResponse(status, body));
+        m_watches.remove_if([this](const Watch &it) { return answerWatch(it, false); });
+    }
+
+    void read(const net::ExchangePointer &exchange)
+    {
+        const auto parameter = [&exchange](const char *name) {
+            return net::queryParameter(exchange->request().target, name);
+        };
+        const auto limit = parameter("limit").empty() ? MostRows : std::min(MostRows, std::size_t(std::stoul(parameter("limit"))));
+        exchange->respond(jsonResponse(200, m_tables.rows(parameter("table"), parameter("part"), parameter("from"), limit)));
+    }
+
+    void watch(const net::ExchangePointer &exchange)
+    {
+        const auto &target = exchange->request().target;
+        const Watch watch{net::queryParameter(target, "table"), std::stoull(net::queryParameter(target, "after")), exchange};
+        if (answerWatch(watch, false)) {
+            return;
+        }
+        m_watches.push_back(watch);
+        callAfter(m_program.context(), std::chrono::milliseconds(std::stoul(net::queryParameter(target, "waitMs"))),
+                  [this, exchange] { m_watches.remove_if([&](const Watch &it) { return it.exchange == exchange && answerWatch(it, true); }); });
+    }
+
+    bool answerWatch(const Watch &watch, bool isOver)
+    {
+        const auto changes = m_tables.changes(watch.table, watch.after);
+        if (changes.empty() && !isOver) {
+            return false;
+        }
+        watch.exchange->respond(jsonResponse(200, {{"rows", changes}, {"ver", m_tables.version()}}));
+        return true;
+    }
+
+    Program &m_program;
+    Tables m_tables;
+    std::list<Watch> m_watches;
+};
+
+} // namespace
+
+} // namespace turmericplank::standins::sitestore
+
+int main(int argc, char **argv)
+{
+    using namespace turmericplank::standins;
+    CLI::App app("Stand-in of the users' metadata store: rows in tables, transactions, and a feed of changes.");
+    Program program(app);
+    CLI11_PARSE(app, argc, argv);
+    sitestore::Store store(program);
+    return program.serve([&store](const turmericplank::net::ExchangePointer &exchange) { store.answer(exchange); });
+}
