Waiting and refusing as decisions of their own

Change: forwarding/waiting says how long a call may wait by cause and when relief is expected, and turns away what its best engine cannot begin in time; the advice to come back keeps its spread where patience is short; streams speak against an engine beside its expected time.

--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -11,6 +11,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include "turmericplank/forwarding/retryadvice.hpp"
+#include "turmericplank/forwarding/waiting.hpp"
 #include "turmericplank/gateway/endpointpool.hpp"
 #include "turmericplank/gateway/fleet.hpp"
 #include "turmericplank/gateway/interface.hpp"
@@ -28,8 +29,7 @@
 struct ForwarderOptions
 {
     base::Duration parkInterval = std::chrono::milliseconds(20); ///< between two looks for an endpoint of a call that waits here
-    double parkShare = 0.5; ///< of the objective that a call waits here at most before it is refused
-    base::Duration shortestPark = std::chrono::milliseconds(150); ///< about a round of notices, after which an adapter may be there
+    forwarding::WaitOptions wait;
     double firstEventShare = 2.5; ///< of the objective, after which a silent endpoint is given up for a stream that may go on elsewhere
     base::Duration shortestFirstEvent = std::chrono::milliseconds(1000);
     double eventGapShare = 4; ///< of the objective between two events, likewise
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -24,8 +24,8 @@
     base::Duration listInterval = std::chrono::seconds(20); ///< new daemons are heard by their own notices meanwhile
     std::size_t wholeSite = 10; ///< daemons up to which all tell all; above, only those of a group
     std::size_t groupSize = 8; ///< daemons of one zone that tell each other everything: 8 KB/s each way at some 120 endpoints
-    base::Duration firstListInterval = std::chrono::milliseconds(1000); ///< until all that started together have been seen
-    base::Duration firstListTime = std::chrono::seconds(6);
+    base::Duration firstListInterval = std::chrono::milliseconds(1500); ///< until all that started together have been seen
+    base::Duration firstListTime = std::chrono::milliseconds(4500);
 };
 
 /// @brief Where another daemon is.
--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -43,7 +43,7 @@
     base::Duration followInterval = std::chrono::milliseconds(2000); ///< between two looks at another daemon's lease
     base::Duration holdTime = std::chrono::milliseconds(2600); ///< a holder may give orders this long after its last renewal
     base::Duration tellTime = std::chrono::milliseconds(2500); ///< by then the engines' entries show what was ordered
-    base::Duration orderTimeout = std::chrono::milliseconds(1000);
+    base::Duration orderTimeout = std::chrono::milliseconds(500); ///< engines answer orders in a few milliseconds
     base::Duration storelessTime = std::chrono::seconds(20); ///< a holder goes on without the store; engines refuse it once another has ordered
     base::Duration longestPause = std::chrono::milliseconds(1000); ///< between two ticks of a process that was not suspended
     base::Duration thawReserve = std::chrono::milliseconds(500); ///< beyond the pause between two holders
--- a/src/turmericplank/forwarding/retryadvice.cpp
+++ b/src/turmericplank/forwarding/retryadvice.cpp
@@ -6,11 +6,11 @@
 
 base::Duration retryAdvice(base::Duration relief, base::Duration patience, const RetryAdviceOptions &options, std::mt19937_64 &random)
 {
-    const auto shortest = std::max(relief, options.least);
+    // The spread is kept where the caller's patience is short: otherwise all would return at its end.
+    const auto longestStart = std::chrono::duration_cast<base::Duration>(patience * options.mostOfPatience / (1 + options.spread));
+    const auto start = std::max(std::min(std::max(relief, options.least), longestStart), base::Duration(0));
     const double share = std::uniform_real_distribution<double>(0, options.spread)(random);
-    const auto spread = std::chrono::duration_cast<base::Duration>(shortest * share);
-    const auto most = std::chrono::duration_cast<base::Duration>(patience * options.mostOfPatience);
-    return std::max(std::min(shortest + spread, most), base::Duration(0));
+    return start + std::chrono::duration_cast<base::Duration>(start * share);
 }
 
 } // namespace turmericplank::forwarding
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t EntriesOfZone = 2; ///< one may be lost
 constexpr double ConnectionShare = 0.9; ///< of an endpoint's connections; the rest is for daemons that are not heard
 constexpr std::uint32_t LeastConnections = 4; ///< of one daemon to one endpoint
+constexpr double StreamBurden = 2; ///< milliseconds; without it near ties of all prompts with one first part go to one engine
 constexpr auto OtherZoneDistance = std::chrono::microseconds(1250); ///< one way, between the zones of one region
 
 /// What engines of this kind need for a token, until they are measured.
@@ -36,7 +37,7 @@
     routing::EngineSpeed speed;
     speed.promptMillisecondsPerToken = 0.03; // about 30 prompt tokens a millisecond
     speed.stepMilliseconds = 5;
-    speed.stepMillisecondsPerStream = 1; // a stream also brings its prompt, which holds up the others of its engine
+    speed.stepMillisecondsPerStream = 0.1;
     speed.averageAnswerTokens = 250;
     return speed;
 }
@@ -48,6 +49,7 @@
         return zone == own ? base::Duration(0) : base::Duration(OtherZoneDistance);
     };
     options.speed = engineSpeed();
+    options.streamBurden = StreamBurden;
     options.health.failuresToBlock = 4; // a plain service may fail a seventh of its calls and be well
     return options;
 }
--- a/src/turmericplank/gateway/transfer.cpp
+++ b/src/turmericplank/gateway/transfer.cpp
@@ -17,8 +17,6 @@
 constexpr std::uint32_t MostUrgency = 9;
 constexpr std::uint32_t DeferredUrgency = 3; ///< added for calls whose objective lies behind DeferredObjective
 constexpr auto DeferredObjective = std::chrono::milliseconds(1000);
-constexpr auto ReliefOfFullEndpoint = std::chrono::milliseconds(200); ///< about the time in which some slots change hands
-constexpr auto ReliefOfMissingWeights = std::chrono::milliseconds(1000); ///< a round of orders and a part of a load
 
 /// Statuses that promise a caller that its call has not run; an endpoint that does not say so itself gives no such promise.
 bool claimsNotRun(int status)
@@ -60,8 +58,8 @@
 {
     const auto &services = m_routes->configuration().services;
     const auto spec = services.find(m_service);
-    const bool isEngine = spec != services.end() && spec->second.engine;
-    m_work = workName(m_service, isEngine ? m_call.model : base::ModelName());
+    m_isEngine = spec != services.end() && spec->second.engine;
+    m_work = workName(m_service, m_isEngine ? m_call.model : base::ModelName());
     ++*m_inProgress;
 }
 
@@ -73,8 +71,6 @@
 void Transfer::start()
 {
     m_exchange->setOnClosed([self = Pointer(this)] { self->onCallerGone(); });
-    const auto longestPark = std::chrono::duration_cast<base::Duration>(m_route.objective * m_forwarder.m_options.parkShare);
-    m_parkedUntil = std::min(m_arrivedAt + std::max(longestPark, m_forwarder.m_options.shortestPark), m_attempts.deadline());
     m_forwarder.countDemand(m_service, m_call);
     watchDeadline();
     place();
@@ -119,7 +115,11 @@
         const auto choice = m_forwarder.m_parts.router.choose(request, now, m_forwarder.m_parts.random);
         if (!choice) {
             const bool isAbsent = choice.error().reason == routing::NoRouteReason::NotResident || choice.error().reason == routing::NoRouteReason::UnknownModel;
-            park(isAbsent ? RefusalReason::NotResident : RefusalReason::NoEndpoint);
+            park(isAbsent ? missingCause() : forwarding::WaitCause::Full);
+            return;
+        }
+        if (isTooLateThere(*choice)) {
+            park(forwarding::WaitCause::Full);
             return;
         }
         if (m_forwarder.m_parts.pool.hasRoom(choice->endpoint)) {
@@ -132,17 +132,37 @@
     }
 }
 
-void Transfer::park(RefusalReason reason)
+forwarding::WaitCause Transfer::missingCause() const
+{
+    const auto &model = m_call.model.text();
+    const auto slash = model.find('/');
+    const bool isAdapter = slash != std::string::npos;
+    const bool hasBase = isAdapter && m_forwarder.m_parts.router.replicas(workName(m_service, base::ModelName(model.substr(0, slash)))) > 0;
+    return hasBase ? forwarding::WaitCause::AdapterMissing : forwarding::WaitCause::ModelMissing;
+}
+
+/// A stream that has begun goes on wherever it can.
+bool Transfer::isTooLateThere(const routing::Choice &choice) const
 {
-    m_waitsFor = reason;
+    const bool isFirstSend = m_isEngine && m_attempts.sends() == 0;
+    return isFirstSend && forwarding::comesTooLate(choice.expectedFirstToken, m_route.objective, m_forwarder.m_options.wait);
+}
+
+void Transfer::park(forwarding::WaitCause cause)
+{
+    const auto now = base::now();
+    const bool isMissing = cause != forwarding::WaitCause::Full;
+    m_waitCause = cause;
+    m_waitsFor = isMissing ? RefusalReason::NotResident : RefusalReason::NoEndpoint;
+    m_parkedSince = m_parkedSince.value_or(now);
     if (!is_linked()) {
         m_forwarder.m_parked->push_back(*this);
-        if (reason == RefusalReason::NotResident) {
+        if (isMissing) {
             m_forwarder.m_parts.onNotResident(m_service, m_call.model);
         }
     }
-    if (base::now() >= m_parkedUntil) {
-        give(m_attempts.giveUp(base::now()));
+    if (now >= *m_parkedSince + forwarding::longestWait(cause, m_route.objective, m_forwarder.m_options.wait)) {
+        give(m_attempts.giveUp(now));
     }
 }
 
@@ -447,7 +467,7 @@
     const auto now = base::now();
     Refusal refusal{reason, std::nullopt};
     if (!m_attempts.mayHaveRun()) {
-        const auto relief = reason == RefusalReason::NotResident ? base::Duration(ReliefOfMissingWeights) : base::Duration(ReliefOfFullEndpoint);
+        const auto relief = forwarding::expectedRelief(m_waitCause, m_isEngine, m_forwarder.m_options.wait);
         refusal.retryAfter = forwarding::retryAdvice(relief, m_attempts.deadline() - now, m_forwarder.m_options.advice, m_forwarder.m_parts.random);
     }
     const auto lastRead = m_forwarder.m_parts.fleet.lastRead();
--- a/src/turmericplank/gateway/transfer.hpp
+++ b/src/turmericplank/gateway/transfer.hpp
@@ -49,7 +49,9 @@
     };
 
     void place();
-    void park(RefusalReason reason);
+    void park(forwarding::WaitCause cause);
+    forwarding::WaitCause missingCause() const;
+    bool isTooLateThere(const routing::Choice &choice) const;
     void borrow(const routing::Choice &choice);
     void onLoan(std::uint64_t number, tl::expected<Loan, LoanFailure> loan);
     void sendOn(const Loan &loan);
@@ -83,7 +85,9 @@
     base::ServiceName m_service;
     base::ModelName m_work;
     base::Time m_arrivedAt;
-    base::Time m_parkedUntil;
+    std::optional<base::Time> m_parkedSince;
+    forwarding::WaitCause m_waitCause = forwarding::WaitCause::Full;
+    bool m_isEngine = false;
     base::Time m_firstEventAt;
     base::Time m_lastEventAt;
     base::Duration m_longestGap{0}; ///< between two pieces of a stream, for the log
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -99,7 +99,7 @@
             cost.source = m_cached.front().first;
         }
     }
-    cost.burden = cost.prompt * m_options.promptBurden * std::min(1.0, work.streams / concurrency);
+    cost.burden = cost.prompt * m_options.promptBurden * std::min(1.0, work.streams / concurrency) + m_options.streamBurden * work.streams;
 }
 
 bool Router::isBetter(const Weighed &a, const Weighed &b)
