Placement: a load is worth what moves times the difference it moves over

Change: gain is the reduction of the squared loads; what a model must yield grows with what comes. Its test fails with the former gain.

--- a/include/turmericplank/placement/replicaplanner.hpp
+++ b/include/turmericplank/placement/replicaplanner.hpp
@@ -33,11 +33,12 @@
 struct ReplicaPlannerOptions
 {
     double busy = 0.30; ///< load of a model's least busy engine above which another engine is worth a load; late gaps begin about there
-    double leastGain = 0.12; ///< by which the new engine has to be less busy, so that replicas do not go back and forth
+    double leastGain = 0.03; ///< load that moves times the difference that it moves over; below, replicas would go back and forth
     double smallestLoad = 0.03; ///< of a model that is given another engine
-    double evictionPrice = 0.08; ///< in load: an unload waits for the requests in progress
-    double storePrice = 0.05; ///< in load: a load from the weight store takes seconds longer than one from a copy
+    double evictionPrice = 0.02; ///< as gain: an unload waits for the requests in progress
+    double storePrice = 0.02; ///< as gain: a load from the weight store takes seconds longer than one from a copy
     double yieldingShare = 0.15; ///< largest load that a model may have on an engine that it yields
+    double yieldingPart = 0.25; ///< the same, in parts of the load that comes
     base::Duration intentTime = std::chrono::seconds(12); ///< an unload and a load have ended by then, or never will
 };
 
--- a/src/turmericplank/placement/replicaplanner.cpp
+++ b/src/turmericplank/placement/replicaplanner.cpp
@@ -44,6 +44,7 @@
             }
         }
         spread.capacity.assign(input.engines.size(), 1.0);
+        listPresent();
         rebalanceAll();
     }
 
@@ -75,13 +76,29 @@
         return least;
     }
 
-    /// Engines that serve a model now and go on to.
-    std::size_t presentReplicas(const base::ModelName &model) const
+    void listPresent()
     {
-        return static_cast<std::size_t>(std::ranges::count_if(input.engines, [&model](const auto &it) {
-            const auto resident = it.residents.find(modelResident(model));
-            return resident != it.residents.end() && resident->second == ResidentState::Present;
-        }));
+        presentOn.resize(input.engines.size());
+        present.assign(names.size(), 0);
+        for (std::uint32_t engine = 0; engine < input.engines.size(); ++engine) {
+            for (const auto &[resident, state] : input.engines[engine].residents) {
+                const auto it = std::ranges::lower_bound(names, resident.model);
+                if (resident.adapter.isEmpty() && state == ResidentState::Present && it != names.end() && *it == resident.model) {
+                    const auto model = static_cast<std::uint32_t>(it - names.begin());
+                    presentOn[engine].push_back(model);
+                    ++present[model];
+                }
+            }
+        }
+    }
+
+    /// Reduction of the sum of squared loads, halved: what moves to the engine times the difference that it moves over.
+    double gain(std::uint32_t model, std::uint32_t engine, double pressureNow, double &moved) const
+    {
+        const auto replicas = static_cast<double>(spread.replicas[model].size());
+        const double difference = pressureNow - result.load[engine];
+        moved = std::min(load(model).load, difference * replicas / (replicas + 1));
+        return moved * difference;
     }
 
     bool isAtHand(std::uint32_t engine, std::uint32_t model) const
@@ -98,10 +115,8 @@
     std::vector<std::uint32_t> victims(std::uint32_t engine, double yieldingShare) const
     {
         std::vector<std::uint32_t> found;
-        for (std::uint32_t model = 0; model < names.size(); ++model) {
-            const auto resident = input.engines[engine].residents.find(modelResident(names[model]));
-            const bool isPresent = resident != input.engines[engine].residents.end() && resident->second == ResidentState::Present;
-            if (isPresent && presentReplicas(names[model]) > 1 && share(model, engine) <= yieldingShare) {
+        for (const auto model : presentOn[engine]) {
+            if (present[model] > 1 && share(model, engine) <= yieldingShare) {
                 found.push_back(model);
             }
         }
@@ -111,6 +126,8 @@
 
     const ReplicaInput &input;
     std::vector<base::ModelName> names;
+    std::vector<std::vector<std::uint32_t>> presentOn; ///< models that each engine serves now and goes on to
+    std::vector<std::uint32_t> present; ///< engines of each of them
     BalanceInput spread;
     Balance result;
     std::uint32_t storeLoads = 0;
@@ -189,13 +206,15 @@
             for (std::uint32_t engine = 0; isBusy && engine < step.input.engines.size(); ++engine) {
                 const auto &view = step.input.engines[engine];
                 const bool isTaken = m_intents.contains(view.id) || view.residents.contains(modelResident(step.names[model]));
-                const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
-                if (isTaken || (!fits && step.victims(engine, m_options.yieldingShare).empty())) {
+                if (isTaken || pressure <= step.result.load[engine]) {
                     continue;
                 }
+                double moved = 0;
+                const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
                 const double price = (fits ? 0 : m_options.evictionPrice) + (step.isAtHand(engine, model) ? 0 : m_options.storePrice);
-                const double gain = pressure - step.result.load[engine] - price;
-                if (gain > bestGain) {
+                const double gain = step.gain(model, engine, pressure, moved) - price;
+                const double yielding = std::max(m_options.yieldingShare, m_options.yieldingPart * moved);
+                if (gain > bestGain && (fits || !step.victims(engine, yielding).empty())) {
                     bestGain = gain;
                     bestModel = model;
                     best = engine;
--- a/src/turmericplank/placement/replicaplanner_test.cpp
+++ b/src/turmericplank/placement/replicaplanner_test.cpp
@@ -154,3 +154,24 @@
     REQUIRE(second.size() == 1);
     CHECK(second[0].resident.model.text() == "hot");
 }
+
+TEST_CASE("a hot model goes before the rare ones that suffer beside it")
+{
+    // Rare models share the engines of one whose demand has multiplied: more engines for that one help them all.
+    World world(10);
+    for (std::size_t n = 0; n < 10; ++n) {
+        world.hold(n, "calm");
+        world.hold(n, "spare");
+        world.hold(n, "rare" + std::to_string(n));
+        world.load("rare" + std::to_string(n), 0.05);
+    }
+    world.input.engines[0].residents.erase(model("spare"));
+    world.input.engines[0].residents[model("hot")] = ResidentState::Present;
+    world.load("hot", 4.0);
+    world.input.storeLoads = 8;
+    world.run(2);
+    CHECK(world.replicas("hot") >= 5);
+    for (std::size_t n = 0; n < 10; ++n) {
+        CHECK(world.replicas("rare" + std::to_string(n)) == 1);
+    }
+}
