A resumable stream that an endpoint fails is tried elsewhere

Change: an endpoint's own failure counts like a lost answer for calls that may run again. The test that held the opposite for resumable streams is replaced by one as strict; bookings and fixed streams still relay the failure.

--- a/src/turmericplank/forwarding/attempts.cpp
+++ b/src/turmericplank/forwarding/attempts.cpp
@@ -62,7 +62,7 @@
     m_received += isReceived ? 1 : 0;
     const bool hasRun = isReceived && end != SendEnd::Refused;
     m_mayHaveRun = m_mayHaveRun || hasRun;
-    const bool mayRunAgain = !hasRun || (end == SendEnd::Failed ? m_kind.isRepeatable : m_kind.mayRunAgain());
+    const bool mayRunAgain = !hasRun || m_kind.mayRunAgain();
     const bool hasSendsLeft = m_received < m_sendLimit && m_sends - m_received < MostUnreceived;
     const bool isAffordable = end == SendEnd::NotSent || isRetryAllowed;
     if (now < m_deadline && mayRunAgain && hasSendsLeft && isAffordable) {
