--- a/include/turmericplank/forwarding/waiting.hpp
+++ b/include/turmericplank/forwarding/waiting.hpp
@@ -16,9 +16,9 @@
 {
     double fullShare = 0.125; ///< of the objective; a call that waits longer and is refused then has waited for nothing
     base::Duration adapterWait = std::chrono::milliseconds(1200); ///< an order, the load and a round of notices, with some retries
-    double abandonShare = 12; ///< of the objective; callers of a stream give up about then, before its first event
+    double abandonShare = 12; ///< of the objective; callers give up after about half of it, but expected times are rough and mostly too long
     base::Duration modelRelief = std::chrono::milliseconds(2500); ///< a load from the weight store
-    base::Duration engineRelief = std::chrono::milliseconds(2500); ///< until other engines have loaded the model that is asked for
+    base::Duration engineRelief = std::chrono::milliseconds(2000); ///< until other engines have loaded the model that is asked for
     base::Duration serviceRelief = std::chrono::milliseconds(150); ///< a few turns of the slots of a plain service
 };
 
