Logs: lines on answered calls are bounded, the writer never waits for its reader

Cause: every call wrote a line whatever the load, and a reader that stopped would have stopped the daemon.

--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -19,6 +19,7 @@
 #include "turmericplank/net/httpserver.hpp"
 #include "turmericplank/placement/demand.hpp"
 #include "turmericplank/requests/retrybudget.hpp"
+#include "turmericplank/telemetry/linebudget.hpp"
 #include "turmericplank/telemetry/metrics.hpp"
 
 namespace turmericplank::gateway {
@@ -36,6 +37,7 @@
     double retryBudgetShare = 0.8; ///< of what the site allows; the rest is for what the daemons do not yet know of each other
     double promptTokenMilliseconds = 0.034; ///< of an engine's time, at about 30 prompt tokens a millisecond
     double answerTokenMilliseconds = 0.15; ///< of an engine's time with a batch of some 40 requests
+    std::uint32_t answeredLines = 100; ///< log lines a second on calls that were answered; those on others have no bound of their own
     forwarding::RetryAdviceOptions advice;
 };
 
@@ -69,6 +71,9 @@
     /// @brief Looks again for endpoints of the calls that wait here.
     void retryParked();
 
+    /// @brief Logs how many lines on answered calls were left out, if any.
+    void tellLeftOut();
+
     /// @brief Calls that have no final answer yet.
     std::size_t inProgress() const;
 
@@ -88,6 +93,7 @@
     SiteBounds m_bounds;
     ForwarderOptions m_options;
     std::map<base::ServiceName, requests::RetryBudget> m_budgets;
+    telemetry::LineBudget m_answeredLines;
     placement::DemandCounters m_demand;
     double m_fractionOfDemand = 0; ///< milliseconds not counted yet
     std::unique_ptr<TransferList> m_parked;
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -11,6 +11,7 @@
     : m_parts(std::move(parts))
     , m_bounds(bounds)
     , m_options(options)
+    , m_answeredLines(options.answeredLines)
     , m_parked(std::make_unique<TransferList>())
 {
 }
@@ -62,6 +63,14 @@
     }
 }
 
+void Forwarder::tellLeftOut()
+{
+    if (const auto n = m_answeredLines.leftOut(base::now())) {
+        telemetry::log(telemetry::LogLevel::Info, "requests", "lines on answered calls were left out", {{"lines", *n}});
+        m_parts.metrics.count("log_lines_left_out_total", *n);
+    }
+}
+
 std::size_t Forwarder::inProgress() const
 {
     return *m_inProgress;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -95,6 +95,7 @@
         daemon::every(context, ExpireInterval, [this] {
             router.expire(base::now());
             pool.expire(base::now());
+            forwarder.tellLeftOut();
         });
         placementRunner.setOwnDemand([this]() -> const placement::DemandCounters & { return forwarder.demand(); });
         mesh->handle(EndpointsKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerAnswer &answer) {
--- a/src/turmericplank/gateway/transfer.cpp
+++ b/src/turmericplank/gateway/transfer.cpp
@@ -549,6 +549,20 @@
     metrics.count("requests_total{outcome=\"" + std::string(outcome) + "\"}");
     metrics.observe("request_first_answer_seconds", std::chrono::duration<double>(first).count());
     metrics.observe("request_seconds", std::chrono::duration<double>(total).count());
+    if (outcome != "answered" || m_forwarder.m_answeredLines.take(now)) {
+        logEnd(outcome, now);
+    }
+    m_send.reset();
+    m_exchange.reset();
+}
+
+void Transfer::logEnd(std::string_view outcome, base::Time now) const
+{
+    const auto total = now - m_arrivedAt;
+    const auto first = m_isStreaming ? m_firstEventAt - m_arrivedAt : total;
+    const auto milliseconds = [](base::Duration it) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+    };
     telemetry::log(LogLevel::Info, "requests", "ended",
                    {{"request", m_call.id},
                     {"route", m_route.name},
@@ -556,11 +570,9 @@
                     {"endpoint", m_send ? m_send->choice.endpoint.text() : "none"},
                     {"outcome", outcome},
                     {"sends", static_cast<int>(m_attempts.sends())},
-                    {"first_ms", std::chrono::duration_cast<std::chrono::milliseconds>(first).count()},
-                    {"gap_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_longestGap).count()},
-                    {"total_ms", std::chrono::duration_cast<std::chrono::milliseconds>(total).count()}});
-    m_send.reset();
-    m_exchange.reset();
+                    {"first_ms", milliseconds(first)},
+                    {"gap_ms", milliseconds(m_longestGap)},
+                    {"total_ms", milliseconds(total)}});
 }
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/transfer.hpp
+++ b/src/turmericplank/gateway/transfer.hpp
@@ -74,6 +74,7 @@
     void onDeadline();
     void watchDeadline();
     void finish(std::string_view outcome);
+    void logEnd(std::string_view outcome, base::Time now) const;
     void releaseConnection(bool isWhole);
 
     Forwarder &m_forwarder;
--- a/src/turmericplank/telemetry/log.cpp
+++ b/src/turmericplank/telemetry/log.cpp
@@ -3,11 +3,15 @@
 #include <array>
 #include <cstdio>
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+#include <unistd.h>
+
+#include "outputbuffer.hpp"
 
 namespace turmericplank::telemetry {
 
@@ -50,6 +54,41 @@
     return std::string(buf.data(), static_cast<std::size_t>(n));
 }
 
+constexpr std::size_t KeptBytes = 256 * 1024; ///< about a second of lines under a storm of refusals
+
+/// Appends to standard output without waiting for its reader.
+class OutputAppender final : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit OutputAppender(log4cxx::LayoutPtr layout)
+        : m_layout(std::move(layout))
+        , m_buffer(STDOUT_FILENO, KeptBytes)
+    {
+    }
+
+    void close() override
+    {
+        m_buffer.flush();
+    }
+
+    bool requiresLayout() const override
+    {
+        return true;
+    }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        log4cxx::LogString line;
+        m_layout->format(line, event, pool);
+        m_buffer.write(line);
+    }
+
+private:
+    log4cxx::LayoutPtr m_layout;
+    OutputBuffer m_buffer;
+};
+
 } // namespace
 
 LogField::LogField(std::string_view fieldKey, std::string_view fieldValue)
@@ -89,7 +128,7 @@
 void startLogging(LogLevel level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p %m%n"));
-    log4cxx::BasicConfigurator::configure(std::make_shared<log4cxx::ConsoleAppender>(layout));
+    log4cxx::BasicConfigurator::configure(std::make_shared<OutputAppender>(layout));
     setLogLevel(level);
 }
 
