Placement plans by what each engine holds

Cause: on the grown site (112 engines, 538 adapters) the holder's daemon took 0.28 of a core, since each adapter and each model was looked for on every engine, up to 20 times a second. Change: both planners start from the engines' lists; plans follow each other at 2 ms an engine or more; the demand is averaged each 250 ms.

--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -38,6 +38,7 @@
 {
     base::Duration tickInterval = std::chrono::milliseconds(50);
     base::Duration planInterval = std::chrono::milliseconds(250);
+    base::Duration pausePerEngine = std::chrono::milliseconds(2); ///< between two plans: a plan costs some 10 us an engine
     base::Duration summaryInterval = std::chrono::milliseconds(2000); ///< between two log lines on the demand
     base::Duration renewInterval = std::chrono::milliseconds(1200);
     base::Duration followInterval = std::chrono::milliseconds(2000); ///< between two looks at another daemon's lease
@@ -86,6 +87,7 @@
     void tick();
     void stepLease(base::Time now);
     void followTenure(base::Time now);
+    void followDemand(base::Time now);
     bool mayOrder(base::Time now) const;
     void plan(base::Time now);
     void planService(const base::ServiceName &name, Service &service, base::Time now);
@@ -117,6 +119,8 @@
     base::Time m_lastTick;
     base::Time m_storelessUntil; ///< of the tenure, while the store does not answer
     base::Time m_nextPlan;
+    base::Time m_lastPlan;
+    base::Time m_nextDemand;
     base::Time m_nextSummary;
     bool m_isStopped = false;
 };
--- a/src/turmericplank/gateway/placementrunner.cpp
+++ b/src/turmericplank/gateway/placementrunner.cpp
@@ -103,16 +103,26 @@
     }
     stepLease(now);
     followTenure(now);
-    if (m_ownDemand) {
-        m_demand.report(m_self, m_ownDemand());
-    }
-    m_demand.advance(now);
+    followDemand(now);
     if (mayOrder(now) && now >= m_nextPlan) {
         m_nextPlan = now + m_options.planInterval;
+        m_lastPlan = now;
         plan(now);
     }
 }
 
+void PlacementRunner::followDemand(base::Time now)
+{
+    if (now < m_nextDemand) {
+        return;
+    }
+    m_nextDemand = now + m_options.planInterval;
+    if (m_ownDemand) {
+        m_demand.report(m_self, m_ownDemand());
+    }
+    m_demand.advance(now);
+}
+
 /// Without the store the holder goes on under its term: no other daemon can take it over there either, or if only this
 /// one is turned away, the engines refuse its term once the next holder has ordered.
 bool PlacementRunner::mayOrder(base::Time now) const
@@ -300,7 +310,8 @@
     m_known[id] = {notice, base::now() + m_options.tellTime};
     m_parts.onEngine(notice);
     // The engine is free again: what it still lacks need not wait for the next round.
-    m_nextPlan = base::now();
+    const auto pause = std::max(m_options.tickInterval, m_options.pausePerEngine * static_cast<int>(m_parts.fleet.endpoints().size()));
+    m_nextPlan = std::min(m_nextPlan, m_lastPlan + pause);
 }
 
 void PlacementRunner::ask(const base::ServiceName &name, const base::EndpointId &id)
--- a/src/turmericplank/placement/planadapters.cpp
+++ b/src/turmericplank/placement/planadapters.cpp
@@ -19,23 +19,33 @@
     return std::any_of(endpoint.adapters.begin(), endpoint.adapters.end(), isSame);
 }
 
-bool holdsBase(const HeldEndpoint &endpoint, std::uint32_t model)
+/// Endpoints that hold each model, by the model's index: an adapter is nowhere else.
+using Bases = std::vector<std::vector<std::uint32_t>>;
+
+Bases basesOf(const PlanState &state)
 {
-    const auto isBase = [model](const auto &it) {
-        return it.model == model && it.state == ResidentState::Present;
-    };
-    return std::any_of(endpoint.models.begin(), endpoint.models.end(), isBase);
+    Bases bases(state.models.size());
+    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+        for (const auto &held : state.endpoints[n].models) {
+            const bool isKnown = held.model < bases.size();
+            if (isKnown && held.state == ResidentState::Present && (bases[held.model].empty() || bases[held.model].back() != n)) {
+                bases[held.model].push_back(n);
+            }
+        }
+    }
+    return bases;
 }
 
 /// Endpoints with the base model where an adapter could go, those of zones that do not have it yet first.
-std::vector<std::uint32_t> placesFor(const PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, const std::set<base::ZoneName> &zones)
+std::vector<std::uint32_t> placesFor(const PlanState &state, const configuration::Adapter &adapter, const std::vector<std::uint32_t> &bases,
+                                     const std::set<base::ZoneName> &zones)
 {
     std::vector<std::uint32_t> places;
-    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+    for (const auto n : bases) {
         const auto &endpoint = state.endpoints[n];
         const bool hasRoom = endpoint.freeNow >= std::int64_t(adapter.memoryMib);
         const bool hasSlot = endpoint.adapters.size() < endpoint.view->adapterSlots;
-        if (holdsBase(endpoint, model) && endpoint.view->isOrderable && hasRoom && hasSlot && !holdsAdapter(endpoint, adapter.name)) {
+        if (endpoint.view->isOrderable && hasRoom && hasSlot && !holdsAdapter(endpoint, adapter.name)) {
             places.push_back(n);
         }
     }
@@ -47,23 +57,20 @@
     return places;
 }
 
-/// Where one adapter is, and where its base model is.
+/// Where one adapter is.
 struct Copies
 {
     std::set<base::ZoneName> zones;
     std::size_t holders = 0;
-    std::size_t bases = 0;
 };
 
-Copies copiesOf(const PlanState &state, const base::AdapterName &adapter, std::uint32_t model)
+Copies copiesOf(const PlanState &state, const base::AdapterName &adapter, const std::vector<std::uint32_t> &bases)
 {
     Copies copies;
-    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
-        const auto &endpoint = state.endpoints[n];
-        copies.bases += holdsBase(endpoint, model) ? 1 : 0;
-        for (const auto &held : endpoint.adapters) {
+    for (const auto n : bases) {
+        for (const auto &held : state.endpoints[n].adapters) {
             if (held.adapter == adapter && held.state != ResidentState::Leaving && !state.leavingAdapters.contains({adapter, n})) {
-                copies.zones.insert(endpoint.view->zone);
+                copies.zones.insert(state.endpoints[n].view->zone);
                 ++copies.holders;
             }
         }
@@ -86,11 +93,15 @@
 }
 
 /// Adds copies of one adapter where there is room, up to a number of them.
-void planAdapter(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, std::size_t target, std::uint32_t &allowed)
+void planAdapter(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, const std::vector<std::uint32_t> &bases, std::size_t target,
+                 std::uint32_t &allowed)
 {
-    auto copies = copiesOf(state, adapter.name, model);
-    target = std::min(target, copies.bases);
-    for (const auto n : placesFor(state, adapter, model, copies.zones)) {
+    auto copies = copiesOf(state, adapter.name, bases);
+    target = std::min(target, bases.size());
+    if (copies.holders >= target) {
+        return;
+    }
+    for (const auto n : placesFor(state, adapter, bases, copies.zones)) {
         if (copies.holders >= target || allowed == 0) {
             return;
         }
@@ -109,9 +120,9 @@
     }
 }
 
-bool isElsewhere(const PlanState &state, const base::AdapterName &adapter, std::uint32_t except)
+bool isElsewhere(const PlanState &state, const base::AdapterName &adapter, const std::vector<std::uint32_t> &bases, std::uint32_t except)
 {
-    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+    for (const auto n : bases) {
         const bool mayStay = n != except && !state.leavingAdapters.contains({adapter, n});
         const auto isPresent = [&adapter](const auto &it) {
             return it.adapter == adapter && it.state == ResidentState::Present;
@@ -137,23 +148,24 @@
 }
 
 /// Frees a slot for an adapter that is asked for and is nowhere: what is least asked for yields, spare copies first.
-void makeSlot(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model)
+void makeSlot(PlanState &state, const configuration::Adapter &adapter, std::uint32_t model, const Bases &bases)
 {
     const double rate = rateOf(state, adapter.name);
-    if (rate <= 0 || copiesOf(state, adapter.name, model).holders > 0) {
+    if (rate <= 0 || copiesOf(state, adapter.name, bases[model]).holders > 0) {
         return;
     }
     HeldAdapter *victim = nullptr;
     std::uint32_t at = 0;
     std::tuple<bool, double> lowest(true, rate / YieldShare);
-    for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
+    for (const auto n : bases[model]) {
         auto &endpoint = state.endpoints[n];
         const bool isFull = endpoint.adapters.size() >= endpoint.view->adapterSlots;
-        if (!isFull || !holdsBase(endpoint, model) || !endpoint.view->isOrderable) {
+        if (!isFull || !endpoint.view->isOrderable) {
             continue;
         }
         for (auto &held : endpoint.adapters) {
-            const std::tuple rank(!isElsewhere(state, held.adapter, n), rateOf(state, held.adapter));
+            const bool isSpare = held.model < bases.size() && isElsewhere(state, held.adapter, bases[held.model], n);
+            const std::tuple rank(!isSpare, rateOf(state, held.adapter));
             if (held.state == ResidentState::Present && rank < lowest) {
                 lowest = rank;
                 victim = &held;
@@ -170,12 +182,13 @@
 
 void planAdapters(PlanState &state)
 {
+    const auto bases = basesOf(state);
     for (std::uint32_t n = 0; n < state.endpoints.size(); ++n) {
         for (auto &held : state.endpoints[n].adapters) {
             const bool isConfigured = state.document.adapters.contains(held.adapter);
             if (!isConfigured) {
                 unloadAdapter(state, n, held, MoveReason::Removed);
-            } else if (state.leavingAdapters.contains({held.adapter, n}) && isElsewhere(state, held.adapter, n)) {
+            } else if (state.leavingAdapters.contains({held.adapter, n}) && held.model < bases.size() && isElsewhere(state, held.adapter, bases[held.model], n)) {
                 unloadAdapter(state, n, held, MoveReason::MakeRoom);
             }
         }
@@ -192,11 +205,11 @@
     std::stable_sort(wanted.begin(), wanted.end(),
                      [&state](const auto &a, const auto &b) { return rateOf(state, a.first->name) > rateOf(state, b.first->name); });
     for (const auto &[adapter, model] : wanted) {
-        planAdapter(state, *adapter, model, 1, allowed);
-        makeSlot(state, *adapter, model);
+        planAdapter(state, *adapter, model, bases[model], 1, allowed);
+        makeSlot(state, *adapter, model, bases);
     }
     for (const auto &[adapter, model] : wanted) {
-        planAdapter(state, *adapter, model, wantedCopies(state, adapter->name, model, state.endpoints.size()), allowed);
+        planAdapter(state, *adapter, model, bases[model], wantedCopies(state, adapter->name, model, bases[model].size()), allowed);
     }
 }
 
--- a/src/turmericplank/placement/replicaplanner.cpp
+++ b/src/turmericplank/placement/replicaplanner.cpp
@@ -34,17 +34,9 @@
         for (const auto &[name, load] : input.models) {
             names.push_back(name);
             spread.demand.push_back(load.load);
-            auto &engines = spread.replicas.emplace_back();
-            for (std::uint32_t n = 0; n < input.engines.size(); ++n) {
-                const auto intent = intents.find(input.engines[n].id);
-                const bool isIntended = intent != intents.end() && intent->second.model == name;
-                if (holds(input.engines[n], name) || isIntended) {
-                    engines.push_back(n);
-                }
-            }
         }
         spread.capacity.assign(input.engines.size(), 1.0);
-        listPresent();
+        listEngines(intents);
         rebalanceAll();
     }
 
@@ -76,18 +68,34 @@
         return least;
     }
 
-    void listPresent()
+    std::optional<std::uint32_t> indexOf(const base::ModelName &model) const
+    {
+        const auto it = std::ranges::lower_bound(names, model);
+        return it != names.end() && *it == model ? std::optional(static_cast<std::uint32_t>(it - names.begin())) : std::nullopt;
+    }
+
+    /// Where each model is, arrives or is intended, and which of these serve it now.
+    void listEngines(const std::map<base::EndpointId, Intent> &intents)
     {
+        spread.replicas.resize(names.size());
         presentOn.resize(input.engines.size());
         present.assign(names.size(), 0);
         for (std::uint32_t engine = 0; engine < input.engines.size(); ++engine) {
             for (const auto &[resident, state] : input.engines[engine].residents) {
-                const auto it = std::ranges::lower_bound(names, resident.model);
-                if (resident.adapter.isEmpty() && state == ResidentState::Present && it != names.end() && *it == resident.model) {
-                    const auto model = static_cast<std::uint32_t>(it - names.begin());
-                    presentOn[engine].push_back(model);
-                    ++present[model];
+                const auto model = resident.adapter.isEmpty() && state != ResidentState::Leaving ? indexOf(resident.model) : std::nullopt;
+                if (!model) {
+                    continue;
                 }
+                spread.replicas[*model].push_back(engine);
+                if (state == ResidentState::Present) {
+                    presentOn[engine].push_back(*model);
+                    ++present[*model];
+                }
+            }
+            const auto intent = intents.find(input.engines[engine].id);
+            const auto model = intent == intents.end() ? std::nullopt : indexOf(intent->second.model);
+            if (model && (spread.replicas[*model].empty() || spread.replicas[*model].back() != engine)) {
+                spread.replicas[*model].push_back(engine);
             }
         }
     }
