Configuration and addresses are passed on; a daemon on its own waits for changes too

A second fault came out in the test: a daemon that read for itself for want of its reader took its own read for the reader's and might never wait. Change: a reader passes the configuration's text on; notices say where their sender is; entries are read at half of the drain time; every reader waits for changes, and so does a daemon to which nothing was passed on for 72 in 100 of it.

--- a/include/turmericplank/gateway/interface.hpp
+++ b/include/turmericplank/gateway/interface.hpp
@@ -62,6 +62,7 @@
 {
     std::shared_ptr<const routes::SiteConfiguration> configuration; ///< null where there is none yet
     std::uint64_t position = 0; ///< of the store's history, to wait for what follows
+    std::string text; ///< the configuration as operators wrote it, for daemons that do not read it themselves
 };
 
 /// @brief Every endpoint's entry as of one moment.
@@ -81,6 +82,8 @@
     /// Answers when something changed behind the position, or with nothing new after a while.
     std::function<void(std::uint64_t position, ReadHook<ReadConfiguration>)> awaitConfiguration;
     std::function<void(ReadHook<ReadEndpoints>)> readEndpoints;
+    /// Reads what ReadConfiguration::text holds; null if it cannot be read.
+    std::function<std::shared_ptr<const routes::SiteConfiguration>(const std::string &)> parseConfiguration;
     store::Table table; ///< rows of our own
 };
 
--- a/include/turmericplank/gateway/peernotice.hpp
+++ b/include/turmericplank/gateway/peernotice.hpp
@@ -7,6 +7,7 @@
 
 #include <tl/expected.hpp>
 
+#include "turmericplank/base/address.hpp"
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/number.hpp"
 #include "turmericplank/placement/conditionalorder.hpp"
@@ -40,6 +41,9 @@
 struct PeerNotice
 {
     base::DaemonId from;
+    base::Address peers; ///< where the sender listens for other daemons
+    base::Address callers; ///< and for callers
+    base::ZoneName zone;
     base::Incarnation incarnation;
     bool isReady = false;
     bool isLeaving = false;
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -21,11 +21,11 @@
     base::Duration silentAfter = std::chrono::milliseconds(1400); ///< three notices missed
     base::Duration forgetAfter = std::chrono::seconds(10); ///< a daemon that is silent for longer gets no notices between reads of the list
     base::Duration farInterval = std::chrono::milliseconds(1000); ///< between notices of the holder to all, and of all to the holder
-    base::Duration listInterval = std::chrono::seconds(20); ///< new daemons are heard by their own notices meanwhile
+    base::Duration listInterval = std::chrono::seconds(60); ///< new daemons tell where they are in their own notices meanwhile
     std::size_t wholeSite = 10; ///< daemons up to which all tell all; above, only those of a group
-    std::size_t groupSize = 8; ///< daemons of one zone that tell each other everything: 8 KB/s each way at some 120 endpoints
+    std::size_t groupSize = 13; ///< daemons of one zone that tell each other everything; fewer groups read the store less often
     base::Duration firstListInterval = std::chrono::milliseconds(1500); ///< until all that started together have been seen
-    base::Duration firstListTime = std::chrono::milliseconds(4500);
+    base::Duration firstListTime = std::chrono::milliseconds(3500);
 };
 
 /// @brief Where another daemon is.
@@ -53,6 +53,7 @@
     struct Hooks
     {
         std::function<void(PeerNotice &)> fillNotice; ///< adds what this daemon has to tell
+        std::function<placement::DemandCounters()> demand; ///< told to the holder of the placement lease only
         std::function<void(const PeerNotice &)> onNotice;
         std::function<void(const base::DaemonId &)> onSilent; ///< a daemon is no longer heard
     };
@@ -62,6 +63,9 @@
     /// @brief Tells the others now.
     void tell();
 
+    /// @brief Tells all that this daemon talks to now, also those that it tells more rarely.
+    void tellFar();
+
     /// @brief Says that this daemon leaves, in all notices from now on, and removes its row.
     void leave();
 
@@ -77,6 +81,9 @@
     /// @brief Sends a message to all daemons of the group that are heard.
     void tellGroup(const std::string &kind, const std::string &body);
 
+    /// @brief The same, and from the holder of the placement lease to all daemons.
+    void tellAll(const std::string &kind, const std::string &body);
+
     /// @brief The last notice of each daemon that is heard and does not leave, with where it is.
     std::vector<std::pair<PeerAddress, PeerNotice>> serving() const;
 
@@ -100,6 +107,8 @@
     void checkSilence();
     void group();
     bool isDue(const Peer &peer, base::Time now) const;
+    static bool isHolder(const Peer &peer);
+    void send(const Peer &peer, const std::string &kind, const std::string &body);
 
     boost::asio::io_context &m_context;
     PeerAddress m_self;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 using telemetry::LogLevel;
 
 constexpr const char *EndpointsKind = "gateway/endpoints";
+constexpr const char *ConfigurationKind = "gateway/configuration";
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr auto EntryKeepTime = std::chrono::seconds(1); ///< callers ask again after it; some keep an answer three times as long
@@ -62,6 +63,14 @@
     return net::listenHttp(context, options);
 }
 
+SiteViewOptions viewOptions(const SiteBounds &bounds)
+{
+    SiteViewOptions options;
+    options.endpointsInterval = bounds.drainTime / 2;
+    options.passedLimit = bounds.drainTime * 72 / 100;
+    return options;
+}
+
 peer::MeshOptions meshOptions(const Settings &settings)
 {
     peer::MeshOptions options;
@@ -83,7 +92,7 @@
         , pool(context, {})
         , mesh(peer::openMesh(context, meshOptions(settings)))
         , forwarder(forwarderParts(), settings.bounds)
-        , view(context, siteStore, fleet, metrics, viewHooks())
+        , view(context, siteStore, fleet, metrics, viewHooks(), viewOptions(settings.bounds))
         , placementRunner(placementParts(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerHooks())
     {
@@ -102,6 +111,10 @@
             answer.end();
             takeEntries(from, body);
         });
+        mesh->handle(ConfigurationKind, [this](const base::DaemonId &, const std::string &body, const peer::PeerAnswer &answer) {
+            answer.end();
+            view.takePassedConfiguration(body);
+        });
         view.start();
     }
 
@@ -123,8 +136,10 @@
     SiteView::Hooks viewHooks()
     {
         return {[this] { onConfiguration(); }, [this](const auto &changes) { onEndpoints(changes); }, [this] { return peers.isReader(); },
-                [this](const auto &entries) {
-                    peers.tellGroup(EndpointsKind, encode(entries));
+                [this](const auto &entries) { peers.tellGroup(EndpointsKind, encode(entries)); },
+                [this](const auto &text) {
+                    peers.tellAll(ConfigurationKind, text);
+                    peers.tellFar();
                 }};
     }
 
@@ -147,6 +162,9 @@
         hooks.fillNotice = [this](PeerNotice &notice) {
             fillNotice(notice);
         };
+        hooks.demand = [this] {
+            return forwarder.demand();
+        };
         hooks.onNotice = [this](const PeerNotice &notice) {
             takeNotice(notice);
         };
@@ -183,7 +201,6 @@
         notice.revision = fleet.routes() ? fleet.routes()->configuration().revision : base::Revision();
         notice.work = router.ownWork();
         notice.leavingEndpoints = fleet.leavingEndpoints(base::now());
-        notice.demand = forwarder.demand();
         placementRunner.fillNotice(notice);
     }
 
--- a/src/turmericplank/gateway/peernotice.cpp
+++ b/src/turmericplank/gateway/peernotice.cpp
@@ -26,10 +26,19 @@
     return models;
 }
 
+/// An address that cannot be read stays empty; nothing is sent there.
+base::Address addressFromJson(const Json &json)
+{
+    return base::parseAddress(json.get<std::string>()).value_or(base::Address());
+}
+
 PeerNotice fromJson(const Json &json)
 {
     PeerNotice notice;
     notice.from = base::DaemonId(json.at("from").get<std::string>());
+    notice.peers = addressFromJson(json.at("peers"));
+    notice.callers = addressFromJson(json.at("callers"));
+    notice.zone = base::ZoneName(json.at("zone").get<std::string>());
     notice.incarnation = base::Incarnation(json.at("inc").get<std::uint64_t>());
     notice.isReady = json.at("ready").get<bool>();
     notice.isLeaving = json.at("leaving").get<bool>();
@@ -62,6 +71,9 @@
     Json json{{"from", notice.from.text()},  {"inc", notice.incarnation.value()}, {"ready", notice.isReady},   {"leaving", notice.isLeaving},
               {"term", notice.term.value()}, {"rev", notice.revision.value()},    {"work", Json::array()},     {"gone", Json::array()},
               {"engines", Json::array()},    {"models", Json::object()},          {"adapters", Json::object()}};
+    json["peers"] = toString(notice.peers);
+    json["callers"] = toString(notice.callers);
+    json["zone"] = notice.zone.text();
     for (const auto &it : notice.work) {
         json["work"].push_back({it.endpoint.text(), it.streams, it.urgentWaiting, it.otherWaiting, it.urgentTokens, it.otherTokens});
     }
--- a/src/turmericplank/gateway/peernotice_test.cpp
+++ b/src/turmericplank/gateway/peernotice_test.cpp
@@ -9,6 +9,9 @@
 {
     PeerNotice notice;
     notice.from = base::DaemonId("entry-1");
+    notice.peers = {"10.0.0.1", 7380};
+    notice.callers = {"10.0.0.1", 8149};
+    notice.zone = base::ZoneName("a");
     notice.incarnation = base::Incarnation(77);
     notice.isReady = true;
     notice.term = base::Term(3);
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -141,13 +141,22 @@
     }
 }
 
+bool Peers::isHolder(const Peer &peer)
+{
+    return !peer.isSilent && peer.notice && peer.notice->term != base::Term();
+}
+
 bool Peers::isDue(const Peer &peer, base::Time now) const
 {
-    if (peer.isNear) {
-        return true;
-    }
-    const bool isOfHolder = !peer.isSilent && peer.notice && peer.notice->term != base::Term();
-    return (m_isHolder || isOfHolder) && now >= m_nextFar;
+    return peer.isNear || ((m_isHolder || isHolder(peer)) && now >= m_nextFar);
+}
+
+void Peers::send(const Peer &peer, const std::string &kind, const std::string &body)
+{
+    peer::PeerCall call;
+    call.kind = kind;
+    call.body = body;
+    m_mesh.call(peer.address->peers, std::move(call));
 }
 
 void Peers::tell()
@@ -155,19 +164,23 @@
     const auto now = base::now();
     PeerNotice notice;
     notice.from = m_self.id;
+    notice.peers = m_self.peers;
+    notice.callers = m_self.callers;
+    notice.zone = m_self.zone;
     notice.incarnation = m_incarnation;
     notice.isLeaving = m_isLeaving;
-    if (m_hooks.fillNotice) {
-        m_hooks.fillNotice(notice);
-    }
+    m_hooks.fillNotice(notice);
     m_isHolder = notice.term != base::Term();
     const auto body = encode(notice);
     for (const auto &[id, peer] : m_peers) {
-        if (peer.address && isDue(peer, now)) {
-            peer::PeerCall call;
-            call.kind = NoticeKind;
-            call.body = body;
-            m_mesh.call(peer.address->peers, std::move(call));
+        if (!peer.address || !isDue(peer, now)) {
+            continue;
+        }
+        if (isHolder(peer)) {
+            notice.demand = m_hooks.demand();
+            send(peer, NoticeKind, encode(notice));
+        } else {
+            send(peer, NoticeKind, body);
         }
     }
     if (now >= m_nextFar) {
@@ -175,14 +188,26 @@
     }
 }
 
+void Peers::tellFar()
+{
+    m_nextFar = base::Time();
+    tell();
+}
+
 void Peers::tellGroup(const std::string &kind, const std::string &body)
 {
     for (const auto &[id, peer] : m_peers) {
         if (peer.address && peer.isNear && !peer.isSilent) {
-            peer::PeerCall call;
-            call.kind = kind;
-            call.body = body;
-            m_mesh.call(peer.address->peers, std::move(call));
+            send(peer, kind, body);
+        }
+    }
+}
+
+void Peers::tellAll(const std::string &kind, const std::string &body)
+{
+    for (const auto &[id, peer] : m_peers) {
+        if (peer.address && (peer.isNear ? !peer.isSilent : m_isHolder)) {
+            send(peer, kind, body);
         }
     }
 }
@@ -199,9 +224,10 @@
     if (isOlder) {
         return;
     }
-    if (!peer.address) {
-        // Not on the list as it was last read: it has started since.
-        m_nextList = std::min(m_nextList, base::now() + m_options.firstListInterval);
+    const PeerAddress address{notice->from, notice->peers, notice->callers, notice->zone};
+    if (peer.address != address) {
+        peer.address = address;
+        group();
     }
     if (std::exchange(peer.isSilent, false)) {
         telemetry::log(LogLevel::Info, "peers", "heard", {{"daemon", notice->from.text()}, {"incarnation", notice->incarnation.value()}});
--- a/src/turmericplank/gateway/siteview.cpp
+++ b/src/turmericplank/gateway/siteview.cpp
@@ -39,7 +39,8 @@
     if (!m_isReading && isReadDue(now)) {
         readEndpoints();
     }
-    const bool isOnItsOwn = m_hooks.isReader() || now >= m_takenAt + m_options.passedLimit;
+    // A reader that is cut off from the store passes nothing on: the others notice in time for a change to be in force.
+    const bool isOnItsOwn = m_hooks.isReader() || now >= m_passedAt + m_options.passedLimit;
     if (!m_isAwaiting && m_fleet.routes() && isOnItsOwn) {
         awaitConfiguration();
     }
@@ -96,20 +97,41 @@
         return;
     }
     m_position = std::max(m_position, result->position);
-    if (m_fleet.takeConfiguration(result->configuration, base::now())) {
-        const auto &site = *result->configuration;
+    if (apply(result->configuration)) {
+        m_hooks.onText(result->text);
+    }
+}
+
+void SiteView::takePassedConfiguration(const std::string &text)
+{
+    apply(m_store.parseConfiguration(text));
+}
+
+bool SiteView::apply(const std::shared_ptr<const routes::SiteConfiguration> &configuration)
+{
+    const bool isNews = m_fleet.takeConfiguration(configuration, base::now());
+    if (isNews) {
+        m_aheadSince.reset();
+        const auto &site = *configuration;
         telemetry::log(LogLevel::Info, "configuration", "in force",
                        {{"revision", site.revision.value()}, {"routes", std::uint64_t(site.routes.size())}, {"position", m_position}});
         m_metrics.gauge("configuration_revision", static_cast<double>(site.revision.value()));
         m_hooks.onConfiguration();
     }
+    return isNews;
 }
 
 void SiteView::heardRevision(base::Revision revision)
 {
     const auto &routes = m_fleet.routes();
     const bool isBehind = !routes || routes->configuration().revision < revision;
+    const auto now = base::now();
     if (!isBehind || m_isReadingAgain) {
+        m_aheadSince = isBehind ? m_aheadSince : std::nullopt;
+        return;
+    }
+    m_aheadSince = m_aheadSince.value_or(now);
+    if (now < *m_aheadSince + m_options.passingTime) {
         return;
     }
     m_isReadingAgain = true;
@@ -149,6 +171,7 @@
 
 void SiteView::takePassed(const std::vector<discovery::EndpointEntry> &entries)
 {
+    m_passedAt = base::now();
     m_metrics.count("endpoints_passed_on_total");
     takeEntries(entries);
 }
--- a/src/turmericplank/placement/planadapters.cpp
+++ b/src/turmericplank/placement/planadapters.cpp
@@ -188,7 +188,8 @@
             const bool isConfigured = state.document.adapters.contains(held.adapter);
             if (!isConfigured) {
                 unloadAdapter(state, n, held, MoveReason::Removed);
-            } else if (state.leavingAdapters.contains({held.adapter, n}) && held.model < bases.size() && isElsewhere(state, held.adapter, bases[held.model], n)) {
+            } else if (state.leavingAdapters.contains({held.adapter, n}) && held.model < bases.size()
+                       && isElsewhere(state, held.adapter, bases[held.model], n)) {
                 unloadAdapter(state, n, held, MoveReason::MakeRoom);
             }
         }
