--- a/src/turmericplank/gateway/placementrunner.cpp
+++ b/src/turmericplank/gateway/placementrunner.cpp
@@ -237,11 +237,13 @@
     std::ranges::sort(busiest, std::greater<>());
     busiest.resize(std::min(busiest.size(), MostNamed));
     std::string text;
-    for (const auto &[streams, model] : busiest) {
-        const auto engines = std::ranges::count_if(input.endpoints, [&model](const auto &it) {
-            return it.residents.contains(placement::Resident{model, {}, {}});
+    for (const auto &it : busiest) {
+        const double load = it.first;
+        const auto &model = it.second;
+        const auto engines = std::ranges::count_if(input.endpoints, [&model](const auto &engine) {
+            return engine.residents.contains(placement::Resident{model, {}, {}});
         });
-        text += (text.empty() ? "" : ",") + model.text() + ':' + std::to_string(static_cast<int>(streams * 100)) + '/' + std::to_string(engines);
+        text += (text.empty() ? "" : ",") + model.text() + ':' + std::to_string(static_cast<int>(load * 100)) + '/' + std::to_string(engines);
     }
     telemetry::log(LogLevel::Info, "placement", "demand", {{"service", name.text()}, {"percent_per_engines", text}});
 }
--- a/src/turmericplank/gateway/transfer.hpp
+++ b/src/turmericplank/gateway/transfer.hpp
@@ -16,6 +16,20 @@
 
 using ParkHook = boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
+/// @brief What one send of a call is doing.
+struct TransferSend
+{
+    std::uint64_t number = 0; ///< tells late hooks of earlier sends apart
+    routing::Choice choice;
+    std::optional<Loan> loan;
+    std::optional<AnswerHead> head;
+    net::Headers headers;
+    std::string body; ///< of an answer that is passed on whole
+    base::Time sentAt;
+    bool hasFirstEvent = false;
+    bool isRelaying = false; ///< its events go to the caller as they come
+};
+
 /// @brief One caller's call on its way to an endpoint and its answer on the way back.
 class Transfer : public boost::intrusive_ref_counter<Transfer, boost::thread_unsafe_counter>, public ParkHook
 {
@@ -34,20 +48,6 @@
 private:
     using Pointer = boost::intrusive_ptr<Transfer>;
 
-    /// What one send is doing.
-    struct Send
-    {
-        std::uint64_t number = 0; ///< tells late hooks of earlier sends apart
-        routing::Choice choice;
-        std::optional<Loan> loan;
-        std::optional<AnswerHead> head;
-        net::Headers headers;
-        std::string body; ///< of an answer that is passed on whole
-        base::Time sentAt;
-        bool hasFirstEvent = false;
-        bool isRelaying = false; ///< its events go to the caller as they come
-    };
-
     void place();
     void park(forwarding::WaitCause cause);
     forwarding::WaitCause missingCause() const;
@@ -95,7 +95,7 @@
     forwarding::Attempts m_attempts;
     forwarding::EventCursor m_cursor;
     boost::asio::steady_timer m_timer;
-    std::optional<Send> m_send;
+    std::optional<TransferSend> m_send;
     std::vector<base::EndpointId> m_excluded; ///< endpoints of earlier sends, and those without a free connection
     RefusalReason m_waitsFor = RefusalReason::NoEndpoint;
     std::uint64_t m_sendNumber = 0;
--- a/src/turmericplank/placement/engineorders_test.cpp
+++ b/src/turmericplank/placement/engineorders_test.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr std::uint32_t ModelMemory = 70;
-const base::DaemonId Holder("entry-1");
-const base::Term Term(3);
+const base::DaemonId holder("entry-1");
+const base::Term term(3);
 
 base::Time at(std::int64_t milliseconds)
 {
@@ -97,7 +97,7 @@
 
     std::optional<ConditionalOrder> open(const Move &it, base::Time now)
     {
-        return orders.open(it, Holder, Term, now);
+        return orders.open(it, holder, term, now);
     }
 
     Engine engine;
@@ -111,10 +111,10 @@
     EngineOrders orders;
     orders.setSpec(spec());
     orders.setEngine(Engine().entry("e"), false, at(0));
-    CHECK_FALSE(orders.open(move(OrderKind::Load, "a"), Holder, Term, at(0)).has_value());
+    CHECK_FALSE(orders.open(move(OrderKind::Load, "a"), holder, term, at(0)).has_value());
     CHECK(orders.toAsk(at(0)).size() == 1);
     orders.takeState(base::EndpointId("e"), Engine().state(), at(0));
-    CHECK(orders.open(move(OrderKind::Load, "a"), Holder, Term, at(1)).has_value());
+    CHECK(orders.open(move(OrderKind::Load, "a"), holder, term, at(1)).has_value());
 }
 
 TEST_CASE("an order without an answer that is carried out late never overcommits")
