--- a/include/turmericplank/base/time.hpp
+++ b/include/turmericplank/base/time.hpp
@@ -28,6 +28,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
 }
 
+/// @brief Whole milliseconds from one point to another, as logs tell ages.
+constexpr std::int64_t millisecondsBetween(Time from, Time to)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
 /// @brief Fractional milliseconds of a length of time, for reports.
 /// @param duration the length to convert
 constexpr double inMilliseconds(Duration duration)
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -251,8 +251,7 @@
             continue;
         }
         peer.isSilent = true;
-        telemetry::log(LogLevel::Warning, "peers", "silent",
-                       {{"daemon", id.text()}, {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.heardAt).count()}});
+        telemetry::log(LogLevel::Warning, "peers", "silent", {{"daemon", id.text()}, {"age_ms", base::millisecondsBetween(peer.heardAt, now)}});
         if (m_hooks.onSilent) {
             m_hooks.onSilent(id);
         }
--- a/src/turmericplank/gateway/siteview.cpp
+++ b/src/turmericplank/gateway/siteview.cpp
@@ -9,11 +9,6 @@
 
 using telemetry::LogLevel;
 
-std::int64_t millisecondsSince(base::Time from)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(base::now() - from).count();
-}
-
 } // namespace
 
 SiteView::SiteView(boost::asio::io_context &context, SiteStore store, Fleet &fleet, telemetry::Metrics &metrics, Hooks hooks, SiteViewOptions options)
@@ -199,7 +194,7 @@
     }
     m_isAnswering = isAnswering;
     telemetry::log(isAnswering ? LogLevel::Info : LogLevel::Warning, "store", isAnswering ? "answers again" : "does not answer",
-                   {{"after_ms", millisecondsSince(m_changedAt)}});
+                   {{"after_ms", base::millisecondsBetween(m_changedAt, base::now())}});
     m_changedAt = base::now();
 }
 
--- a/src/turmericplank/gateway/transfer.hpp
+++ b/src/turmericplank/gateway/transfer.hpp
@@ -16,6 +16,9 @@
 
 using ParkHook = boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
+/// @brief Whether a route's calls can wait: their objective lies far off.
+bool isDeferred(const routes::Route &route);
+
 /// @brief What one send of a call is doing.
 struct TransferSend
 {
