platform_test waits until a stream runs instead of for a fixed time

Cause: under load a call may reach its engine later than 0.4 s, so the step could stop an engine before the stream began.

--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -53,7 +53,7 @@
 start_engine() { # NUMBER MODEL...
     local n=$1
     shift
-    start "engine-$n" turmericplank-siteendpoint --listen "$(engine $n)" --address "$(engine $n)" --store "$store" --id "engine-$n" --zone z1 --events 40 --event-ms 25 \
+    start "engine-$n" turmericplank-siteendpoint --listen "$(engine $n)" --address "$(engine $n)" --store "$store" --id "engine-$n" --zone z1 --events 40 --event-ms 75 \
         $(printf -- '--model %s ' "$@")
 }
 start_desk() { start "desk-$1" turmericplank-siteendpoint --listen "$(desk $1)" --address "$(desk $1)" --store "$store" --id "desk-$1" --service desk --zone z1; }
@@ -73,6 +73,8 @@
 ready_is() { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://$(ready "$1")/-/ready")" = "$2" ]; }
 entries() { curl -s -m 2 "http://$(directory "$1")/-/resolve?name=site.example&region=r&zone=$2" | jq -r '.addresses | sort | join(" ")'; }
 entries_are() { [ "$(entries "$1" "$2")" = "$3" ]; }
+runs_at() { curl -s -m 2 "http://$(engine $1)/runs" | jq -e "has(\"$2\")" >/dev/null; } # ENGINE REQUEST
+is_running() { runs_at 1 "$1" || runs_at 2 "$1"; }
 serves() { [ "$(status "$@")" = 200 ]; }
 runs_of() { for n in 1 2; do curl -s -m 2 "http://$(desk $n)/runs" | jq ".\"$1\" // 0"; done | awk '{ n += $1 } END { print n + 0 }'; }
 
@@ -97,15 +99,14 @@
 
 call 1 /guide/a s5 m >"$work/stream" &
 running=$!
-sleep 0.4
-busy=$(curl -s -m 2 "http://$(engine 1)/runs" | jq 'has("s5")')
-[ "$busy" = true ] && dying=1 || dying=2
+until_true 3 is_running s5
+runs_at 1 s5 && dying=1 || dying=2
 stop "engine-$dying"
 wait $running
 step "a stream whose engine dies goes on at the other" is_whole "$work/stream"
 call 1 /fixed/a s6 m >"$work/fixed" &
 running=$!
-sleep 0.4
+until_true 3 is_running s6
 stop "engine-$((3 - dying))"
 wait $running
 step "one that may not be resumed ends broken, not complete" is $? 18
@@ -135,7 +136,7 @@
 
 call 2 /guide/a s10 m >"$work/stream" &
 running=$!
-sleep 0.3
+until_true 3 is_running s10
 stop daemon-2 HUP
 stop daemon-2 TERM
 step "a stopping daemon is not ready" until_true 2 ready_is 2 503
