--- a/include/turmericplank/requests/endpointchoice.hpp
+++ b/include/turmericplank/requests/endpointchoice.hpp
@@ -9,6 +9,7 @@
 
 #include "turmericplank/base/address.hpp"
 #include "turmericplank/base/identifier.hpp"
+#include "turmericplank/base/number.hpp"
 #include "turmericplank/base/priority.hpp"
 #include "turmericplank/base/time.hpp"
 #include "turmericplank/requests/attemptend.hpp"
@@ -36,6 +37,7 @@
     base::EndpointId endpoint;
     base::Address address;
     std::uint64_t ticket = 0; ///< routing's name of the choice, handed back with what became of it
+    base::Incarnation incarnation; ///< as last reported; zero for endpoints that report none
 
     friend bool operator==(const Choice &, const Choice &) = default;
 };
--- a/include/turmericplank/requests/suspects.hpp
+++ b/include/turmericplank/requests/suspects.hpp
@@ -26,13 +26,23 @@
     Condemned, ///< two endpoints went down with it
 };
 
+/// @brief An endpoint that went down with a request on it; one that starts again and goes down again is lost twice.
+struct EndpointLoss
+{
+    base::EndpointId endpoint;
+    base::Incarnation incarnation; ///< as last reported before the request was sent; zero for endpoints that report none
+
+    friend auto operator<=>(const EndpointLoss &, const EndpointLoss &) = default;
+    friend bool operator==(const EndpointLoss &, const EndpointLoss &) = default;
+};
+
 /// @brief Asks another daemon whether a suspect may run on an endpoint.
 struct TrialQuestion
 {
     Fingerprint fingerprint;
     std::uint64_t sequence = 0; ///< names the question at its asker
     base::EndpointId endpoint;
-    std::vector<base::EndpointId> lost; ///< endpoints that went down with it, as far as the asker knows
+    std::vector<EndpointLoss> lost; ///< as far as the asker knows
 
     friend bool operator==(const TrialQuestion &, const TrialQuestion &) = default;
 };
@@ -43,7 +53,7 @@
     Fingerprint fingerprint;
     std::uint64_t sequence = 0;
     bool mayRun = false; ///< neither the content nor another trial on the endpoint is under way here
-    std::vector<base::EndpointId> lost;
+    std::vector<EndpointLoss> lost;
 
     friend bool operator==(const TrialReply &, const TrialReply &) = default;
 };
@@ -53,7 +63,7 @@
 {
     Fingerprint fingerprint;
     bool isCleared = false;
-    std::vector<base::EndpointId> lost;
+    std::vector<EndpointLoss> lost;
     std::uint64_t endedTrial = 0; ///< question whose trial has ended with this word, zero for none
 
     friend bool operator==(const TrialVerdict &, const TrialVerdict &) = default;
@@ -114,7 +124,7 @@
     std::size_t limit = 4096; ///< fingerprints that are remembered, oldest forgotten first
     base::Duration lifetime = std::chrono::minutes(10); ///< from the last loss
     base::Duration askAgain = std::chrono::milliseconds(200);
-    unsigned lossLimit = 2; ///< endpoints after which a request is condemned
+    unsigned lossLimit = 2; ///< losses after which a request is condemned
 };
 
 /// @brief Remembers which requests were on endpoints that went down, and lets each run alone once more.
@@ -138,7 +148,7 @@
     /// @brief An attempt is over, however it ended.
     void attemptEnded(Fingerprint fingerprint);
     /// @brief An endpoint went down with the request on it.
-    SuspectActions endpointLost(Fingerprint fingerprint, const base::EndpointId &endpoint, base::Time now);
+    SuspectActions endpointLost(Fingerprint fingerprint, const EndpointLoss &loss, base::Time now);
 
     /// @brief Asks for a trial on an endpoint.
     SuspectActions askTrial(Fingerprint fingerprint, const base::EndpointId &endpoint, base::Time now);
@@ -172,7 +182,7 @@
 private:
     struct Entry
     {
-        std::set<base::EndpointId> lost;
+        std::set<EndpointLoss> lost;
         base::Time expiresAt;
         std::uint64_t triedSequence = 0; ///< names the question of that trial
         std::optional<base::DaemonId> triedBy; ///< another daemon asked for a trial whose end is not known
@@ -196,10 +206,10 @@
 
     Entry &remember(Fingerprint fingerprint, base::Time now);
     void forget(Fingerprint fingerprint);
-    Standing merge(Fingerprint fingerprint, const std::vector<base::EndpointId> &lost, base::Time now);
+    Standing merge(Fingerprint fingerprint, const std::vector<EndpointLoss> &lost, base::Time now);
     bool isOrphaned(const Entry &entry) const;
     bool blocks(const base::DaemonId &from, const TrialQuestion &question, SuspectActions &actions);
-    std::vector<base::EndpointId> lostWith(Fingerprint fingerprint) const;
+    std::vector<EndpointLoss> lostWith(Fingerprint fingerprint) const;
     void tellAll(Fingerprint fingerprint, bool isCleared, std::uint64_t endedTrial, SuspectActions &actions) const;
     std::uint64_t eraseTrial(Fingerprint fingerprint);
     void announce(Fingerprint fingerprint, base::Time now, SuspectActions &actions);
--- a/include/turmericplank/routing/routetypes.hpp
+++ b/include/turmericplank/routing/routetypes.hpp
@@ -7,6 +7,7 @@
 
 #include "turmericplank/base/address.hpp"
 #include "turmericplank/base/identifier.hpp"
+#include "turmericplank/base/number.hpp"
 #include "turmericplank/base/priority.hpp"
 #include "turmericplank/base/time.hpp"
 #include "turmericplank/routing/prefixchain.hpp"
@@ -62,6 +63,7 @@
     Ticket ticket = 0;
     base::EndpointId endpoint;
     base::Address address;
+    base::Incarnation incarnation; ///< as last reported
     RouteReason reason = RouteReason::OnlyCandidate;
     std::optional<base::EndpointId> runnerUp;
     base::Duration expectedFirstToken{0}; ///< from sending to the first token
--- a/src/turmericplank/daemon/enginechoice.cpp
+++ b/src/turmericplank/daemon/enginechoice.cpp
@@ -65,7 +65,7 @@
                             {"expected_ms", base::inMilliseconds(choice->expectedFirstToken)},
                             {"runner_up_ms", base::inMilliseconds(choice->runnerUpFirstToken)},
                             {"cached_tokens", std::uint64_t(choice->cachedTokens)}});
-    const requests::Choice result{choice->endpoint, choice->address, choice->ticket};
+    const requests::Choice result{choice->endpoint, choice->address, choice->ticket, choice->incarnation};
     if (m_unsent.size() >= UnsentLimit) {
         m_unsent.clear();
     }
--- a/src/turmericplank/requests/chatbody_test.cpp
+++ b/src/turmericplank/requests/chatbody_test.cpp
@@ -54,8 +54,8 @@
 TEST_CASE("messages and rows read back as they were written")
 {
     const MessageHead head{base::DaemonId("d1"), base::Revision(7)};
-    const QuestionMessage question{head, {Fingerprint(1), 2, base::EndpointId("e"), {base::EndpointId("f")}}};
-    const SuspectsMessage suspects{head, {{Fingerprint(1), true, {base::EndpointId("f")}, 3}}};
+    const QuestionMessage question{head, {Fingerprint(1), 2, base::EndpointId("e"), {{base::EndpointId("f"), base::Incarnation(5)}}}};
+    const SuspectsMessage suspects{head, {{Fingerprint(1), true, {{base::EndpointId("f"), base::Incarnation(5)}}, 3}}};
     CHECK(decodeMessage<QuestionMessage>(encode(question)) == question);
     CHECK(decodeMessage<SuspectsMessage>(encode(suspects)) == suspects);
     CHECK_FALSE(decodeMessage<ReplyMessage>(encode(suspects)));
--- a/src/turmericplank/requests/dispatchercalls.cpp
+++ b/src/turmericplank/requests/dispatchercalls.cpp
@@ -150,7 +150,7 @@
     if (next.isEndpointLost && !(isVague && m_suspects.standing(fingerprint, now) != Standing::Clear)) {
         call.trial.reset();
         m_trials.erase(fingerprint);
-        apply(m_suspects.endpointLost(fingerprint, next.previous.endpoint, now), now, actions);
+        apply(m_suspects.endpointLost(fingerprint, {next.previous.endpoint, next.previous.incarnation}, now), now, actions);
     } else {
         endTrial(call, false, now, actions);
     }
--- a/src/turmericplank/requests/fakeworld.hpp
+++ b/src/turmericplank/requests/fakeworld.hpp
@@ -250,7 +250,9 @@
 
     void startEndpoint(std::size_t endpoint)
     {
-        m_endpoints[endpoint % m_endpoints.size()].isUp = true;
+        auto &it = m_endpoints[endpoint % m_endpoints.size()];
+        it.incarnation += it.isUp ? 0 : 1;
+        it.isUp = true;
     }
 
     void setLeaving(std::size_t endpoint, bool isLeaving)
@@ -326,6 +328,7 @@
     {
         bool isUp = true;
         bool isLeaving = false;
+        std::uint64_t incarnation = 1;
         std::set<std::string> runs; ///< wire names
     };
     struct Daemon
@@ -394,7 +397,7 @@
             const auto index = ++m_lastChoice % m_endpoints.size();
             const base::EndpointId id(std::to_string(index));
             if (std::find(query.avoid.begin(), query.avoid.end(), id) == query.avoid.end()) {
-                return Choice{id, base::Address{"127.0.0.1", 1}};
+                return Choice{id, base::Address{"127.0.0.1", 1}, 0, base::Incarnation(m_endpoints[index].incarnation)};
             }
         }
         return std::nullopt;
--- a/src/turmericplank/requests/messages.cpp
+++ b/src/turmericplank/requests/messages.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::uint32_t Version = 1;
+constexpr std::uint32_t Version = 2; ///< 2: losses name the incarnation
 constexpr std::size_t HeadFields = 3;
 constexpr std::size_t DepthLimit = 8;
 
@@ -21,11 +21,13 @@
     packer.pack(head.revision.value());
 }
 
-void packEndpoints(Packer &packer, const std::vector<base::EndpointId> &endpoints)
+void packLosses(Packer &packer, const std::vector<EndpointLoss> &losses)
 {
-    packer.pack_array(static_cast<std::uint32_t>(endpoints.size()));
-    for (const auto &it : endpoints) {
-        packer.pack(it.text());
+    packer.pack_array(static_cast<std::uint32_t>(losses.size()));
+    for (const auto &it : losses) {
+        packer.pack_array(2);
+        packer.pack(it.endpoint.text());
+        packer.pack(it.incarnation.value());
     }
 }
 
@@ -71,13 +73,15 @@
         return base::timeFromMilliseconds(milliseconds);
     }
 
-    std::vector<base::EndpointId> endpoints()
+    std::vector<EndpointLoss> losses()
     {
-        std::vector<base::EndpointId> endpoints;
+        std::vector<EndpointLoss> losses;
         for (Fields it(object()); it.m_next != it.m_end;) {
-            endpoints.emplace_back(it.next<std::string>());
+            Fields loss(it.object());
+            base::EndpointId endpoint(loss.next<std::string>());
+            losses.push_back(EndpointLoss{std::move(endpoint), base::Incarnation(loss.next<std::uint64_t>())});
         }
-        return endpoints;
+        return losses;
     }
 
     std::vector<TrialVerdict> verdicts()
@@ -87,7 +91,7 @@
             Fields verdict(it.object());
             const Fingerprint fingerprint(verdict.next<std::uint64_t>());
             const auto isCleared = verdict.next<bool>();
-            auto lost = verdict.endpoints();
+            auto lost = verdict.losses();
             verdicts.push_back(TrialVerdict{fingerprint, isCleared, std::move(lost), verdict.next<std::uint64_t>()});
         }
         return verdicts;
@@ -103,7 +107,7 @@
     message.question.fingerprint = Fingerprint(fields.next<std::uint64_t>());
     message.question.sequence = fields.next<std::uint64_t>();
     message.question.endpoint = base::EndpointId(fields.next<std::string>());
-    message.question.lost = fields.endpoints();
+    message.question.lost = fields.losses();
 }
 
 void read(Fields &fields, ReplyMessage &message)
@@ -111,7 +115,7 @@
     message.reply.fingerprint = Fingerprint(fields.next<std::uint64_t>());
     message.reply.sequence = fields.next<std::uint64_t>();
     message.reply.mayRun = fields.next<bool>();
-    message.reply.lost = fields.endpoints();
+    message.reply.lost = fields.losses();
 }
 
 void read(Fields &fields, SuspectsMessage &message)
@@ -145,7 +149,7 @@
     packer.pack(message.question.fingerprint.value());
     packer.pack(message.question.sequence);
     packer.pack(message.question.endpoint.text());
-    packEndpoints(packer, message.question.lost);
+    packLosses(packer, message.question.lost);
     return bytesOf(buf);
 }
 
@@ -157,7 +161,7 @@
     packer.pack(message.reply.fingerprint.value());
     packer.pack(message.reply.sequence);
     packer.pack(message.reply.mayRun);
-    packEndpoints(packer, message.reply.lost);
+    packLosses(packer, message.reply.lost);
     return bytesOf(buf);
 }
 
@@ -171,7 +175,7 @@
         packer.pack_array(4);
         packer.pack(it.fingerprint.value());
         packer.pack(it.isCleared);
-        packEndpoints(packer, it.lost);
+        packLosses(packer, it.lost);
         packer.pack(it.endedTrial);
     }
     return bytesOf(buf);
--- a/src/turmericplank/requests/suspects.cpp
+++ b/src/turmericplank/requests/suspects.cpp
@@ -52,11 +52,11 @@
     }
 }
 
-SuspectActions Suspects::endpointLost(Fingerprint fingerprint, const base::EndpointId &endpoint, base::Time now)
+SuspectActions Suspects::endpointLost(Fingerprint fingerprint, const EndpointLoss &loss, base::Time now)
 {
     SuspectActions actions;
     eraseTrial(fingerprint);
-    merge(fingerprint, {endpoint}, now);
+    merge(fingerprint, {loss}, now);
     announce(fingerprint, now, actions);
     return actions;
 }
@@ -149,7 +149,10 @@
 
 std::vector<base::EndpointId> Suspects::avoid(Fingerprint fingerprint) const
 {
-    auto endpoints = lostWith(fingerprint);
+    std::vector<base::EndpointId> endpoints;
+    for (const auto &it : lostWith(fingerprint)) {
+        endpoints.push_back(it.endpoint);
+    }
     for (const auto &[other, trial] : m_trials) {
         endpoints.push_back(trial.endpoint);
     }
@@ -223,8 +226,8 @@
         it->second.triedBy.reset();
     }
     const auto &lost = it->second.lost;
-    const auto isKnown = [&verdict](const base::EndpointId &endpoint) {
-        return std::find(verdict.lost.begin(), verdict.lost.end(), endpoint) != verdict.lost.end();
+    const auto isKnown = [&verdict](const EndpointLoss &loss) {
+        return std::find(verdict.lost.begin(), verdict.lost.end(), loss) != verdict.lost.end();
     };
     const bool coversAll = std::all_of(lost.begin(), lost.end(), isKnown);
     if (verdict.isCleared && coversAll && lost.size() < m_options.lossLimit && !isTrying(verdict.fingerprint)) {
@@ -326,7 +329,7 @@
     m_entries.erase(it);
 }
 
-Standing Suspects::merge(Fingerprint fingerprint, const std::vector<base::EndpointId> &lost, base::Time now)
+Standing Suspects::merge(Fingerprint fingerprint, const std::vector<EndpointLoss> &lost, base::Time now)
 {
     auto &entry = remember(fingerprint, now);
     for (const auto &it : lost) {
@@ -337,7 +340,7 @@
     return standing(fingerprint, now);
 }
 
-std::vector<base::EndpointId> Suspects::lostWith(Fingerprint fingerprint) const
+std::vector<EndpointLoss> Suspects::lostWith(Fingerprint fingerprint) const
 {
     const auto it = m_entries.find(fingerprint);
     if (it == m_entries.end()) {
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -157,6 +157,7 @@
     choice.ticket = ++m_lastTicket;
     choice.endpoint = state.endpoint.id;
     choice.address = state.endpoint.address;
+    choice.incarnation = state.incarnation;
     choice.expectedFirstToken = fromMilliseconds(best.cost.total);
     choice.cachedTokens = best.cost.cachedTokens;
     if (best.cost.source) {
