--- a/bench/placementrun.cpp
+++ b/bench/placementrun.cpp
@@ -141,8 +141,8 @@
             const auto streams = mean > 0 ? std::poisson_distribution<std::uint64_t>(mean)(m_random) : 0;
             m_streams[name] = static_cast<double>(streams);
         }
-        m_estimator.report(base::DaemonId("daemon"), m_counters);
         m_estimator.advance(m_now);
+        m_estimator.report(base::DaemonId("daemon"), m_counters, m_now);
     }
 
     void finishOrders()
--- a/include/turmericplank/gateway/peernotice.hpp
+++ b/include/turmericplank/gateway/peernotice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,7 +53,7 @@
     std::vector<routing::EndpointWork> work;
     std::vector<LeavingEndpoint> leavingEndpoints; ///< that the sender has read to leave or to be gone
     std::vector<EngineNotice> engines; ///< told by the holder of the lease
-    placement::DemandCounters demand;
+    std::optional<placement::DemandCounters> demand; ///< told to the holder of the lease, and to all while none is heard
 
     friend bool operator==(const PeerNotice &, const PeerNotice &) = default;
 };
--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -31,6 +31,7 @@
     store::Table table;
     std::function<void(const EngineNotice &)> onEngine; ///< an engine holds something else
     std::function<bool()> hearsHolder; ///< another daemon says that it gives the orders
+    std::function<bool()> isReader; ///< this daemon reads the store for its group
 };
 
 /// @brief Waiting times of placement.
@@ -40,9 +41,10 @@
     base::Duration planInterval = std::chrono::milliseconds(250);
     base::Duration pausePerEngine = std::chrono::milliseconds(2); ///< between two plans: a plan costs some 10 us an engine
     base::Duration summaryInterval = std::chrono::milliseconds(2000); ///< between two log lines on the demand
-    base::Duration renewInterval = std::chrono::milliseconds(1200);
-    base::Duration followInterval = std::chrono::milliseconds(2000); ///< between two looks at another daemon's lease
-    base::Duration holdTime = std::chrono::milliseconds(2600); ///< a holder may give orders this long after its last renewal
+    base::Duration renewInterval = std::chrono::milliseconds(900);
+    base::Duration followInterval = std::chrono::milliseconds(400); ///< between two looks at the lease while no holder is heard, by one daemon of a group
+    base::Duration backupInterval = std::chrono::milliseconds(2000); ///< the same, by the others
+    base::Duration holdTime = std::chrono::milliseconds(2000); ///< a holder may give orders this long after its last renewal, two of which may fail
     base::Duration tellTime = std::chrono::milliseconds(2500); ///< by then the engines' entries show what was ordered
     base::Duration orderTimeout = std::chrono::milliseconds(500); ///< engines answer orders in a few milliseconds
     base::Duration storelessTime = std::chrono::seconds(20); ///< a holder goes on without the store; engines refuse it once another has ordered
@@ -69,7 +71,7 @@
     void fillNotice(PeerNotice &notice) const;
     /// @brief Takes another daemon's demand.
     void takeNotice(const PeerNotice &notice);
-    /// @brief Gives no more orders.
+    /// @brief Gives no more orders, and lets another daemon take the lease at once.
     void stop();
     /// @brief Takes what this daemon has counted.
     void setOwnDemand(std::function<const placement::DemandCounters &()> demand);
@@ -86,7 +88,9 @@
 
     void tick();
     void stepLease(base::Time now);
+    void callTable(base::Time now);
     void followTenure(base::Time now);
+    void beginTenure(base::Time now);
     void followDemand(base::Time now);
     bool mayOrder(base::Time now) const;
     void plan(base::Time now);
@@ -114,6 +118,8 @@
     };
 
     std::map<base::EndpointId, Known> m_known; ///< engines that were ordered something lately
+    std::map<base::EndpointId, base::Time> m_orderedAt; ///< last order to each engine in this tenure
+    base::Time m_nextFollow;
     base::Term m_tenure;
     base::Term m_refused; ///< an engine has seen a higher term than this
     base::Time m_lastTick;
--- a/include/turmericplank/placement/demand.hpp
+++ b/include/turmericplank/placement/demand.hpp
@@ -66,7 +66,8 @@
     /// @brief Takes the counters of one daemon; counters that fell belong to a restarted daemon.
     /// @param daemon whose counters they are
     /// @param counters counted since its start
-    void report(const base::DaemonId &daemon, const DemandCounters &counters);
+    /// @param now when they were taken: after a pause they tell the mean rate since the report before, not a burst
+    void report(const base::DaemonId &daemon, const DemandCounters &counters, base::Time now);
 
     /// @brief Folds everything reported since the last call into the rates.
     /// @param now present time
@@ -84,9 +85,24 @@
         double serviceSeconds = 0;
     };
 
+    /// What a constant rate over some time adds to the averages.
+    struct Part
+    {
+        double fast = 0;
+        double middle = 0;
+        double slow = 0;
+    };
+    struct Report
+    {
+        DemandCounters counters;
+        base::Time at;
+    };
+
+    Part part(double elapsed) const;
+    void addModel(const base::ModelName &model, const DemandCounter &increase, double elapsed);
+
     DemandOptions m_options;
-    std::map<base::DaemonId, DemandCounters> m_last;
-    DemandCounters m_new;
+    std::map<base::DaemonId, Report> m_last;
     std::map<base::ModelName, Rates> m_models;
     std::map<base::AdapterName, double> m_adapters;
     base::Time m_advanced;
--- a/include/turmericplank/placement/engineorders.hpp
+++ b/include/turmericplank/placement/engineorders.hpp
@@ -44,6 +44,9 @@
     /// @brief Forgets what is under way, for example because another daemon gives the orders now.
     void reset();
 
+    /// @brief Leaves an engine alone until then, and asks for its state before its next order.
+    void holdBack(const base::EndpointId &id, base::Time until);
+
     /// @brief Takes an engine's report.
     /// @param askedAt when it was asked for
     void takeState(const base::EndpointId &id, const EngineState &state, base::Time askedAt);
--- a/include/turmericplank/placement/lease.hpp
+++ b/include/turmericplank/placement/lease.hpp
@@ -20,6 +20,8 @@
     base::Term term; ///< grows with each new holder, never within one
     std::uint64_t renewal = 0; ///< grows with each write of the holder
     base::Time deadline; ///< for operators; nobody compares clocks of two machines
+    bool isReleased = false; ///< the holder has given its last order; nobody has to wait for the deadline
+    std::vector<base::EndpointId> orderedLately{}; ///< of a released lease: endpoints whose last order is more recent than the pause between two holders
 
     friend auto operator<=>(const LeaseRow &, const LeaseRow &) = default;
     friend bool operator==(const LeaseRow &, const LeaseRow &) = default;
@@ -34,7 +36,7 @@
 /// @return nothing if it is no lease
 std::optional<LeaseRow> decodeLeaseRow(const std::string &text);
 
-/// @brief Deadlines of a lease.
+/// @brief Intervals of a lease.
 struct LeaseOptions
 {
     base::DaemonId self;
@@ -72,6 +74,13 @@
     /// @param rows rows that must be written together with the lease's row
     void attach(std::vector<store::RowWrite> rows);
 
+    /// @brief Gives the lease up for good: no order may be sent from now on, and the next write lets another daemon take over at once.
+    /// @param orderedLately endpoints that the next holder has to leave alone for a while
+    void release(std::vector<base::EndpointId> orderedLately);
+
+    /// @brief Whether a lease that was given up still has to be written.
+    bool isReleaseDue() const;
+
     /// @brief Rows of the write that is under way.
     const std::vector<store::RowWrite> &pendingWrites() const;
 
@@ -98,6 +107,9 @@
     /// @brief Term of this daemon's tenure, zero if it has none.
     base::Term term() const;
 
+    /// @brief Row of the holder before, as this daemon took it over; nothing if there was none.
+    const std::optional<LeaseRow> &predecessor() const;
+
     /// @brief Row as it was last seen.
     const std::optional<LeaseRow> &lastSeen() const;
 
@@ -109,6 +121,8 @@
     enum class Call { None, Read, Write };
 
     void beginWrite(base::Time now, const LeaseRow &row);
+    void beginRenewal(base::Time now);
+    bool isLapsed(base::Time now) const;
     void confirmWrite(base::RowVersion version);
     void follow(base::Time now, const std::optional<LeaseRow> &row, base::RowVersion version);
 
@@ -118,6 +132,9 @@
     bool m_isWriteUnsettled = false;
     bool m_isRewriteDue = false;
     bool m_isTableDown = false;
+    bool m_isGivenUp = false;
+    std::vector<base::EndpointId> m_orderedLately;
+    std::optional<LeaseRow> m_predecessor;
     std::optional<LeaseRow> m_seen;
     base::RowVersion m_seenVersion;
     base::Time m_unchangedSince;
--- a/src/turmericplank/daemon/placementshell.cpp
+++ b/src/turmericplank/daemon/placementshell.cpp
@@ -173,7 +173,7 @@
         return;
     }
     if (m_options.demand) {
-        m_estimator.report(m_environment.settings.id, m_options.demand());
+        m_estimator.report(m_environment.settings.id, m_options.demand(), now);
     }
     m_estimator.advance(now);
     for (const auto &target : m_options.peers ? m_options.peers() : std::vector<PeerTarget>()) {
@@ -186,7 +186,7 @@
         call.onEnd = [this, answer, id = target.id](const tl::expected<void, peer::PeerFailure> &result) {
             const auto counters = result ? decodeDemand(*answer) : std::nullopt;
             if (counters) {
-                m_estimator.report(id, *counters);
+                m_estimator.report(id, *counters, base::now());
             }
         };
         m_environment.peers.call(target.address, std::move(call));
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -145,7 +145,7 @@
 
     PlacementParts placementParts(const store::Table &table)
     {
-        PlacementParts parts{context, wire, fleet, pool, metrics, table, {}, {}};
+        PlacementParts parts{context, wire, fleet, pool, metrics, table, {}, {}, {}};
         parts.onEngine = [this](const EngineNotice &notice) {
             fleet.takeEngine(notice, base::now());
             forwarder.retryParked();
@@ -153,6 +153,9 @@
         parts.hearsHolder = [this] {
             return peers.holder().has_value();
         };
+        parts.isReader = [this] {
+            return peers.isReader();
+        };
         return parts;
     }
 
--- a/src/turmericplank/gateway/peernotice.cpp
+++ b/src/turmericplank/gateway/peernotice.cpp
@@ -55,11 +55,15 @@
         notice.engines.push_back({base::EndpointId(it.at(0).get<std::string>()), base::Incarnation(it.at(1).get<std::uint64_t>()),
                                   it.at(2).get<std::uint64_t>(), modelsFromJson(it.at(3))});
     }
+    if (!json.contains("models")) {
+        return notice;
+    }
+    notice.demand.emplace();
     for (const auto &[name, counter] : json.at("models").items()) {
-        notice.demand.models.emplace(base::ModelName(name), placement::DemandCounter{counter.at(0).get<std::uint64_t>(), counter.at(1).get<std::uint64_t>()});
+        notice.demand->models.emplace(base::ModelName(name), placement::DemandCounter{counter.at(0).get<std::uint64_t>(), counter.at(1).get<std::uint64_t>()});
     }
     for (const auto &[name, requests] : json.at("adapters").items()) {
-        notice.demand.adapters.emplace(base::AdapterName(name), requests.get<std::uint64_t>());
+        notice.demand->adapters.emplace(base::AdapterName(name), requests.get<std::uint64_t>());
     }
     return notice;
 }
@@ -68,9 +72,9 @@
 
 std::string encode(const PeerNotice &notice)
 {
-    Json json{{"from", notice.from.text()},  {"inc", notice.incarnation.value()}, {"ready", notice.isReady},   {"leaving", notice.isLeaving},
-              {"term", notice.term.value()}, {"rev", notice.revision.value()},    {"work", Json::array()},     {"gone", Json::array()},
-              {"engines", Json::array()},    {"models", Json::object()},          {"adapters", Json::object()}};
+    Json json{{"from", notice.from.text()},  {"inc", notice.incarnation.value()}, {"ready", notice.isReady}, {"leaving", notice.isLeaving},
+              {"term", notice.term.value()}, {"rev", notice.revision.value()},    {"work", Json::array()},   {"gone", Json::array()},
+              {"engines", Json::array()}};
     json["peers"] = toString(notice.peers);
     json["callers"] = toString(notice.callers);
     json["zone"] = notice.zone.text();
@@ -83,11 +87,15 @@
     for (const auto &it : notice.engines) {
         json["engines"].push_back({it.endpoint.text(), it.incarnation.value(), it.sequence, modelsToJson(it.models)});
     }
-    for (const auto &[name, counter] : notice.demand.models) {
-        json["models"][name.text()] = {counter.requests, counter.streamMilliseconds};
-    }
-    for (const auto &[name, requests] : notice.demand.adapters) {
-        json["adapters"][name.text()] = requests;
+    if (notice.demand) {
+        json["models"] = Json::object();
+        json["adapters"] = Json::object();
+        for (const auto &[name, counter] : notice.demand->models) {
+            json["models"][name.text()] = {counter.requests, counter.streamMilliseconds};
+        }
+        for (const auto &[name, requests] : notice.demand->adapters) {
+            json["adapters"][name.text()] = requests;
+        }
     }
     const auto bytes = Json::to_msgpack(json);
     return {bytes.begin(), bytes.end()};
--- a/src/turmericplank/gateway/peernotice_test.cpp
+++ b/src/turmericplank/gateway/peernotice_test.cpp
@@ -19,8 +19,11 @@
     notice.work = {{base::EndpointId("e1"), 4, 1, 2, 300, 400}};
     notice.leavingEndpoints = {{base::EndpointId("e2"), base::Incarnation(4)}};
     notice.engines = {{base::EndpointId("e1"), base::Incarnation(5), 6, {{base::ModelName("m"), {"a1", "a2"}}, {base::ModelName("n"), {}}}}};
-    notice.demand.models = {{base::ModelName("m"), {10, 2000}}};
-    notice.demand.adapters = {{base::AdapterName("m/a1"), 4}};
+    CHECK(decodePeerNotice(encode(notice)) == notice);
+    notice.demand.emplace();
+    CHECK(decodePeerNotice(encode(notice)) == notice);
+    notice.demand->models = {{base::ModelName("m"), {10, 2000}}};
+    notice.demand->adapters = {{base::AdapterName("m/a1"), 4}};
     CHECK(decodePeerNotice(encode(notice)) == notice);
 }
 
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -172,16 +172,19 @@
     m_hooks.fillNotice(notice);
     m_isHolder = notice.term != base::Term();
     const auto body = encode(notice);
+    std::string bodyWithDemand;
+    // Whoever takes the lease next can plan at once with what it was told before.
+    const bool isHolderHeard = m_isHolder || holder().has_value();
     for (const auto &[id, peer] : m_peers) {
         if (!peer.address || !isDue(peer, now)) {
             continue;
         }
-        if (isHolder(peer)) {
+        const bool wantsDemand = isHolder(peer) || !isHolderHeard;
+        if (wantsDemand && bodyWithDemand.empty()) {
             notice.demand = m_hooks.demand();
-            send(peer, NoticeKind, encode(notice));
-        } else {
-            send(peer, NoticeKind, body);
+            bodyWithDemand = encode(notice);
         }
+        send(peer, NoticeKind, wantsDemand ? bodyWithDemand : body);
     }
     if (now >= m_nextFar) {
         m_nextFar = now + m_options.farInterval;
--- a/src/turmericplank/gateway/placementrunner.cpp
+++ b/src/turmericplank/gateway/placementrunner.cpp
@@ -92,10 +92,13 @@
 
 void PlacementRunner::tick()
 {
+    const auto now = base::now();
     if (m_isStopped) {
+        if (m_lease.isReleaseDue()) {
+            callTable(now);
+        }
         return;
     }
-    const auto now = base::now();
     const bool wasSuspended = now > m_lastTick + m_options.longestPause;
     m_lastTick = now;
     if (wasSuspended) {
@@ -117,10 +120,10 @@
         return;
     }
     m_nextDemand = now + m_options.planInterval;
+    m_demand.advance(now);
     if (m_ownDemand) {
-        m_demand.report(m_self, m_ownDemand());
+        m_demand.report(m_self, m_ownDemand(), now);
     }
-    m_demand.advance(now);
 }
 
 /// Without the store the holder goes on under its term: no other daemon can take it over there either, or if only this
@@ -133,9 +136,19 @@
 
 void PlacementRunner::stepLease(base::Time now)
 {
-    if (!m_lease.isUncontested() && m_parts.hearsHolder()) {
+    if (m_lease.isUncontested()) {
+        callTable(now);
         return;
     }
+    if (m_parts.hearsHolder() || now < m_nextFollow) {
+        return;
+    }
+    m_nextFollow = m_parts.isReader() ? now : now + m_options.backupInterval;
+    callTable(now);
+}
+
+void PlacementRunner::callTable(base::Time now)
+{
     switch (m_lease.tick(now)) {
     case placement::LeaseStep::None:
         return;
@@ -163,11 +176,23 @@
                    {{"term", tenure == base::Term() ? m_tenure.value() : tenure.value()}, {"table", m_lease.isTableDown() ? "down" : "up"}});
     m_tenure = tenure;
     m_known.clear();
-    if (tenure == base::Term()) {
-        return;
+    if (tenure != base::Term()) {
+        beginTenure(now);
     }
+}
+
+void PlacementRunner::beginTenure(base::Time now)
+{
+    const auto &before = m_lease.predecessor();
+    m_orderedAt.clear();
     for (auto &[name, service] : m_services) {
         service.orders.reset();
+        if (!before || !before->isReleased) {
+            continue;
+        }
+        for (const auto &it : before->orderedLately) {
+            service.orders.holdBack(it, now + m_bounds.holderPause + m_options.thawReserve);
+        }
     }
     onEndpoints();
 }
@@ -261,6 +286,7 @@
     if (move.kind == placement::OrderKind::Load && !isAtHand) {
         service.weightLoads.take(now);
     }
+    m_orderedAt[move.endpoint] = now;
     m_parts.metrics.count("orders_total{kind=\"" + std::string(toString(move.kind)) + "\"}");
     telemetry::log(LogLevel::Info, "placement", "orders",
                    {{"kind", toString(move.kind)},
@@ -346,11 +372,23 @@
 
 void PlacementRunner::takeNotice(const PeerNotice &notice)
 {
-    m_demand.report(notice.from, notice.demand);
+    if (notice.demand) {
+        m_demand.report(notice.from, *notice.demand, base::now());
+    }
 }
 
 void PlacementRunner::stop()
 {
+    std::vector<base::EndpointId> lately;
+    for (const auto &[id, at] : m_orderedAt) {
+        if (base::now() < at + m_bounds.holderPause + m_options.thawReserve) {
+            lately.push_back(id);
+        }
+    }
+    if (m_tenure != base::Term()) {
+        telemetry::log(LogLevel::Info, "placement", "gives the lease up", {{"term", m_tenure.value()}, {"ordered_lately", std::uint64_t(lately.size())}});
+    }
+    m_lease.release(std::move(lately));
     m_isStopped = true;
     m_tenure = base::Term();
 }
--- a/src/turmericplank/placement/demand.cpp
+++ b/src/turmericplank/placement/demand.cpp
@@ -32,64 +32,69 @@
 {
 }
 
-void DemandEstimator::report(const base::DaemonId &daemon, const DemandCounters &counters)
+void DemandEstimator::report(const base::DaemonId &daemon, const DemandCounters &counters, base::Time now)
 {
-    const auto [known, isNew] = m_last.try_emplace(daemon, counters);
-    if (isNew) {
+    const auto [known, isNew] = m_last.try_emplace(daemon, Report{counters, now});
+    const double elapsed = isNew ? 0 : seconds(now - known->second.at);
+    if (elapsed <= 0) {
         // What was counted before it was first heard belongs to no known time.
         return;
     }
-    const auto &last = known->second;
+    const auto &last = known->second.counters;
     for (const auto &[model, counter] : counters.models) {
         const auto it = last.models.find(model);
         const auto before = it == last.models.end() ? DemandCounter{} : it->second;
-        auto &sum = m_new.models[model];
-        sum.requests += increase(before.requests, counter.requests);
-        sum.streamMilliseconds += increase(before.streamMilliseconds, counter.streamMilliseconds);
+        addModel(model, {increase(before.requests, counter.requests), increase(before.streamMilliseconds, counter.streamMilliseconds)}, elapsed);
     }
     for (const auto &[adapter, requests] : counters.adapters) {
         const auto it = last.adapters.find(adapter);
-        m_new.adapters[adapter] += increase(it == last.adapters.end() ? 0 : it->second, requests);
+        const auto added = increase(it == last.adapters.end() ? 0 : it->second, requests);
+        if (added > 0) {
+            m_adapters[adapter] += static_cast<double>(added) / elapsed * part(elapsed).middle;
+        }
     }
-    m_last[daemon] = counters;
+    known->second = {counters, now};
 }
 
-void DemandEstimator::advance(base::Time now)
+DemandEstimator::Part DemandEstimator::part(double elapsed) const
 {
-    if (m_advanced == base::Time()) {
-        m_advanced = now;
+    return {share(elapsed, m_options.fast), share(elapsed, m_options.middle), share(elapsed, m_options.slow)};
+}
+
+void DemandEstimator::addModel(const base::ModelName &model, const DemandCounter &increase, double elapsed)
+{
+    if (increase.requests == 0) {
         return;
     }
-    const double elapsed = seconds(now - m_advanced);
+    auto &rates = m_models[model];
+    const double rate = static_cast<double>(increase.requests) / elapsed;
+    const auto added = part(elapsed);
+    rates.fast += rate * added.fast;
+    rates.middle += rate * added.middle;
+    rates.slow += rate * added.slow;
+    if (increase.streamMilliseconds > 0) {
+        const double newest = static_cast<double>(increase.streamMilliseconds) / 1000.0 / static_cast<double>(increase.requests);
+        rates.serviceSeconds = rates.serviceSeconds > 0 ? rates.serviceSeconds + ServiceShare * (newest - rates.serviceSeconds) : newest;
+    }
+}
+
+void DemandEstimator::advance(base::Time now)
+{
+    const double elapsed = m_advanced == base::Time() ? 0 : seconds(now - m_advanced);
+    m_advanced = std::max(m_advanced, now);
     if (elapsed <= 0) {
         return;
     }
-    m_advanced = now;
-    for (const auto &[model, counter] : m_new.models) {
-        auto &rates = m_models[model];
-        if (counter.requests > 0 && counter.streamMilliseconds > 0) {
-            const double newest = static_cast<double>(counter.streamMilliseconds) / 1000.0 / static_cast<double>(counter.requests);
-            rates.serviceSeconds = rates.serviceSeconds > 0 ? rates.serviceSeconds + ServiceShare * (newest - rates.serviceSeconds) : newest;
-        }
-    }
-    for (auto it = m_models.begin(); it != m_models.end(); ++it) {
-        auto &rates = it->second;
-        const auto found = m_new.models.find(it->first);
-        const double rate = found == m_new.models.end() ? 0 : static_cast<double>(found->second.requests) / elapsed;
-        rates.fast += share(elapsed, m_options.fast) * (rate - rates.fast);
-        rates.middle += share(elapsed, m_options.middle) * (rate - rates.middle);
-        rates.slow += share(elapsed, m_options.slow) * (rate - rates.slow);
-    }
-    for (const auto &[adapter, requests] : m_new.adapters) {
-        m_adapters.emplace(adapter, 0.0);
+    const auto lost = part(elapsed);
+    for (auto &[model, rates] : m_models) {
+        rates.fast -= rates.fast * lost.fast;
+        rates.middle -= rates.middle * lost.middle;
+        rates.slow -= rates.slow * lost.slow;
     }
-    for (auto &[adapter, average] : m_adapters) {
-        const auto found = m_new.adapters.find(adapter);
-        const double rate = found == m_new.adapters.end() ? 0 : static_cast<double>(found->second) / elapsed;
-        average += share(elapsed, m_options.middle) * (rate - average);
+    for (auto &[adapter, rate] : m_adapters) {
+        rate -= rate * lost.middle;
     }
     std::erase_if(m_adapters, [](const auto &entry) { return entry.second < ForgottenRate; });
-    m_new = {};
 }
 
 Demand DemandEstimator::estimate() const
--- a/src/turmericplank/placement/engineorders.cpp
+++ b/src/turmericplank/placement/engineorders.cpp
@@ -88,6 +88,16 @@
     }
 }
 
+void EngineOrders::holdBack(const base::EndpointId &id, base::Time until)
+{
+    const auto it = m_engines.find(id);
+    if (it != m_engines.end()) {
+        it->second.isUnclear = true;
+        it->second.statedAfter = until;
+        it->second.nextAsk = until;
+    }
+}
+
 void EngineOrders::takeState(const base::EndpointId &id, const EngineState &state, base::Time askedAt)
 {
     const auto it = m_engines.find(id);
--- a/src/turmericplank/placement/lease.cpp
+++ b/src/turmericplank/placement/lease.cpp
@@ -8,9 +8,14 @@
 
 std::string encode(const LeaseRow &row)
 {
-    return nlohmann::json(
-               {{"holder", row.holder.text()}, {"term", row.term.value()}, {"renewal", row.renewal}, {"deadline", base::toMilliseconds(row.deadline)}})
-        .dump();
+    nlohmann::json json{{"holder", row.holder.text()}, {"term", row.term.value()}, {"renewal", row.renewal}, {"deadline", base::toMilliseconds(row.deadline)}};
+    if (row.isReleased) {
+        json["ordered_lately"] = nlohmann::json::array();
+        for (const auto &it : row.orderedLately) {
+            json["ordered_lately"].push_back(it.text());
+        }
+    }
+    return json.dump();
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const std::string &text)
@@ -24,8 +29,23 @@
             return std::nullopt;
         }
     }
-    return LeaseRow{base::DaemonId(json["holder"].get<std::string>()), base::Term(json["term"].get<std::uint64_t>()), json["renewal"].get<std::uint64_t>(),
-                    base::timeFromMilliseconds(json["deadline"].get<std::int64_t>())};
+    LeaseRow row{base::DaemonId(json["holder"].get<std::string>()), base::Term(json["term"].get<std::uint64_t>()), json["renewal"].get<std::uint64_t>(),
+                 base::timeFromMilliseconds(json["deadline"].get<std::int64_t>())};
+    const auto lately = json.find("ordered_lately");
+    row.isReleased = lately != json.end();
+    if (!row.isReleased) {
+        return row;
+    }
+    if (!lately->is_array()) {
+        return std::nullopt;
+    }
+    for (const auto &it : *lately) {
+        if (!it.is_string()) {
+            return std::nullopt;
+        }
+        row.orderedLately.emplace_back(it.get<std::string>());
+    }
+    return row;
 }
 
 Lease::Lease(LeaseOptions options)
@@ -38,7 +58,8 @@
     if (m_call != Call::None) {
         return LeaseStep::None;
     }
-    const bool isDue = now >= m_nextCall || (!m_attached.empty() && m_state == State::Holding && !m_isTableDown);
+    const bool hasToWrite = !m_attached.empty() || m_isGivenUp;
+    const bool isDue = now >= m_nextCall || (hasToWrite && m_state == State::Holding && !m_isTableDown);
     if (!isDue) {
         return LeaseStep::None;
     }
@@ -52,16 +73,12 @@
         return LeaseStep::Read;
     }
     if (m_state == State::Holding) {
-        auto row = *m_seen;
-        row.renewal += 1;
-        beginWrite(now, row);
+        beginRenewal(now);
         return LeaseStep::Write;
     }
-    // A row that cannot be read is never taken over: its term is not known.
-    const bool isAbsent = m_seenVersion == base::RowVersion();
-    const bool isLapsed = isAbsent || (m_seen && now >= m_unchangedSince + m_options.length);
-    if (isLapsed) {
+    if (isLapsed(now) && !m_isGivenUp) {
         const auto term = m_seen ? m_seen->term.next() : base::Term(1);
+        m_predecessor = m_seen;
         if (m_options.rowsOnAcquire) {
             attach(m_options.rowsOnAcquire(term));
         }
@@ -73,6 +90,33 @@
     return LeaseStep::Read;
 }
 
+/// A row that cannot be read is never taken over: its term is not known.
+bool Lease::isLapsed(base::Time now) const
+{
+    const bool isAbsent = m_seenVersion == base::RowVersion();
+    return isAbsent || (m_seen && (m_seen->isReleased || now >= m_unchangedSince + m_options.length));
+}
+
+void Lease::beginRenewal(base::Time now)
+{
+    auto row = *m_seen;
+    row.renewal += 1;
+    row.isReleased = m_isGivenUp;
+    row.orderedLately = m_orderedLately;
+    beginWrite(now, row);
+}
+
+void Lease::release(std::vector<base::EndpointId> orderedLately)
+{
+    m_isGivenUp = true;
+    m_orderedLately = std::move(orderedLately);
+}
+
+bool Lease::isReleaseDue() const
+{
+    return m_isGivenUp && (m_state == State::Acquiring || m_state == State::Holding);
+}
+
 void Lease::attach(std::vector<store::RowWrite> rows)
 {
     m_attached.insert(m_attached.end(), std::make_move_iterator(rows.begin()), std::make_move_iterator(rows.end()));
@@ -106,6 +150,10 @@
     m_safeUntil = m_writeBegan + m_options.length - m_options.safety;
     m_nextCall = m_writeBegan + m_options.renewInterval;
     m_pending.clear();
+    if (m_writing.isReleased) {
+        m_state = State::Following;
+        m_term = base::Term();
+    }
 }
 
 void Lease::follow(base::Time now, const std::optional<LeaseRow> &row, base::RowVersion version)
@@ -121,7 +169,11 @@
     m_term = base::Term();
     m_attached.clear();
     m_pending.clear();
-    m_nextCall = now + m_options.retryInterval;
+    // A row that stays as it is can be taken over at the moment of its lapse.
+    m_nextCall = std::min(now + m_options.retryInterval, std::max(now, m_unchangedSince + m_options.length));
+    if (m_seen && m_seen->isReleased) {
+        m_nextCall = now;
+    }
 }
 
 void Lease::rowsRead(base::Time now, const store::ReadResult &result)
@@ -171,12 +223,12 @@
 
 bool Lease::isHeld(base::Time now) const
 {
-    return m_state == State::Holding && now < m_safeUntil;
+    return m_state == State::Holding && !m_isGivenUp && now < m_safeUntil;
 }
 
 bool Lease::isUncontested() const
 {
-    return m_state == State::Holding;
+    return m_state == State::Holding && !m_isGivenUp;
 }
 
 bool Lease::isIdle() const
@@ -189,6 +241,11 @@
     return m_term;
 }
 
+const std::optional<LeaseRow> &Lease::predecessor() const
+{
+    return m_predecessor;
+}
+
 const std::optional<LeaseRow> &Lease::lastSeen() const
 {
     return m_seen;
