--- a/include/turmericplank/forwarding/waiting.hpp
+++ b/include/turmericplank/forwarding/waiting.hpp
@@ -16,7 +16,10 @@
 {
     double fullShare = 0.125; ///< of the objective; a call that waits longer and is refused then has waited for nothing
     base::Duration adapterWait = std::chrono::milliseconds(1200); ///< an order, the load and a round of notices, with some retries
-    double abandonShare = 12; ///< of the objective; callers give up after about half of it, but expected times are rough and mostly too long
+    double patienceShare = 0.8; ///< of a caller's patience that a first event may be expected to take; expected times are rough
+    base::Duration leastPatience = std::chrono::seconds(2); ///< callers of the users' platform bear every pause up to this
+    double objectivePatience = 4; ///< objectives that they bear, if that is longer
+    double gapPatience = 8; ///< objectives between two events that they bear, if that is longer still
     base::Duration modelRelief = std::chrono::milliseconds(2500); ///< a load from the weight store
     base::Duration engineRelief = std::chrono::milliseconds(2000); ///< until other engines have loaded the model that is asked for
     base::Duration serviceRelief = std::chrono::milliseconds(150); ///< a few turns of the slots of a plain service
@@ -37,10 +40,16 @@
 /// @param options bounds
 base::Duration expectedRelief(WaitCause cause, bool isEngine, const WaitOptions &options);
 
-/// @brief Whether a call had better be turned away than queued at its best endpoint.
+/// @brief How long a stream's caller bears that nothing comes, before it leaves.
+/// @param objective time within which the first event should come
+/// @param gapObjective time within which each further event should come
+/// @param options bounds
+base::Duration callerPatience(base::Duration objective, base::Duration gapObjective, const WaitOptions &options);
+
+/// @brief Whether a call had better be turned away than queued at its best endpoint: its caller would leave before its first event.
 /// @param expectedFirst until its first event there
-/// @param objective time within which that should come
+/// @param patience of its caller, and not longer than the time that it has left
 /// @param options bounds
-bool comesTooLate(base::Duration expectedFirst, base::Duration objective, const WaitOptions &options);
+bool comesTooLate(base::Duration expectedFirst, base::Duration patience, const WaitOptions &options);
 
 } // namespace turmericplank::forwarding
--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -53,7 +53,7 @@
     /// Follows demand that moves within seconds: fast, middle and slow average, how far ahead, and the first guess of a request's time.
     placement::DemandOptions demand{std::chrono::milliseconds(1500), std::chrono::seconds(4), std::chrono::seconds(4), std::chrono::seconds(2), 0.05};
     base::Duration appearTime = std::chrono::milliseconds(3500); ///< from the first engine's entry to that of the last that started with it
-    double weightLoadShare = 0.9; ///< of the weight store's rate
+    double weightLoadShare = 1.0; ///< of the weight store's rate
     std::uint32_t adapterLoadsAtOnce = 24;
 };
 
--- a/include/turmericplank/placement/planner.hpp
+++ b/include/turmericplank/placement/planner.hpp
@@ -25,6 +25,7 @@
     Demand, ///< saves late requests worth more than the move
     Version, ///< another version is configured
     Removed, ///< the model is not configured any more
+    Unlock, ///< another replica of a model, so that an engine full of only replicas can yield one
     MakeRoom, ///< frees memory for a load that is worth more
     Adapter, ///< the adapter is missing beside its base model
     Role, ///< another role is configured
--- a/include/turmericplank/placement/replicaplanner.hpp
+++ b/include/turmericplank/placement/replicaplanner.hpp
@@ -35,10 +35,15 @@
     double busy = 0.30; ///< load of a model's least busy engine above which another engine is worth a load; late gaps begin about there
     double leastGain = 0.03; ///< load that moves times the difference that it moves over; below, replicas would go back and forth
     double smallestLoad = 0.03; ///< of a model that is given another engine
+    double missingGain = 0.3; ///< of a model without any engine that nobody asks for: more than a small relief, less than a great one
+    double missingLoadGain = 3; ///< the same, for each engine that its requests would keep busy
     double evictionPrice = 0.02; ///< as gain: an unload waits for the requests in progress
     double storePrice = 0.02; ///< as gain: a load from the weight store takes seconds longer than one from a copy
     double yieldingShare = 0.15; ///< largest load that a model may have on an engine that it yields
     double yieldingPart = 0.25; ///< the same, in parts of the load that comes
+    double unlockShare = 0.03; ///< largest load that a model may have on an engine that yields it for that
+    std::uint32_t unlockStoreLoads = 1; ///< loads that the weight store must have to spare before a model is moved to make its engine able to yield
+    std::uint32_t roomsAhead = 2; ///< engines that make room for loads from the weight store beyond those that may begin now
     base::Duration intentTime = std::chrono::seconds(12); ///< an unload and a load have ended by then, or never will
 };
 
@@ -66,14 +71,17 @@
         MoveReason reason = MoveReason::Demand;
         base::Time until;
         double gain = 0;
+        bool hasRoom = false; ///< a model was ordered out for it
     };
 
     struct Step;
 
+    void dropUnbegun();
     void dropSettled(const ReplicaInput &input, base::Time now);
     void restoreMissing(Step &step, base::Time now);
     void relieveBusy(Step &step, base::Time now);
-    void emit(Step &step, std::vector<Move> &moves) const;
+    void unlockOne(Step &step, base::Time now);
+    void emit(Step &step, std::vector<Move> &moves);
 
     ReplicaPlannerOptions m_options;
     std::map<base::EndpointId, Intent> m_intents; ///< at most one for each engine
--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -62,7 +62,7 @@
     EngineSpeed speed;
     HealthOptions health;
     PrefixIndexOptions prefixes;
-    double promptBurden = 6; ///< how much computing a prompt holds up others on a full endpoint, relative to its own time
+    double promptBurden = 15; ///< how much computing a prompt holds up others on a full endpoint, relative to its own time
     double alikeShare = 0.7; ///< of the other daemons that are taken to have sent alike since they were heard
     double streamBurden = 0; ///< milliseconds by which each stream of an endpoint speaks against it, for the prompts that it will bring
     bool mayMoveCache = false; ///< whether engines here export and import their cache
--- a/src/turmericplank/forwarding/waiting.cpp
+++ b/src/turmericplank/forwarding/waiting.cpp
@@ -18,9 +18,16 @@
     return isEngine ? options.engineRelief : options.serviceRelief;
 }
 
-bool comesTooLate(base::Duration expectedFirst, base::Duration objective, const WaitOptions &options)
+base::Duration callerPatience(base::Duration objective, base::Duration gapObjective, const WaitOptions &options)
 {
-    return objective.count() > 0 && expectedFirst > std::chrono::duration_cast<base::Duration>(objective * options.abandonShare);
+    const auto byObjective = std::chrono::duration_cast<base::Duration>(objective * options.objectivePatience);
+    const auto byGap = std::chrono::duration_cast<base::Duration>(gapObjective * options.gapPatience);
+    return std::max({options.leastPatience, byObjective, byGap});
+}
+
+bool comesTooLate(base::Duration expectedFirst, base::Duration patience, const WaitOptions &options)
+{
+    return expectedFirst > std::chrono::duration_cast<base::Duration>(patience * options.patienceShare);
 }
 
 } // namespace turmericplank::forwarding
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -105,7 +105,8 @@
     const auto slash = call.model.text().find('/');
     auto &counter = m_demand.models[workName(service, base::ModelName(call.model.text().substr(0, slash)))];
     ++counter.requests;
-    m_fractionOfDemand += call.promptTokens * m_options.promptTokenMilliseconds + call.answerTokens * m_options.answerTokenMilliseconds;
+    const auto pace = m_pace.pace(workName(service, base::ModelName(call.model.text().substr(0, slash))));
+    m_fractionOfDemand += pace * call.promptTokens * m_options.promptTokenMilliseconds + pace * call.answerTokens * m_options.answerTokenMilliseconds;
     const auto whole = static_cast<std::uint64_t>(m_fractionOfDemand);
     m_fractionOfDemand -= static_cast<double>(whole);
     counter.streamMilliseconds += whole;
--- a/src/turmericplank/gateway/transfer.cpp
+++ b/src/turmericplank/gateway/transfer.cpp
@@ -132,7 +132,12 @@
 bool Transfer::isTooLateThere(const routing::Choice &choice) const
 {
     const bool isFirstSend = m_isEngine && m_attempts.sends() == 0;
-    return isFirstSend && forwarding::comesTooLate(choice.expectedFirstToken, m_route.objective, m_forwarder.m_options.wait);
+    if (!isFirstSend) {
+        return false;
+    }
+    const auto &wait = m_forwarder.m_options.wait;
+    const auto patience = forwarding::callerPatience(m_route.objective, m_route.eventGapObjective, wait);
+    return forwarding::comesTooLate(choice.expectedFirstToken, std::min(patience, m_attempts.deadline() - base::now()), wait);
 }
 
 void Transfer::park(forwarding::WaitCause cause)
--- a/src/turmericplank/gateway/transfer.hpp
+++ b/src/turmericplank/gateway/transfer.hpp
@@ -69,6 +69,7 @@
     void endWhole();
     void endSend(forwarding::SendEnd end);
     void noteRouterEnd(routing::AttemptEnd end);
+    void notePace();
     routing::AttemptEnd attemptEnd(forwarding::SendEnd end) const;
     void answer(net::HttpResponse response);
     void refuse(RefusalReason reason);
--- a/src/turmericplank/gateway/transfersend.cpp
+++ b/src/turmericplank/gateway/transfersend.cpp
@@ -194,6 +194,7 @@
             m_exchange->startStream(head.status, m_send->headers);
         }
         m_exchange->endStream();
+        notePace();
         finish("answered");
         return;
     }
@@ -202,6 +203,19 @@
     answer({head.status, std::move(m_send->headers), std::move(m_send->body)});
 }
 
+/// A stream that was resumed had another pause than its engine's.
+void Transfer::notePace()
+{
+    constexpr std::uint64_t LeastEvents = 8; ///< below, the mean gap says little
+    const auto events = m_cursor.events();
+    if (!m_isEngine || m_attempts.sends() != 1 || events < LeastEvents) {
+        return;
+    }
+    const auto slash = m_call.model.text().find('/');
+    const auto gap = (m_lastEventAt - m_firstEventAt) / static_cast<std::int64_t>(events - 1);
+    m_forwarder.m_pace.note(workName(m_service, base::ModelName(m_call.model.text().substr(0, slash))), gap, m_lastEventAt);
+}
+
 routing::AttemptEnd Transfer::attemptEnd(SendEnd end) const
 {
     switch (end) {
--- a/src/turmericplank/placement/planner.cpp
+++ b/src/turmericplank/placement/planner.cpp
@@ -219,6 +219,8 @@
         return "version";
     case MoveReason::Removed:
         return "removed";
+    case MoveReason::Unlock:
+        return "unlock";
     case MoveReason::MakeRoom:
         return "make_room";
     case MoveReason::Adapter:
--- a/src/turmericplank/placement/replicaplanner.cpp
+++ b/src/turmericplank/placement/replicaplanner.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr unsigned BalanceRounds = 3;
+constexpr double AnyShare = 1e9; ///< load that a model may have on an engine and still yield: any
+constexpr double ReplicaWorth = 0.01; ///< load by which each further replica of a model speaks for its yielding
 constexpr std::size_t MostIntentsPerStep = 4; ///< each changes the loads that the next one is chosen by
 
 Resident modelResident(const base::ModelName &model)
@@ -34,6 +36,7 @@
         for (const auto &[name, load] : input.models) {
             names.push_back(name);
             spread.demand.push_back(load.load);
+            largestModel = std::max(largestModel, load.memoryMb);
         }
         spread.capacity.assign(input.engines.size(), 1.0);
         listEngines(intents);
@@ -128,10 +131,32 @@
                 found.push_back(model);
             }
         }
-        std::ranges::stable_sort(found, {}, [&](auto model) { return share(model, engine); });
+        // Of two idle ones, the model with more replicas goes: the other keeps an engine elsewhere able to yield.
+        std::ranges::stable_sort(found, {}, [&](auto model) { return share(model, engine) - ReplicaWorth * present[model]; });
         return found;
     }
 
+    /// Models whose only replica is on an engine, or is to come there.
+    std::size_t onlyReplicas(std::uint32_t engine) const
+    {
+        std::size_t n = 0;
+        for (const auto &engines : spread.replicas) {
+            n += engines.size() == 1 && engines.front() == engine ? 1 : 0;
+        }
+        return n;
+    }
+
+    bool isFull(std::uint32_t engine) const
+    {
+        return freeMemory(engine) < std::int64_t(largestModel);
+    }
+
+    /// Whether nothing else can be loaded on an engine before one of its models is loaded elsewhere.
+    bool isLocked(std::uint32_t engine) const
+    {
+        return isFull(engine) && !presentOn[engine].empty() && victims(engine, AnyShare).empty();
+    }
+
     const ReplicaInput &input;
     std::vector<base::ModelName> names;
     std::vector<std::vector<std::uint32_t>> presentOn; ///< models that each engine serves now and goes on to
@@ -139,6 +164,7 @@
     BalanceInput spread;
     Balance result;
     std::uint32_t storeLoads = 0;
+    std::uint32_t largestModel = 0;
 };
 
 ReplicaPlanner::ReplicaPlanner(ReplicaPlannerOptions options)
@@ -154,11 +180,13 @@
 std::vector<Move> ReplicaPlanner::plan(const ReplicaInput &input, base::Time now)
 {
     dropSettled(input, now);
+    dropUnbegun();
     Step step(input, m_intents);
     if (input.mayRestore) {
         restoreMissing(step, now);
     }
     relieveBusy(step, now);
+    unlockOne(step, now);
     std::vector<Move> moves;
     emit(step, moves);
     return moves;
@@ -173,29 +201,41 @@
     });
 }
 
+/// What waits for the weight store's rate is chosen anew by the latest demand; room that was made is kept for its model.
+void ReplicaPlanner::dropUnbegun()
+{
+    std::erase_if(m_intents, [](const auto &it) { return !it.second.hasRoom; });
+}
+
 void ReplicaPlanner::restoreMissing(Step &step, base::Time now)
 {
+    std::vector<std::uint32_t> missing;
     for (std::uint32_t model = 0; model < step.names.size(); ++model) {
-        if (!step.spread.replicas[model].empty()) {
-            continue;
+        if (step.spread.replicas[model].empty()) {
+            missing.push_back(model);
         }
+    }
+    std::ranges::stable_sort(missing, std::greater<>(), [&](auto model) { return step.load(model).load; });
+    for (const auto model : missing) {
         std::optional<std::uint32_t> best;
-        std::tuple<bool, bool, double> bestRank;
+        std::tuple<bool, bool, std::size_t, double> bestRank;
         for (std::uint32_t engine = 0; engine < step.input.engines.size(); ++engine) {
             const auto &view = step.input.engines[engine];
             const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
-            const bool canMakeRoom = !step.victims(engine, 1e9).empty();
-            if (m_intents.contains(view.id) || (!fits && !canMakeRoom)) {
+            const bool canMakeRoom = !step.victims(engine, AnyShare).empty();
+            if (!view.isOrderable || m_intents.contains(view.id) || (!fits && !canMakeRoom)) {
                 continue;
             }
-            const std::tuple rank(!fits, !step.isAtHand(engine, model), step.result.load[engine]);
+            const std::tuple rank(!fits, !step.isAtHand(engine, model), step.onlyReplicas(engine), step.result.load[engine]);
             if (!best || rank < bestRank) {
                 best = engine;
                 bestRank = rank;
             }
         }
         if (best) {
-            m_intents.insert_or_assign(step.input.engines[*best].id, Intent{step.names[model], MoveReason::Unreachable, now + m_options.intentTime, 1});
+            const double gain = m_options.missingGain + step.load(model).load * m_options.missingLoadGain;
+            m_intents.insert_or_assign(step.input.engines[*best].id,
+                                       Intent{step.names[model], MoveReason::Unreachable, now + m_options.intentTime, gain, false});
             step.spread.replicas[model].push_back(*best);
             step.rebalanceAll();
         }
@@ -213,7 +253,7 @@
             const bool isBusy = step.load(model).load >= m_options.smallestLoad && pressure > m_options.busy && !step.spread.replicas[model].empty();
             for (std::uint32_t engine = 0; isBusy && engine < step.input.engines.size(); ++engine) {
                 const auto &view = step.input.engines[engine];
-                const bool isTaken = m_intents.contains(view.id) || view.residents.contains(modelResident(step.names[model]));
+                const bool isTaken = !view.isOrderable || m_intents.contains(view.id) || view.residents.contains(modelResident(step.names[model]));
                 if (isTaken || pressure <= step.result.load[engine]) {
                     continue;
                 }
@@ -232,32 +272,80 @@
         if (!best) {
             return;
         }
-        m_intents.insert_or_assign(step.input.engines[*best].id, Intent{step.names[bestModel], MoveReason::Demand, now + m_options.intentTime, bestGain});
+        m_intents.insert_or_assign(step.input.engines[*best].id,
+                                   Intent{step.names[bestModel], MoveReason::Demand, now + m_options.intentTime, bestGain, false});
         step.spread.replicas[bestModel].push_back(*best);
         step.rebalanceAll();
     }
 }
 
-void ReplicaPlanner::emit(Step &step, std::vector<Move> &moves) const
+/// One at a time, and behind everything else: it pays only when the next shift comes.
+void ReplicaPlanner::unlockOne(Step &step, base::Time now)
+{
+    if (step.storeLoads < m_options.unlockStoreLoads || !m_intents.empty()) {
+        return;
+    }
+    std::optional<std::pair<std::uint32_t, std::uint32_t>> best; // model, engine that takes it
+    std::pair<bool, double> bestRank;
+    for (std::uint32_t locked = 0; locked < step.input.engines.size(); ++locked) {
+        if (!step.isLocked(locked)) {
+            continue;
+        }
+        for (std::uint32_t engine = 0; engine < step.input.engines.size(); ++engine) {
+            const auto yielding = step.victims(engine, m_options.unlockShare).size() + (step.isFull(engine) ? 0 : 1);
+            if (!step.input.engines[engine].isOrderable || yielding < 2) {
+                continue;
+            }
+            for (const auto model : step.presentOn[locked]) {
+                const std::pair rank(!step.isAtHand(engine, model), step.load(model).load + step.result.load[engine]);
+                if (!best || rank < bestRank) {
+                    best = {model, engine};
+                    bestRank = rank;
+                }
+            }
+        }
+    }
+    if (best) {
+        m_intents.insert_or_assign(step.input.engines[best->second].id,
+                                   Intent{step.names[best->first], MoveReason::Unlock, now + m_options.intentTime, m_options.leastGain, false});
+        step.spread.replicas[best->first].push_back(best->second);
+    }
+}
+
+void ReplicaPlanner::emit(Step &step, std::vector<Move> &moves)
 {
+    // The weight store's rate goes to those that gain most.
+    std::vector<std::pair<double, std::uint32_t>> order;
     for (std::uint32_t engine = 0; engine < step.input.engines.size(); ++engine) {
         const auto &view = step.input.engines[engine];
         const auto intent = m_intents.find(view.id);
-        if (intent == m_intents.end() || !view.isOrderable) {
-            continue;
+        if (intent != m_intents.end() && view.isOrderable) {
+            order.emplace_back(-intent->second.gain, engine);
         }
-        const auto &[model, reason, until, gain] = intent->second;
+    }
+    std::ranges::sort(order);
+    // Room that waits for the weight store serves nobody.
+    std::uint32_t roomsLeft = step.storeLoads + m_options.roomsAhead;
+    for (const auto &it : order) {
+        const auto engine = it.second;
+        const auto &view = step.input.engines[engine];
+        auto &[model, reason, until, gain, hasRoom] = m_intents.at(view.id);
         const auto memory = step.input.models.at(model).memoryMb;
+        const bool isAtHand = view.atHand.contains(model);
+        if (!isAtHand && roomsLeft == 0) {
+            continue;
+        }
+        roomsLeft -= isAtHand ? 0 : 1;
         if (step.freeMemory(engine) >= std::int64_t(memory)) {
-            const bool isAtHand = view.atHand.contains(model);
             if (isAtHand || step.storeLoads > 0) {
                 step.storeLoads -= isAtHand ? 0 : 1;
                 moves.push_back({OrderKind::Load, view.id, modelResident(model), {}, memory, reason, gain});
             }
             continue;
         }
-        const auto victims = step.victims(engine, 1e9);
+        const auto victims = step.victims(engine, AnyShare);
         if (!victims.empty()) {
+            hasRoom = true;
             moves.push_back({OrderKind::Unload, view.id, modelResident(step.names[victims.front()]), {}, 0, MoveReason::MakeRoom, gain});
         }
     }
--- a/src/turmericplank/placement/replicaplanner_test.cpp
+++ b/src/turmericplank/placement/replicaplanner_test.cpp
@@ -175,3 +175,48 @@
         CHECK(world.replicas("rare" + std::to_string(n)) == 1);
     }
 }
+
+TEST_CASE("the weight store's rate goes to the missing model that most ask for")
+{
+    // Three engines come back empty after a crash, and one load may begin.
+    World world(3);
+    world.load("a_rare", 0);
+    world.load("b_rare", 0.01);
+    world.load("hot", 2.0);
+    world.input.storeLoads = 1;
+    const auto moves = world.planner.plan(world.input, world.now);
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].resident.model.text() == "hot");
+}
+
+TEST_CASE("a load that waits for the weight store's rate gives way to a greater demand that comes meanwhile")
+{
+    World world(2);
+    world.hold(0, "before");
+    world.hold(0, "after");
+    world.load("before", 3.0);
+    world.input.storeLoads = 0;
+    CHECK(world.planner.plan(world.input, world.now).empty());
+    world.load("before", 0.1);
+    world.load("after", 3.0);
+    world.input.storeLoads = 1;
+    const auto moves = world.planner.plan(world.input, world.now + std::chrono::milliseconds(250));
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].resident.model.text() == "after");
+}
+
+TEST_CASE("engines full of only replicas are made able to yield before the next shift")
+{
+    // Two engines hold nothing but models that no other engine holds, the two others nothing but copies of a favourite's company.
+    World world(4);
+    for (std::size_t n = 0; n < 3; ++n) {
+        world.hold(0, "rare" + std::to_string(n));
+        world.hold(1, "rare" + std::to_string(3 + n));
+        world.hold(2, "copy" + std::to_string(n));
+        world.hold(3, "copy" + std::to_string(n));
+    }
+    world.run(20);
+    world.load("rare0", 4.0);
+    world.run(20);
+    CHECK(world.replicas("rare0") == 4);
+}
