--- a/daemons/turmericplank/statuscommands.cpp
+++ b/daemons/turmericplank/statuscommands.cpp
@@ -1,8 +1,11 @@
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <memory>
 
+#include "logstory.hpp"
 #include "operatorclient.hpp"
 #include "turmericplank/base/time.hpp"
 
@@ -188,9 +191,63 @@
 }
 
 const Command statusCommand([](CLI::App &app) { add(app, "status", "prints which revision is in force where, and what daemons report", &status, "", ""); });
+struct LogArguments
+{
+    std::string request;
+    std::vector<std::string> files;
+};
+
+/// "-" stands for standard input.
+std::vector<LogLine> readLog(const std::string &file)
+{
+    std::ifstream opened;
+    if (file != "-") {
+        opened.open(file);
+        if (!opened) {
+            std::cerr << "the log " << file << " cannot be opened\n";
+            throw CLI::RuntimeError(Failed);
+        }
+    }
+    std::istream &in = file == "-" ? std::cin : opened;
+    std::vector<LogLine> lines;
+    for (std::string text; std::getline(in, text);) {
+        if (auto line = parseLogLine(std::filesystem::path(file).stem().string(), text)) {
+            lines.push_back(std::move(*line));
+        }
+    }
+    return lines;
+}
+
+void explainLogs(const LogArguments &arguments)
+{
+    std::vector<LogLine> lines;
+    for (const auto &file : arguments.files) {
+        auto more = readLog(file);
+        lines.insert(lines.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    }
+    const auto story = storyOf(std::move(lines), arguments.request);
+    for (const auto &it : story.entries) {
+        std::cout << (it.isContext ? "  " : "* ") << std::right << std::setw(8) << -it.ageMilliseconds << " ms  " << std::left << std::setw(24)
+                  << it.line.source << it.line.text << '\n';
+    }
+    for (const auto &it : story.missing) {
+        std::cout << "missing: " << it << '\n';
+    }
+    if (story.entries.empty()) {
+        throw CLI::RuntimeError(Failed);
+    }
+}
+
 const Command explainCommand([](CLI::App &app) {
     add(app, "explain", "prints the decisions about a request, model or endpoint", &explain, "id", "request id or name");
 });
+const Command explainLogsCommand([](CLI::App &app) {
+    const auto arguments = std::make_shared<LogArguments>();
+    auto *command = app.add_subcommand("explain-logs", "tells the story of one request from the logs of all daemons");
+    command->add_option("request", arguments->request, "request id")->required();
+    command->add_option("logs", arguments->files, "log files; - for standard input")->required();
+    command->callback([arguments] { explainLogs(*arguments); });
+});
 const Command levelCommand([](CLI::App &app) {
     add(app, "level", "changes the log level of running daemons", &level, "level", "debug, info, warning or error");
 });
