--- a/include/turmericplank/gateway/siteview.hpp
+++ b/include/turmericplank/gateway/siteview.hpp
@@ -20,7 +20,9 @@
     base::Duration passedLimit = std::chrono::milliseconds(1450); ///< without entries from the reader; with a read still inside that time
     base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration passingTime = std::chrono::milliseconds(500); ///< for a configuration to be passed on by who told of it; then it is read
-    base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a call that brought nothing
+    base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a call that brought nothing, by the reader of a group
+    base::Duration longestRetry =
+        std::chrono::milliseconds(2000); ///< the same, by others, after doublings; within the time in which a daemon has to be up to date again
 };
 
 /// @brief Keeps the fleet's view up to date with the site's store.
@@ -58,6 +60,7 @@
     void takeEndpoints(const tl::expected<ReadEndpoints, TableFailure> &result);
     void tick();
     bool isReadDue(base::Time now) const;
+    base::Duration retryPause(unsigned failures) const;
     void takeEntries(const std::vector<discovery::EndpointEntry> &entries);
     bool apply(const std::shared_ptr<const routes::SiteConfiguration> &configuration);
     void noteStore(bool isAnswering);
@@ -75,6 +78,8 @@
     base::Time m_passedAt; ///< entries were passed on
     bool m_isReading = false;
     bool m_isAwaiting = false;
+    unsigned m_endpointFailures = 0; ///< in a row
+    unsigned m_awaitFailures = 0; ///< in a row
     bool m_isReadingAgain = false;
     std::optional<base::Time> m_aheadSince; ///< another daemon has a later version, which it is about to pass on
     bool m_isAnswering = true;
--- a/src/turmericplank/gateway/siteview.cpp
+++ b/src/turmericplank/gateway/siteview.cpp
@@ -1,5 +1,7 @@
 #include "turmericplank/gateway/siteview.hpp"
 
+#include <algorithm>
+
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/telemetry/log.hpp"
 
@@ -43,7 +45,7 @@
 
 bool SiteView::isReadDue(base::Time now) const
 {
-    if (now < m_askedAt + m_options.retryInterval) {
+    if (now < m_askedAt + retryPause(m_endpointFailures)) {
         return false;
     }
     const auto keeps = m_fleet.keepsMissingUntil();
@@ -52,6 +54,17 @@
     return endsKeeping || isReadersTurn || now >= m_takenAt + m_options.passedLimit;
 }
 
+/// Load pattern: the store goes away, and all daemons of a large site ask for what their readers do not pass on. The readers
+/// ask often and pass on what they get; the others only have to find out in time that their reader alone is cut off.
+base::Duration SiteView::retryPause(unsigned failures) const
+{
+    constexpr unsigned MostDoublings = 8;
+    if (m_hooks.isReader()) {
+        return m_options.retryInterval;
+    }
+    return std::min(m_options.retryInterval * (1U << std::min(failures, MostDoublings)), m_options.longestRetry);
+}
+
 void SiteView::readConfiguration()
 {
     m_metrics.count("store_calls_total{call=\"read_configuration\"}");
@@ -70,11 +83,12 @@
     m_store.awaitConfiguration(m_position, [this](const tl::expected<ReadConfiguration, TableFailure> &result) {
         takeConfiguration(result);
         if (result) {
+            m_awaitFailures = 0;
             m_isAwaiting = false;
             return;
         }
         // The history may be gone: all is read again before the next wait.
-        daemon::callAt(m_context, base::now() + m_options.retryInterval, [this] {
+        daemon::callAt(m_context, base::now() + retryPause(m_awaitFailures++), [this] {
             m_metrics.count("store_calls_total{call=\"read_configuration\"}");
             m_store.readConfiguration([this](const tl::expected<ReadConfiguration, TableFailure> &again) {
                 takeConfiguration(again);
@@ -150,9 +164,11 @@
     m_isReading = false;
     noteStore(result.has_value());
     if (!result) {
+        ++m_endpointFailures;
         m_metrics.count("store_failures_total{call=\"endpoints\"}");
         return;
     }
+    m_endpointFailures = 0;
     if (result->unreadable.size() != m_unreadable) {
         m_unreadable = result->unreadable.size();
         telemetry::log(LogLevel::Warning, "endpoints", "entries that cannot be read are left out",
--- a/src/turmericplank/gateway/siteview_test.cpp
+++ b/src/turmericplank/gateway/siteview_test.cpp
@@ -35,6 +35,7 @@
         it.passingTime = std::chrono::milliseconds(20);
         it.tickInterval = std::chrono::milliseconds(5);
         it.retryInterval = std::chrono::milliseconds(10);
+        it.longestRetry = std::chrono::milliseconds(80);
         return it;
     }
 
@@ -53,7 +54,11 @@
         };
         it.readEndpoints = [this](const ReadHook<ReadEndpoints> &hook) {
             ++endpointReads;
-            hook(ReadEndpoints{});
+            if (isAway) {
+                hook(tl::unexpected(TableFailure::Unavailable));
+            } else {
+                hook(ReadEndpoints{});
+            }
         };
         it.parseConfiguration = [](const std::string &text) {
             return version(std::stoull(text));
@@ -88,6 +93,7 @@
     boost::asio::io_context context;
     bool isReader = false;
     bool stopsAtWait = true;
+    bool isAway = false; ///< the store, for reads of the entries
     std::uint64_t stored = 1;
     int configurationReads = 0;
     int endpointReads = 0;
@@ -148,3 +154,24 @@
     CHECK(it.configurationReads == reads + 1);
     CHECK(it.revision() == 4);
 }
+
+TEST_CASE("while the store is away, readers ask often and the others seldom")
+{
+    Daemon other(false);
+    other.stopsAtWait = false;
+    other.isAway = true;
+    daemon::callAt(other.context, base::now() + std::chrono::milliseconds(800), [&] { other.context.stop(); });
+    other.context.run();
+    CHECK(other.endpointReads <= 14); // 10, 20, 40 and then 80 ms apart
+    constexpr int ManyReads = 30;
+    Daemon reader(true);
+    reader.stopsAtWait = false;
+    reader.isAway = true;
+    daemon::every(reader.context, std::chrono::milliseconds(5), [&] {
+        if (reader.endpointReads >= ManyReads) {
+            reader.context.stop();
+        }
+    });
+    reader.context.run();
+    CHECK(reader.endpointReads >= ManyReads);
+}
