--- a/include/turmericplank/placement/replicaplanner.hpp
+++ b/include/turmericplank/placement/replicaplanner.hpp
@@ -75,11 +75,21 @@
     };
 
     struct Step;
+    /// A model and the engine that is to get it.
+    struct Choice
+    {
+        std::uint32_t model = 0;
+        std::uint32_t engine = 0;
+        double gain = 0;
+        MoveReason reason = MoveReason::Demand;
+    };
 
     void dropUnbegun();
     void dropSettled(const ReplicaInput &input, base::Time now);
-    void restoreMissing(Step &step, base::Time now);
-    void relieveBusy(Step &step, base::Time now);
+    static std::vector<std::uint32_t> missingModels(const Step &step);
+    std::optional<Choice> bestRestore(const Step &step, std::uint32_t model) const;
+    std::optional<Choice> bestRelief(const Step &step) const;
+    void choose(Step &step, bool mayRestore, base::Time now);
     void unlockOne(Step &step, base::Time now);
     void emit(Step &step, std::vector<Move> &moves);
 
--- a/src/turmericplank/placement/replicaplanner.cpp
+++ b/src/turmericplank/placement/replicaplanner.cpp
@@ -11,7 +11,7 @@
 constexpr unsigned BalanceRounds = 3;
 constexpr double AnyShare = 1e9; ///< load that a model may have on an engine and still yield: any
 constexpr double ReplicaWorth = 0.01; ///< load by which each further replica of a model speaks for its yielding
-constexpr std::size_t MostIntentsPerStep = 4; ///< each changes the loads that the next one is chosen by
+constexpr std::size_t MostIntentsPerStep = 8; ///< each changes the loads that the next one is chosen by
 
 Resident modelResident(const base::ModelName &model)
 {
@@ -182,10 +182,7 @@
     dropSettled(input, now);
     dropUnbegun();
     Step step(input, m_intents);
-    if (input.mayRestore) {
-        restoreMissing(step, now);
-    }
-    relieveBusy(step, now);
+    choose(step, input.mayRestore, now);
     unlockOne(step, now);
     std::vector<Move> moves;
     emit(step, moves);
@@ -207,7 +204,8 @@
     std::erase_if(m_intents, [](const auto &it) { return !it.second.hasRoom; });
 }
 
-void ReplicaPlanner::restoreMissing(Step &step, base::Time now)
+/// Models that no engine holds or is to hold, those that most ask for first.
+std::vector<std::uint32_t> ReplicaPlanner::missingModels(const Step &step)
 {
     std::vector<std::uint32_t> missing;
     for (std::uint32_t model = 0; model < step.names.size(); ++model) {
@@ -216,65 +214,73 @@
         }
     }
     std::ranges::stable_sort(missing, std::greater<>(), [&](auto model) { return step.load(model).load; });
-    for (const auto model : missing) {
-        std::optional<std::uint32_t> best;
-        std::tuple<bool, bool, std::size_t, double> bestRank;
-        for (std::uint32_t engine = 0; engine < step.input.engines.size(); ++engine) {
+    return missing;
+}
+
+std::optional<ReplicaPlanner::Choice> ReplicaPlanner::bestRestore(const Step &step, std::uint32_t model) const
+{
+    std::optional<Choice> best;
+    std::tuple<bool, bool, bool, std::size_t, double> bestRank;
+    for (std::uint32_t engine = 0; engine < step.input.engines.size(); ++engine) {
+        const auto &view = step.input.engines[engine];
+        const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
+        const auto victims = fits ? std::vector<std::uint32_t>() : step.victims(engine, AnyShare);
+        if (!view.isOrderable || m_intents.contains(view.id) || (!fits && victims.empty())) {
+            continue;
+        }
+        const bool isVictimBusy = !fits && step.share(victims.front(), engine) > m_options.yieldingShare;
+        const std::tuple rank(!fits, isVictimBusy, !step.isAtHand(engine, model), step.onlyReplicas(engine), step.result.load[engine]);
+        if (!best || rank < bestRank) {
+            best = Choice{model, engine, m_options.missingGain + step.load(model).load * m_options.missingLoadGain, MoveReason::Unreachable};
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+std::optional<ReplicaPlanner::Choice> ReplicaPlanner::bestRelief(const Step &step) const
+{
+    std::optional<Choice> best;
+    for (std::uint32_t model = 0; model < step.names.size(); ++model) {
+        const double pressure = step.pressure(model);
+        const bool isBusy = step.load(model).load >= m_options.smallestLoad && pressure > m_options.busy && !step.spread.replicas[model].empty();
+        for (std::uint32_t engine = 0; isBusy && engine < step.input.engines.size(); ++engine) {
             const auto &view = step.input.engines[engine];
-            const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
-            const bool canMakeRoom = !step.victims(engine, AnyShare).empty();
-            if (!view.isOrderable || m_intents.contains(view.id) || (!fits && !canMakeRoom)) {
+            const bool isTaken = !view.isOrderable || m_intents.contains(view.id) || view.residents.contains(modelResident(step.names[model]));
+            if (isTaken || pressure <= step.result.load[engine]) {
                 continue;
             }
-            const std::tuple rank(!fits, !step.isAtHand(engine, model), step.onlyReplicas(engine), step.result.load[engine]);
-            if (!best || rank < bestRank) {
-                best = engine;
-                bestRank = rank;
+            double moved = 0;
+            const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
+            const double price = (fits ? 0 : m_options.evictionPrice) + (step.isAtHand(engine, model) ? 0 : m_options.storePrice);
+            const double gain = step.gain(model, engine, pressure, moved) - price;
+            const double yielding = std::max(m_options.yieldingShare, m_options.yieldingPart * moved);
+            if (gain > (best ? best->gain : m_options.leastGain) && (fits || !step.victims(engine, yielding).empty())) {
+                best = Choice{model, engine, gain, MoveReason::Demand};
             }
         }
-        if (best) {
-            const double gain = m_options.missingGain + step.load(model).load * m_options.missingLoadGain;
-            m_intents.insert_or_assign(step.input.engines[*best].id,
-                                       Intent{step.names[model], MoveReason::Unreachable, now + m_options.intentTime, gain, false});
-            step.spread.replicas[model].push_back(*best);
-            step.rebalanceAll();
-        }
     }
+    return best;
 }
 
-void ReplicaPlanner::relieveBusy(Step &step, base::Time now)
+/// Load pattern: engines are replaced one after the other and take the only replicas of many models with them, while demand
+/// moves. Each engine goes to what gains most there, be it a missing model or a busy one.
+void ReplicaPlanner::choose(Step &step, bool mayRestore, base::Time now)
 {
+    const auto missing = mayRestore ? missingModels(step) : std::vector<std::uint32_t>();
+    auto next = missing.begin();
     for (std::size_t n = 0; n < MostIntentsPerStep; ++n) {
-        double bestGain = m_options.leastGain;
-        std::uint32_t bestModel = 0;
-        std::optional<std::uint32_t> best;
-        for (std::uint32_t model = 0; model < step.names.size(); ++model) {
-            const double pressure = step.pressure(model);
-            const bool isBusy = step.load(model).load >= m_options.smallestLoad && pressure > m_options.busy && !step.spread.replicas[model].empty();
-            for (std::uint32_t engine = 0; isBusy && engine < step.input.engines.size(); ++engine) {
-                const auto &view = step.input.engines[engine];
-                const bool isTaken = !view.isOrderable || m_intents.contains(view.id) || view.residents.contains(modelResident(step.names[model]));
-                if (isTaken || pressure <= step.result.load[engine]) {
-                    continue;
-                }
-                double moved = 0;
-                const bool fits = step.freeMemory(engine) >= std::int64_t(step.load(model).memoryMb);
-                const double price = (fits ? 0 : m_options.evictionPrice) + (step.isAtHand(engine, model) ? 0 : m_options.storePrice);
-                const double gain = step.gain(model, engine, pressure, moved) - price;
-                const double yielding = std::max(m_options.yieldingShare, m_options.yieldingPart * moved);
-                if (gain > bestGain && (fits || !step.victims(engine, yielding).empty())) {
-                    bestGain = gain;
-                    bestModel = model;
-                    best = engine;
-                }
-            }
-        }
-        if (!best) {
+        const auto relief = bestRelief(step);
+        const auto restore = next == missing.end() ? std::nullopt : bestRestore(step, *next);
+        if (!relief && !restore) {
             return;
         }
-        m_intents.insert_or_assign(step.input.engines[*best].id,
-                                   Intent{step.names[bestModel], MoveReason::Demand, now + m_options.intentTime, bestGain, false});
-        step.spread.replicas[bestModel].push_back(*best);
+        const bool isRestore = !relief || (restore && restore->gain >= relief->gain);
+        const auto &best = isRestore ? *restore : *relief;
+        next += isRestore ? 1 : 0;
+        m_intents.insert_or_assign(step.input.engines[best.engine].id,
+                                   Intent{step.names[best.model], best.reason, now + m_options.intentTime, best.gain, false});
+        step.spread.replicas[best.model].push_back(best.engine);
         step.rebalanceAll();
     }
 }
--- a/src/turmericplank/placement/replicaplanner_test.cpp
+++ b/src/turmericplank/placement/replicaplanner_test.cpp
@@ -220,3 +220,20 @@
     world.run(20);
     CHECK(world.replicas("rare0") == 4);
 }
+
+TEST_CASE("missing models that few ask for do not take the engines from a busy one")
+{
+    // Engines that were replaced come back empty, one model each of many is nowhere, and all callers want one other model.
+    World world(8);
+    world.hold(0, "hot");
+    world.load("hot", 9.0);
+    for (std::size_t n = 0; n < 12; ++n) {
+        world.load("rare" + std::to_string(n), 0.01);
+    }
+    world.input.storeLoads = 3;
+    std::size_t hot = 0;
+    for (const auto &move : world.planner.plan(world.input, world.now)) {
+        hot += move.resident.model.text() == "hot" ? 1 : 0;
+    }
+    CHECK(hot == 3);
+}
