--- a/daemons/turmericplank/logstory_test.cpp
+++ b/daemons/turmericplank/logstory_test.cpp
@@ -24,8 +24,8 @@
     return std::ranges::any_of(story.entries, [&](const auto &it) { return it.line.text.find(text) != std::string::npos; });
 }
 
-const std::pair<std::string, std::string> Configured{"b", "2026-12-04 03:00:00,000 INFO  configuration: in force revision=7 routes=3"};
-const std::pair<std::string, std::string> Leased{"a", "2026-12-04 03:00:01,000 INFO  placement: holds the lease term=2 table=up"};
+const std::pair<std::string, std::string> configured{"b", "2026-12-04 03:00:00,000 INFO  configuration: in force revision=7 routes=3"};
+const std::pair<std::string, std::string> leased{"a", "2026-12-04 03:00:01,000 INFO  placement: holds the lease term=2 table=up"};
 
 } // namespace
 
@@ -49,8 +49,8 @@
 TEST_CASE("a call refused under overload: the demand and the orders that its daemon did not see")
 {
     const auto story =
-        storyOf(parsed({Configured,
-                        Leased,
+        storyOf(parsed({configured,
+                        leased,
                         {"a", "2026-12-04 03:00:05,000 INFO  placement: demand service=s percent_per_engines=old:10/2"},
                         {"a", "2026-12-04 03:00:07,000 INFO  placement: demand service=s percent_per_engines=hot:900/1"},
                         {"a", "2026-12-04 03:00:07,500 INFO  placement: orders kind=load endpoint=e9 model=hot adapter=\"\" reason=demand"},
@@ -72,8 +72,8 @@
 TEST_CASE("a call that ended with an unknown outcome: its endpoint went down")
 {
     const auto story =
-        storyOf(parsed({Configured,
-                        Leased,
+        storyOf(parsed({configured,
+                        leased,
                         {"b", "2026-12-04 03:00:08,000 INFO  requests: send ended request=r2 endpoint=e1 end=lost after_ms=58 next=fail_unknown"},
                         {"b", "2026-12-04 03:00:08,000 INFO  requests: ended request=r2 work=s: endpoint=e1 outcome=unknown total_ms=60"},
                         {"b", "2026-12-04 03:00:10,000 INFO  endpoints: gone endpoint=e1 incarnation=4"},
@@ -86,8 +86,8 @@
 
 TEST_CASE("a stream broken off while its daemon had lost the store and another daemon was frozen")
 {
-    const auto story = storyOf(parsed({Configured,
-                                       Leased,
+    const auto story = storyOf(parsed({configured,
+                                       leased,
                                        {"b", "2026-12-04 03:00:04,000 WARN  store: does not answer after_ms=9000"},
                                        {"b", "2026-12-04 03:00:06,000 WARN  peers: silent daemon=c age_ms=1400"},
                                        {"b", "2026-12-04 03:00:08,000 WARN  requests: refused request=r3 work=s:m/a1 reason=unknown after_ms=1000 events=17"}}),
--- a/src/turmericplank/placement/demand_test.cpp
+++ b/src/turmericplank/placement/demand_test.cpp
@@ -7,15 +7,15 @@
 
 namespace {
 
-const base::ModelName Model("m");
-const base::DaemonId Daemon("d");
+const base::ModelName theModel("m");
+const base::DaemonId theDaemon("d");
 constexpr std::uint64_t RequestMilliseconds = 100;
 constexpr std::uint64_t RequestsPerSecond = 50;
 
 DemandCounters counted(std::uint64_t requests)
 {
     DemandCounters counters;
-    counters.models[Model] = {requests, requests * RequestMilliseconds};
+    counters.models[theModel] = {requests, requests * RequestMilliseconds};
     return counters;
 }
 
@@ -29,7 +29,7 @@
         estimator.advance(now);
         if (n % 2 == 1) {
             requests += RequestsPerSecond * 2 / 5;
-            estimator.report(Daemon, counted(requests), now);
+            estimator.report(theDaemon, counted(requests), now);
         }
     }
     return now;
@@ -41,9 +41,9 @@
 {
     DemandEstimator estimator({std::chrono::milliseconds(1500), std::chrono::seconds(4), std::chrono::seconds(4), std::chrono::seconds(2), 0.05});
     std::uint64_t requests = 0;
-    estimator.report(Daemon, counted(0), base::timeFromMilliseconds(1000));
+    estimator.report(theDaemon, counted(0), base::timeFromMilliseconds(1000));
     follow(estimator, base::timeFromMilliseconds(1000), std::chrono::seconds(30), requests);
-    const auto demand = estimator.estimate().models.at(Model);
+    const auto demand = estimator.estimate().models.at(theModel);
     CHECK(demand.requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
     CHECK(demand.streams == doctest::Approx(5.0).epsilon(0.1));
 }
@@ -54,14 +54,14 @@
     DemandEstimator estimator({std::chrono::milliseconds(1500), std::chrono::seconds(4), std::chrono::seconds(4), std::chrono::seconds(2), 0.05});
     const auto start = base::timeFromMilliseconds(1000);
     const auto end = start + std::chrono::seconds(16);
-    estimator.report(Daemon, counted(0), start);
+    estimator.report(theDaemon, counted(0), start);
     for (auto now = start; now < end; now += std::chrono::milliseconds(250)) {
         estimator.advance(now);
     }
     std::uint64_t requests = RequestsPerSecond * 16;
     estimator.advance(end);
-    estimator.report(Daemon, counted(requests), end);
-    CHECK(estimator.estimate().models.at(Model).requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
+    estimator.report(theDaemon, counted(requests), end);
+    CHECK(estimator.estimate().models.at(theModel).requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
     follow(estimator, end, std::chrono::seconds(2), requests);
-    CHECK(estimator.estimate().models.at(Model).requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
+    CHECK(estimator.estimate().models.at(theModel).requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
 }
--- a/src/turmericplank/placement/modelpace_test.cpp
+++ b/src/turmericplank/placement/modelpace_test.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const base::ModelName Fast("fast");
-const base::ModelName Slow("slow");
+const base::ModelName fast("fast");
+const base::ModelName slow("slow");
 
 void noteStreams(ModelPace &pace, const base::ModelName &model, int count, base::Duration gap, base::Time now)
 {
@@ -24,20 +24,20 @@
 {
     ModelPace pace;
     const auto now = base::timeFromMilliseconds(1000);
-    noteStreams(pace, Slow, 10, milliseconds(32), now);
-    noteStreams(pace, Fast, 10, milliseconds(40), now); // while its engine is busy
-    noteStreams(pace, Fast, 1, milliseconds(8), now);
-    CHECK(pace.pace(Slow) == doctest::Approx(1));
-    CHECK(pace.pace(Fast) == doctest::Approx(0.25));
+    noteStreams(pace, slow, 10, milliseconds(32), now);
+    noteStreams(pace, fast, 10, milliseconds(40), now); // while its engine is busy
+    noteStreams(pace, fast, 1, milliseconds(8), now);
+    CHECK(pace.pace(slow) == doctest::Approx(1));
+    CHECK(pace.pace(fast) == doctest::Approx(0.25));
 }
 
 TEST_CASE("a model that too little is known of counts as the slowest")
 {
     ModelPace pace;
     const auto now = base::timeFromMilliseconds(1000);
-    noteStreams(pace, Slow, 10, milliseconds(32), now);
-    noteStreams(pace, Fast, 3, milliseconds(8), now);
-    CHECK(pace.pace(Fast) == doctest::Approx(1));
+    noteStreams(pace, slow, 10, milliseconds(32), now);
+    noteStreams(pace, fast, 3, milliseconds(8), now);
+    CHECK(pace.pace(fast) == doctest::Approx(1));
     CHECK(pace.pace(base::ModelName("never seen")) == doctest::Approx(1));
 }
 
@@ -45,12 +45,12 @@
 {
     ModelPace pace;
     auto now = base::timeFromMilliseconds(1000);
-    noteStreams(pace, Slow, 10, milliseconds(32), now);
-    noteStreams(pace, Fast, 10, milliseconds(8), now);
+    noteStreams(pace, slow, 10, milliseconds(32), now);
+    noteStreams(pace, fast, 10, milliseconds(8), now);
     for (int n = 0; n < 3; ++n) {
         now += std::chrono::seconds(16);
-        noteStreams(pace, Slow, 10, milliseconds(32), now);
-        noteStreams(pace, Fast, 10, milliseconds(16), now);
+        noteStreams(pace, slow, 10, milliseconds(32), now);
+        noteStreams(pace, fast, 10, milliseconds(16), now);
     }
-    CHECK(pace.pace(Fast) == doctest::Approx(0.5));
+    CHECK(pace.pace(fast) == doctest::Approx(0.5));
 }
--- a/src/turmericplank/requests/suspects_test.cpp
+++ b/src/turmericplank/requests/suspects_test.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-const base::Time Now{std::chrono::seconds(1000)};
-const Fingerprint Crashing(7);
-const base::DaemonId Other("d1");
+const base::Time now{std::chrono::seconds(1000)};
+const Fingerprint crashing(7);
+const base::DaemonId other("d1");
 
 EndpointLoss loss(const char *endpoint, std::uint64_t incarnation)
 {
@@ -21,7 +21,7 @@
     SuspectOptions options;
     options.self = base::DaemonId("d0");
     options.peers = [] {
-        return std::vector{Other};
+        return std::vector{other};
     };
     return Suspects(options);
 }
@@ -31,17 +31,17 @@
 TEST_CASE("an endpoint that is lost, restarts and is lost again counts twice")
 {
     auto suspects = daemonWithOnePeer();
-    suspects.endpointLost(Crashing, loss("e", 1), Now);
-    REQUIRE(suspects.standing(Crashing, Now) == Standing::Suspect);
-    suspects.onVerdict(Other, {Crashing, false, {loss("e", 2)}, 0}, Now);
-    CHECK(suspects.standing(Crashing, Now) == Standing::Condemned);
+    suspects.endpointLost(crashing, loss("e", 1), now);
+    REQUIRE(suspects.standing(crashing, now) == Standing::Suspect);
+    suspects.onVerdict(other, {crashing, false, {loss("e", 2)}, 0}, now);
+    CHECK(suspects.standing(crashing, now) == Standing::Condemned);
 }
 
 TEST_CASE("one loss that two daemons saw counts once")
 {
     auto suspects = daemonWithOnePeer();
-    suspects.endpointLost(Crashing, loss("e", 1), Now);
-    suspects.onVerdict(Other, {Crashing, false, {loss("e", 1)}, 0}, Now);
-    CHECK(suspects.standing(Crashing, Now) == Standing::Suspect);
-    CHECK(suspects.avoid(Crashing) == std::vector{base::EndpointId("e")});
+    suspects.endpointLost(crashing, loss("e", 1), now);
+    suspects.onVerdict(other, {crashing, false, {loss("e", 1)}, 0}, now);
+    CHECK(suspects.standing(crashing, now) == Standing::Suspect);
+    CHECK(suspects.avoid(crashing) == std::vector{base::EndpointId("e")});
 }
