--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -118,9 +118,10 @@
     };
 
     std::map<base::EndpointId, Known> m_known; ///< engines that were ordered something lately
-    std::map<base::EndpointId, base::Time> m_orderedAt; ///< last order to each engine in this tenure
+    std::map<base::EndpointId, base::Time> m_orderedAt; ///< last order of this daemon to each engine
     base::Time m_nextFollow;
     base::Term m_tenure;
+    base::Term m_lastTerm; ///< of the latest tenure, also after its end
     base::Term m_refused; ///< an engine has seen a higher term than this
     base::Time m_lastTick;
     base::Time m_storelessUntil; ///< of the tenure, while the store does not answer
--- a/src/turmericplank/gateway/placementrunner.cpp
+++ b/src/turmericplank/gateway/placementrunner.cpp
@@ -79,6 +79,7 @@
             if (!endpoints.contains(view.id)) {
                 service.orders.dropEngine(view.id);
                 m_known.erase(view.id);
+                m_orderedAt.erase(view.id);
             }
         }
         for (const auto &[id, entry] : endpoints) {
@@ -183,14 +184,13 @@
 
 void PlacementRunner::beginTenure(base::Time now)
 {
+    // The same tenure may begin again behind a renewal that took long; nobody else has ordered meanwhile.
+    const bool isTakeover = std::exchange(m_lastTerm, m_lease.term()) != m_lease.term();
     const auto &before = m_lease.predecessor();
-    m_orderedAt.clear();
+    const bool isHandover = isTakeover && before && before->isReleased;
     for (auto &[name, service] : m_services) {
         service.orders.reset();
-        if (!before || !before->isReleased) {
-            continue;
-        }
-        for (const auto &it : before->orderedLately) {
+        for (const auto &it : isHandover ? before->orderedLately : std::vector<base::EndpointId>()) {
             service.orders.holdBack(it, now + m_bounds.holderPause + m_options.thawReserve);
         }
     }
@@ -380,8 +380,9 @@
 void PlacementRunner::stop()
 {
     std::vector<base::EndpointId> lately;
+    const auto since = base::now() - m_bounds.holderPause - m_options.thawReserve;
     for (const auto &[id, at] : m_orderedAt) {
-        if (base::now() < at + m_bounds.holderPause + m_options.thawReserve) {
+        if (at > since) {
             lately.push_back(id);
         }
     }
