A call over the body limit never reaches the handler: tested

Ruled out: a trace of both forms (end of the body in the same frame, and in a later frame of the same read) shows that nghttp2 1.52 delivers neither data nor the end of a stream once a reset is queued for it. The test guards against a library version that does otherwise; it passes without a change of the code.

--- a/src/turmericplank/peer/mesh_test.cpp
+++ b/src/turmericplank/peer/mesh_test.cpp
@@ -89,6 +89,33 @@
     }
 }
 
+TEST_CASE("a call whose body exceeds the limit is rejected and never reaches the handler")
+{
+    // The end of the body arrives before the reset of the stream is sent: in the same frame as the bytes that exceed the limit, or in a
+    // later frame of the same read.
+    constexpr std::size_t MaxBodyBytes = 10000;
+    boost::asio::io_context context;
+    const auto first = open(context, firstAddress, "d-1");
+    MeshOptions options;
+    options.listen = secondAddress;
+    options.self = base::DaemonId("d-2");
+    options.maxBodyBytes = MaxBodyBytes;
+    const auto second = openMesh(context, options);
+    int handled = 0;
+    second->handle("test/echo", [&handled](const base::DaemonId &, const std::string &, const PeerResponder &responder) {
+        ++handled;
+        responder.end();
+    });
+    for (const std::size_t bodyBytes : {MaxBodyBytes + 1, 2 * MaxBodyBytes}) {
+        Result result;
+        first->call(secondAddress, makeCall(context, "test/echo", std::string(bodyBytes, 'x'), result));
+        run(context);
+        REQUIRE_FALSE(result.end.has_value());
+        CHECK(result.end.error() == PeerFailure::NotProcessed);
+        CHECK(handled == 0);
+    }
+}
+
 TEST_CASE("a call to an unreachable daemon is reported as not processed")
 {
     boost::asio::io_context context;
