--- a/include/turmericplank/base/number.hpp
+++ b/include/turmericplank/base/number.hpp
@@ -54,6 +54,9 @@
 using Attempt = Number<struct AttemptTag>;
 /// @brief Version of a row in the platform's table; zero means that the row is absent.
 using RowVersion = Number<struct RowVersionTag>;
+/// @brief Era of the platform's store: grows each time the store comes back from an older copy; versions of two eras are not
+/// comparable. Zero if the store does not report it.
+using StoreEra = Number<struct StoreEraTag>;
 
 } // namespace turmericplank::base
 
--- a/include/turmericplank/discovery/endpointcatalog.hpp
+++ b/include/turmericplank/discovery/endpointcatalog.hpp
@@ -30,24 +30,34 @@
 {
     base::Duration outageAfter = std::chrono::milliseconds(2500); ///< time without a read after which entries may have expired unnoticed
     base::Duration rewriteTime = std::chrono::milliseconds(2000); ///< time within which live endpoints rewrite expired entries, as documented by the platform
+    /// After the table came back from an older copy: how long its entries of endpoints that have left since may stay, which is the
+    /// time after which the platform removes entries that are not renewed, with a margin.
+    base::Duration restoredCopyTime = std::chrono::seconds(10);
+    base::Duration departureMemory = std::chrono::seconds(60); ///< how long a removed incarnation is remembered, well above the age of a copy
 };
 
 /// @brief The usable endpoints according to successive reads of the platform's table.
 ///
 /// A missing entry means that its endpoint is gone. For a short time after an outage of the table, missing entries are kept
 /// instead unless they were marked as leaving, because entries of live endpoints may have expired during the outage and are then
-/// written again.
+/// written again. The same holds after the table came back from an older copy. Its entries then do not overrule what is known of the
+/// same incarnation from later heartbeats: an endpoint that was seen leaving or gone stays so.
 class EndpointCatalog
 {
 public:
     explicit EndpointCatalog(CatalogOptions options = {});
 
     /// @brief Applies a complete read of the table.
+    ///
+    /// Entries that an older copy of the table lists of endpoints that have left since are ignored.
     /// @param entries all readable entries
     /// @param now current time
     /// @return the changes: first those of endpoints in the table, in the given order, then those that are gone
     std::vector<EndpointChange> apply(const std::vector<EndpointEntry> &entries, base::Time now);
 
+    /// @brief Notes that the table has come back from an older copy.
+    void noteRestored(base::Time now);
+
     /// @brief All endpoints that are not gone, including those that are leaving.
     const std::map<base::EndpointId, EndpointEntry> &entries() const;
 
@@ -58,10 +68,21 @@
     std::optional<base::Time> lastRead() const;
 
 private:
+    bool isFromBeforeDeparture(const EndpointEntry &entry) const;
+    void rememberDeparture(const EndpointEntry &entry, base::Time now);
+
     CatalogOptions m_options;
     std::map<base::EndpointId, EndpointEntry> m_entries;
     std::optional<base::Time> m_lastRead;
     base::Time m_keepsMissingUntil;
+    base::Time m_copyIsOldUntil; ///< entries of the table may be older than what is known
+    struct Departure
+    {
+        base::Incarnation incarnation;
+        std::uint64_t heartbeat = 0; ///< of the last entry
+        base::Time rememberedUntil;
+    };
+    std::map<base::EndpointId, Departure> m_departures;
 };
 
 } // namespace turmericplank::discovery
--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -56,7 +56,9 @@
     bool isAuthentic = false; ///< has the endpoint's seal, which proves that the response is its own
     bool isNotRun = false; ///< the endpoint states that it did not run the call
     bool isMisdirected = false; ///< another instance responded, or the requested weights are not resident
+    bool isLeaving = false; ///< the instance that responded is shutting down and wants no more calls
     std::optional<base::Duration> idleTimeout; ///< after which the endpoint closes an idle connection
+    std::optional<base::Duration> pause; ///< for how long the endpoint wants no more calls from this daemon
 
     friend bool operator==(const ResponseHead &, const ResponseHead &) = default;
 };
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -53,6 +53,7 @@
     telemetry::Metrics &metrics;
     std::mt19937_64 &random;
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
+    std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
 };
 
--- a/include/turmericplank/gateway/interface.hpp
+++ b/include/turmericplank/gateway/interface.hpp
@@ -85,6 +85,9 @@
     /// Parses ConfigurationSnapshot::text; null if it is malformed.
     std::function<std::shared_ptr<const routes::SiteConfiguration>(const std::string &)> parseConfiguration;
     store::Table table; ///< rows of this product
+    /// Sets the function that is called with a new era of the store, before the callback of the answer that first reports it. From
+    /// then on, answers of earlier eras are reported as failures.
+    std::function<void(std::function<void(base::StoreEra)>)> observeEra;
 };
 
 } // namespace turmericplank::gateway
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -66,6 +66,12 @@
     /// @brief Sends this daemon's status now to all peers that it sends to, also to those outside its group.
     void sendStatusToAll();
 
+    /// @brief Sends a message to one daemon, if its address is known.
+    void sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body);
+
+    /// @brief Writes this daemon's row again, since the store may have lost it.
+    void registerAgain();
+
     /// @brief Marks this daemon as draining in all messages from now on, and removes its row.
     void announceDraining();
 
@@ -125,6 +131,7 @@
     bool m_isDraining = false;
     bool m_isRegistered = false;
     bool m_isRegistering = false;
+    bool m_mustRegisterAgain = false; ///< the store came back from an older copy while the row was being written
     bool m_isReadingList = false;
 };
 
--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -73,6 +73,8 @@
     void fillStatus(PeerStatus &status) const;
     /// @brief Records another daemon's demand.
     void handlePeerStatus(const PeerStatus &status);
+    /// @brief Notes the era of the store; see placement::Lease::noteEra().
+    void noteStoreEra(base::StoreEra era);
     /// @brief Stops sending orders and releases the lease, so that another daemon can take it at once.
     void stop();
     /// @brief Sets the source of this daemon's own demand.
--- a/include/turmericplank/gateway/settings.hpp
+++ b/include/turmericplank/gateway/settings.hpp
@@ -19,6 +19,7 @@
     double retryRatio = 0.2; ///< retries per request, over all daemons
     double retrySlack = 50; ///< additional retries per window, over all daemons
     double weightLoadOverage = 1.1; ///< permitted factor of the weight store's rate
+    bool enginesCheckTerms = true; ///< engines reject orders whose term is lower than one that they have seen
 
     friend bool operator==(const SiteBounds &, const SiteBounds &) = default;
 };
@@ -34,6 +35,7 @@
     base::Address peerAddress; ///< accepts messages from other daemons
     base::Address metricsAddress;
     SiteBounds bounds;
+    bool isFirstStart = true; ///< the whole system starts for the first time, so that missing rows were not written yet
 
     friend bool operator==(const Settings &, const Settings &) = default;
 };
--- a/include/turmericplank/gateway/sitestate.hpp
+++ b/include/turmericplank/gateway/sitestate.hpp
@@ -45,6 +45,13 @@
     /// @return whether the state was newer than the known one
     bool applyEngineUpdate(const EngineUpdate &update, base::Time now);
 
+    /// @brief Notes that the table of endpoints has come back from an older copy.
+    void noteStoreRestored(base::Time now);
+
+    /// @brief Marks an incarnation as draining for good, since it said so in an answer of its own.
+    /// @return whether this was not known before
+    bool noteLeavingAnswer(const DrainingEndpoint &endpoint, base::Time now);
+
     /// @brief Marks endpoints as draining for a few seconds, since another daemon reports that they are draining or were removed.
     void applyDraining(const std::vector<DrainingEndpoint> &endpoints, base::Time now);
 
@@ -54,7 +61,7 @@
     /// @brief Endpoints that have not been removed.
     const std::map<base::EndpointId, discovery::EndpointEntry> &endpoints() const;
 
-    /// @brief Whether an endpoint is draining, according to its entry or to another daemon.
+    /// @brief Whether an endpoint is draining, according to its entry, its own answers or another daemon.
     bool isDraining(const base::EndpointId &id) const;
 
     /// @brief Time of the last read of the endpoints' entries.
@@ -84,6 +91,7 @@
     };
 
     std::map<base::EndpointId, Engine> m_engines;
+    std::set<DrainingEndpoint> m_selfDeclared; ///< have said in an answer to this daemon that they are leaving; until they are removed
     std::map<DrainingEndpoint, base::Time> m_reportedDraining; ///< reported by other daemons, with the time at which the report expires
     std::map<DrainingEndpoint, base::Time> m_recentlyRemoved; ///< with the time until which the removal is reported to the others
 };
--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
     base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration configurationRelayTime = std::chrono::milliseconds(500); ///< for a peer to relay its later revision before it is read directly
     base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a failed call, by the reader of a group
+    /// Between two reads because a peer has a later revision than the store, which may have come back from an older copy.
+    base::Duration peerRereadInterval = std::chrono::milliseconds(1000);
     /// Upper bound of the exponential backoff of other daemons; within the time in which a daemon must be up to date again.
     base::Duration maxRetryInterval = std::chrono::milliseconds(2000);
 };
@@ -36,6 +39,7 @@
         std::function<bool()> isStoreReader; ///< this daemon reads on behalf of its group
         std::function<void(const std::vector<discovery::EndpointEntry> &)> onEntriesRead; ///< entries to relay to the group
         std::function<void(const std::string &)> onConfigurationText; ///< a configuration to relay, as written by operators
+        std::function<void(const base::DaemonId &, const std::string &)> onPeerBehind; ///< a daemon that needs the configuration in force, and its text
     };
 
     SiteStateUpdater(boost::asio::io_context &context, SiteStore store, SiteState &siteState, telemetry::Metrics &metrics, Callbacks callbacks,
@@ -50,12 +54,22 @@
     /// @brief Applies a configuration that another daemon has relayed.
     void applyRelayedConfiguration(const std::string &text);
 
-    /// @brief Notes the revision in force at another daemon, and reads the configuration if it is not relayed in time.
-    void notePeerRevision(base::Revision revision);
+    /// @brief Notes the revision in force at another daemon.
+    ///
+    /// If it is later than the own one, the configuration is read unless it is relayed in time. If it is earlier and stays so, for
+    /// example at a daemon that started while the store held an older copy, the configuration in force is sent to that daemon.
+    void notePeerRevision(const base::DaemonId &from, base::Revision revision);
+
+    /// @brief Notes that the store has come back from an older copy: positions in its history are void, and endpoints that it no
+    /// longer lists are expected to register again.
+    void noteStoreRestored();
 
 private:
     void readConfiguration();
     void awaitConfiguration();
+    void rereadConfiguration();
+    void handleWaitEnd(const ConfigurationSnapshot &result);
+    void sendToPeerBehind(const base::DaemonId &peer, base::Revision revision, base::Time now);
     void applyConfiguration(const tl::expected<ConfigurationSnapshot, TableFailure> &result);
     void readEndpoints();
     void applyEndpointsSnapshot(const tl::expected<EndpointsSnapshot, TableFailure> &result);
@@ -63,7 +77,7 @@
     bool isEndpointsReadDue(base::Time now) const;
     base::Duration retryPause(unsigned failures) const;
     void applyEntries(const std::vector<discovery::EndpointEntry> &entries);
-    bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration);
+    bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text);
     void setStoreAvailable(bool isAvailable);
 
     boost::asio::io_context &m_context;
@@ -72,7 +86,11 @@
     telemetry::Metrics &m_metrics;
     Callbacks m_callbacks;
     SiteStateUpdaterOptions m_options;
-    std::uint64_t m_position = 0;
+    std::uint64_t m_position = 0; ///< in the store's history; all changes up to it are applied
+    /// Position after the last wait that ended without a change. The store may have recorded a change before it that the wait
+    /// was not told of, so the next wait still starts at m_position.
+    std::uint64_t m_unconfirmedPosition = 0;
+    std::uint64_t m_eraCount = 0; ///< number of times that the store came back from an older copy
     std::size_t m_unreadableCount = 0;
     base::Time m_lastRequestAt; ///< when a read of the entries was last started
     base::Time m_lastUpdateAt; ///< when entries were last read or relayed
@@ -83,6 +101,10 @@
     unsigned m_awaitFailures = 0; ///< in a row
     bool m_isRereading = false;
     std::optional<base::Time> m_peerAheadSince; ///< a peer has a later revision and is expected to relay it
+    base::Time m_nextPeerReread; ///< not before this time the configuration is read because a peer has a later revision
+    std::string m_text; ///< of the configuration in force
+    base::Time m_inForceSince;
+    std::map<base::DaemonId, base::Revision> m_sentRevisions; ///< last revision sent to each daemon that was behind
     bool m_isStoreAvailable = true;
     base::Time m_storeStateSince;
 };
--- a/include/turmericplank/placement/lease.hpp
+++ b/include/turmericplank/placement/lease.hpp
@@ -45,6 +45,7 @@
     base::Duration safetyMargin = std::chrono::seconds(3); ///< a holder stops sending orders this long before its lease expires
     base::Duration renewInterval = std::chrono::seconds(2);
     base::Duration retryInterval = std::chrono::seconds(1);
+    bool mayTakeAbsentRow = true; ///< whether a missing row means that there was no holder yet, rather than that the table has lost it
     bool usesConditionalWrites = true; ///< writes are conditional on the row's version; switched off only in tests of this safeguard
     std::function<std::vector<store::RowWrite>(base::Term)> rowsOnAcquire; ///< rows added to the write that acquires the lease for a term
 };
@@ -62,6 +63,11 @@
 /// effect after another daemon has taken over. A candidate takes over only if the lease was released, or after the row has
 /// not changed for the lease duration by the candidate's own clock. The holder measures the same duration from the start of
 /// its last write. Clocks of different VMs are never compared.
+///
+/// The table may come back from an older copy, with a higher era. Its row may then be missing or name an earlier holder while the
+/// latest one still sends orders. So a row of an earlier era is taken over only after the whole lease duration, except by the
+/// daemon that held the lease when it learned of the new era. The term of a new holder consists of the era and of the version of
+/// the row that it replaces, and thus is higher than all terms used before, also those that the copy does not contain.
 class Lease
 {
 public:
@@ -75,6 +81,11 @@
     /// @param rows rows to write in one transaction with the lease row
     void attach(std::vector<store::RowWrite> rows);
 
+    /// @brief Notes the era of the table. To be called before the results of calls that were answered in this era.
+    /// @param now present time
+    /// @param era era of the table; zero is never given
+    void noteEra(base::Time now, base::StoreEra era);
+
     /// @brief Releases the lease permanently. No order may be sent from now on; the next write allows an immediate takeover.
     /// @param recentlyOrdered endpoints to which the next holder must not send orders for a while
     void release(std::vector<base::EndpointId> recentlyOrdered);
@@ -124,6 +135,8 @@
     void beginWrite(base::Time now, const LeaseRow &row);
     void beginRenewal(base::Time now);
     bool hasExpired(base::Time now) const;
+    bool isRowOfCurrentEra() const;
+    base::Term nextTerm() const;
     void confirmWrite(base::RowVersion version);
     void follow(base::Time now, const std::optional<LeaseRow> &row, base::RowVersion version);
 
@@ -143,6 +156,10 @@
     base::Time m_writeStartedAt;
     base::Time m_heldUntil;
     base::Term m_term;
+    base::StoreEra m_era;
+    bool m_hasSeenRestore = false; ///< the table has come back from an older copy since the start
+    bool m_ignoresCallInFlight = false; ///< the call may have been answered from the state before a restore
+    base::Time m_mayResumeUntil; ///< until then this daemon may take over at once, since it held the lease when the table was restored
     LeaseRow m_rowBeingWritten;
     std::vector<store::RowWrite> m_attachedRows;
     std::vector<store::RowWrite> m_pendingRows;
--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -120,6 +120,9 @@
     /// @brief Records that the request was sent to the chosen endpoint.
     void noteSent(const Choice &choice, const RouteRequest &request, base::Time now);
 
+    /// @brief Sends nothing to an endpoint until a time, since it has asked for a pause; ends with its incarnation.
+    void notePause(const base::EndpointId &endpoint, base::Time until);
+
     /// @brief Records the arrival of an attempt's first token.
     void noteFirstToken(Ticket ticket, base::Time now);
 
@@ -143,6 +146,7 @@
         double distanceMilliseconds = 0; ///< one way
         EndpointStatus status = EndpointStatus::Live;
         bool isLeavingByReport = false;
+        base::Time pausedUntil; ///< the endpoint wants no requests from this daemon until then
         base::Incarnation incarnation;
         base::Time reportTakenAt;
         std::vector<base::ModelName> models;
@@ -206,6 +210,7 @@
         int healthClass = 0; ///< 0 healthy, 1 due for a probe, 2 suspect or blocked
     };
 
+    static bool isUsable(const EndpointState &state);
     static bool isBetter(const ScoredCandidate &a, const ScoredCandidate &b);
     std::vector<EndpointIndex> usableReplicas(const base::ModelName &model) const;
     std::optional<ResolvedModel> resolve(const base::ModelName &name) const;
--- a/include/turmericplank/routing/routetypes.hpp
+++ b/include/turmericplank/routing/routetypes.hpp
@@ -80,6 +80,7 @@
     NotResident, ///< no endpoint currently holds the model
     Excluded, ///< the request excludes every endpoint that holds the model
     Unavailable, ///< every endpoint that holds the model is leaving or gone
+    Paused, ///< every other endpoint that holds the model has asked for a pause; NoRoute::retryAt is the end of the first pause
 };
 
 /// @brief Name of a reason in the log.
--- a/src/turmericplank/discovery/endpointcatalog.cpp
+++ b/src/turmericplank/discovery/endpointcatalog.cpp
@@ -1,6 +1,8 @@
 #include "turmericplank/discovery/endpointcatalog.hpp"
 
+#include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace turmericplank::discovery {
 
@@ -52,10 +54,20 @@
         m_keepsMissingUntil = now + m_options.rewriteTime;
     }
     m_lastRead = now;
+    std::erase_if(m_departures, [now](const auto &it) { return it.second.rememberedUntil <= now; });
+    const bool isOldCopy = now < m_copyIsOldUntil;
     std::vector<EndpointChange> changes;
     std::map<base::EndpointId, EndpointEntry> next;
     for (const auto &it : entries) {
         const auto known = m_entries.find(it.id);
+        const bool isOlderHeartbeat = known != m_entries.end() && it.incarnation == known->second.incarnation && it.heartbeat < known->second.heartbeat;
+        if (isOldCopy && isOlderHeartbeat) {
+            next.insert(*known);
+            continue;
+        }
+        if (known == m_entries.end() && isOldCopy && isFromBeforeDeparture(it)) {
+            continue;
+        }
         if (known == m_entries.end()) {
             changes.push_back({EndpointEvent::Appeared, it});
         } else if (it.incarnation < known->second.incarnation) {
@@ -75,12 +87,30 @@
             next.emplace(id, entry);
         } else {
             changes.push_back({EndpointEvent::Gone, entry});
+            rememberDeparture(entry, now);
         }
     }
     m_entries = std::move(next);
     return changes;
 }
 
+void EndpointCatalog::noteRestored(base::Time now)
+{
+    m_keepsMissingUntil = std::max(m_keepsMissingUntil, now + m_options.rewriteTime);
+    m_copyIsOldUntil = now + m_options.restoredCopyTime;
+}
+
+bool EndpointCatalog::isFromBeforeDeparture(const EndpointEntry &entry) const
+{
+    const auto it = m_departures.find(entry.id);
+    return it != m_departures.end() && std::pair(entry.incarnation, entry.heartbeat) <= std::pair(it->second.incarnation, it->second.heartbeat);
+}
+
+void EndpointCatalog::rememberDeparture(const EndpointEntry &entry, base::Time now)
+{
+    m_departures[entry.id] = {entry.incarnation, entry.heartbeat, now + m_options.departureMemory};
+}
+
 const std::map<base::EndpointId, EndpointEntry> &EndpointCatalog::entries() const
 {
     return m_entries;
--- a/src/turmericplank/discovery/endpointcatalog_test.cpp
+++ b/src/turmericplank/discovery/endpointcatalog_test.cpp
@@ -66,3 +66,49 @@
     CHECK(catalog.apply({entry("a", 1)}, at(1100)).empty());
     CHECK(catalog.entries().at(base::EndpointId("a")).incarnation == base::Incarnation(2));
 }
+
+TEST_CASE("endpoints that an older copy of the table does not list are kept until they had time to register again")
+{
+    EndpointCatalog catalog;
+    catalog.apply({entry("a"), entry("new")}, at(0));
+    catalog.noteRestored(at(900));
+    CHECK(catalog.apply({entry("a")}, at(1000)).empty());
+    CHECK(catalog.entries().size() == 2);
+    CHECK(catalog.apply({entry("a"), entry("new")}, at(2000)).empty());
+    CHECK(catalog.apply({entry("a"), entry("new")}, at(3000)).empty());
+    const auto changes = catalog.apply({entry("a")}, at(4000));
+    REQUIRE(changes.size() == 1);
+    CHECK((changes[0].event == EndpointEvent::Gone));
+}
+
+TEST_CASE("an older copy of the table does not bring back endpoints that were seen leaving or gone")
+{
+    const auto heartbeat = [](const std::string &id, std::uint64_t number, bool isLeaving) {
+        auto it = entry(id);
+        it.heartbeat = number;
+        it.isLeaving = isLeaving;
+        return it;
+    };
+    EndpointCatalog catalog;
+    catalog.apply({heartbeat("leaving", 3, false), heartbeat("gone", 7, false)}, at(0));
+    catalog.apply({heartbeat("leaving", 4, true)}, at(1000));
+    catalog.noteRestored(at(1500));
+    CHECK(catalog.apply({heartbeat("leaving", 3, false), heartbeat("gone", 6, false)}, at(2000)).empty());
+    REQUIRE(catalog.entries().size() == 1);
+    CHECK(catalog.entries().begin()->second.isLeaving);
+    // The endpoint itself has written since, so it is back.
+    const auto changes = catalog.apply({heartbeat("leaving", 4, true), heartbeat("gone", 8, false)}, at(3000));
+    REQUIRE(changes.size() == 1);
+    CHECK((changes[0].event == EndpointEvent::Appeared));
+    CHECK(changes[0].entry.id.text() == "gone");
+}
+
+TEST_CASE("a restarted endpoint is used although an older copy of the table lists it")
+{
+    EndpointCatalog catalog;
+    catalog.apply({entry("a", 1)}, at(0));
+    catalog.apply({}, at(1000));
+    catalog.noteRestored(at(1500));
+    CHECK(catalog.apply({entry("a", 1)}, at(2000)).empty());
+    CHECK(catalog.apply({entry("a", 2)}, at(3000)).size() == 1);
+}
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -101,6 +101,10 @@
         request.excluded = excluded;
         const auto choice = m_forwarder.m_dependencies.router.choose(request, now, m_forwarder.m_dependencies.random);
         if (!choice) {
+            if (choice.error().reason == routing::NoRouteReason::Paused) {
+                waitForPauseEnd(choice.error().retryAt);
+                return;
+            }
             const bool isAbsent = choice.error().reason == routing::NoRouteReason::NotResident || choice.error().reason == routing::NoRouteReason::UnknownModel;
             waitForEndpoint(isAbsent ? missingWeightsCause() : forwarding::WaitCause::Full);
             return;
@@ -158,6 +162,20 @@
     }
 }
 
+/// Rejects the call at once if the pause lasts longer than a call may wait.
+void ForwardedCall::waitForPauseEnd(base::Time pauseEnd)
+{
+    const auto now = base::now();
+    m_pauseEnd = pauseEnd;
+    const auto waitEnd = m_waitingSince.value_or(now) + forwarding::maxWait(forwarding::WaitCause::Full, m_route.objective, m_forwarder.m_options.wait);
+    if (pauseEnd <= waitEnd) {
+        waitForEndpoint(forwarding::WaitCause::Full);
+        return;
+    }
+    m_pendingRejection = RejectionReason::RejectedByEndpoints;
+    rejectAfter(m_attempts.finalStep(now));
+}
+
 void ForwardedCall::startAttempt(const routing::Choice &choice)
 {
     m_attempt.emplace();
@@ -218,8 +236,10 @@
     const auto now = base::now();
     Rejection rejection{reason, std::nullopt};
     if (!m_attempts.mayHaveRun()) {
-        const auto relief = forwarding::expectedRecovery(m_waitCause, m_isEngine, m_forwarder.m_options.wait);
-        rejection.retryAfter = forwarding::retryDelay(relief, m_attempts.deadline() - now, m_forwarder.m_options.retryDelay, m_forwarder.m_dependencies.random);
+        const bool isPaused = m_pauseEnd && *m_pauseEnd > now;
+        const auto recovery = isPaused ? *m_pauseEnd - now : forwarding::expectedRecovery(m_waitCause, m_isEngine, m_forwarder.m_options.wait);
+        rejection.retryAfter =
+            forwarding::retryDelay(recovery, m_attempts.deadline() - now, m_forwarder.m_options.retryDelay, m_forwarder.m_dependencies.random);
     }
     const auto lastRead = m_forwarder.m_dependencies.siteState.lastReadTime();
     telemetry::log(LogLevel::Warning, "requests", "refused",
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -53,6 +53,8 @@
 
     void selectEndpoint();
     void waitForEndpoint(forwarding::WaitCause cause);
+    void waitForPauseEnd(base::Time pauseEnd);
+    void applyEndpointNotices(const ResponseHead &head);
     forwarding::WaitCause missingWeightsCause() const;
     bool wouldAnswerTooLate(const routing::Choice &choice) const;
     void startAttempt(const routing::Choice &choice);
@@ -92,6 +94,7 @@
     base::Time m_arrivedAt;
     std::optional<base::Time> m_waitingSince;
     forwarding::WaitCause m_waitCause = forwarding::WaitCause::Full;
+    std::optional<base::Time> m_pauseEnd; ///< when the first endpoint that asked for a pause takes calls again
     bool m_isEngine = false;
     base::Time m_firstEventAt;
     base::Time m_lastEventAt;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -97,6 +97,31 @@
     return mayRetry ? base::Time() : silenceDeadline(now);
 }
 
+/// Applies what an endpoint states about itself beside its response. It holds even if the response itself cannot be used, but not
+/// if another instance has responded.
+void ForwardedCall::applyEndpointNotices(const ResponseHead &head)
+{
+    const auto &endpoint = m_attempt->choice.endpoint;
+    const bool isOtherInstance = !head.instance.empty() && head.instance != endpoint.text();
+    if (isOtherInstance || !m_attempt->pooled) {
+        return;
+    }
+    const auto now = base::now();
+    auto &dependencies = m_forwarder.m_dependencies;
+    const DrainingEndpoint incarnation{endpoint, m_attempt->pooled->incarnation};
+    if (head.isLeaving && dependencies.siteState.noteLeavingAnswer(incarnation, now)) {
+        telemetry::log(LogLevel::Info, "endpoints", "leaving by its own answer",
+                       {{"endpoint", endpoint.text()}, {"incarnation", incarnation.incarnation.value()}, {"request", m_call.id}});
+        dependencies.onEndpointLeaving();
+    }
+    if (head.pause) {
+        dependencies.router.notePause(endpoint, now + *head.pause);
+        dependencies.metrics.count("endpoint_pauses_total");
+        telemetry::log(LogLevel::Info, "endpoints", "asks for a pause",
+                       {{"endpoint", endpoint.text()}, {"pause_ms", base::inMilliseconds(*head.pause)}, {"request", m_call.id}});
+    }
+}
+
 net::HeaderAction ForwardedCall::handleResponseHead(std::uint64_t number, int status, const net::Headers &headers)
 {
     if (m_isFinished || !m_attempt || m_attempt->number != number) {
@@ -108,6 +133,7 @@
                        {{"request", m_call.id}, {"answer_to", head.callId}, {"endpoint", m_attempt->choice.endpoint.text()}});
         return net::HeaderAction::Skip;
     }
+    applyEndpointNotices(head);
     const bool isSuccess = status >= 200 && status < 300;
     const bool belongsToCall = head.callId == m_call.id && (head.isAuthentic || !isSuccess);
     m_attempt->isRelaying = isSuccess && belongsToCall && m_route.kind.isStreamed;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -115,6 +115,7 @@
             answer.end();
             siteStateUpdater.applyRelayedConfiguration(body);
         });
+        siteStore.observeEra([this](base::StoreEra era) { noteStoreEra(era); });
         siteStateUpdater.start();
     }
 
@@ -128,6 +129,10 @@
                 metrics,
                 random,
                 [this] { return daemonCount(); },
+                [this] {
+                    placementRunner.updateEngines();
+                    peers.sendStatus();
+                },
                 [this](const base::ServiceName &, const base::ModelName &) {
                     peers.sendStatus();
                 }};
@@ -135,11 +140,16 @@
 
     SiteStateUpdater::Callbacks updaterCallbacks()
     {
-        return {[this] { onConfiguration(); }, [this](const auto &changes) { onEndpoints(changes); }, [this] { return peers.isStoreReader(); },
+        return {[this] { onConfiguration(); },
+                [this](const auto &changes) { onEndpoints(changes); },
+                [this] { return peers.isStoreReader(); },
                 [this](const auto &entries) { peers.sendToGroup(EndpointsKind, encode(entries)); },
                 [this](const auto &text) {
                     peers.sendToAll(ConfigurationKind, text);
                     peers.sendStatusToAll();
+                },
+                [this](const auto &peer, const auto &text) {
+                    peers.sendTo(peer, ConfigurationKind, text);
                 }};
     }
 
@@ -159,6 +169,23 @@
         return dependencies;
     }
 
+    /// Rows that this daemon has written and positions in the store's history are void in a new era. The first era that a daemon
+    /// learns of is the one in which it starts.
+    void noteStoreEra(base::StoreEra era)
+    {
+        if (era <= storeEra) {
+            return;
+        }
+        const bool isRestored = std::exchange(storeEra, era) != base::StoreEra();
+        placementRunner.noteStoreEra(era);
+        if (isRestored) {
+            telemetry::log(LogLevel::Warning, "store", "came back from an older copy", {{"era", era.value()}});
+            metrics.count("store_restores_total");
+            peers.registerAgain();
+            siteStateUpdater.noteStoreRestored();
+        }
+    }
+
     Peers::Callbacks peerCallbacks()
     {
         Peers::Callbacks callbacks;
@@ -202,6 +229,7 @@
     {
         status.isReady = isReady();
         status.revision = siteState.routes() ? siteState.routes()->configuration().revision : base::Revision();
+        status.storeEra = storeEra;
         status.endpointWork = router.ownWork();
         status.drainingEndpoints = siteState.drainingEndpoints(base::now());
         placementRunner.fillStatus(status);
@@ -213,7 +241,8 @@
         router.notePeerWork(status.from, allEndpointsWork(status), now);
         router.setUnreportedWorkFactor(static_cast<double>(daemonCount()) / static_cast<double>(peers.groupPeerCount() + 1));
         siteState.applyDraining(status.drainingEndpoints, now);
-        siteStateUpdater.notePeerRevision(status.revision);
+        siteStateUpdater.notePeerRevision(status.from, status.revision);
+        noteStoreEra(status.storeEra);
         placementRunner.handlePeerStatus(status);
         bool hasChanged = false;
         for (const auto &it : status.engines) {
@@ -335,6 +364,7 @@
     std::unique_ptr<net::HttpServer> readinessServer;
     std::unique_ptr<net::HttpServer> directoryServer;
     std::unique_ptr<net::HttpServer> metricsServer;
+    base::StoreEra storeEra; ///< latest era of the store that this daemon or a peer has seen
     bool isDraining = false;
     bool isDrained = false;
 };
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -78,7 +78,7 @@
     m_isRegistering = true;
     m_table.transact({{keyOf(m_self.id), std::nullopt, encode(m_self)}}, [this](const store::WriteResult &result) {
         m_isRegistering = false;
-        m_isRegistered = result.has_value();
+        m_isRegistered = result.has_value() && !std::exchange(m_mustRegisterAgain, false);
         if (m_isRegistered) {
             telemetry::log(LogLevel::Info, "peers", "registered", {{"daemon", m_self.id.text()}, {"peers", toString(m_self.peerAddress)}});
         }
@@ -216,6 +216,21 @@
     }
 }
 
+void Peers::sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body)
+{
+    const auto it = m_peers.find(id);
+    if (it != m_peers.end() && it->second.record) {
+        send(it->second, kind, body);
+    }
+}
+
+void Peers::registerAgain()
+{
+    m_isRegistered = false;
+    m_mustRegisterAgain = m_isRegistering;
+    registerSelf();
+}
+
 void Peers::handleMessage(const std::string &body)
 {
     const auto status = decodePeerStatus(body);
--- a/src/turmericplank/gateway/peerstatus.cpp
+++ b/src/turmericplank/gateway/peerstatus.cpp
@@ -44,6 +44,7 @@
     status.isDraining = json.at("leaving").get<bool>();
     status.term = base::Term(json.at("term").get<std::uint64_t>());
     status.revision = base::Revision(json.at("rev").get<std::uint64_t>());
+    status.storeEra = base::StoreEra(json.value("era", std::uint64_t(0))); // absent in messages of earlier builds
     for (const auto &it : json.at("work")) {
         status.endpointWork.push_back({base::EndpointId(it.at(0).get<std::string>()), it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>(),
                                        it.at(3).get<std::uint32_t>(), it.at(4).get<std::uint32_t>(), it.at(5).get<std::uint32_t>()});
@@ -75,6 +76,7 @@
     Json json{{"from", status.from.text()},  {"inc", status.incarnation.value()}, {"ready", status.isReady}, {"leaving", status.isDraining},
               {"term", status.term.value()}, {"rev", status.revision.value()},    {"work", Json::array()},   {"gone", Json::array()},
               {"engines", Json::array()}};
+    json["era"] = status.storeEra.value();
     json["peers"] = toString(status.peerAddress);
     json["callers"] = toString(status.callerAddress);
     json["zone"] = status.zone.text();
--- a/src/turmericplank/gateway/peerstatus_test.cpp
+++ b/src/turmericplank/gateway/peerstatus_test.cpp
@@ -16,6 +16,7 @@
     status.isReady = true;
     status.term = base::Term(3);
     status.revision = base::Revision(9);
+    status.storeEra = base::StoreEra(2);
     status.endpointWork = {{base::EndpointId("e1"), 4, 1, 2, 300, 400}};
     status.drainingEndpoints = {{base::EndpointId("e2"), base::Incarnation(4)}};
     status.engines = {{base::EndpointId("e1"), base::Incarnation(5), 6, {{base::ModelName("m"), {"a1", "a2"}}, {base::ModelName("n"), {}}}}};
--- a/src/turmericplank/gateway/placementrunner.cpp
+++ b/src/turmericplank/gateway/placementrunner.cpp
@@ -28,6 +28,7 @@
     it.duration = options.leaseHoldTime + it.safetyMargin;
     it.renewInterval = options.renewInterval;
     it.retryInterval = options.leaseReadInterval;
+    it.mayTakeAbsentRow = settings.isFirstStart;
     return it;
 }
 
@@ -128,10 +129,11 @@
 }
 
 /// While the store is down, the holder continues under its term: no other daemon can acquire the lease either. If only this
-/// daemon cannot reach the store, the engines reject its term once the next holder has sent an order.
+/// daemon cannot reach the store, the engines reject its term once the next holder has sent an order; so it does not continue on
+/// a site whose engines do not check terms.
 bool PlacementRunner::mayOrder(base::Time now) const
 {
-    const bool isWithoutStore = m_lease.isUncontested() && m_lease.isTableDown() && now < m_orderWithoutStoreUntil;
+    const bool isWithoutStore = m_bounds.enginesCheckTerms && m_lease.isUncontested() && m_lease.isTableDown() && now < m_orderWithoutStoreUntil;
     return (m_lease.isHeld(now) || isWithoutStore) && m_lease.term() > m_staleTerm;
 }
 
@@ -377,6 +379,13 @@
     }
 }
 
+void PlacementRunner::noteStoreEra(base::StoreEra era)
+{
+    const auto now = base::now();
+    m_lease.noteEra(now, era);
+    updateActiveTerm(now);
+}
+
 void PlacementRunner::stop()
 {
     std::vector<base::EndpointId> orderedRecently;
--- a/src/turmericplank/gateway/sitestate.cpp
+++ b/src/turmericplank/gateway/sitestate.cpp
@@ -57,10 +57,30 @@
             m_recentlyRemoved[{it.entry.id, it.entry.incarnation}] = now + RemovalReportTime;
         }
     }
+    std::erase_if(m_selfDeclared, [this](const auto &it) {
+        const auto entry = m_catalog.entries().find(it.endpoint);
+        return entry == m_catalog.entries().end() || entry->second.incarnation != it.incarnation;
+    });
     updateEndpoints(now);
     return changes;
 }
 
+void SiteState::noteStoreRestored(base::Time now)
+{
+    m_catalog.noteRestored(now);
+}
+
+bool SiteState::noteLeavingAnswer(const DrainingEndpoint &endpoint, base::Time now)
+{
+    const auto entry = m_catalog.entries().find(endpoint.endpoint);
+    const bool isKnown = entry != m_catalog.entries().end() && entry->second.incarnation == endpoint.incarnation;
+    if (!isKnown || !m_selfDeclared.insert(endpoint).second) {
+        return false;
+    }
+    reportToRouter(entry->second, now);
+    return true;
+}
+
 bool SiteState::applyEngineUpdate(const EngineUpdate &update, base::Time now)
 {
     const auto known = m_engines.find(update.endpoint);
@@ -158,7 +178,11 @@
 bool SiteState::isDraining(const base::EndpointId &id) const
 {
     const auto entry = m_catalog.entries().find(id);
-    return entry != m_catalog.entries().end() && (entry->second.isLeaving || m_reportedDraining.contains({id, entry->second.incarnation}));
+    if (entry == m_catalog.entries().end()) {
+        return false;
+    }
+    const DrainingEndpoint endpoint{id, entry->second.incarnation};
+    return entry->second.isLeaving || m_selfDeclared.contains(endpoint) || m_reportedDraining.contains(endpoint);
 }
 
 std::optional<base::Time> SiteState::lastReadTime() const
@@ -170,7 +194,7 @@
 {
     std::vector<DrainingEndpoint> leaving;
     for (const auto &[id, entry] : m_catalog.entries()) {
-        if (entry.isLeaving) {
+        if (entry.isLeaving || m_selfDeclared.contains({id, entry.incarnation})) {
             leaving.push_back({id, entry.incarnation});
         }
     }
--- a/src/turmericplank/gateway/sitestate_test.cpp
+++ b/src/turmericplank/gateway/sitestate_test.cpp
@@ -106,3 +106,31 @@
     it.siteState.applyEntries({entry("e", 2)}, at(5000));
     CHECK_FALSE(it.siteState.applyEngineUpdate({base::EndpointId("e"), base::Incarnation(1), 9, {{base::ModelName("m"), {"a1"}}}}, at(5100)));
 }
+
+TEST_CASE("an endpoint that says in an answer that it is leaving gets no more calls, and peers are told")
+{
+    Daemon it;
+    Daemon other;
+    it.siteState.applyEntries({entry("e", 3)}, at(0));
+    other.siteState.applyEntries({entry("e", 3)}, at(0));
+    const DrainingEndpoint leaving{base::EndpointId("e"), base::Incarnation(3)};
+    CHECK(it.siteState.noteLeavingAnswer(leaving, at(100)));
+    CHECK_FALSE(it.siteState.noteLeavingAnswer(leaving, at(110)));
+    CHECK_FALSE(it.isRoutable("m", at(110)));
+    CHECK(it.siteState.isDraining(base::EndpointId("e")));
+    it.siteState.applyEntries({entry("e", 3)}, at(60000)); // its entry does not say so
+    CHECK_FALSE(it.isRoutable("m", at(60000)));
+    other.siteState.applyDraining(it.siteState.drainingEndpoints(at(60100)), at(60100));
+    CHECK_FALSE(other.isRoutable("m", at(60100)));
+}
+
+TEST_CASE("an endpoint that has said that it is leaving gets calls again after a restart")
+{
+    Daemon it;
+    it.siteState.applyEntries({entry("e", 3)}, at(0));
+    CHECK_FALSE(it.siteState.noteLeavingAnswer({base::EndpointId("e"), base::Incarnation(2)}, at(50))); // of an earlier incarnation
+    CHECK(it.isRoutable("m", at(50)));
+    it.siteState.noteLeavingAnswer({base::EndpointId("e"), base::Incarnation(3)}, at(100));
+    it.siteState.applyEntries({entry("e", 4)}, at(5000));
+    CHECK(it.isRoutable("m", at(5000)));
+}
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -81,24 +81,65 @@
 {
     m_isAwaiting = true;
     m_metrics.count("store_calls_total{call=\"await_configuration\"}");
-    m_siteStore.awaitConfiguration(m_position, [this](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
-        applyConfiguration(result);
+    m_siteStore.awaitConfiguration(m_position, [this, eraCount = m_eraCount](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
+        if (eraCount != m_eraCount) {
+            return;
+        }
         if (result) {
+            handleWaitEnd(*result);
             m_awaitFailures = 0;
             m_isAwaiting = false;
             return;
         }
+        applyConfiguration(result);
         // The history may have been discarded, so everything is read again before the next wait.
-        daemon::callAt(m_context, base::now() + retryPause(m_awaitFailures++), [this] {
-            m_metrics.count("store_calls_total{call=\"read_configuration\"}");
-            m_siteStore.readConfiguration([this](const tl::expected<ConfigurationSnapshot, TableFailure> &reread) {
-                applyConfiguration(reread);
-                m_isAwaiting = false;
-            });
+        daemon::callAt(m_context, base::now() + retryPause(m_awaitFailures++), [this, eraCount] {
+            if (eraCount == m_eraCount) {
+                rereadConfiguration();
+            }
         });
     });
 }
 
+void SiteStateUpdater::rereadConfiguration()
+{
+    m_metrics.count("store_calls_total{call=\"read_configuration\"}");
+    m_siteStore.readConfiguration([this, eraCount = m_eraCount](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
+        if (eraCount == m_eraCount) {
+            applyConfiguration(result);
+            m_isAwaiting = false;
+        }
+    });
+}
+
+/// A store that is about to discard its history may end waits without telling them of the latest changes. The position that such
+/// a wait returns is used only after one more wait from the earlier position has ended without a change as well; if the history
+/// has been discarded meanwhile, that wait fails and everything is read again.
+void SiteStateUpdater::handleWaitEnd(const ConfigurationSnapshot &result)
+{
+    if (!result.text.empty()) {
+        applyConfiguration(result);
+        return;
+    }
+    setStoreAvailable(true);
+    m_position = std::max(m_position, m_unconfirmedPosition);
+    m_unconfirmedPosition = std::max(m_unconfirmedPosition, result.position);
+}
+
+void SiteStateUpdater::noteStoreRestored()
+{
+    ++m_eraCount;
+    m_position = 0;
+    m_unconfirmedPosition = 0;
+    m_siteState.noteStoreRestored(base::now());
+    // Replaces a wait or a read that was started before; their results are ignored.
+    const bool mustWatchStore = m_isAwaiting || m_callbacks.isStoreReader();
+    if (m_siteState.routes() && mustWatchStore) {
+        m_isAwaiting = true;
+        rereadConfiguration();
+    }
+}
+
 void SiteStateUpdater::applyConfiguration(const tl::expected<ConfigurationSnapshot, TableFailure> &result)
 {
     setStoreAvailable(result.has_value());
@@ -107,20 +148,24 @@
         return;
     }
     m_position = std::max(m_position, result->position);
-    if (activate(result->configuration)) {
+    m_unconfirmedPosition = std::max(m_unconfirmedPosition, m_position);
+    if (activate(result->configuration, result->text)) {
         m_callbacks.onConfigurationText(result->text);
     }
 }
 
 void SiteStateUpdater::applyRelayedConfiguration(const std::string &text)
 {
-    activate(m_siteStore.parseConfiguration(text));
+    activate(m_siteStore.parseConfiguration(text), text);
 }
 
-bool SiteStateUpdater::activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration)
+bool SiteStateUpdater::activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text)
 {
-    const bool hasChanged = m_siteState.applyConfiguration(configuration, base::now());
+    const auto now = base::now();
+    const bool hasChanged = m_siteState.applyConfiguration(configuration, now);
     if (hasChanged) {
+        m_text = text;
+        m_inForceSince = now;
         m_peerAheadSince.reset();
         const auto &site = *configuration;
         telemetry::log(LogLevel::Info, "configuration", "in force",
@@ -131,19 +176,38 @@
     return hasChanged;
 }
 
-void SiteStateUpdater::notePeerRevision(base::Revision revision)
+/// A peer that has just started or is about to apply the same change is not behind yet.
+void SiteStateUpdater::sendToPeerBehind(const base::DaemonId &peer, base::Revision revision, base::Time now)
+{
+    const auto inForce = m_siteState.routes()->configuration().revision;
+    const bool hasHadTime = now >= m_inForceSince + m_options.configurationRelayTime;
+    if (revision == base::Revision() || revision >= inForce || !hasHadTime || m_sentRevisions[peer] == inForce) {
+        return;
+    }
+    m_sentRevisions[peer] = inForce;
+    telemetry::log(LogLevel::Info, "configuration", "sent to a daemon that is behind",
+                   {{"daemon", peer.text()}, {"revision", inForce.value()}, {"its_revision", revision.value()}});
+    m_callbacks.onPeerBehind(peer, m_text);
+}
+
+void SiteStateUpdater::notePeerRevision(const base::DaemonId &from, base::Revision revision)
 {
     const auto &routes = m_siteState.routes();
     const bool isBehind = !routes || routes->configuration().revision < revision;
     const auto now = base::now();
-    if (!isBehind || m_isRereading) {
-        m_peerAheadSince = isBehind ? m_peerAheadSince : std::nullopt;
+    if (!isBehind) {
+        // Other peers may still be ahead: a message can be lost on its way to several daemons, which then have the same revision.
+        sendToPeerBehind(from, revision, now);
+        return;
+    }
+    if (m_isRereading) {
         return;
     }
     m_peerAheadSince = m_peerAheadSince.value_or(now);
-    if (now < *m_peerAheadSince + m_options.configurationRelayTime) {
+    if (now < *m_peerAheadSince + m_options.configurationRelayTime || now < m_nextPeerReread) {
         return;
     }
+    m_nextPeerReread = now + m_options.peerRereadInterval;
     m_isRereading = true;
     telemetry::log(LogLevel::Info, "configuration", "a peer has a later revision", {{"revision", revision.value()}});
     m_siteStore.readConfiguration([this](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -16,6 +16,8 @@
     return it;
 }
 
+const base::DaemonId peer("peer");
+
 /// A daemon whose store answers at once; the test completes its waits for a change.
 struct Daemon
 {
@@ -35,6 +37,7 @@
         it.configurationRelayTime = std::chrono::milliseconds(20);
         it.tickInterval = std::chrono::milliseconds(5);
         it.retryInterval = std::chrono::milliseconds(10);
+        it.peerRereadInterval = std::chrono::milliseconds(100);
         it.maxRetryInterval = std::chrono::milliseconds(80);
         return it;
     }
@@ -46,8 +49,9 @@
             ++configurationReads;
             callback(ConfigurationSnapshot{configurationOf(stored), stored, std::to_string(stored)});
         };
-        it.awaitConfiguration = [this](std::uint64_t, ReadCallback<ConfigurationSnapshot> callback) {
+        it.awaitConfiguration = [this](std::uint64_t position, ReadCallback<ConfigurationSnapshot> callback) {
             awaiting = std::move(callback);
+            awaitedFrom.push_back(position);
             if (stopsWhenAwaiting) {
                 context.stop();
             }
@@ -82,9 +86,21 @@
         it.onConfigurationText = [this](const std::string &text) {
             relayedTexts.push_back(text);
         };
+        it.onPeerBehind = [this](const base::DaemonId &peer, const std::string &text) {
+            sentToPeers.emplace_back(peer.text(), text);
+        };
         return it;
     }
 
+    /// Runs until the next wait for a change has started.
+    void runUntilAwaiting()
+    {
+        awaiting = nullptr;
+        context.restart();
+        context.run();
+        REQUIRE(awaiting);
+    }
+
     std::uint64_t revision() const
     {
         return siteState.routes()->configuration().revision.value();
@@ -99,6 +115,8 @@
     int endpointReads = 0;
     int relayCount = 0;
     std::vector<std::string> relayedTexts;
+    std::vector<std::pair<std::string, std::string>> sentToPeers;
+    std::vector<std::uint64_t> awaitedFrom; ///< position of each wait
     ReadCallback<ConfigurationSnapshot> awaiting;
     telemetry::Metrics metrics;
     routing::Router router;
@@ -137,17 +155,17 @@
     Daemon it(false);
     it.stopsWhenAwaiting = false;
     it.stored = 4;
-    it.updater.notePeerRevision(base::Revision(4));
+    it.updater.notePeerRevision(peer, base::Revision(4));
     CHECK(it.revision() == 1);
     it.updater.applyRelayedConfiguration("3");
     CHECK(it.revision() == 3);
     it.updater.applyRelayedConfiguration("2");
     CHECK(it.revision() == 3);
     const auto reads = it.configurationReads;
-    it.updater.notePeerRevision(base::Revision(4));
+    it.updater.notePeerRevision(peer, base::Revision(4));
     CHECK(it.configurationReads == reads);
     daemon::callAt(it.context, base::now() + std::chrono::milliseconds(30), [&] {
-        it.updater.notePeerRevision(base::Revision(4));
+        it.updater.notePeerRevision(peer, base::Revision(4));
         it.context.stop();
     });
     it.context.run();
@@ -175,3 +193,102 @@
     reader.context.run();
     CHECK(reader.endpointReads >= ExpectedReads);
 }
+
+TEST_CASE("a change that a wait was not told of is found once the store has discarded its history")
+{
+    // The store records revision 2 at position 2, does not tell the wait of it, and ends the wait at its newest position. Shortly
+    // after, it discards its history and refuses waits that start before.
+    Daemon it(true);
+    it.runUntilAwaiting();
+    it.stored = 2;
+    it.awaiting(ConfigurationSnapshot{nullptr, 2, {}});
+    it.runUntilAwaiting();
+    CHECK(it.awaitedFrom == std::vector<std::uint64_t>{1, 1});
+    it.awaiting(tl::unexpected(TableFailure::Unavailable));
+    it.runUntilAwaiting();
+    CHECK(it.revision() == 2);
+    CHECK(it.relayedTexts == std::vector<std::string>{"1", "2"});
+}
+
+TEST_CASE("without changes the position of the waits follows the store, one wait behind")
+{
+    Daemon it(true);
+    it.runUntilAwaiting();
+    for (const std::uint64_t position : {5, 9, 12}) {
+        it.awaiting(ConfigurationSnapshot{nullptr, position, {}});
+        it.runUntilAwaiting();
+    }
+    CHECK(it.awaitedFrom == std::vector<std::uint64_t>{1, 1, 5, 9});
+}
+
+TEST_CASE("after the store came back from an older copy, the configuration stays in force and changes are awaited from the copy's position")
+{
+    Daemon it(true);
+    it.runUntilAwaiting();
+    it.awaiting(ConfigurationSnapshot{configurationOf(30), 30, "30"});
+    it.runUntilAwaiting();
+    const auto waitBefore = it.awaiting;
+    it.stored = 20;
+    it.updater.noteStoreRestored();
+    it.runUntilAwaiting();
+    CHECK(it.revision() == 30);
+    CHECK(it.awaitedFrom.back() == 20);
+    waitBefore(ConfigurationSnapshot{nullptr, 30, {}});
+    it.awaiting(ConfigurationSnapshot{configurationOf(31), 21, "31"});
+    CHECK(it.revision() == 31);
+    it.runUntilAwaiting();
+    CHECK(it.awaitedFrom.back() == 21);
+}
+
+TEST_CASE("a daemon reads a later revision although other peers have missed it as well")
+{
+    // The reader's message with revision 2 is lost on its way to several daemons of the group. Each hears the reader, which is ahead,
+    // and the others, which are not.
+    Daemon it(false);
+    it.stopsWhenAwaiting = false;
+    it.stored = 2;
+    const auto end = base::now() + std::chrono::milliseconds(120);
+    daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
+        it.updater.applyRelayedEntries({});
+        it.updater.notePeerRevision(base::DaemonId("reader"), base::Revision(2));
+        it.updater.notePeerRevision(peer, base::Revision(1));
+        if (base::now() >= end) {
+            it.context.stop();
+        }
+    });
+    it.context.run();
+    CHECK(it.revision() == 2);
+}
+
+TEST_CASE("a daemon that finds an older configuration in the store gets the one in force from a peer, once")
+{
+    Daemon it(false);
+    it.stopsWhenAwaiting = false;
+    it.updater.applyRelayedConfiguration("5");
+    it.updater.notePeerRevision(peer, base::Revision(4));
+    CHECK(it.sentToPeers.empty()); // the peer may be about to apply the change itself
+    daemon::callAt(it.context, base::now() + std::chrono::milliseconds(30), [&] {
+        it.updater.notePeerRevision(base::DaemonId("starting"), base::Revision());
+        it.updater.notePeerRevision(peer, base::Revision(4));
+        it.updater.notePeerRevision(peer, base::Revision(4));
+        it.context.stop();
+    });
+    it.context.run();
+    CHECK(it.sentToPeers == std::vector<std::pair<std::string, std::string>>{{"peer", "5"}});
+}
+
+TEST_CASE("while peers have a later revision than the store, the store is not read with each of their messages")
+{
+    Daemon it(false);
+    it.stopsWhenAwaiting = false;
+    const auto end = base::now() + std::chrono::milliseconds(350);
+    daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
+        it.updater.notePeerRevision(peer, base::Revision(7));
+        if (base::now() >= end) {
+            it.context.stop();
+        }
+    });
+    it.context.run();
+    CHECK(it.configurationReads <= 1 + 4); // the first read, and one every 100 ms
+    CHECK(it.revision() == 1);
+}
--- a/src/turmericplank/placement/lease.cpp
+++ b/src/turmericplank/placement/lease.cpp
@@ -1,11 +1,18 @@
 #include "turmericplank/placement/lease.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
 namespace turmericplank::placement {
 
+namespace {
+
+constexpr unsigned VersionBits = 40; ///< of a term, below the era; terms stay exact in JSON numbers up to era 8191
+
+} // namespace
+
 std::string encode(const LeaseRow &row)
 {
     nlohmann::json json{{"holder", row.holder.text()}, {"term", row.term.value()}, {"renewal", row.renewal}, {"deadline", base::toMilliseconds(row.deadline)}};
@@ -77,7 +84,7 @@
         return LeaseAction::Write;
     }
     if (hasExpired(now) && !m_isReleasing) {
-        const auto term = m_lastSeenRow ? m_lastSeenRow->term.next() : base::Term(1);
+        const auto term = nextTerm();
         m_predecessor = m_lastSeenRow;
         if (m_options.rowsOnAcquire) {
             attach(m_options.rowsOnAcquire(term));
@@ -94,7 +101,51 @@
 bool Lease::hasExpired(base::Time now) const
 {
     const bool isAbsent = m_lastSeenVersion == base::RowVersion();
-    return isAbsent || (m_lastSeenRow && (m_lastSeenRow->isReleased || now >= m_unchangedSince + m_options.duration));
+    if (!isAbsent && !m_lastSeenRow) {
+        return false;
+    }
+    const bool isFree = isAbsent || m_lastSeenRow->isReleased;
+    return (isFree && isRowOfCurrentEra()) || now < m_mayResumeUntil || now >= m_unchangedSince + m_options.duration;
+}
+
+bool Lease::isRowOfCurrentEra() const
+{
+    if (!m_lastSeenRow) {
+        return m_options.mayTakeAbsentRow && !m_hasSeenRestore;
+    }
+    return base::StoreEra(m_lastSeenRow->term.value() >> VersionBits) == m_era;
+}
+
+/// Without eras, terms are counted from one.
+base::Term Lease::nextTerm() const
+{
+    const auto next = m_lastSeenRow ? m_lastSeenRow->term.next() : base::Term(1);
+    if (m_era == base::StoreEra()) {
+        return next;
+    }
+    return std::max(next, base::Term((m_era.value() << VersionBits) + m_lastSeenVersion.value() + 1));
+}
+
+void Lease::noteEra(base::Time now, base::StoreEra era)
+{
+    if (era <= m_era) {
+        return;
+    }
+    const bool isFirst = std::exchange(m_era, era) == base::StoreEra();
+    if (isFirst) {
+        return;
+    }
+    m_hasSeenRestore = true;
+    m_mayResumeUntil = isHeld(now) ? m_heldUntil : base::Time();
+    m_ignoresCallInFlight = m_callInFlight != Call::None;
+    m_state = State::Unknown;
+    m_isWriteUnconfirmed = false;
+    m_isRetryDue = false;
+    m_term = base::Term();
+    m_lastSeenRow.reset();
+    m_lastSeenVersion = base::RowVersion();
+    m_unchangedSince = now;
+    m_nextCall = now;
 }
 
 void Lease::beginRenewal(base::Time now)
@@ -171,7 +222,7 @@
     m_pendingRows.clear();
     // Checks again at the moment when an unchanged row expires, so that a takeover does not wait for the next poll.
     m_nextCall = std::min(now + m_options.retryInterval, std::max(now, m_unchangedSince + m_options.duration));
-    if (m_lastSeenRow && m_lastSeenRow->isReleased) {
+    if ((m_lastSeenRow && m_lastSeenRow->isReleased) || now < m_mayResumeUntil) {
         m_nextCall = now;
     }
 }
@@ -179,6 +230,9 @@
 void Lease::rowsRead(base::Time now, const store::ReadResult &result)
 {
     m_callInFlight = Call::None;
+    if (std::exchange(m_ignoresCallInFlight, false)) {
+        return;
+    }
     m_isTableDown = !result;
     m_nextCall = now + m_options.retryInterval;
     if (!result) {
@@ -207,6 +261,9 @@
 void Lease::rowsWritten(base::Time now, const store::WriteResult &result)
 {
     m_callInFlight = Call::None;
+    if (std::exchange(m_ignoresCallInFlight, false)) {
+        return;
+    }
     if (result) {
         m_isTableDown = false;
         confirmWrite(result->front());
--- a/src/turmericplank/placement/lease_test.cpp
+++ b/src/turmericplank/placement/lease_test.cpp
@@ -1,5 +1,7 @@
 #include "turmericplank/placement/lease.hpp"
 
+#include <tuple>
+
 #include <doctest/doctest.h>
 
 using namespace turmericplank;
@@ -37,6 +39,20 @@
         }
     }
 
+    /// State of the table, for restore().
+    using Copy = std::pair<std::uint64_t, std::string>;
+
+    Copy copy() const
+    {
+        return {m_version, m_value};
+    }
+
+    /// Replaces the table by an earlier copy, or by an empty one.
+    void restore(const Copy &copy)
+    {
+        std::tie(m_version, m_value) = copy;
+    }
+
     base::Time now{std::chrono::seconds(1000)};
 
 private:
@@ -55,7 +71,7 @@
     std::string m_value;
 };
 
-Lease makeLease(const char *self)
+LeaseOptions leaseOptions(const char *self)
 {
     LeaseOptions options;
     options.self = base::DaemonId(self);
@@ -64,7 +80,12 @@
     options.safetyMargin = std::chrono::milliseconds(3500);
     options.renewInterval = std::chrono::milliseconds(900);
     options.retryInterval = std::chrono::milliseconds(400);
-    return Lease(options);
+    return options;
+}
+
+Lease makeLease(const char *self)
+{
+    return Lease(leaseOptions(self));
 }
 
 } // namespace
@@ -115,3 +136,94 @@
     CHECK(decodeLeaseRow(encode(held)) == held);
     CHECK_FALSE(decodeLeaseRow(R"({"holder":"d","term":3,"renewal":4,"deadline":5,"ordered_lately":[7]})"));
 }
+
+TEST_CASE("after the table came back from an older copy, the holder goes on under a higher term")
+{
+    LeaseSimulation simulation;
+    auto first = makeLease("first");
+    auto second = makeLease("second");
+    first.noteEra(simulation.now, base::StoreEra(1));
+    second.noteEra(simulation.now, base::StoreEra(1));
+    simulation.runUntil(simulation.now + std::chrono::seconds(2), {&first, &second});
+    REQUIRE(first.isHeld(simulation.now));
+    const auto term = first.term();
+    simulation.restore({});
+    first.noteEra(simulation.now, base::StoreEra(2));
+    second.noteEra(simulation.now, base::StoreEra(2));
+    CHECK_FALSE(first.isHeld(simulation.now));
+    simulation.runUntil(simulation.now + std::chrono::milliseconds(300), {&first, &second});
+    CHECK(first.isHeld(simulation.now));
+    CHECK(first.term() > term);
+    CHECK_FALSE(second.isUncontested());
+}
+
+TEST_CASE("a lease that the table has lost is not taken over while its holder may still send orders, and no term is used twice")
+{
+    // The copy is from before the holder took over: it names an earlier holder that had released the lease.
+    LeaseSimulation simulation;
+    auto zeroth = makeLease("zeroth");
+    auto first = makeLease("first");
+    auto second = makeLease("second");
+    for (auto *it : {&zeroth, &first, &second}) {
+        it->noteEra(simulation.now, base::StoreEra(1));
+    }
+    simulation.runUntil(simulation.now + std::chrono::seconds(2), {&zeroth});
+    zeroth.release({});
+    simulation.runUntil(simulation.now + std::chrono::seconds(1), {&zeroth});
+    const auto copy = simulation.copy();
+    simulation.runUntil(simulation.now + std::chrono::seconds(2), {&first});
+    REQUIRE(first.isHeld(simulation.now));
+    const auto term = first.term();
+    simulation.restore(copy);
+    const auto restoredAt = simulation.now;
+    // The holder is cut off from the table and does not learn of the restore.
+    second.noteEra(simulation.now, base::StoreEra(2));
+    simulation.runUntil(restoredAt + std::chrono::milliseconds(5400), {&second});
+    CHECK_FALSE(second.isHeld(simulation.now));
+    CHECK_FALSE(first.isHeld(simulation.now));
+    simulation.runUntil(restoredAt + std::chrono::milliseconds(6000), {&second});
+    CHECK(second.isHeld(simulation.now));
+    CHECK(second.term() > term);
+}
+
+TEST_CASE("terms grow from era to era although the table loses all rows each time")
+{
+    LeaseSimulation simulation;
+    auto lease = makeLease("first");
+    base::Term last;
+    for (std::uint64_t era = 1; era <= 4; ++era) {
+        lease.noteEra(simulation.now, base::StoreEra(era));
+        simulation.runUntil(simulation.now + std::chrono::seconds(1), {&lease});
+        REQUIRE(lease.isHeld(simulation.now));
+        CHECK(lease.term() > last);
+        last = lease.term();
+        simulation.restore({});
+    }
+}
+
+TEST_CASE("a write that was started before the table came back does not make its daemon the holder")
+{
+    LeaseSimulation simulation;
+    auto lease = makeLease("first");
+    lease.noteEra(simulation.now, base::StoreEra(1));
+    simulation.step(lease);
+    simulation.now += std::chrono::seconds(1);
+    REQUIRE(lease.tick(simulation.now) == LeaseAction::Write);
+    lease.noteEra(simulation.now, base::StoreEra(2));
+    lease.rowsWritten(simulation.now, std::vector{base::RowVersion(1)});
+    CHECK_FALSE(lease.isHeld(simulation.now));
+}
+
+TEST_CASE("a daemon that starts while the system runs does not take a missing row for a free lease")
+{
+    LeaseSimulation simulation;
+    auto options = leaseOptions("late");
+    options.mayTakeAbsentRow = false;
+    Lease lease(options);
+    lease.noteEra(simulation.now, base::StoreEra(3));
+    const auto startedAt = simulation.now;
+    simulation.runUntil(startedAt + std::chrono::milliseconds(5400), {&lease});
+    CHECK_FALSE(lease.isHeld(simulation.now));
+    simulation.runUntil(startedAt + std::chrono::milliseconds(6000), {&lease});
+    CHECK(lease.isHeld(simulation.now));
+}
--- a/src/turmericplank/routing/router.cpp
+++ b/src/turmericplank/routing/router.cpp
@@ -116,6 +116,7 @@
     if (report.incarnation > state.incarnation) {
         m_prefixes.forget(position->second, now);
         state.health = EndpointHealth();
+        state.pausedUntil = base::Time();
         state.incarnation = report.incarnation;
     }
     state.reportTakenAt = report.takenAt;
@@ -198,6 +199,13 @@
     return !m_peers.empty() && std::ranges::all_of(m_peers, isFresh);
 }
 
+void Router::notePause(const base::EndpointId &endpoint, base::Time until)
+{
+    if (auto *state = find(endpoint)) {
+        state->pausedUntil = std::max(state->pausedUntil, until);
+    }
+}
+
 void Router::noteSent(const Choice &choice, const RouteRequest &request, base::Time now)
 {
     const auto position = m_indexes.find(choice.endpoint);
@@ -272,10 +280,7 @@
     if (it == m_residents.end()) {
         return usable;
     }
-    std::ranges::copy_if(it->second, std::back_inserter(usable), [this](EndpointIndex index) {
-        const auto &state = m_endpoints[index];
-        return state.isConfigured && !state.isLeavingByReport && (state.status == EndpointStatus::Live || state.status == EndpointStatus::Suspect);
-    });
+    std::ranges::copy_if(it->second, std::back_inserter(usable), [this](EndpointIndex index) { return isUsable(m_endpoints[index]); });
     return usable;
 }
 
--- a/src/turmericplank/routing/router_test.cpp
+++ b/src/turmericplank/routing/router_test.cpp
@@ -163,3 +163,37 @@
     CHECK(moved.cacheSource->endpoint == first.endpoint);
     CHECK(moved.cachedTokens == 3000);
 }
+
+TEST_CASE("an endpoint that has asked for a pause gets nothing until it ends")
+{
+    Fixture fixture;
+    fixture.router.notePause(firstEndpoint, at(1000));
+    for (int n = 0; n < 20; ++n) {
+        CHECK(fixture.send(n).endpoint == secondEndpoint);
+    }
+    fixture.request.excluded = {secondEndpoint};
+    CHECK(fixture.send(1000).endpoint == firstEndpoint);
+}
+
+TEST_CASE("with all endpoints paused, a request learns when the first of them takes requests again")
+{
+    Fixture fixture;
+    fixture.router.notePause(firstEndpoint, at(1000));
+    fixture.router.notePause(secondEndpoint, at(600));
+    fixture.router.notePause(secondEndpoint, at(500)); // a shorter pause does not end a longer one
+    const auto choice = fixture.router.choose(fixture.request, at(100), fixture.random);
+    REQUIRE_FALSE(choice);
+    CHECK((choice.error() == NoRoute{NoRouteReason::Paused, at(600)}));
+    CHECK(fixture.router.replicas(advice) == 2); // a paused endpoint still counts as a replica
+}
+
+TEST_CASE("a pause ends with the incarnation that has asked for it")
+{
+    Fixture fixture;
+    fixture.router.notePause(firstEndpoint, at(100000));
+    auto report = reportWith(0, at(10));
+    report.incarnation = base::Incarnation(2);
+    fixture.router.noteReport(firstEndpoint, report, at(10));
+    fixture.request.excluded = {secondEndpoint};
+    CHECK(fixture.send(20).endpoint == firstEndpoint);
+}
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -104,6 +104,11 @@
         cost.prompt * m_options.promptInterference * std::min(1.0, work.streams / concurrency) + m_options.streamPenaltyMilliseconds * work.streams;
 }
 
+bool Router::isUsable(const EndpointState &state)
+{
+    return state.isConfigured && !state.isLeavingByReport && state.status != EndpointStatus::Leaving && state.status != EndpointStatus::Gone;
+}
+
 bool Router::isBetter(const ScoredCandidate &a, const ScoredCandidate &b)
 {
     // Order: endpoints due for a probe, then healthy ones, then suspect or blocked ones.
@@ -211,11 +216,14 @@
                                   m_options.similarDaemonShare * static_cast<double>(m_peers.size())};
     std::optional<ScoredCandidate> best;
     std::optional<ScoredCandidate> runnerUp;
+    std::optional<base::Time> firstPauseEnd;
     for (const auto index : m_candidates) {
         const auto &state = m_endpoints[index];
-        const bool isUnusable =
-            !state.isConfigured || state.isLeavingByReport || state.status == EndpointStatus::Leaving || state.status == EndpointStatus::Gone;
-        if (isUnusable) {
+        if (!isUsable(state)) {
+            continue;
+        }
+        if (now < state.pausedUntil) {
+            firstPauseEnd = std::min(firstPauseEnd.value_or(state.pausedUntil), state.pausedUntil);
             continue;
         }
         auto candidate = score(index, *resolved, request, context);
@@ -226,6 +234,9 @@
             runnerUp = candidate;
         }
     }
+    if (!best && firstPauseEnd) {
+        return tl::unexpected(NoRoute{NoRouteReason::Paused, *firstPauseEnd});
+    }
     if (!best) {
         return tl::unexpected(NoRoute{NoRouteReason::Unavailable, retryAt});
     }
--- a/src/turmericplank/routing/routetypes.cpp
+++ b/src/turmericplank/routing/routetypes.cpp
@@ -38,6 +38,8 @@
         return "excluded";
     case NoRouteReason::Unavailable:
         return "unavailable";
+    case NoRouteReason::Paused:
+        return "paused";
     }
     return "unknown";
 }
--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -42,7 +42,8 @@
 /// store up to date.
 ///
 /// With models it is an engine that streams numbered events; without models it sends each answer in one piece. GET /runs
-/// returns the number of runs of each request; POST /drain makes the endpoint report that it is draining.
+/// returns the number of runs of each request; POST /drain makes the endpoint report that it is draining, POST /leave makes it
+/// say so in its answers only. POST /shed?seconds=N makes it reject calls and ask for a pause; GET /shed returns how many came.
 class Endpoint
 {
 public:
@@ -90,6 +91,15 @@
             exchange->respond({204, {}, {}});
             return;
         }
+        if (path == "/leave") {
+            m_isLeaving = true;
+            exchange->respond({204, {}, {}});
+            return;
+        }
+        if (path == "/shed") {
+            handleShed(exchange);
+            return;
+        }
         const auto expected = header(request.headers, "Expect-Instance");
         if (!expected.empty() && expected != m_options.id) {
             exchange->respond({421, {{"Instance-Id", m_options.id}}, {}});
@@ -120,6 +130,17 @@
         return list;
     }
 
+    void handleShed(const net::ExchangePointer &exchange)
+    {
+        if (exchange->request().method == "GET") {
+            exchange->respond(jsonResponse(200, m_shedCalls));
+            return;
+        }
+        m_retryAfter = net::queryParameter(exchange->request().target, "seconds");
+        m_shedCalls = 0;
+        exchange->respond({204, {}, {}});
+    }
+
     void handleOrder(const net::ExchangePointer &exchange)
     {
         const auto json = Json::parse(exchange->request().body, nullptr, false);
@@ -167,6 +188,11 @@
     {
         const auto &request = exchange->request();
         const std::string id(header(request.headers, "Request-Id"));
+        if (!m_retryAfter.empty()) {
+            ++m_shedCalls;
+            exchange->respond({503, {{"Request-Id", id}, {"Not-Executed", "1"}, {"Retry-After", m_retryAfter}}, {}});
+            return;
+        }
         if (isEngine() && !isResident(std::string(header(request.headers, "Model")))) {
             exchange->respond({421, {{"Instance-Id", m_options.id}, {"Request-Id", id}}, {}});
             return;
@@ -175,8 +201,10 @@
             crash();
         }
         ++m_runs[id];
-        const net::Headers headers{
-            {"Request-Id", id}, {"Server-Seal", "seal-" + m_options.id}, {"Content-Type", isEngine() ? "text/event-stream" : "text/plain"}};
+        net::Headers headers{{"Request-Id", id}, {"Server-Seal", "seal-" + m_options.id}, {"Content-Type", isEngine() ? "text/event-stream" : "text/plain"}};
+        if (m_isLeaving || m_isDraining) {
+            headers.push_back({"Server-Leaving", "1"});
+        }
         if (!isEngine()) {
             exchange->respond({200, headers, "run by " + m_options.id + '\n'});
             return;
@@ -207,6 +235,9 @@
     std::uint64_t m_highestFence = 0;
     bool m_isBusy = false;
     bool m_isDraining = false;
+    bool m_isLeaving = false; ///< says so in its answers
+    std::string m_retryAfter; ///< seconds; while not empty, calls are rejected with this pause
+    std::uint64_t m_shedCalls = 0;
 };
 
 } // namespace
--- a/standins/sitestore/main.cpp
+++ b/standins/sitestore/main.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MaxRows = 500; ///< rows in one answer to a read
 
 /// @brief The metadata store of the users' platform: transactions, reads and reads that wait for a change (long polling).
+///
+/// POST /copy keeps a copy of the rows; POST /restore brings the store back from it in a new era.
 class Store
 {
 public:
@@ -26,7 +28,13 @@
     {
         const auto &request = exchange->request();
         const auto path = net::path(request.target);
-        if (path == "/-/rows-tx") {
+        if (path == "/copy") {
+            m_copy = m_tables;
+            exchange->respond({204, {}, {}});
+        } else if (path == "/restore") {
+            restore();
+            exchange->respond({204, {}, {}});
+        } else if (path == "/-/rows-tx") {
             transact(exchange);
         } else if (path == "/-/rows-get") {
             read(exchange);
@@ -45,15 +53,29 @@
         net::ExchangePointer exchange;
     };
 
+    /// Returns to the state of the last copy; waits for changes end.
+    void restore()
+    {
+        m_tables = m_copy;
+        ++m_era;
+        m_watches.remove_if([this](const Watch &it) { return answerWatch(it, true); });
+    }
+
+    void respond(const net::ExchangePointer &exchange, net::HttpResponse response) const
+    {
+        response.headers.push_back({"Store-Era", std::to_string(m_era)});
+        exchange->respond(std::move(response));
+    }
+
     void transact(const net::ExchangePointer &exchange)
     {
         const auto json = Json::parse(exchange->request().body, nullptr, false);
         if (!json.is_object()) {
-            exchange->respond(errorResponse(400, "not_json"));
+            respond(exchange, errorResponse(400, "not_json"));
             return;
         }
         const auto [status, body] = m_tables.transact(json);
-        exchange->respond(jsonResponse(status, body));
+        respond(exchange, jsonResponse(status, body));
         m_watches.remove_if([this](const Watch &it) { return answerWatch(it, false); });
     }
 
@@ -63,7 +85,7 @@
             return net::queryParameter(exchange->request().target, name);
         };
         const auto limit = parameter("limit").empty() ? MaxRows : std::min(MaxRows, std::size_t(std::stoul(parameter("limit"))));
-        exchange->respond(jsonResponse(200, m_tables.rows(parameter("table"), parameter("part"), parameter("from"), limit)));
+        respond(exchange, jsonResponse(200, m_tables.rows(parameter("table"), parameter("part"), parameter("from"), limit)));
     }
 
     void watch(const net::ExchangePointer &exchange)
@@ -80,16 +102,22 @@
 
     bool answerWatch(const Watch &watch, bool hasTimedOut)
     {
+        if (!m_tables.hasVersion(watch.after)) {
+            respond(watch.exchange, errorResponse(410, "no_such_version"));
+            return true;
+        }
         const auto changes = m_tables.changes(watch.table, watch.after);
         if (changes.empty() && !hasTimedOut) {
             return false;
         }
-        watch.exchange->respond(jsonResponse(200, {{"rows", changes}, {"ver", m_tables.version()}}));
+        respond(watch.exchange, jsonResponse(200, {{"rows", changes}, {"ver", m_tables.version()}}));
         return true;
     }
 
     Program &m_program;
     Tables m_tables;
+    Tables m_copy;
+    std::uint64_t m_era = 1;
     std::list<Watch> m_watches;
 };
 
--- a/standins/sitestore/tables.cpp
+++ b/standins/sitestore/tables.cpp
@@ -84,6 +84,11 @@
     return changes;
 }
 
+bool Tables::hasVersion(std::uint64_t version) const
+{
+    return version <= m_version;
+}
+
 std::uint64_t Tables::version() const
 {
     return m_version;
--- a/standins/sitestore/tables.hpp
+++ b/standins/sitestore/tables.hpp
@@ -30,6 +30,9 @@
     /// @brief Latest change of each row of a table that changed after a version, oldest first; removed rows are marked.
     std::vector<Json> changes(const std::string &table, std::uint64_t after) const;
 
+    /// @brief Whether changes after a version can be returned; not if the version is from a state that was lost.
+    bool hasVersion(std::uint64_t version) const;
+
     /// @brief Version of the latest transaction.
     std::uint64_t version() const;
 
--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -77,6 +77,14 @@
 runs_at() { curl -s -m 2 "http://$(engine $1)/runs" | jq -e "has(\"$2\")" >/dev/null; } # ENGINE REQUEST
 is_running() { runs_at 1 "$1" || runs_at 2 "$1"; }
 answers_200() { [ "$(status "$@")" = 200 ]; }
+ran_on_both() {
+    status 1 /book/a "w$RANDOM" "" >/dev/null
+    for n in 1 2; do curl -s -m 2 "http://$(desk $n)/runs" | jq -e 'length > 0' >/dev/null || return 1; done
+}
+says_leaving() {
+    status 1 /book/a "u$RANDOM" "" >/dev/null
+    grep -q 'endpoints: leaving by its own answer endpoint=desk-2' "$work/daemon-1.log"
+}
 runs_of() { for n in 1 2; do curl -s -m 2 "http://$(desk $n)/runs" | jq ".\"$1\" // 0"; done | awk '{ n += $1 } END { print n + 0 }'; }
 
 start store turmericplank-sitestore --listen "$store"
@@ -129,6 +137,43 @@
 sleep 1
 step "an older configuration version does not replace a newer one" equals "$(status 1 /new/a c3 "")" 200
 
+curl -s -m 2 -o /dev/null -X POST "http://$store/copy"
+put_configuration 3 ',{"name":"newer","host":"site.example","prefix":"/newer/","kind":"safe","timeoutMs":3000,"goalMs":300,"priority":2,"service":"desk","maxAttempts":2}'
+for n in 1 2; do step "version 3 takes effect at daemon $n" until_true 5 answers_200 $n /newer/a "o$n" ""; done
+curl -s -m 2 -o /dev/null -X POST "http://$store/restore"
+for n in 1 2; do step "daemon $n notices that the store came back from an older copy" until_true 6 grep -q 'store: came back from an older copy' "$work/daemon-$n.log"; done
+for n in 1 2; do step "... and keeps the configuration in force" equals "$(status $n /newer/a "p$n" "")" 200; done
+step "... and places models again" until_true 15 answers_200 1 /guide/a p3 m/a1
+put_configuration 4 ',{"name":"latest","host":"site.example","prefix":"/latest/","kind":"safe","timeoutMs":3000,"goalMs":300,"priority":2,"service":"desk","maxAttempts":2}'
+for n in 1 2; do step "version 4, written to the copy, takes effect at daemon $n" until_true 5 answers_200 $n /latest/a "q$n" ""; done
+
+curl -s -m 2 -o /dev/null -X POST "http://$(desk 1)/shed?seconds=30"
+for n in $(seq 20); do status 1 /book/a "t$n" "" >/dev/null; done
+step "an endpoint that asks for a pause gets no more calls" equals "$([ "$(curl -s -m 2 "http://$(desk 1)/shed")" -le 2 ] && echo few)" few
+curl -s -m 2 -o /dev/null -X POST "http://$(desk 2)/shed?seconds=30"
+status 1 /book/a t30 "" >/dev/null
+status 1 /book/a t31 "" >/dev/null
+step "with all endpoints paused, calls are rejected at once with Retry-After" \
+    equals "$(call 1 /book/a t32 "" -o /dev/null -D - -m 1 | grep -ciE '^HTTP/1.1 503|^retry-after')" 2
+for n in 1 2; do
+    curl -s -m 2 -o /dev/null -X POST "http://$(desk $n)/shed?seconds="
+    stop "desk-$n"
+    start_desk $n
+done
+step "restarted endpoints get calls again" until_true 10 answers_200 1 /book/a t33 ""
+step "... both of them" until_true 10 ran_on_both
+
+curl -s -m 2 -o /dev/null -X POST "http://$(desk 2)/leave"
+until_true 5 says_leaving
+before=$(curl -s -m 2 "http://$(desk 2)/runs" | jq length)
+sleep 1
+for n in $(seq 10); do status 2 /book/a "v$n" "" >/dev/null; done
+step "an endpoint that says in an answer that it is leaving gets no new calls, also from other daemons" \
+    equals "$(curl -s -m 2 "http://$(desk 2)/runs" | jq length)" "$before"
+stop desk-2
+start_desk 2
+step "after a restart it gets calls" until_true 10 ran_on_both
+
 curl -s -m 2 -o /dev/null -X POST "http://$(desk 1)/drain"
 sleep 2
 before=$(curl -s -m 2 "http://$(desk 1)/runs" | jq length)
