Placement: what is under way is remembered by a holder that regains its term; without the store, no orders where two may hold

Orders in progress are now discarded in a new term only (engineorders_test).

It now goes on only while it hears all daemons (lease_test: mayOrderWithoutTable).

--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -20,6 +20,7 @@
     base::Duration statusInterval = std::chrono::milliseconds(400); ///< about 1 KB to each daemon; 2.5 KB/s in each direction with 7 daemons, below 6 KB/s
     base::Duration peerTimeout = std::chrono::milliseconds(1400); ///< three messages missed
     base::Duration removalTimeout = std::chrono::seconds(10); ///< a peer that is silent for longer and not listed is removed at the next read of the list
+    base::Duration maxSilence = std::chrono::seconds(30); ///< a daemon that is silent for longer counts as gone rather than cut off
     base::Duration remoteInterval = std::chrono::milliseconds(1000); ///< between status messages that the lease holder and daemons outside its group exchange
     base::Duration listReadInterval = std::chrono::seconds(60); ///< long, since new daemons also announce their addresses in their messages
     std::size_t maxFullMeshDaemons = 10; ///< up to this many daemons all exchange messages with all; above, only within groups
@@ -81,6 +82,9 @@
     /// @brief Number of other daemons in the group that are heard.
     std::size_t groupPeerCount() const;
 
+    /// @brief Whether no daemon that was heard lately has fallen silent without having announced that it leaves.
+    bool areAllHeard() const;
+
     /// @brief Whether this daemon reads the store on behalf of its group.
     bool isStoreReader() const;
 
--- a/include/turmericplank/gateway/placementrunner.hpp
+++ b/include/turmericplank/gateway/placementrunner.hpp
@@ -31,6 +31,7 @@
     store::Table table;
     std::function<void(const EngineUpdate &)> onEngineUpdate; ///< the models resident on an engine have changed
     std::function<bool()> isHolderHeard; ///< another daemon claims the placement lease
+    std::function<bool()> areAllDaemonsHeard; ///< no daemon that was heard lately has fallen silent
     std::function<bool()> isStoreReader; ///< this daemon reads the store on behalf of its group
 };
 
@@ -47,7 +48,7 @@
     base::Duration leaseHoldTime = std::chrono::milliseconds(2000); ///< how long a holder may send orders after its last renewal; two renewals may fail
     base::Duration engineUpdateLifetime = std::chrono::milliseconds(2500); ///< how long updates are published; by then the engines' entries include the orders
     base::Duration orderTimeout = std::chrono::milliseconds(500); ///< engines answer orders in a few milliseconds
-    /// How long a holder continues while the store is down; engines reject its term once a new holder has sent orders.
+    /// How long a holder continues while it cannot reach the store; see placement::mayOrderWithoutTable().
     base::Duration maxTimeWithoutStore = std::chrono::seconds(20);
     base::Duration maxTickGap = std::chrono::milliseconds(1000); ///< a longer gap between ticks means that the process was suspended
     base::Duration suspensionMargin = std::chrono::milliseconds(500); ///< added to the pause between two holders, in case a process is suspended
@@ -125,7 +126,6 @@
     std::map<base::EndpointId, base::Time> m_lastOrderAt; ///< time of this daemon's last order to each engine
     base::Time m_nextLeaseRead;
     base::Term m_activeTerm; ///< term under which this daemon sends orders; zero if it may not
-    base::Term m_lastActiveTerm; ///< last non-zero active term
     base::Term m_staleTerm; ///< highest own term that an engine has rejected for a later one
     base::Time m_lastTick;
     base::Time m_orderWithoutStoreUntil; ///< how long the active term lasts while the store is down
--- a/include/turmericplank/placement/engineorders.hpp
+++ b/include/turmericplank/placement/engineorders.hpp
@@ -46,8 +46,13 @@
     /// @brief Removes an engine that no longer exists.
     void removeEngine(const base::EndpointId &id);
 
-    /// @brief Discards the orders in progress and queries every engine before its next order. Called when a term as lease holder begins.
-    void reset();
+    /// @brief Begins to send orders under a term of the lease.
+    ///
+    /// In a new term, other daemons may have sent orders before: the orders in progress are discarded and every engine is queried before
+    /// its next order. A term that begins again after a late renewal changes nothing, since no other daemon has sent orders in between;
+    /// loads under way must not be forgotten, or other models would be evicted for them once more.
+    /// @return whether the term is a new one
+    bool beginTerm(base::Term term);
 
     /// @brief Sends no order to an engine before the given time, and queries its state before the next order.
     void holdOrdersUntil(const base::EndpointId &id, base::Time until);
@@ -100,6 +105,7 @@
 
     EngineOrdersOptions m_options;
     routes::EngineSpec m_spec;
+    base::Term m_term; ///< under which orders were last sent
     std::map<base::EndpointId, Engine> m_engines;
 };
 
--- a/include/turmericplank/placement/lease.hpp
+++ b/include/turmericplank/placement/lease.hpp
@@ -50,6 +50,25 @@
     std::function<std::vector<store::RowWrite>(base::Term)> rowsOnAcquire; ///< rows added to the write that acquires the lease for a term
 };
 
+/// @brief What a holder of the lease knows while it cannot reach the table.
+struct OutageView
+{
+    bool isUncontested = false; ///< Lease::isUncontested()
+    bool isTableDown = false; ///< Lease::isTableDown()
+    bool enginesCheckTerms = false; ///< engines reject orders of a holder whose term is no longer the highest
+    bool areAllDaemonsHeard = false; ///< no other daemon has fallen silent
+    base::Time orderUntil; ///< end of the time for which a holder goes on
+
+    friend bool operator==(const OutageView &, const OutageView &) = default;
+};
+
+/// @brief Whether a holder may go on sending orders although its lease may have expired.
+///
+/// While the table is down, no other daemon can acquire the lease either. If only this daemon cannot reach the table, engines that check
+/// terms reject its orders once the next holder has sent one. Other engines do not, but a daemon does not take over while it hears the
+/// holder; so on their site the holder goes on only while it hears all daemons.
+bool mayOrderWithoutTable(const OutageView &view, base::Time now);
+
 /// @brief Table call that a lease requests; at most one call is in flight.
 enum class LeaseAction {
     None,
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -106,8 +106,7 @@
     auto &counter = m_demand.models[qualifiedModelName(service, base::ModelName(call.model.text().substr(0, slash)))];
     ++counter.requests;
     const auto pace = m_tokenCosts.relativeCost(qualifiedModelName(service, base::ModelName(call.model.text().substr(0, slash))));
-    m_uncountedMilliseconds +=
-        pace * call.promptTokens * m_options.promptTokenMilliseconds + pace * call.maxAnswerTokens * m_options.answerTokenMilliseconds;
+    m_uncountedMilliseconds += pace * call.promptTokens * m_options.promptTokenMilliseconds + pace * call.maxAnswerTokens * m_options.answerTokenMilliseconds;
     const auto wholeMilliseconds = static_cast<std::uint64_t>(m_uncountedMilliseconds);
     m_uncountedMilliseconds -= static_cast<double>(wholeMilliseconds);
     counter.streamMilliseconds += wholeMilliseconds;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -155,7 +155,7 @@
 
     PlacementDependencies placementDependencies(const store::Table &table)
     {
-        PlacementDependencies dependencies{context, wire, siteState, pool, metrics, table, {}, {}, {}};
+        PlacementDependencies dependencies{context, wire, siteState, pool, metrics, table, {}, {}, {}, {}};
         dependencies.onEngineUpdate = [this](const EngineUpdate &update) {
             siteState.applyEngineUpdate(update, base::now());
             forwarder.retryWaitingCalls();
@@ -163,6 +163,9 @@
         dependencies.isHolderHeard = [this] {
             return peers.leaseHolder().has_value();
         };
+        dependencies.areAllDaemonsHeard = [this] {
+            return peers.areAllHeard();
+        };
         dependencies.isStoreReader = [this] {
             return peers.isStoreReader();
         };
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -298,6 +298,15 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_peers, [](const auto &it) { return !it.second.isSilent && it.second.isInGroup; }));
 }
 
+bool Peers::areAllHeard() const
+{
+    const auto oldest = base::now() - m_options.maxSilence;
+    return std::ranges::none_of(m_peers, [oldest](const auto &it) {
+        const auto &peer = it.second;
+        return peer.isSilent && peer.status && !peer.status->isDraining && peer.heardAt > oldest;
+    });
+}
+
 bool Peers::isStoreReader() const
 {
     return std::ranges::none_of(m_peers, [this](const auto &it) {
--- a/src/turmericplank/gateway/placementrunner.cpp
+++ b/src/turmericplank/gateway/placementrunner.cpp
@@ -128,13 +128,11 @@
     }
 }
 
-/// While the store is down, the holder continues under its term: no other daemon can acquire the lease either. If only this
-/// daemon cannot reach the store, the engines reject its term once the next holder has sent an order; so it does not continue on
-/// a site whose engines do not check terms.
 bool PlacementRunner::mayOrder(base::Time now) const
 {
-    const bool isWithoutStore = m_bounds.enginesCheckTerms && m_lease.isUncontested() && m_lease.isTableDown() && now < m_orderWithoutStoreUntil;
-    return (m_lease.isHeld(now) || isWithoutStore) && m_lease.term() > m_staleTerm;
+    const placement::OutageView outage{m_lease.isUncontested(), m_lease.isTableDown(), m_bounds.enginesCheckTerms, m_dependencies.areAllDaemonsHeard(),
+                                       m_orderWithoutStoreUntil};
+    return (m_lease.isHeld(now) || placement::mayOrderWithoutTable(outage, now)) && m_lease.term() > m_staleTerm;
 }
 
 void PlacementRunner::advanceLease(base::Time now)
@@ -186,12 +184,10 @@
 
 void PlacementRunner::beginTerm(base::Time now)
 {
-    // The same term may begin again after a late renewal; no other daemon has sent orders in between.
-    const bool isTakeover = std::exchange(m_lastActiveTerm, m_lease.term()) != m_lease.term();
     const auto &before = m_lease.predecessor();
-    const bool isHandover = isTakeover && before && before->isReleased;
+    const bool isReleased = before && before->isReleased;
     for (auto &[name, service] : m_services) {
-        service.orders.reset();
+        const bool isHandover = service.orders.beginTerm(m_lease.term()) && isReleased;
         for (const auto &it : isHandover ? before->recentlyOrdered : std::vector<base::EndpointId>()) {
             service.orders.holdOrdersUntil(it, now + m_bounds.leaseHandoverPause + m_options.suspensionMargin);
         }
--- a/src/turmericplank/placement/engineorders.cpp
+++ b/src/turmericplank/placement/engineorders.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/placement/engineorders.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericplank::placement {
 
@@ -76,8 +77,11 @@
     m_engines.erase(id);
 }
 
-void EngineOrders::reset()
+bool EngineOrders::beginTerm(base::Term term)
 {
+    if (std::exchange(m_term, term) == term) {
+        return false;
+    }
     for (auto &[id, engine] : m_engines) {
         engine.sent.reset();
         engine.modelOrder.reset();
@@ -86,6 +90,7 @@
         engine.minReportTime = {};
         engine.nextQuery = {};
     }
+    return true;
 }
 
 void EngineOrders::holdOrdersUntil(const base::EndpointId &id, base::Time until)
--- a/src/turmericplank/placement/engineorders_test.cpp
+++ b/src/turmericplank/placement/engineorders_test.cpp
@@ -190,3 +190,24 @@
     CHECK(fixture.orders.state(base::EndpointId("e"))->models.empty());
     CHECK(fixture.orders.enginesToQuery(at(110)).size() == 1);
 }
+
+TEST_CASE("a load under way is remembered when a late renewal begins the same term again, but not in a new term")
+{
+    const auto isArriving = [](const EngineOrders &orders) {
+        const auto engine = orders.engineSnapshots().front();
+        const auto it = engine.residents.find({base::ModelName("c"), {}, {}});
+        return it != engine.residents.end() && it->second == ResidentState::Arriving;
+    };
+    Fixture fixture;
+    CHECK(fixture.orders.beginTerm(term));
+    fixture.orders.applyState(base::EndpointId("e"), fixture.engine.state(), at(5));
+    const auto load = fixture.open(move(OrderKind::Load, "c"), at(10));
+    REQUIRE(load.has_value());
+    fixture.orders.answered(*load, ConditionalAnswer::Accepted, at(12));
+    CHECK(isArriving(fixture.orders));
+    CHECK_FALSE(fixture.orders.beginTerm(term));
+    CHECK(isArriving(fixture.orders));
+    CHECK(fixture.orders.beginTerm(term.next()));
+    CHECK_FALSE(isArriving(fixture.orders));
+    CHECK(fixture.orders.enginesToQuery(at(20)).size() == 1);
+}
--- a/src/turmericplank/placement/lease.cpp
+++ b/src/turmericplank/placement/lease.cpp
@@ -55,6 +55,11 @@
     return row;
 }
 
+bool mayOrderWithoutTable(const OutageView &view, base::Time now)
+{
+    return view.isUncontested && view.isTableDown && (view.enginesCheckTerms || view.areAllDaemonsHeard) && now < view.orderUntil;
+}
+
 Lease::Lease(LeaseOptions options)
     : m_options(std::move(options))
 {
--- a/src/turmericplank/placement/lease_test.cpp
+++ b/src/turmericplank/placement/lease_test.cpp
@@ -227,3 +227,21 @@
     simulation.runUntil(startedAt + std::chrono::milliseconds(6000), {&lease});
     CHECK(lease.isHeld(simulation.now));
 }
+
+TEST_CASE("a holder that cannot reach the table goes on only where no other holder can have taken over")
+{
+    const auto now = base::timeFromMilliseconds(1000);
+    const OutageView outage{true, true, false, true, now + std::chrono::seconds(1)};
+    CHECK(mayOrderWithoutTable(outage, now));
+    CHECK_FALSE(mayOrderWithoutTable(outage, outage.orderUntil));
+    auto it = outage;
+    it.areAllDaemonsHeard = false; // a silent daemon may have taken over
+    CHECK_FALSE(mayOrderWithoutTable(it, now));
+    it.enginesCheckTerms = true;
+    CHECK(mayOrderWithoutTable(it, now));
+    it.isUncontested = false;
+    CHECK_FALSE(mayOrderWithoutTable(it, now));
+    it = outage;
+    it.isTableDown = false;
+    CHECK_FALSE(mayOrderWithoutTable(it, now));
+}
