Eras: what peers tell only renews a daemon's row; a resumed lease gives way; leaving is remembered while an entry is missing

Found on reading the diff. A daemon that heard of a new era from a peer reset its positions while its own client still took answers of the earlier era, whose position would then have been kept: waits from it get 410 until the copy has passed it. Only the own client's era counts now; what peers tell makes a daemon write its row, whose answer reports the era. A holder that resumed after a restore and lost the race would have taken the lease over at once from whoever won it (lease_test). An endpoint that had said it was leaving was forgotten with its entry, which may come back (sitestate_test).

--- a/include/turmericplank/gateway/peerstatus.hpp
+++ b/include/turmericplank/gateway/peerstatus.hpp
@@ -50,7 +50,7 @@
     bool isDraining = false;
     base::Term term; ///< of the placement lease; zero if the sender does not hold it
     base::Revision revision; ///< of the configuration in force at the sender
-    base::StoreEra storeEra; ///< latest era of the store that the sender has seen
+    base::StoreEra storeEra; ///< as reported by the store to the sender
     std::vector<routing::EndpointWork> endpointWork;
     std::vector<DrainingEndpoint> drainingEndpoints; ///< draining or recently removed, as read by the sender
     std::vector<EngineUpdate> engines; ///< sent by the holder of the lease
--- a/include/turmericplank/gateway/sitestate.hpp
+++ b/include/turmericplank/gateway/sitestate.hpp
@@ -91,7 +91,8 @@
     };
 
     std::map<base::EndpointId, Engine> m_engines;
-    std::set<DrainingEndpoint> m_selfDeclared; ///< have said in an answer to this daemon that they are leaving; until they are removed
+    /// Have said in an answer to this daemon that they are leaving; with the time until which a missing entry may come back.
+    std::map<DrainingEndpoint, base::Time> m_selfDeclared;
     std::map<DrainingEndpoint, base::Time> m_reportedDraining; ///< reported by other daemons, with the time at which the report expires
     std::map<DrainingEndpoint, base::Time> m_recentlyRemoved; ///< with the time until which the removal is reported to the others
 };
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -176,17 +176,26 @@
     /// learns of is the one in which it starts.
     void noteStoreEra(base::StoreEra era)
     {
-        if (era <= storeEra) {
-            return;
-        }
         const bool isRestored = std::exchange(storeEra, era) != base::StoreEra();
         placementRunner.noteStoreEra(era);
         if (isRestored) {
             telemetry::log(LogLevel::Warning, "store", "came back from an older copy", {{"era", era.value()}});
             metrics.count("store_restores_total");
-            peers.registerAgain();
             siteStateUpdater.noteStoreRestored();
         }
+        notePeerStoreEra(era);
+    }
+
+    /// A daemon that has no reason to call the store learns from its peers that its row must be written again. The answer to that
+    /// write reports the era to its own client, which then reports answers of earlier eras as failures; until then, nothing else changes.
+    void notePeerStoreEra(base::StoreEra era)
+    {
+        if (era <= registrationEra) {
+            return;
+        }
+        if (std::exchange(registrationEra, era) != base::StoreEra()) {
+            peers.registerAgain();
+        }
     }
 
     Peers::Callbacks peerCallbacks()
@@ -245,7 +254,7 @@
         router.setUnreportedWorkFactor(static_cast<double>(daemonCount()) / static_cast<double>(peers.groupPeerCount() + 1));
         siteState.applyDraining(status.drainingEndpoints, now);
         siteStateUpdater.notePeerRevision(status.from, status.revision);
-        noteStoreEra(status.storeEra);
+        notePeerStoreEra(status.storeEra);
         placementRunner.handlePeerStatus(status);
         bool hasChanged = false;
         for (const auto &it : status.engines) {
@@ -367,7 +376,8 @@
     std::unique_ptr<net::HttpServer> readinessServer;
     std::unique_ptr<net::HttpServer> directoryServer;
     std::unique_ptr<net::HttpServer> metricsServer;
-    base::StoreEra storeEra; ///< latest era of the store that this daemon or a peer has seen
+    base::StoreEra storeEra; ///< as reported by the store to this daemon
+    base::StoreEra registrationEra; ///< latest era that this daemon or a peer has seen, in which its row has been or is being written
     bool isDraining = false;
     bool isDrained = false;
 };
--- a/src/turmericplank/gateway/sitestate.cpp
+++ b/src/turmericplank/gateway/sitestate.cpp
@@ -8,6 +8,7 @@
 
 constexpr auto DrainingReportLifetime = std::chrono::seconds(3); ///< within this time this daemon's own read of the table confirms or refutes a report
 constexpr auto RemovalReportTime = std::chrono::seconds(3); ///< long enough that a daemon whose reads of the table fail gets several reports
+constexpr auto SelfDeclaredMemory = std::chrono::seconds(60); ///< an entry that expired while its endpoint was cut off from the table may come back
 constexpr auto MaxEntryLag = std::chrono::milliseconds(3000); ///< a heartbeat of the endpoint, a read of the table and a margin
 
 } // namespace
@@ -57,10 +58,12 @@
             m_recentlyRemoved[{it.entry.id, it.entry.incarnation}] = now + RemovalReportTime;
         }
     }
-    std::erase_if(m_selfDeclared, [this](const auto &it) {
-        const auto entry = m_catalog.entries().find(it.endpoint);
-        return entry == m_catalog.entries().end() || entry->second.incarnation != it.incarnation;
-    });
+    for (auto &[endpoint, keptUntil] : m_selfDeclared) {
+        const auto entry = m_catalog.entries().find(endpoint.endpoint);
+        const bool isListed = entry != m_catalog.entries().end() && entry->second.incarnation == endpoint.incarnation;
+        keptUntil = isListed ? now + SelfDeclaredMemory : keptUntil;
+    }
+    std::erase_if(m_selfDeclared, [now](const auto &it) { return it.second <= now; });
     updateEndpoints(now);
     return changes;
 }
@@ -74,7 +77,7 @@
 {
     const auto entry = m_catalog.entries().find(endpoint.endpoint);
     const bool isKnown = entry != m_catalog.entries().end() && entry->second.incarnation == endpoint.incarnation;
-    if (!isKnown || !m_selfDeclared.insert(endpoint).second) {
+    if (!isKnown || !m_selfDeclared.emplace(endpoint, now + SelfDeclaredMemory).second) {
         return false;
     }
     reportToRouter(entry->second, now);
--- a/src/turmericplank/gateway/sitestate_test.cpp
+++ b/src/turmericplank/gateway/sitestate_test.cpp
@@ -134,3 +134,13 @@
     it.siteState.applyEntries({entry("e", 4)}, at(5000));
     CHECK(it.isRoutable("m", at(5000)));
 }
+
+TEST_CASE("an endpoint that has said that it is leaving gets no calls when its entry is missing for a while and comes back")
+{
+    Daemon it;
+    it.siteState.applyEntries({entry("e", 3)}, at(0));
+    it.siteState.noteLeavingAnswer({base::EndpointId("e"), base::Incarnation(3)}, at(100));
+    it.siteState.applyEntries({}, at(1000));
+    it.siteState.applyEntries({entry("e", 3)}, at(5000));
+    CHECK_FALSE(it.isRoutable("m", at(5000)));
+}
--- a/src/turmericplank/placement/lease.cpp
+++ b/src/turmericplank/placement/lease.cpp
@@ -95,6 +95,7 @@
             attach(m_options.rowsOnAcquire(term));
         }
         beginWrite(now, LeaseRow{m_options.self, term, 1, {}});
+        m_mayResumeUntil = base::Time(); // if the write fails, another daemon may hold the lease
         m_state = State::Acquiring;
         return LeaseAction::Write;
     }
--- a/src/turmericplank/placement/lease_test.cpp
+++ b/src/turmericplank/placement/lease_test.cpp
@@ -245,3 +245,20 @@
     it.isTableDown = false;
     CHECK_FALSE(mayOrderWithoutTable(it, now));
 }
+
+TEST_CASE("a holder that resumes after a restore gives way if another daemon was faster")
+{
+    LeaseSimulation simulation;
+    auto first = makeLease("first");
+    first.noteEra(simulation.now, base::StoreEra(1));
+    simulation.runUntil(simulation.now + std::chrono::seconds(2), {&first});
+    REQUIRE(first.isHeld(simulation.now));
+    first.noteEra(simulation.now, base::StoreEra(2));
+    simulation.step(first);
+    REQUIRE(first.tick(simulation.now) == LeaseAction::Write);
+    first.rowsWritten(simulation.now, tl::make_unexpected(store::TableError{store::TableFailure::Conflict, {}}));
+    const LeaseRow other{base::DaemonId("other"), base::Term((std::uint64_t(2) << 40U) + 9), 1, {}};
+    simulation.restore({9, encode(other)});
+    simulation.runUntil(simulation.now + std::chrono::seconds(3), {&first});
+    CHECK_FALSE(first.isUncontested());
+}
