--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -147,6 +147,15 @@
 put_configuration 4 ',{"name":"latest","host":"site.example","prefix":"/latest/","kind":"safe","timeoutMs":3000,"goalMs":300,"priority":2,"service":"desk","maxAttempts":2}'
 for n in 1 2; do step "version 4, written to the copy, takes effect at daemon $n" until_true 5 answers_200 $n /latest/a "q$n" ""; done
 
+curl -s -m 2 -o /dev/null -X POST "http://$store/restore"
+step "the store comes back from the same copy once more" until_true 6 grep -q 'store: came back from an older copy era=3' "$work/daemon-1.log"
+stop daemon-2
+start_daemon 2
+step "a daemon that starts while the store holds version 1 becomes ready" until_true 10 ready_is 2 200
+step "... and gets version 4 from its peer" until_true 5 answers_200 2 /latest/a r1 ""
+step "... which says so in its log" grep -q 'configuration: sent to a daemon that is behind daemon=entry-2 revision=4 its_revision=1' "$work/daemon-1.log"
+step "models are placed again" until_true 15 answers_200 2 /guide/a r2 m/a2
+
 curl -s -m 2 -o /dev/null -X POST "http://$(desk 1)/shed?seconds=30"
 for n in $(seq 20); do status 1 /book/a "t$n" "" >/dev/null; done
 step "an endpoint that asks for a pause gets no more calls" equals "$([ "$(curl -s -m 2 "http://$(desk 1)/shed")" -le 2 ] && echo few)" few
