Logs and counters that tell why a call ended without an answer

Cause: three explanations of the unanswered calls could not be told apart. A connection that ended with a request received but not answered left no count, and a stream that was cut off after an endpoint's own failure was logged as answered by it. Change: the HTTP server reports why a connection ended with an unanswered request, counted as caller_connections_unanswered_total{cause}; streams_cut_off_total{reason}; 'requests: refused' says whether the caller got a rejection or was cut off, and for how long the newest configuration has been in force. What callers get is unchanged.

--- a/include/turmericplank/gateway/sitestate.hpp
+++ b/include/turmericplank/gateway/sitestate.hpp
@@ -58,6 +58,9 @@
     /// @brief Routes in force; null before the first configuration.
     const std::shared_ptr<const routes::RouteTable> &routes() const;
 
+    /// @brief When the routes in force took effect; meaningless before the first configuration.
+    base::Time routesSince() const;
+
     /// @brief Endpoints that have not been removed.
     const std::map<base::EndpointId, discovery::EndpointEntry> &endpoints() const;
 
@@ -83,6 +86,7 @@
 
     routing::Router &m_router;
     std::shared_ptr<const routes::RouteTable> m_routes;
+    base::Time m_routesSince;
     discovery::EndpointCatalog m_catalog;
     struct Engine
     {
--- a/include/turmericplank/net/httpserver.hpp
+++ b/include/turmericplank/net/httpserver.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -42,6 +43,18 @@
 
 using ExchangePointer = boost::intrusive_ptr<HttpExchange>;
 
+/// @brief Why a connection ended although the caller has sent at least a part of a request that was not answered completely.
+enum class UnansweredCause {
+    RequestIncomplete, ///< the connection ended before the whole request was received
+    CallerDisconnected, ///< the caller closed the connection before the end of the response
+    WriteFailed, ///< the response could not be written
+    Aborted, ///< the handler ended the response early
+    CrossedClose, ///< bytes of another request arrived after the last response, which had announced the end of the connection
+};
+
+/// @brief Name of a cause in metrics.
+std::string_view toString(UnansweredCause cause);
+
 /// @brief Limits of a server; a caller that exceeds one receives a typed error and is disconnected.
 struct HttpServerOptions
 {
@@ -54,6 +67,7 @@
     std::function<void(ExchangePointer)> onRequest;
     /// Builds the response to a request that exceeds a limit or cannot be parsed, for a given HTTP status.
     std::function<HttpResponse(int status)> onBadRequest;
+    std::function<void(UnansweredCause)> onUnanswered; ///< called once for each connection that ends with an unanswered request
 };
 
 /// @brief HTTP/1.1 server on Boost.Beast.
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -241,7 +241,8 @@
         rejection.retryAfter =
             forwarding::retryDelay(recovery, m_attempts.deadline() - now, m_forwarder.m_options.retryDelay, m_forwarder.m_dependencies.random);
     }
-    const auto lastRead = m_forwarder.m_dependencies.siteState.lastReadTime();
+    const auto &siteState = m_forwarder.m_dependencies.siteState;
+    const auto lastRead = siteState.lastReadTime();
     telemetry::log(LogLevel::Warning, "requests", "refused",
                    {{"request", m_call.id},
                     {"route", m_route.name},
@@ -251,12 +252,15 @@
                     {"sends", static_cast<int>(m_attempts.sends())},
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, now)},
                     {"events", m_eventCursor.events()},
+                    {"response", m_isStreaming ? "cut_off" : "rejection"},
                     {"revision", m_routes->configuration().revision.value()},
+                    {"revision_in_force_ms", base::millisecondsBetween(siteState.routesSince(), now)},
                     {"endpoints_age_ms", lastRead ? base::millisecondsBetween(*lastRead, now) : -1},
                     {"retry_after_ms", rejection.retryAfter ? base::inMilliseconds(*rejection.retryAfter) : -1.0}});
     if (m_isStreaming) {
         // A stream that ends early must not look complete.
         m_exchange->abort();
+        m_forwarder.m_dependencies.metrics.count("streams_cut_off_total{reason=\"" + std::string(toString(reason)) + "\"}");
     } else {
         m_exchange->respond(m_forwarder.m_dependencies.wire.makeRejection(rejection));
     }
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -285,7 +285,7 @@
         selectEndpoint();
         return;
     }
-    if (step == NextStep::RelayFailure) {
+    if (step == NextStep::RelayFailure && !m_isStreaming) {
         respondToCaller({m_attempt->head->status, std::move(m_attempt->headers), std::move(m_attempt->body)});
         return;
     }
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -55,11 +55,13 @@
     return options;
 }
 
-std::unique_ptr<net::HttpServer> listen(boost::asio::io_context &context, const base::Address &address, std::function<void(net::ExchangePointer)> onRequest)
+std::unique_ptr<net::HttpServer> listen(boost::asio::io_context &context, const base::Address &address, std::function<void(net::ExchangePointer)> onRequest,
+                                        std::function<void(net::UnansweredCause)> onUnanswered = {})
 {
     net::HttpServerOptions options;
     options.listen = address;
     options.onRequest = std::move(onRequest);
+    options.onUnanswered = std::move(onUnanswered);
     return net::listenHttp(context, options);
 }
 
@@ -96,7 +98,9 @@
         , placementRunner(placementDependencies(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
     {
-        callerServer = listen(context, settings.callerAddress, [this](const net::ExchangePointer &it) { forwarder.handleCall(it); });
+        callerServer = listen(
+            context, settings.callerAddress, [this](const net::ExchangePointer &it) { forwarder.handleCall(it); },
+            [this](net::UnansweredCause cause) { metrics.count("caller_connections_unanswered_total{cause=\"" + std::string(toString(cause)) + "\"}"); });
         readinessServer = listen(context, settings.readinessAddress, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
         directoryServer = listen(context, settings.directoryAddress, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
         metricsServer = listen(context, settings.metricsAddress, [this](const net::ExchangePointer &it) { answerMetrics(it); });
--- a/src/turmericplank/gateway/sitestate.cpp
+++ b/src/turmericplank/gateway/sitestate.cpp
@@ -41,6 +41,7 @@
     const bool isNewer = configuration && (!m_routes || configuration->revision > m_routes->configuration().revision);
     if (isNewer) {
         m_routes = std::make_shared<const routes::RouteTable>(configuration);
+        m_routesSince = now;
         setRouterModels();
         updateEndpoints(now);
     }
@@ -173,6 +174,11 @@
     return m_routes;
 }
 
+base::Time SiteState::routesSince() const
+{
+    return m_routesSince;
+}
+
 const std::map<base::EndpointId, discovery::EndpointEntry> &SiteState::endpoints() const
 {
     return m_catalog.entries();
--- a/src/turmericplank/net/http_test.cpp
+++ b/src/turmericplank/net/http_test.cpp
@@ -24,6 +24,9 @@
         options.maxBodyBytes = 2048;
         options.requestTimeout = std::chrono::milliseconds(100);
         options.onRequest = std::move(onRequest);
+        options.onUnanswered = [this](UnansweredCause cause) {
+            unanswered.push_back(cause);
+        };
         server = listenHttp(context, options);
     }
 
@@ -58,6 +61,7 @@
     }
 
     boost::asio::io_context context;
+    std::vector<UnansweredCause> unanswered;
     std::unique_ptr<HttpServer> server;
 };
 
@@ -164,6 +168,27 @@
     CHECK(response.find("two") != std::string::npos);
 }
 
+TEST_CASE("the cause of an unanswered request is reported, and answered ones are not")
+{
+    TestServer testServer([](const ExchangePointer &exchange) {
+        if (exchange->request().target != "/cut") {
+            echo(exchange);
+            return;
+        }
+        exchange->startStream(200, {});
+        exchange->writeChunk("part");
+        exchange->abort();
+    });
+    CHECK(testServer.sendRaw("POST / HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\none").find("one") != std::string::npos);
+    CHECK(testServer.sendRaw("POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x')).starts_with("HTTP/1.1 413"));
+    CHECK(testServer.unanswered.empty());
+    testServer.fetch({"GET", "/cut", {}, ""});
+    CHECK(testServer.unanswered == std::vector{UnansweredCause::Aborted});
+    testServer.server->closeAfterResponses();
+    testServer.sendRaw("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nonePOST / HTTP/1.1\r\nContent-Length: 3\r\n\r\ntwo");
+    CHECK(testServer.unanswered == std::vector{UnansweredCause::Aborted, UnansweredCause::CrossedClose});
+}
+
 TEST_CASE("query parameters are decoded")
 {
     CHECK(queryParameter("/v1/entry?model=a%2Fb&zone=x+y", "model") == "a/b");
--- a/src/turmericplank/net/httpserver.cpp
+++ b/src/turmericplank/net/httpserver.cpp
@@ -21,6 +21,7 @@
     {
         m_listener->close();
         m_serverState->options.onRequest = nullptr;
+        m_serverState->options.onUnanswered = nullptr;
     }
 
     void stopAccepting() override
@@ -54,6 +55,23 @@
 
 } // namespace
 
+std::string_view toString(UnansweredCause cause)
+{
+    switch (cause) {
+    case UnansweredCause::RequestIncomplete:
+        return "request_incomplete";
+    case UnansweredCause::CallerDisconnected:
+        return "caller_disconnected";
+    case UnansweredCause::WriteFailed:
+        return "write_failed";
+    case UnansweredCause::Aborted:
+        return "aborted";
+    case UnansweredCause::CrossedClose:
+        return "crossed_close";
+    }
+    return "aborted";
+}
+
 std::unique_ptr<HttpServer> listenHttp(boost::asio::io_context &context, HttpServerOptions options)
 {
     return std::make_unique<BeastHttpServer>(context, std::move(options));
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -114,6 +114,7 @@
         m_stream.close();
         if (const auto current = std::exchange(m_current, nullptr)) {
             const ExchangePointer guard(current);
+            reportUnanswered(UnansweredCause::CallerDisconnected);
             current->notifyClosed();
         }
     }
@@ -121,6 +122,9 @@
     void abortConnection() override
     {
         m_current = nullptr;
+        if (!m_isClosed) {
+            reportUnanswered(UnansweredCause::Aborted);
+        }
         close();
     }
 
@@ -175,6 +179,7 @@
             return;
         }
         if (ec && !isParseError(ec)) {
+            reportUnanswered(UnansweredCause::RequestIncomplete);
             close();
             return;
         }
@@ -202,6 +207,7 @@
         const auto response = callback ? callback(status) : plainTextError(status);
         m_closesAfterWrite = true;
         m_isResponseQueued = true;
+        m_isRequestRejected = true;
         http::response<http::string_body> message(http::int_to_status(static_cast<unsigned>(response.status)), 11, response.body);
         addHeaders(response.headers, message);
         message.keep_alive(false);
@@ -251,7 +257,7 @@
             self->m_isWriting = false;
             self->m_queuedBytes -= std::min(n, self->m_queuedBytes);
             if (ec) {
-                self->close();
+                self->onWriteFailed();
                 return;
             }
             self->m_stream.expires_never();
@@ -263,6 +269,31 @@
         });
     }
 
+    void onWriteFailed()
+    {
+        if (!m_isClosed) {
+            reportUnanswered(UnansweredCause::WriteFailed);
+        }
+        close();
+    }
+
+    /// Only the first cause counts: closing a connection makes its pending operations fail as well.
+    void reportUnanswered(UnansweredCause cause)
+    {
+        const auto &callback = m_serverState->options.onUnanswered;
+        if (!std::exchange(m_isUnansweredReported, true) && callback) {
+            callback(cause);
+        }
+    }
+
+    /// The rest of a request that was rejected early is expected; other bytes belong to a request that will get no answer.
+    void noteDiscarded(std::size_t bytes)
+    {
+        if (bytes > 0 && !m_isRequestRejected) {
+            reportUnanswered(UnansweredCause::CrossedClose);
+        }
+    }
+
     void onResponseWritten()
     {
         m_isResponseQueued = false;
@@ -282,6 +313,7 @@
     /// Reads until the caller closes or one second passes, since closing a socket with unread bytes can discard the response.
     void closeGracefully()
     {
+        noteDiscarded(m_buffer.size());
         beast::error_code ec;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         m_stream.expires_after(std::chrono::seconds(1));
@@ -291,7 +323,8 @@
     void discardInput()
     {
         m_buffer.consume(m_buffer.size());
-        m_stream.async_read_some(m_buffer.prepare(ReadSize), [self = ConnectionPointer(this)](beast::error_code ec, std::size_t) {
+        m_stream.async_read_some(m_buffer.prepare(ReadSize), [self = ConnectionPointer(this)](beast::error_code ec, std::size_t n) {
+            self->noteDiscarded(n);
             if (ec) {
                 self->close();
                 return;
@@ -318,6 +351,8 @@
     bool m_closesAfterWrite = false;
     bool m_wantsKeepAlive = true;
     bool m_isHttp10 = false;
+    bool m_isRequestRejected = false;
+    bool m_isUnansweredReported = false;
 };
 
 } // namespace
