--- /dev/null
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -0,0 +1,363 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "turmericplank/gateway/forwarder.hpp"
+#include "turmericplank/net/httpserver.hpp"
+
+namespace turmericplank::gateway::testing {
+
+/// @brief A caller's request without a connection; records the response.
+class FakeExchange final : public net::HttpExchange
+{
+public:
+    explicit FakeExchange(net::HttpRequest request)
+        : m_request(std::move(request))
+    {
+    }
+
+    const net::HttpRequest &request() const override
+    {
+        return m_request;
+    }
+    void respond(net::HttpResponse response) override
+    {
+        status = response.status;
+        body = std::move(response.body);
+        isComplete = true;
+    }
+    void startStream(int streamStatus, net::Headers) override
+    {
+        status = streamStatus;
+    }
+    void writeChunk(std::string chunk) override
+    {
+        body += chunk;
+    }
+    void endStream() override
+    {
+        isComplete = true;
+    }
+    void abort() override
+    {
+        isCutOff = true;
+    }
+    std::size_t queuedBytes() const override
+    {
+        return 0;
+    }
+    void setOnClosed(std::function<void()> callback) override
+    {
+        onClosed = std::move(callback);
+    }
+    bool hasEnded() const
+    {
+        return isComplete || isCutOff;
+    }
+
+    int status = 0;
+    std::string body;
+    bool isComplete = false;
+    bool isCutOff = false; ///< the connection was closed before the response was complete
+    std::function<void()> onClosed;
+
+private:
+    net::HttpRequest m_request;
+};
+
+/// @brief One thing that an engine does with a call, in the order of its script.
+struct EngineStep
+{
+    enum class Kind {
+        Event, ///< sends the next event of the stream
+        Pause, ///< sends nothing for a while
+        End, ///< ends the stream
+        Reject, ///< answers that the call was not run
+        Break, ///< closes the connection
+    };
+    Kind kind = Kind::Event;
+    base::Duration pause{0};
+};
+
+/// @brief Steps of a stream: events, and pauses between them, up to its end.
+inline std::vector<EngineStep> events(int count)
+{
+    return std::vector<EngineStep>(static_cast<std::size_t>(count), EngineStep{});
+}
+
+inline std::vector<EngineStep> operator+(std::vector<EngineStep> a, const std::vector<EngineStep> &b)
+{
+    a.insert(a.end(), b.begin(), b.end());
+    return a;
+}
+
+inline std::vector<EngineStep> pause(base::Duration length)
+{
+    return {{EngineStep::Kind::Pause, length}};
+}
+
+inline std::vector<EngineStep> step(EngineStep::Kind kind)
+{
+    return {{kind, {}}};
+}
+
+/// @brief An engine that plays a script for each call that it gets, one script after the other.
+class ScriptedEngine
+{
+public:
+    ScriptedEngine(boost::asio::io_context &context, std::string id, std::uint16_t port)
+        : m_context(context)
+        , m_id(std::move(id))
+        , m_port(port)
+    {
+        net::HttpServerOptions options;
+        options.listen = {"127.0.0.1", port};
+        options.onRequest = [this](const net::ExchangePointer &exchange) {
+            handleCall(exchange);
+        };
+        m_server = net::listenHttp(context, std::move(options));
+    }
+
+    discovery::EndpointEntry entry() const
+    {
+        discovery::EndpointEntry it;
+        it.id = base::EndpointId(m_id);
+        it.service = base::ServiceName("s");
+        it.address = {"127.0.0.1", m_port};
+        it.zone = base::ZoneName(m_id);
+        it.slots = 16;
+        it.incarnation = base::Incarnation(1);
+        it.models[base::ModelName("m")];
+        return it;
+    }
+
+    std::vector<std::vector<EngineStep>> scripts; ///< of the next calls; without one, a call is rejected
+    std::vector<std::string> received; ///< Last-Event-Id of each call, empty if it had none
+    int abandoned = 0; ///< calls whose connection was closed before the end of their script
+
+private:
+    struct Run
+    {
+        net::ExchangePointer exchange;
+        std::vector<EngineStep> steps;
+        std::size_t next = 0;
+        std::uint64_t lastEvent = 0;
+        bool isStreaming = false;
+        bool isAbandoned = false;
+    };
+
+    void handleCall(const net::ExchangePointer &exchange)
+    {
+        const std::string last(header(exchange->request().headers, "Last-Event-Id"));
+        const auto run = std::make_shared<Run>();
+        run->exchange = exchange;
+        run->steps = scripts.size() > received.size() ? scripts[received.size()] : step(EngineStep::Kind::Reject);
+        run->lastEvent = last.empty() ? 0 : std::stoull(last);
+        received.push_back(last);
+        exchange->setOnClosed([this, run] {
+            run->isAbandoned = true;
+            ++abandoned;
+        });
+        play(run);
+    }
+
+    net::Headers headers(const Run &run) const
+    {
+        return {{"Request-Id", std::string(header(run.exchange->request().headers, "Request-Id"))}, {"Server-Seal", m_id}};
+    }
+
+    void play(const std::shared_ptr<Run> &run)
+    {
+        while (run->next < run->steps.size() && !run->isAbandoned) {
+            const auto &it = run->steps[run->next++];
+            switch (it.kind) {
+            case EngineStep::Kind::Event:
+                if (!std::exchange(run->isStreaming, true)) {
+                    run->exchange->startStream(200, headers(*run));
+                }
+                ++run->lastEvent;
+                run->exchange->writeChunk("id: " + std::to_string(run->lastEvent) + "\ndata: " + m_id + "\n\n");
+                break;
+            case EngineStep::Kind::Pause: {
+                const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, it.pause);
+                timer->async_wait([this, run, timer](boost::system::error_code) { play(run); });
+                return;
+            }
+            case EngineStep::Kind::End:
+                run->exchange->endStream();
+                break;
+            case EngineStep::Kind::Reject: {
+                auto head = headers(*run);
+                head.push_back({"Not-Executed", "1"});
+                run->exchange->respond({503, head, {}});
+                break;
+            }
+            case EngineStep::Kind::Break:
+                run->exchange->abort();
+                break;
+            }
+        }
+    }
+
+    boost::asio::io_context &m_context;
+    std::string m_id;
+    std::uint16_t m_port;
+    std::unique_ptr<net::HttpServer> m_server;
+};
+
+/// @brief Wire format with as few headers as the tests need.
+inline WireFormat testWireFormat()
+{
+    WireFormat wire;
+    wire.decodeCall = [](const net::HttpRequest &request) {
+        Call call;
+        call.id = std::string(header(request.headers, "Request-Id"));
+        call.host = "h";
+        call.model = base::ModelName("m");
+        const std::string last(header(request.headers, "Last-Event-Id"));
+        call.lastEventId = last.empty() ? std::optional<std::uint64_t>() : std::stoull(last);
+        return call;
+    };
+    wire.makeAttemptRequest = [](const net::HttpRequest &request, const AttemptHeaders &head) {
+        net::HttpRequest attempt{request.method, request.target, {{"Request-Id", std::string(header(request.headers, "Request-Id"))}}, request.body};
+        if (head.lastEventId) {
+            attempt.headers.push_back({"Last-Event-Id", std::to_string(*head.lastEventId)});
+        }
+        return attempt;
+    };
+    wire.decodeResponseHead = [](int status, const net::Headers &headers) {
+        ResponseHead head;
+        head.status = status;
+        head.callId = std::string(header(headers, "Request-Id"));
+        head.isAuthentic = !header(headers, "Server-Seal").empty();
+        head.isNotRun = !header(headers, "Not-Executed").empty();
+        return head;
+    };
+    wire.forwardedHeaders = [](const net::Headers &headers) {
+        return headers;
+    };
+    wire.makeRejection = [](const Rejection &rejection) {
+        return net::HttpResponse{rejection.retryAfter ? 503 : 502, {}, std::string(toString(rejection.reason))};
+    };
+    return wire;
+}
+
+/// @brief A daemon's forwarder with engines "a" and "b", which hold the model, and one resumable route with short time limits.
+///
+/// Engine "a" is closer, so that it gets each call first.
+class TestSite
+{
+public:
+    /// @param firstPort port of engine "a"; "b" has the next one
+    explicit TestSite(std::uint16_t firstPort)
+        : a(m_context, "a", firstPort)
+        , b(m_context, "b", static_cast<std::uint16_t>(firstPort + 1))
+    {
+        m_siteState.applyConfiguration(configuration(), base::now());
+        applyEntries({a.entry(), b.entry()});
+    }
+
+    /// Applies one read of the endpoints' entries.
+    void applyEntries(const std::vector<discovery::EndpointEntry> &entries)
+    {
+        m_siteState.applyEntries(entries, base::now());
+        for (const auto &it : entries) {
+            m_pool.setEndpoint(it.id, it.address, it.incarnation, 10);
+        }
+    }
+
+    /// Sends a call and returns when it has ended, or after some time.
+    boost::intrusive_ptr<FakeExchange> call(net::Headers headers, base::Duration timeout = std::chrono::seconds(5))
+    {
+        const boost::intrusive_ptr<FakeExchange> exchange(new FakeExchange({"POST", "/r/x", std::move(headers), "question"}));
+        m_forwarder.handleCall(exchange);
+        const auto deadline = base::now() + timeout;
+        while (!exchange->hasEnded() && base::now() < deadline) {
+            m_context.restart();
+            m_context.run_one_for(std::chrono::milliseconds(5));
+            m_forwarder.retryWaitingCalls();
+        }
+        return exchange;
+    }
+
+    /// Handles what has arrived and the timers that have expired, for some time.
+    void runFor(base::Duration time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    std::size_t callsInProgress() const
+    {
+        return m_forwarder.callsInProgress();
+    }
+
+private:
+    static std::shared_ptr<routes::SiteConfiguration> configuration()
+    {
+        auto it = std::make_shared<routes::SiteConfiguration>();
+        it->revision = base::Revision(1);
+        routes::ServiceSpec service;
+        service.name = base::ServiceName("s");
+        service.connectionLimit = 100;
+        service.engine.emplace();
+        service.engine->models.push_back({base::ModelName("m"), 1, {}, 0, 0});
+        it->services.emplace(service.name, service);
+        routes::Route route;
+        route.name = "r";
+        route.host = "h";
+        route.prefix = "/r/";
+        route.kind = {false, true, true};
+        route.timeout = std::chrono::seconds(4);
+        route.objective = std::chrono::milliseconds(400);
+        route.eventGapObjective = std::chrono::milliseconds(20);
+        route.sendLimit = 2;
+        route.services.push_back({service.name, 1});
+        it->routes.push_back(route);
+        return it;
+    }
+
+    static routing::RouterOptions routerOptions()
+    {
+        routing::RouterOptions it;
+        it.zoneDistance = [](const base::ZoneName &zone) {
+            return zone == base::ZoneName("a") ? base::Duration(0) : base::Duration(std::chrono::milliseconds(10));
+        };
+        return it;
+    }
+
+    static ForwarderOptions options()
+    {
+        ForwarderOptions it;
+        it.minEventTimeout = std::chrono::milliseconds(100);
+        it.firstEventTimeoutFactor = 0.25;
+        return it;
+    }
+
+    boost::asio::io_context m_context;
+
+public:
+    ScriptedEngine a;
+    ScriptedEngine b;
+
+private:
+    WireFormat m_wire = testWireFormat();
+    telemetry::Metrics m_metrics;
+    std::mt19937_64 m_random{1};
+    routing::Router m_router{routerOptions()};
+    SiteState m_siteState{m_router};
+    ConnectionPool m_pool{m_context, {}};
+    Forwarder m_forwarder{ForwarderDependencies{m_context, m_wire, m_siteState, m_router, m_pool, m_metrics, m_random, [] { return std::size_t(1); }, [] {},
+                                                [](const base::ServiceName &, const base::ModelName &) {
+                                                }},
+                          SiteBounds(), options()};
+};
+
+} // namespace turmericplank::gateway::testing
