A silent endpoint's stream is kept until another endpoint has taken it over

Callers saw: a stream ended without its end and without an error answer, although its endpoint was healthy. Cause: after four gap objectives without an event the connection to the silent endpoint was closed first and the call sent elsewhere afterwards. If the other endpoint rejected the call, which counts as a send, the route's limit of two was used up and the stream was cut off. Class of fault: a working resource is released before its replacement is secured. Change: the silent attempt stays open while another endpoint is tried. The first of the two that brings a part of the answer is kept and the other one is closed, so that only one runs on. If the other one fails, the call stays where it is. A send whose result is open counts towards the route's limit. An error answer no longer ends a stream that has begun as if it were relayed.

--- a/include/turmericplank/forwarding/attempts.hpp
+++ b/include/turmericplank/forwarding/attempts.hpp
@@ -54,8 +54,12 @@
     /// @param isRetryAllowed whether the retry budget allows a retry; ignored if nothing was sent
     NextStep afterSend(SendResult result, base::Time now, bool isRetryAllowed);
 
-    /// @brief Whether the call may be sent once more if the current send fails and may have run it.
-    bool maySendAgain() const;
+    /// @brief Records the result of a send that did not bring the answer, while another send of the call is still open.
+    void recordEnd(SendResult result);
+
+    /// @brief Whether the call may be sent once more while the results of some sends are still open, and may have run it.
+    /// @param openSends sends without a result
+    bool maySendAgain(std::uint32_t openSends) const;
 
     /// @brief Returns the step that ends the call without another send.
     /// @param now current time
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -86,7 +86,6 @@
     friend class ForwardedCall;
     using WaitingList = boost::intrusive::list<ForwardedCall, boost::intrusive::constant_time_size<false>>;
 
-    bool hasRetryBudget(const base::ServiceName &service, base::Time now);
     bool consumeRetryBudget(const base::ServiceName &service, base::Time now);
     requests::RetryBudget &retryBudget(const base::ServiceName &service);
     void recordDemand(const base::ServiceName &service, const Call &call);
--- a/src/turmericplank/forwarding/attempts.cpp
+++ b/src/turmericplank/forwarding/attempts.cpp
@@ -6,6 +6,16 @@
 
 constexpr std::uint32_t MaxUndeliveredSends = 4; ///< sends that reached no endpoint, before the call is rejected
 
+bool isDelivered(SendResult result)
+{
+    return result != SendResult::NotSent && result != SendResult::Misdirected;
+}
+
+bool mayHaveRunBy(SendResult result)
+{
+    return isDelivered(result) && result != SendResult::Refused;
+}
+
 } // namespace
 
 std::string_view toString(SendResult result)
@@ -56,13 +66,16 @@
     ++m_sends;
 }
 
+void Attempts::recordEnd(SendResult result)
+{
+    m_delivered += isDelivered(result) ? 1 : 0;
+    m_mayHaveRun = m_mayHaveRun || mayHaveRunBy(result);
+}
+
 NextStep Attempts::afterSend(SendResult result, base::Time now, bool isRetryAllowed)
 {
-    const bool isDelivered = result != SendResult::NotSent && result != SendResult::Misdirected;
-    m_delivered += isDelivered ? 1 : 0;
-    const bool sendMayHaveRun = isDelivered && result != SendResult::Refused;
-    m_mayHaveRun = m_mayHaveRun || sendMayHaveRun;
-    const bool mayRunAgain = !sendMayHaveRun || m_kind.mayRunAgain();
+    recordEnd(result);
+    const bool mayRunAgain = !mayHaveRunBy(result) || m_kind.mayRunAgain();
     const bool hasSendsLeft = m_delivered < m_maxSends && m_sends - m_delivered < MaxUndeliveredSends;
     const bool isWithinBudget = result == SendResult::NotSent || isRetryAllowed;
     if (now < m_deadline && mayRunAgain && hasSendsLeft && isWithinBudget) {
@@ -79,9 +92,9 @@
     return now < m_deadline ? NextStep::FailUnknown : NextStep::FailTimedOut;
 }
 
-bool Attempts::maySendAgain() const
+bool Attempts::maySendAgain(std::uint32_t openSends) const
 {
-    return m_kind.mayRunAgain() && m_delivered + 1 < m_maxSends;
+    return m_kind.mayRunAgain() && m_delivered + openSends < m_maxSends && m_sends - m_delivered - openSends < MaxUndeliveredSends;
 }
 
 bool Attempts::mayHaveRun() const
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -73,7 +73,7 @@
 void ForwardedCall::abandon()
 {
     if (!m_isFinished) {
-        releaseConnection(false);
+        abandonAttempts(routing::AttemptOutcome::Cancelled);
         m_exchange->abort();
         finish("abandoned");
     }
@@ -272,10 +272,7 @@
     if (m_isFinished) {
         return;
     }
-    if (m_attempt) {
-        releaseConnection(false);
-        reportAttemptEnd(routing::AttemptOutcome::Cancelled);
-    }
+    abandonAttempts(routing::AttemptOutcome::Cancelled);
     telemetry::log(LogLevel::Info, "requests", "caller disconnected",
                    {{"request", m_call.id},
                     {"route", m_route.name},
@@ -305,9 +302,10 @@
         rejectAfter(m_attempts.finalStep(now));
         return;
     }
+    dropSilentAttempt(SendResult::Silent);
     const bool isSent = m_attempt->pooled.has_value();
-    releaseConnection(false);
-    reportAttemptEnd(isSent ? routing::AttemptOutcome::Lost : routing::AttemptOutcome::Cancelled);
+    releaseConnection(*m_attempt, false);
+    reportAttemptEnd(*m_attempt, isSent ? routing::AttemptOutcome::Lost : routing::AttemptOutcome::Cancelled);
     rejectAfter(m_attempts.afterSend(isSent ? SendResult::Silent : SendResult::NotSent, now, false));
 }
 
@@ -327,6 +325,11 @@
     if (outcome != "answered" || m_forwarder.m_answeredLineBudget.tryAcquire(now)) {
         logEnd(outcome, now);
     }
+    if (m_silentAttempt) {
+        releaseConnection(*m_silentAttempt, false);
+        reportAttemptEnd(*m_silentAttempt, routing::AttemptOutcome::Cancelled);
+    }
+    m_silentAttempt.reset();
     m_attempt.reset();
     m_exchange.reset();
 }
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -54,25 +54,32 @@
     void selectEndpoint();
     void waitForEndpoint(forwarding::WaitCause cause);
     void waitForPauseEnd(base::Time pauseEnd);
-    void applyEndpointNotices(const ResponseHead &head);
+    void applyEndpointNotices(const CallAttempt &attempt, const ResponseHead &head);
     forwarding::WaitCause missingWeightsCause() const;
     bool wouldAnswerTooLate(const routing::Choice &choice) const;
     void startAttempt(const routing::Choice &choice);
     void onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireFailure> pooled);
     void sendRequest(const PooledConnection &pooled);
     AttemptHeaders attemptHeaders(base::Time now) const;
-    base::Time silenceDeadline(base::Time now) const;
+    base::Time silenceDeadline(const CallAttempt &attempt, base::Time now) const;
     base::Time handleSilence(std::uint64_t number);
-    bool hasAlternative(base::Time now);
+    void startReplacement(base::Time now, bool isBudgetUsed);
+    void dropSilentAttempt(forwarding::SendResult end);
+    void returnToSilentAttempt(forwarding::SendResult end);
+    CallAttempt *findAttempt(std::uint64_t number);
+    bool isSilentAttempt(std::uint64_t number) const;
     routing::RouteRequest routeRequest() const;
     net::HeaderAction handleResponseHead(std::uint64_t number, int status, const net::Headers &headers);
     void handleBodyChunk(std::uint64_t number, std::string_view chunk);
+    void keepOnly(std::uint64_t number);
     void handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome);
-    void handleCompleteResponse();
+    std::optional<forwarding::SendResult> failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const;
+    void relayCompleteResponse();
     void finishAttempt(forwarding::SendResult end);
-    void reportAttemptEnd(routing::AttemptOutcome end);
+    void logAttemptEnd(const CallAttempt &attempt, forwarding::SendResult end, bool isRetryAllowed, std::string_view next) const;
+    void reportAttemptEnd(const CallAttempt &attempt, routing::AttemptOutcome end);
     void recordPace();
-    routing::AttemptOutcome routerOutcome(forwarding::SendResult end) const;
+    routing::AttemptOutcome routerOutcome(const CallAttempt &attempt, forwarding::SendResult end) const;
     void respondToCaller(net::HttpResponse response);
     void reject(RejectionReason reason);
     void rejectAfter(forwarding::NextStep step);
@@ -81,7 +88,8 @@
     void armDeadlineTimer();
     void finish(std::string_view outcome);
     void logEnd(std::string_view outcome, base::Time now) const;
-    void releaseConnection(bool isComplete);
+    void releaseConnection(CallAttempt &attempt, bool isComplete);
+    void abandonAttempts(routing::AttemptOutcome end);
 
     Forwarder &m_forwarder;
     std::shared_ptr<std::size_t> m_callsInProgress;
@@ -103,6 +111,8 @@
     forwarding::EventCursor m_eventCursor;
     boost::asio::steady_timer m_deadlineTimer;
     std::optional<CallAttempt> m_attempt;
+    /// Has been silent for too long, but may go on: it stays until the attempt that is to replace it, m_attempt, brings something.
+    std::optional<CallAttempt> m_silentAttempt;
     std::vector<base::EndpointId> m_excludedEndpoints; ///< endpoints of earlier attempts
     RejectionReason m_pendingRejection = RejectionReason::NoEndpoint;
     std::uint64_t m_attemptNumber = 0;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -38,15 +38,15 @@
     return head;
 }
 
-base::Time ForwardedCall::silenceDeadline(base::Time now) const
+base::Time ForwardedCall::silenceDeadline(const CallAttempt &attempt, base::Time now) const
 {
     const auto &options = m_forwarder.m_options;
     const bool canResume = m_route.kind.isStreamed && m_route.kind.isResumable;
     if (!canResume) {
         return m_attempts.deadline();
     }
-    const bool isBeforeFirst = !m_attempt->hasFirstEvent;
-    const auto objective = isBeforeFirst ? m_route.objective * options.firstEventTimeoutFactor : m_route.eventGapObjective * options.eventGapTimeoutFactor;
+    const auto objective =
+        attempt.hasFirstEvent ? m_route.eventGapObjective * options.eventGapTimeoutFactor : m_route.objective * options.firstEventTimeoutFactor;
     const auto limit = std::max(std::chrono::duration_cast<base::Duration>(objective), options.minEventTimeout);
     return std::min(now + limit, m_attempts.deadline());
 }
@@ -57,7 +57,7 @@
     const auto now = base::now();
     net::ClientRequest send;
     send.request = m_forwarder.m_dependencies.wire.makeAttemptRequest(m_exchange->request(), attemptHeaders(now));
-    send.deadline = silenceDeadline(now);
+    send.deadline = silenceDeadline(*m_attempt, now);
     const auto self = Pointer(this);
     const auto number = m_attempt->number;
     send.onHeaders = [self, number](int status, const net::Headers &headers) {
@@ -75,40 +75,101 @@
     pooled.connection->send(std::move(send));
 }
 
-/// Whether another endpoint has a free connection and is expected to send its first event soon. Otherwise the call stays: an
-/// endpoint that is slow, not lost, still answers earlier than one that must start the call from the beginning.
-bool ForwardedCall::hasAlternative(base::Time now)
+CallAttempt *ForwardedCall::findAttempt(std::uint64_t number)
 {
-    auto request = routeRequest();
-    request.excluded.push_back(m_attempt->choice.endpoint);
-    const auto other = m_forwarder.m_dependencies.router.choose(request, now, m_forwarder.m_dependencies.random);
-    return other && m_forwarder.m_dependencies.pool.hasFreeConnection(other->endpoint)
-        && now + other->expectedFirstToken < now + m_forwarder.m_options.minEventTimeout;
+    if (m_isFinished) {
+        return nullptr;
+    }
+    if (isSilentAttempt(number)) {
+        return &*m_silentAttempt;
+    }
+    return m_attempt && m_attempt->number == number ? &*m_attempt : nullptr;
 }
 
+bool ForwardedCall::isSilentAttempt(std::uint64_t number) const
+{
+    return m_silentAttempt && m_silentAttempt->number == number;
+}
+
+/// An endpoint that pauses may be healthy, so its connection stays open while another endpoint is tried.
 base::Time ForwardedCall::handleSilence(std::uint64_t number)
 {
     const auto now = base::now();
-    const bool isCurrent = !m_isFinished && m_attempt && m_attempt->number == number;
-    if (!isCurrent || now >= m_attempts.deadline()) {
+    if (findAttempt(number) == nullptr || now >= m_attempts.deadline()) {
         return base::Time();
     }
-    const bool mayRetry = m_attempts.maySendAgain() && hasAlternative(now) && m_forwarder.hasRetryBudget(m_service, now);
-    return mayRetry ? base::Time() : silenceDeadline(now);
+    if (!isSilentAttempt(number)) {
+        startReplacement(now, false);
+    }
+    const auto *attempt = findAttempt(number);
+    return attempt == nullptr ? base::Time() : silenceDeadline(*attempt, now);
+}
+
+/// Sends the call to another endpoint if one has a free connection and is expected to send its first event soon. Otherwise the call
+/// stays: an endpoint that is slow, not lost, still answers earlier than one that must start the call from the beginning.
+void ForwardedCall::startReplacement(base::Time now, bool isBudgetUsed)
+{
+    if (!m_attempts.maySendAgain(m_silentAttempt ? 2 : 1)) {
+        return;
+    }
+    auto &dependencies = m_forwarder.m_dependencies;
+    auto request = routeRequest();
+    request.excluded.push_back(m_attempt->choice.endpoint);
+    const auto choice = dependencies.router.choose(request, now, dependencies.random);
+    const bool isAvailable =
+        choice && dependencies.pool.hasFreeConnection(choice->endpoint) && choice->expectedFirstToken < m_forwarder.m_options.minEventTimeout;
+    if (!isAvailable || !(isBudgetUsed || m_forwarder.consumeRetryBudget(m_service, now))) {
+        return;
+    }
+    telemetry::log(LogLevel::Info, "requests", "endpoint is silent, trying another one",
+                   {{"request", m_call.id},
+                    {"endpoint", m_attempt->choice.endpoint.text()},
+                    {"other", choice->endpoint.text()},
+                    {"events", m_eventCursor.events()},
+                    {"after_ms", base::millisecondsBetween(m_attempt->sentAt, now)}});
+    dropSilentAttempt(SendResult::Silent);
+    m_silentAttempt = std::move(m_attempt);
+    dependencies.router.noteSent(*choice, request, now);
+    startAttempt(*choice);
+}
+
+/// Ends the attempt that has been silent, since it has failed or another one has taken its place.
+void ForwardedCall::dropSilentAttempt(SendResult end)
+{
+    if (!m_silentAttempt) {
+        return;
+    }
+    m_attempts.recordEnd(end);
+    releaseConnection(*m_silentAttempt, false);
+    reportAttemptEnd(*m_silentAttempt, routerOutcome(*m_silentAttempt, end));
+    logAttemptEnd(*m_silentAttempt, end, true, "replaced");
+    m_excludedEndpoints.push_back(m_silentAttempt->choice.endpoint);
+    m_silentAttempt.reset();
+    m_eventCursor.restart();
+}
+
+/// Ends the attempt that was to replace the silent one.
+void ForwardedCall::returnToSilentAttempt(SendResult end)
+{
+    m_attempts.recordEnd(end);
+    releaseConnection(*m_attempt, false);
+    logAttemptEnd(*m_attempt, end, true, "back_to_first");
+    m_excludedEndpoints.push_back(m_attempt->choice.endpoint);
+    m_attempt = std::exchange(m_silentAttempt, std::nullopt);
 }
 
 /// Applies what an endpoint states about itself beside its response. It holds even if the response itself cannot be used, but not
 /// if another instance has responded.
-void ForwardedCall::applyEndpointNotices(const ResponseHead &head)
+void ForwardedCall::applyEndpointNotices(const CallAttempt &attempt, const ResponseHead &head)
 {
-    const auto &endpoint = m_attempt->choice.endpoint;
+    const auto &endpoint = attempt.choice.endpoint;
     const bool isOtherInstance = !head.instance.empty() && head.instance != endpoint.text();
-    if (isOtherInstance || !m_attempt->pooled) {
+    if (isOtherInstance || !attempt.pooled) {
         return;
     }
     const auto now = base::now();
     auto &dependencies = m_forwarder.m_dependencies;
-    const DrainingEndpoint incarnation{endpoint, m_attempt->pooled->incarnation};
+    const DrainingEndpoint incarnation{endpoint, attempt.pooled->incarnation};
     if (head.isLeaving && dependencies.siteState.noteLeavingAnswer(incarnation, now)) {
         telemetry::log(LogLevel::Info, "endpoints", "leaving by its own answer",
                        {{"endpoint", endpoint.text()}, {"incarnation", incarnation.incarnation.value()}, {"request", m_call.id}});
@@ -124,33 +185,36 @@
 
 net::HeaderAction ForwardedCall::handleResponseHead(std::uint64_t number, int status, const net::Headers &headers)
 {
-    if (m_isFinished || !m_attempt || m_attempt->number != number) {
+    auto *attempt = findAttempt(number);
+    if (attempt == nullptr) {
         return net::HeaderAction::Accept;
     }
     auto head = m_forwarder.m_dependencies.wire.decodeResponseHead(status, headers);
     if (!head.callId.empty() && head.callId != m_call.id) {
         telemetry::log(LogLevel::Warning, "requests", "skipped a late answer to another request",
-                       {{"request", m_call.id}, {"answer_to", head.callId}, {"endpoint", m_attempt->choice.endpoint.text()}});
+                       {{"request", m_call.id}, {"answer_to", head.callId}, {"endpoint", attempt->choice.endpoint.text()}});
         return net::HeaderAction::Skip;
     }
-    applyEndpointNotices(head);
+    applyEndpointNotices(*attempt, head);
     const bool isSuccess = status >= 200 && status < 300;
     const bool belongsToCall = head.callId == m_call.id && (head.isAuthentic || !isSuccess);
-    m_attempt->isRelaying = isSuccess && belongsToCall && m_route.kind.isStreamed;
-    m_attempt->headers = m_forwarder.m_dependencies.wire.forwardedHeaders(headers);
-    m_attempt->head = std::move(head);
+    attempt->isRelaying = isSuccess && belongsToCall && m_route.kind.isStreamed;
+    attempt->headers = m_forwarder.m_dependencies.wire.forwardedHeaders(headers);
+    attempt->head = std::move(head);
     return net::HeaderAction::Accept;
 }
 
 void ForwardedCall::handleBodyChunk(std::uint64_t number, std::string_view chunk)
 {
-    if (m_isFinished || !m_attempt || m_attempt->number != number) {
+    auto *attempt = findAttempt(number);
+    if (attempt == nullptr) {
         return;
     }
-    if (!m_attempt->isRelaying) {
-        m_attempt->body.append(chunk);
+    if (!attempt->isRelaying) {
+        attempt->body.append(chunk);
         return;
     }
+    keepOnly(number);
     auto events = m_eventCursor.feed(chunk);
     if (events.empty()) {
         return;
@@ -167,69 +231,88 @@
         m_exchange->startStream(m_attempt->head->status, m_attempt->headers);
     }
     m_maxEventGap = std::max(m_maxEventGap, now - std::exchange(m_lastEventAt, now));
-    m_attempt->pooled->connection->setDeadline(silenceDeadline(now));
+    m_attempt->pooled->connection->setDeadline(silenceDeadline(*m_attempt, now));
     m_exchange->writeChunk(std::move(events));
 }
 
-void ForwardedCall::handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome)
+/// Of two attempts, the first one that brings something of the answer is kept; the other one ends, so that only one runs on.
+void ForwardedCall::keepOnly(std::uint64_t number)
 {
-    if (m_isFinished || !m_attempt || m_attempt->number != number) {
-        return;
-    }
-    const bool isComplete = outcome == net::SendOutcome::Complete && m_attempt->head;
-    releaseConnection(isComplete);
-    if (isComplete) {
-        handleCompleteResponse();
-        return;
-    }
-    switch (outcome) {
-    case net::SendOutcome::NotSent:
-        finishAttempt(SendResult::NotSent);
-        break;
-    case net::SendOutcome::TimedOut:
-        finishAttempt(SendResult::Silent);
-        break;
-    default:
-        finishAttempt(SendResult::Lost);
-        break;
+    if (isSilentAttempt(number)) {
+        reportAttemptEnd(*m_attempt, routing::AttemptOutcome::Cancelled);
+        returnToSilentAttempt(m_attempt->pooled ? SendResult::Silent : SendResult::NotSent);
+    } else {
+        dropSilentAttempt(SendResult::Silent);
     }
 }
 
-void ForwardedCall::handleCompleteResponse()
+/// @return why the attempt has not brought the answer, or nothing if it has
+std::optional<SendResult> ForwardedCall::failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const
 {
-    const auto &head = *m_attempt->head;
+    if (outcome == net::SendOutcome::NotSent) {
+        return SendResult::NotSent;
+    }
+    if (outcome == net::SendOutcome::TimedOut) {
+        return SendResult::Silent;
+    }
+    if (outcome != net::SendOutcome::Complete || !attempt.head) {
+        return SendResult::Lost;
+    }
+    const auto &head = *attempt.head;
     const bool isSuccess = head.status >= 200 && head.status < 300;
     if (head.isNotRun) {
-        finishAttempt(head.isMisdirected ? SendResult::Misdirected : SendResult::Refused);
-        return;
+        return head.isMisdirected ? SendResult::Misdirected : SendResult::Refused;
     }
     const bool belongsToCall = head.callId == m_call.id && (head.isAuthentic || !isSuccess);
-    if (!belongsToCall) {
-        finishAttempt(SendResult::Lost);
+    if (!belongsToCall || impliesNotRun(head.status)) {
+        return SendResult::Lost;
+    }
+    // A stream that the caller has received in part cannot end with another status.
+    if (head.status >= FirstFailureStatus || (m_isStreaming && !attempt.isRelaying)) {
+        return SendResult::Failed;
+    }
+    return std::nullopt;
+}
+
+void ForwardedCall::handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome)
+{
+    auto *attempt = findAttempt(number);
+    if (attempt == nullptr) {
         return;
     }
-    if (head.status >= FirstFailureStatus || impliesNotRun(head.status)) {
-        finishAttempt(impliesNotRun(head.status) ? SendResult::Lost : SendResult::Failed);
+    auto failure = failureOf(*attempt, outcome);
+    releaseConnection(*attempt, outcome == net::SendOutcome::Complete && attempt->head);
+    if (failure && isSilentAttempt(number)) {
+        dropSilentAttempt(*failure);
         return;
     }
-    if (m_attempt->isRelaying) {
-        if (m_eventCursor.hasPartialEvent()) {
-            finishAttempt(SendResult::Lost);
-            return;
-        }
-        reportAttemptEnd(routing::AttemptOutcome::Answered);
-        m_forwarder.retryBudget(m_service).succeeded(base::now());
-        if (!m_isStreaming) {
-            m_exchange->startStream(head.status, m_attempt->headers);
-        }
-        m_exchange->endStream();
-        recordPace();
-        finish("answered");
+    if (!failure) {
+        keepOnly(number);
+        const bool isTruncated = m_attempt->isRelaying && m_eventCursor.hasPartialEvent();
+        failure = isTruncated ? std::optional(SendResult::Lost) : std::nullopt;
+    }
+    if (failure) {
+        finishAttempt(*failure);
         return;
     }
-    reportAttemptEnd(routing::AttemptOutcome::Answered);
+    relayCompleteResponse();
+}
+
+void ForwardedCall::relayCompleteResponse()
+{
+    const auto status = m_attempt->head->status;
+    reportAttemptEnd(*m_attempt, routing::AttemptOutcome::Answered);
     m_forwarder.retryBudget(m_service).succeeded(base::now());
-    respondToCaller({head.status, std::move(m_attempt->headers), std::move(m_attempt->body)});
+    if (!m_attempt->isRelaying) {
+        respondToCaller({status, std::move(m_attempt->headers), std::move(m_attempt->body)});
+        return;
+    }
+    if (!m_isStreaming) {
+        m_exchange->startStream(status, m_attempt->headers);
+    }
+    m_exchange->endStream();
+    recordPace();
+    finish("answered");
 }
 
 /// Resumed streams are ignored, since the interruption would count as a gap of the engine.
@@ -245,11 +328,11 @@
     m_forwarder.m_tokenCosts.recordStream(qualifiedModelName(m_service, base::ModelName(m_call.model.text().substr(0, slash))), gap, m_lastEventAt);
 }
 
-routing::AttemptOutcome ForwardedCall::routerOutcome(SendResult end) const
+routing::AttemptOutcome ForwardedCall::routerOutcome(const CallAttempt &attempt, SendResult end) const
 {
     switch (end) {
     case SendResult::Misdirected: {
-        const bool isOtherInstance = !m_attempt->head->instance.empty() && m_attempt->head->instance != m_attempt->choice.endpoint.text();
+        const bool isOtherInstance = !attempt.head->instance.empty() && attempt.head->instance != attempt.choice.endpoint.text();
         return isOtherInstance ? routing::AttemptOutcome::Leaving : routing::AttemptOutcome::NotResident;
     }
     case SendResult::Refused:
@@ -264,20 +347,15 @@
 void ForwardedCall::finishAttempt(SendResult end)
 {
     const auto now = base::now();
-    reportAttemptEnd(routerOutcome(end));
+    reportAttemptEnd(*m_attempt, routerOutcome(*m_attempt, end));
+    if (m_silentAttempt) {
+        returnToSilentAttempt(end);
+        startReplacement(now, end == SendResult::NotSent);
+        return;
+    }
     const auto isRetryAllowed = end == SendResult::NotSent || m_forwarder.consumeRetryBudget(m_service, now);
     const auto step = m_attempts.afterSend(end, now, isRetryAllowed);
-    telemetry::log(LogLevel::Info, "requests", "send ended",
-                   {{"request", m_call.id},
-                    {"route", m_route.name},
-                    {"endpoint", m_attempt->choice.endpoint.text()},
-                    {"end", toString(end)},
-                    {"status", m_attempt->head ? m_attempt->head->status : 0},
-                    {"after_ms", base::millisecondsBetween(m_attempt->sentAt, now)},
-                    {"sends", static_cast<int>(m_attempts.sends())},
-                    {"budget", isRetryAllowed ? "open" : "used"},
-                    {"next", toString(step)}});
-    m_forwarder.m_dependencies.metrics.count("sends_ended_total{end=\"" + std::string(toString(end)) + "\"}");
+    logAttemptEnd(*m_attempt, end, isRetryAllowed, toString(step));
     if (step == NextStep::SendAgain) {
         m_excludedEndpoints.push_back(m_attempt->choice.endpoint);
         m_attempt.reset();
@@ -293,22 +371,46 @@
     rejectAfter(step);
 }
 
-void ForwardedCall::reportAttemptEnd(routing::AttemptOutcome end)
+void ForwardedCall::logAttemptEnd(const CallAttempt &attempt, SendResult end, bool isRetryAllowed, std::string_view next) const
 {
-    const auto now = base::now();
-    m_forwarder.m_dependencies.router.noteEnded(m_attempt->choice.ticket, end, now);
+    telemetry::log(LogLevel::Info, "requests", "send ended",
+                   {{"request", m_call.id},
+                    {"route", m_route.name},
+                    {"endpoint", attempt.choice.endpoint.text()},
+                    {"end", toString(end)},
+                    {"status", attempt.head ? attempt.head->status : 0},
+                    {"after_ms", base::millisecondsBetween(attempt.sentAt, base::now())},
+                    {"sends", static_cast<int>(m_attempts.sends())},
+                    {"budget", isRetryAllowed ? "open" : "used"},
+                    {"next", next}});
+    m_forwarder.m_dependencies.metrics.count("sends_ended_total{end=\"" + std::string(toString(end)) + "\"}");
+}
+
+void ForwardedCall::reportAttemptEnd(const CallAttempt &attempt, routing::AttemptOutcome end)
+{
+    m_forwarder.m_dependencies.router.noteEnded(attempt.choice.ticket, end, base::now());
 }
 
-void ForwardedCall::releaseConnection(bool isComplete)
+void ForwardedCall::releaseConnection(CallAttempt &attempt, bool isComplete)
 {
-    if (!m_attempt || !m_attempt->pooled) {
+    if (!attempt.pooled) {
         return;
     }
-    const auto pooled = std::exchange(m_attempt->pooled, std::nullopt);
+    const auto pooled = std::exchange(attempt.pooled, std::nullopt);
     if (!isComplete) {
         pooled->connection->close();
     }
-    m_forwarder.m_dependencies.pool.returnConnection(*pooled, m_attempt->head ? m_attempt->head->idleTimeout : std::nullopt, base::now());
+    m_forwarder.m_dependencies.pool.returnConnection(*pooled, attempt.head ? attempt.head->idleTimeout : std::nullopt, base::now());
+}
+
+void ForwardedCall::abandonAttempts(routing::AttemptOutcome end)
+{
+    for (auto *it : {&m_silentAttempt, &m_attempt}) {
+        if (*it) {
+            releaseConnection(**it, false);
+            reportAttemptEnd(**it, end);
+        }
+    }
 }
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -89,11 +89,6 @@
     return it->second;
 }
 
-bool Forwarder::hasRetryBudget(const base::ServiceName &service, base::Time now)
-{
-    return retryBudget(service).hasRoom(now);
-}
-
 bool Forwarder::consumeRetryBudget(const base::ServiceName &service, base::Time now)
 {
     return retryBudget(service).tryRetry(now);
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -39,3 +39,74 @@
     CHECK_FALSE(exchange->isCutOff);
     CHECK(exchange->body == stream(4, "a", 4));
 }
+
+TEST_CASE("a stream whose endpoint stays silent goes on at another endpoint, and only there")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + pause(LongPause) + pause(LongPause) + events(9)};
+    site.b.scripts = {events(3) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(exchange->body == stream(2, "a", 5, "b"));
+    site.runFor(ShortPause);
+    CHECK(site.a.abandoned == 1);
+    CHECK(site.b.abandoned == 0);
+}
+
+TEST_CASE("a stream whose endpoint goes on before another one has begun stays there, and the other one is stopped")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + pause(PauseBeyondLimit) + events(2) + step(EngineStep::Kind::End)};
+    site.b.scripts = {pause(LongPause) + events(9)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(exchange->body == stream(4, "a", 4));
+    site.runFor(ShortPause);
+    CHECK(site.b.received.size() == 1);
+    CHECK(site.b.abandoned == 1);
+}
+
+TEST_CASE("a stream goes on at the other endpoint if its silent one breaks off meanwhile")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + pause(PauseBeyondLimit) + step(EngineStep::Kind::Break)};
+    site.b.scripts = {pause(ShortPause) + events(2) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(exchange->body == stream(2, "a", 4, "b"));
+}
+
+TEST_CASE("a stream stays at its silent endpoint if the other one breaks off")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
+    site.b.scripts = {step(EngineStep::Kind::Break)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(exchange->body == stream(4, "a", 4));
+}
+
+TEST_CASE("a call without a first event is answered by whichever endpoint is first")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
+    site.b.scripts = {step(EngineStep::Kind::Reject)};
+    CHECK(site.call({{"Request-Id", "c1"}})->body == stream(2, "a", 2));
+    site.a.scripts.push_back(pause(LongPause) + events(9));
+    site.b.scripts.push_back(events(2) + step(EngineStep::Kind::End));
+    CHECK(site.call({{"Request-Id", "c2"}})->body == stream(0, "a", 2, "b"));
+}
+
+TEST_CASE("a caller that leaves while two endpoints have its call stops both")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(1) + pause(LongPause) + pause(LongPause) + events(9)};
+    site.b.scripts = {pause(LongPause) + pause(LongPause) + events(9)};
+    const auto exchange = site.call({{"Request-Id", "c1"}}, PauseBeyondLimit);
+    REQUIRE(exchange->onClosed);
+    std::exchange(exchange->onClosed, nullptr)();
+    site.runFor(ShortPause);
+    CHECK(site.a.abandoned == 1);
+    CHECK(site.b.abandoned == 1);
+    CHECK(site.callsInProgress() == 0);
+}
--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -44,6 +44,7 @@
 /// With models it is an engine that streams numbered events; without models it sends each answer in one piece. GET /runs
 /// returns the number of runs of each request; POST /drain makes the endpoint report that it is draining, POST /leave makes it
 /// say so in its answers only. POST /shed?seconds=N makes it reject calls and ask for a pause; GET /shed returns how many came.
+/// POST /pause?ms=N makes the streams in progress send nothing for this long, and then go on.
 class Endpoint
 {
 public:
@@ -100,6 +101,11 @@
             handleShed(exchange);
             return;
         }
+        if (path == "/pause") {
+            m_pausedUntil = base::now() + std::chrono::milliseconds(std::stoll("0" + net::queryParameter(request.target, "ms")));
+            exchange->respond({204, {}, {}});
+            return;
+        }
         const auto expected = header(request.headers, "Expect-Instance");
         if (!expected.empty() && expected != m_options.id) {
             exchange->respond({421, {{"Instance-Id", m_options.id}}, {}});
@@ -216,6 +222,11 @@
 
     void streamEvents(const net::ExchangePointer &exchange, std::uint64_t number)
     {
+        const auto now = base::now();
+        if (now < m_pausedUntil) {
+            callAfter(m_program.context(), m_pausedUntil - now, [this, exchange, number] { streamEvents(exchange, number); });
+            return;
+        }
         if (number > m_options.events) {
             exchange->endStream();
             return;
@@ -236,6 +247,7 @@
     bool m_isBusy = false;
     bool m_isDraining = false;
     bool m_isLeaving = false; ///< says so in its answers
+    base::Time m_pausedUntil; ///< streams send nothing until then
     std::string m_retryAfter; ///< seconds; while not empty, calls are rejected with this pause
     std::uint64_t m_shedCalls = 0;
 };
--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -106,6 +106,26 @@
 step "a booking is answered" equals "$(status 1 /book/a b1 "")" 200
 step "... and ran once" equals "$(runs_of b1)" 1
 
+call 1 /guide/a e1 m >"$work/stream" &
+call_pid=$!
+until_true 3 is_running e1
+runs_at 1 e1 && paused=1 || paused=2
+curl -s -m 2 -o /dev/null -X POST "http://$(engine $((3 - paused)))/shed?seconds=1"
+curl -s -m 2 -o /dev/null -X POST "http://$(engine $paused)/pause?ms=1800"
+wait $call_pid
+step "a stream whose engine pauses while the other engine rejects calls is complete" is_complete "$work/stream"
+step "... and the other engine was tried" equals "$(curl -s -m 2 "http://$(engine $((3 - paused)))/shed")" 1
+curl -s -m 2 -o /dev/null -X POST "http://$(engine $((3 - paused)))/shed?seconds="
+call 1 /guide/a e2 m >"$work/stream" &
+call_pid=$!
+until_true 3 is_running e2
+runs_at 1 e2 && paused=1 || paused=2
+curl -s -m 2 -o /dev/null -X POST "http://$(engine $paused)/pause?ms=5000"
+wait $call_pid
+step "a stream whose engine stays silent is complete" is_complete "$work/stream"
+step "... since it continued on the other engine" runs_at $((3 - paused)) e2
+sleep 3
+
 call 1 /guide/a s5 m >"$work/stream" &
 call_pid=$!
 until_true 3 is_running s5
