--- a/include/turmericplank/discovery/endpointentry.hpp
+++ b/include/turmericplank/discovery/endpointentry.hpp
@@ -23,6 +23,7 @@
     base::ServiceName service;
     base::Address address;
     base::ZoneName zone;
+    std::string softwareVersion; ///< of the endpoint's program, not of its models; versions have no order
     std::uint32_t slots = 1; ///< requests that it processes at the same time
     bool isLeaving = false; ///< gets no new requests
     std::optional<base::Duration> leavesWithin; ///< time from the writing of the entry until it leaves, if it leaves at short notice
--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -32,6 +32,7 @@
     std::uint32_t maxAnswerTokens = 0; ///< maximum length of the answer
     std::optional<base::Duration> callerTimeout; ///< how long the caller waits, counted from the arrival of the call
     std::optional<std::uint64_t> lastEventId; ///< last event that the caller has received of the stream that it resumes
+    std::string resumedCall; ///< id of the call that brought the first event of that stream; empty if not given
 
     friend bool operator==(const Call &, const Call &) = default;
 };
--- a/src/turmericplank/gateway/endpointsmessage.cpp
+++ b/src/turmericplank/gateway/endpointsmessage.cpp
@@ -8,7 +8,8 @@
 
 using discovery::EndpointEntry;
 
-/// Members of an entry in wire order; durations in microseconds, -1 if absent.
+/// Members of an entry in wire order; durations in microseconds, -1 if absent. The software version follows, which messages of
+/// earlier builds lack.
 using PackedEntry = std::tuple<std::string, std::string, std::string, std::uint16_t, std::string, std::uint32_t, bool, std::int64_t, std::uint64_t,
                                std::uint64_t, std::map<std::string, std::set<std::string>>, std::set<std::string>>;
 
@@ -51,17 +52,36 @@
     return it;
 }
 
+EndpointEntry readEntry(const msgpack::object &object)
+{
+    constexpr auto MemberCount = std::tuple_size_v<PackedEntry>;
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < MemberCount) {
+        throw msgpack::type_error();
+    }
+    auto it = unpackEntry(object.as<PackedEntry>());
+    if (object.via.array.size > MemberCount) {
+        it.softwareVersion = object.via.array.ptr[MemberCount].as<std::string>();
+    }
+    return it;
+}
+
+void writeEntry(msgpack::packer<msgpack::sbuffer> &packer, const EndpointEntry &entry)
+{
+    packer.pack_array(std::tuple_size_v<PackedEntry> + 1);
+    std::apply([&packer](const auto &...members) { (packer.pack(members), ...); }, packEntry(entry));
+    packer.pack(entry.softwareVersion);
+}
+
 } // namespace
 
 std::string encode(const std::vector<EndpointEntry> &entries)
 {
-    std::vector<PackedEntry> all;
-    all.reserve(entries.size());
+    msgpack::sbuffer buf;
+    msgpack::packer packer(buf);
+    packer.pack_array(static_cast<std::uint32_t>(entries.size()));
     for (const auto &it : entries) {
-        all.push_back(packEntry(it));
+        writeEntry(packer, it);
     }
-    msgpack::sbuffer buf;
-    msgpack::pack(buf, all);
     return {buf.data(), buf.size()};
 }
 
@@ -70,8 +90,8 @@
     try {
         const auto handle = msgpack::unpack(bytes.data(), bytes.size());
         std::vector<EndpointEntry> entries;
-        for (const auto &it : handle.get().as<std::vector<PackedEntry>>()) {
-            entries.push_back(unpackEntry(it));
+        for (const auto &it : handle.get().as<std::vector<msgpack::object>>()) {
+            entries.push_back(readEntry(it));
         }
         return entries;
     } catch (const std::exception &) {
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -185,6 +185,9 @@
     m_attempts.recordSend();
     telemetry::log(LogLevel::Debug, "requests", "sends",
                    {{"request", m_call.id}, {"endpoint", choice.endpoint.text()}, {"reason", toString(choice.reason)}, {"work", m_qualifiedModel.text()}});
+    if (m_route.kind.isStreamed && m_eventCursor.lastEvent()) {
+        logResumption();
+    }
     const bool isAtMostOnce = !m_route.kind.mayRunAgain();
     m_forwarder.m_dependencies.pool.acquireConnection(
         choice.endpoint, isAtMostOnce, m_attempt->sentAt,
@@ -193,6 +196,21 @@
         });
 }
 
+void ForwardedCall::logResumption() const
+{
+    const bool isByCaller = m_call.lastEventId && !m_isStreaming;
+    const auto &endpoints = m_forwarder.m_dependencies.siteState.endpoints();
+    const auto entry = endpoints.find(m_attempt->choice.endpoint);
+    telemetry::log(LogLevel::Info, "requests", "resumes a stream",
+                   {{"request", m_call.id},
+                    {"begun_by", m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall},
+                    {"by", isByCaller ? "caller" : "daemon"},
+                    {"after_event", *m_eventCursor.lastEvent()},
+                    {"endpoint", m_attempt->choice.endpoint.text()},
+                    {"version", entry == endpoints.end() ? "unknown" : entry->second.softwareVersion}});
+    m_forwarder.m_dependencies.metrics.count(isByCaller ? "streams_resumed_total{by=\"caller\"}" : "streams_resumed_total{by=\"daemon\"}");
+}
+
 void ForwardedCall::onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireFailure> pooled)
 {
     const bool isCurrent = !m_isFinished && m_attempt && m_attempt->number == number;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -58,6 +58,7 @@
     forwarding::WaitCause missingWeightsCause() const;
     bool wouldAnswerTooLate(const routing::Choice &choice) const;
     void startAttempt(const routing::Choice &choice);
+    void logResumption() const;
     void onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireFailure> pooled);
     void sendRequest(const PooledConnection &pooled);
     AttemptHeaders attemptHeaders(base::Time now) const;
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -262,6 +262,7 @@
                         {"service", it.entry.service.text()},
                         {"address", toString(it.entry.address)},
                         {"incarnation", it.entry.incarnation.value()},
+                        {"version", it.entry.softwareVersion},
                         {"heartbeat", it.entry.heartbeat},
                         {"models", std::uint64_t(it.entry.models.size())}});
     }
