Of two open attempts, only one that brings a whole event or the end is kept; no third one

Any byte from one endpoint closed the other one: half an event, or the end in the middle of an event, which is then lost as well. With a limit of three sends, the silent endpoint was released for a third one, which could be itself. Change: each attempt follows its own events, and the first whole event that the caller does not have, or the complete end, decides. No send is started while two are open, and none after the deadline.

--- a/include/turmericplank/forwarding/attempts.hpp
+++ b/include/turmericplank/forwarding/attempts.hpp
@@ -57,9 +57,9 @@
     /// @brief Records the result of a send that did not bring the answer, while another send of the call is still open.
     void recordEnd(SendResult result);
 
-    /// @brief Whether the call may be sent once more while the results of some sends are still open, and may have run it.
-    /// @param openSends sends without a result
-    bool maySendAgain(std::uint32_t openSends) const;
+    /// @brief Whether the call may be sent once more while one send has no result yet, and may have run it.
+    /// @param now current time
+    bool maySendAgain(base::Time now) const;
 
     /// @brief Returns the step that ends the call without another send.
     /// @param now current time
--- a/src/turmericplank/forwarding/attempts.cpp
+++ b/src/turmericplank/forwarding/attempts.cpp
@@ -92,9 +92,9 @@
     return now < m_deadline ? NextStep::FailUnknown : NextStep::FailTimedOut;
 }
 
-bool Attempts::maySendAgain(std::uint32_t openSends) const
+bool Attempts::maySendAgain(base::Time now) const
 {
-    return m_kind.mayRunAgain() && m_delivered + openSends < m_maxSends && m_sends - m_delivered - openSends < MaxUndeliveredSends;
+    return now < m_deadline && m_kind.mayRunAgain() && m_delivered + 1 < m_maxSends && m_sends - m_delivered <= MaxUndeliveredSends;
 }
 
 bool Attempts::mayHaveRun() const
--- a/src/turmericplank/forwarding/attempts_test.cpp
+++ b/src/turmericplank/forwarding/attempts_test.cpp
@@ -62,21 +62,21 @@
     CHECK((attempts.afterSend(SendResult::NotSent, at(10), true) == NextStep::RejectNotRun));
 }
 
-TEST_CASE("sends without a result count towards the limit of another one")
+TEST_CASE("a send without a result counts towards the limit of another one")
 {
     Attempts attempts(ResumableStream, 2, at(1000));
     attempts.recordSend();
-    CHECK(attempts.maySendAgain(1));
+    CHECK(attempts.maySendAgain(at(10)));
+    CHECK_FALSE(attempts.maySendAgain(at(1000)));
     attempts.recordSend();
-    CHECK_FALSE(attempts.maySendAgain(2));
     attempts.recordEnd(SendResult::Misdirected);
-    CHECK(attempts.maySendAgain(1));
+    CHECK(attempts.maySendAgain(at(20)));
     attempts.recordSend();
     attempts.recordEnd(SendResult::Refused);
-    CHECK_FALSE(attempts.maySendAgain(1));
+    CHECK_FALSE(attempts.maySendAgain(at(30)));
     CHECK_FALSE(attempts.mayHaveRun());
     CHECK((attempts.afterSend(SendResult::Silent, at(10), true) == NextStep::FailUnknown));
-    CHECK_FALSE(Attempts(FixedStream, 2, at(1000)).maySendAgain(1));
+    CHECK_FALSE(Attempts(FixedStream, 2, at(1000)).maySendAgain(at(10)));
 }
 
 TEST_CASE("the caller is told not run only if every send proved it")
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -40,7 +40,7 @@
     , m_service(routes::chooseService(route, m_call.id))
     , m_arrivedAt(now)
     , m_attempts(route.kind, std::max(1U, route.sendLimit), finalDeadline(route, m_call, now))
-    , m_eventCursor(m_call.lastEventId)
+    , m_lastEvent(m_call.lastEventId)
     , m_deadlineTimer(forwarder.m_dependencies.context)
 {
     const auto &services = m_routes->configuration().services;
@@ -182,6 +182,7 @@
     m_attempt->number = ++m_attemptNumber;
     m_attempt->choice = choice;
     m_attempt->sentAt = base::now();
+    m_attempt->events = forwarding::EventCursor(m_lastEvent);
     m_attempts.recordSend();
     telemetry::log(LogLevel::Debug, "requests", "sends",
                    {{"request", m_call.id}, {"endpoint", choice.endpoint.text()}, {"reason", toString(choice.reason)}, {"work", m_qualifiedModel.text()}});
@@ -251,7 +252,7 @@
                     {"has_run", m_attempts.mayHaveRun() ? "unknown" : "no"},
                     {"sends", static_cast<int>(m_attempts.sends())},
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, now)},
-                    {"events", m_eventCursor.events()},
+                    {"events", m_events},
                     {"response", m_isStreaming ? "cut_off" : "rejection"},
                     {"revision", m_routes->configuration().revision.value()},
                     {"revision_in_force_ms", base::millisecondsBetween(siteState.routesSince(), now)},
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -33,7 +33,7 @@
     head.remainingTime = m_attempts.deadline() - now;
     head.urgency = std::min(m_route.rank + (isDeferrable(m_route) ? DeferrableUrgencyPenalty : 0), MaxUrgency);
     if (m_route.kind.isStreamed) {
-        head.lastEventId = m_eventCursor.lastEvent();
+        head.lastEventId = m_lastEvent;
     }
     return head;
 }
@@ -109,7 +109,7 @@
 /// stays: an endpoint that is slow, not lost, still answers earlier than one that must start the call from the beginning.
 void ForwardedCall::startReplacement(base::Time now, bool isBudgetUsed)
 {
-    if (!m_attempts.maySendAgain(m_silentAttempt ? 2 : 1)) {
+    if (m_silentAttempt || !m_attempts.maySendAgain(now)) {
         return;
     }
     auto &dependencies = m_forwarder.m_dependencies;
@@ -125,9 +125,8 @@
                    {{"request", m_call.id},
                     {"endpoint", m_attempt->choice.endpoint.text()},
                     {"other", choice->endpoint.text()},
-                    {"events", m_eventCursor.events()},
+                    {"events", m_events},
                     {"after_ms", base::millisecondsBetween(m_attempt->sentAt, now)}});
-    dropSilentAttempt(SendResult::Silent);
     m_silentAttempt = std::move(m_attempt);
     dependencies.router.noteSent(*choice, request, now);
     startAttempt(*choice);
@@ -145,7 +144,6 @@
     logAttemptEnd(*m_silentAttempt, end, true, "replaced");
     m_excludedEndpoints.push_back(m_silentAttempt->choice.endpoint);
     m_silentAttempt.reset();
-    m_eventCursor.restart();
 }
 
 /// Ends the attempt that was to replace the silent one.
@@ -214,11 +212,14 @@
         attempt->body.append(chunk);
         return;
     }
-    keepOnly(number);
-    auto events = m_eventCursor.feed(chunk);
+    const auto known = attempt->events.events();
+    auto events = attempt->events.feed(chunk);
     if (events.empty()) {
         return;
     }
+    keepOnly(number);
+    m_events += m_attempt->events.events() - known;
+    m_lastEvent = m_attempt->events.lastEvent();
     const auto now = base::now();
     if (!m_attempt->hasFirstEvent) {
         m_attempt->hasFirstEvent = true;
@@ -235,7 +236,7 @@
     m_exchange->writeChunk(std::move(events));
 }
 
-/// Of two attempts, the first one that brings something of the answer is kept; the other one ends, so that only one runs on.
+/// Of two attempts, the first one that brings a whole event or the end of the answer is kept; the other one ends, so that only one runs on.
 void ForwardedCall::keepOnly(std::uint64_t number)
 {
     if (isSilentAttempt(number)) {
@@ -271,7 +272,8 @@
     if (head.status >= FirstFailureStatus || (m_isStreaming && !attempt.isRelaying)) {
         return SendResult::Failed;
     }
-    return std::nullopt;
+    const bool isTruncated = attempt.isRelaying && attempt.events.hasPartialEvent();
+    return isTruncated ? std::optional(SendResult::Lost) : std::nullopt;
 }
 
 void ForwardedCall::handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome)
@@ -280,21 +282,17 @@
     if (attempt == nullptr) {
         return;
     }
-    auto failure = failureOf(*attempt, outcome);
+    const auto failure = failureOf(*attempt, outcome);
     releaseConnection(*attempt, outcome == net::SendOutcome::Complete && attempt->head);
     if (failure && isSilentAttempt(number)) {
         dropSilentAttempt(*failure);
         return;
     }
-    if (!failure) {
-        keepOnly(number);
-        const bool isTruncated = m_attempt->isRelaying && m_eventCursor.hasPartialEvent();
-        failure = isTruncated ? std::optional(SendResult::Lost) : std::nullopt;
-    }
     if (failure) {
         finishAttempt(*failure);
         return;
     }
+    keepOnly(number);
     relayCompleteResponse();
 }
 
@@ -319,12 +317,11 @@
 void ForwardedCall::recordPace()
 {
     constexpr std::uint64_t MinEvents = 8; ///< with fewer events the mean gap is unreliable
-    const auto events = m_eventCursor.events();
-    if (!m_isEngine || m_attempts.sends() != 1 || events < MinEvents) {
+    if (!m_isEngine || m_attempts.sends() != 1 || m_events < MinEvents) {
         return;
     }
     const auto slash = m_call.model.text().find('/');
-    const auto gap = (m_lastEventAt - m_firstEventAt) / static_cast<std::int64_t>(events - 1);
+    const auto gap = (m_lastEventAt - m_firstEventAt) / static_cast<std::int64_t>(m_events - 1);
     m_forwarder.m_tokenCosts.recordStream(qualifiedModelName(m_service, base::ModelName(m_call.model.text().substr(0, slash))), gap, m_lastEventAt);
 }
 
@@ -359,7 +356,6 @@
     if (step == NextStep::SendAgain) {
         m_excludedEndpoints.push_back(m_attempt->choice.endpoint);
         m_attempt.reset();
-        m_eventCursor.restart();
         selectEndpoint();
         return;
     }
@@ -411,6 +407,7 @@
             reportAttemptEnd(**it, end);
         }
     }
+    m_silentAttempt.reset();
 }
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -110,3 +110,32 @@
     CHECK(site.b.abandoned == 1);
     CHECK(site.callsInProgress() == 0);
 }
+
+TEST_CASE("a stream goes on at the other endpoint if its silent one ends in the middle of an event")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + step(EngineStep::Kind::HalfEvent) + pause(PauseBeyondLimit) + step(EngineStep::Kind::End)};
+    site.b.scripts = {pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(exchange->body == stream(2, "a", 4, "b"));
+    CHECK(site.b.abandoned == 0);
+}
+
+TEST_CASE("a stream stays at its silent endpoint if the other one ends in the middle of an event")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
+    site.b.scripts = {step(EngineStep::Kind::Accept) + step(EngineStep::Kind::HalfEvent) + step(EngineStep::Kind::Break)};
+    CHECK(site.call({{"Request-Id", "c1"}})->body == stream(4, "a", 4));
+}
+
+TEST_CASE("a stream with sends left keeps its silent endpoint while the other one is silent as well")
+{
+    TestSite site(FirstPort, 3);
+    site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
+    site.b.scripts = {pause(PauseBeyondLimit) + step(EngineStep::Kind::Reject)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(site.a.received.size() == 1);
+    CHECK(exchange->body == stream(4, "a", 4));
+}
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -77,7 +77,9 @@
 {
     enum class Kind {
         Event, ///< sends the next event of the stream
+        HalfEvent, ///< sends the first line of the next event
         Pause, ///< sends nothing for a while
+        Accept, ///< sends the head of the response
         End, ///< ends the stream
         Reject, ///< answers that the call was not run
         Break, ///< closes the connection
@@ -173,18 +175,29 @@
         return {{"Request-Id", std::string(header(run.exchange->request().headers, "Request-Id"))}, {"Server-Seal", m_id}};
     }
 
+    void accept(Run &run) const
+    {
+        if (!std::exchange(run.isStreaming, true)) {
+            run.exchange->startStream(200, headers(run));
+        }
+    }
+
     void play(const std::shared_ptr<Run> &run)
     {
         while (run->next < run->steps.size() && !run->isAbandoned) {
             const auto &it = run->steps[run->next++];
             switch (it.kind) {
             case EngineStep::Kind::Event:
-                if (!std::exchange(run->isStreaming, true)) {
-                    run->exchange->startStream(200, headers(*run));
-                }
+                accept(*run);
                 ++run->lastEvent;
                 run->exchange->writeChunk("id: " + std::to_string(run->lastEvent) + "\ndata: " + m_id + "\n\n");
                 break;
+            case EngineStep::Kind::HalfEvent:
+                run->exchange->writeChunk("id: " + std::to_string(run->lastEvent + 1) + "\n");
+                break;
+            case EngineStep::Kind::Accept:
+                accept(*run);
+                break;
             case EngineStep::Kind::Pause: {
                 const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, it.pause);
                 timer->async_wait([this, run, timer](boost::system::error_code) { play(run); });
@@ -256,11 +269,12 @@
 {
 public:
     /// @param firstPort port of engine "a"; "b" has the next one
-    explicit TestSite(std::uint16_t firstPort)
+    /// @param sendLimit endpoints to which one call may be sent
+    explicit TestSite(std::uint16_t firstPort, std::uint32_t sendLimit = 2)
         : a(m_context, "a", firstPort)
         , b(m_context, "b", static_cast<std::uint16_t>(firstPort + 1))
     {
-        m_siteState.applyConfiguration(configuration(), base::now());
+        m_siteState.applyConfiguration(configuration(sendLimit), base::now());
         applyEntries({a.entry(), b.entry()});
     }
 
@@ -300,7 +314,7 @@
     }
 
 private:
-    static std::shared_ptr<routes::SiteConfiguration> configuration()
+    static std::shared_ptr<routes::SiteConfiguration> configuration(std::uint32_t sendLimit)
     {
         auto it = std::make_shared<routes::SiteConfiguration>();
         it->revision = base::Revision(1);
@@ -318,7 +332,7 @@
         route.timeout = std::chrono::seconds(4);
         route.objective = std::chrono::milliseconds(400);
         route.eventGapObjective = std::chrono::milliseconds(20);
-        route.sendLimit = 2;
+        route.sendLimit = sendLimit;
         route.services.push_back({service.name, 1});
         it->routes.push_back(route);
         return it;
