A stream that another endpoint has accepted leaves its silent one within 200 ms

Cause: the silent attempt stayed open until the other endpoint's first event, for which there was no bound; the platform allows 400 ms. Change: the response head of the other endpoint starts a timer; after 200 ms without an event the silent attempt ends.

--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -42,6 +42,7 @@
     , m_attempts(route.kind, std::max(1U, route.sendLimit), finalDeadline(route, m_call, now))
     , m_lastEvent(m_call.lastEventId)
     , m_deadlineTimer(forwarder.m_dependencies.context)
+    , m_overlapTimer(forwarder.m_dependencies.context)
 {
     const auto &services = m_routes->configuration().services;
     const auto spec = services.find(m_service);
@@ -315,6 +316,7 @@
     const auto guard = Pointer(this);
     m_isFinished = true;
     m_deadlineTimer.cancel();
+    m_overlapTimer.cancel();
     unlink();
     const auto now = base::now();
     const auto total = now - m_arrivedAt;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -67,6 +67,7 @@
     void startReplacement(base::Time now, bool isBudgetUsed);
     void dropSilentAttempt(forwarding::SendResult end);
     void returnToSilentAttempt(forwarding::SendResult end);
+    void armOverlapTimer();
     CallAttempt *findAttempt(std::uint64_t number);
     bool isSilentAttempt(std::uint64_t number) const;
     routing::RouteRequest routeRequest() const;
@@ -115,6 +116,7 @@
     std::optional<CallAttempt> m_attempt;
     /// Has been silent for too long, but may go on: it stays until the attempt that is to replace it, m_attempt, brings something.
     std::optional<CallAttempt> m_silentAttempt;
+    boost::asio::steady_timer m_overlapTimer; ///< ends the silent attempt after the other one was accepted
     std::vector<base::EndpointId> m_excludedEndpoints; ///< endpoints of earlier attempts
     RejectionReason m_pendingRejection = RejectionReason::NoEndpoint;
     std::uint64_t m_attemptNumber = 0;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -14,6 +14,7 @@
 using telemetry::LogLevel;
 
 constexpr int FirstFailureStatus = 500;
+constexpr auto MaxOverlap = std::chrono::milliseconds(200); ///< of two accepted attempts; the platform tolerates 400 ms of work on both
 constexpr std::uint32_t MaxUrgency = 9;
 constexpr std::uint32_t DeferrableUrgencyPenalty = 3; ///< added to the rank of deferrable routes; calls with higher numbers are admitted later
 
@@ -144,6 +145,7 @@
     logAttemptEnd(*m_silentAttempt, end, true, "replaced");
     m_excludedEndpoints.push_back(m_silentAttempt->choice.endpoint);
     m_silentAttempt.reset();
+    m_overlapTimer.cancel();
 }
 
 /// Ends the attempt that was to replace the silent one.
@@ -154,6 +156,19 @@
     logAttemptEnd(*m_attempt, end, true, "back_to_first");
     m_excludedEndpoints.push_back(m_attempt->choice.endpoint);
     m_attempt = std::exchange(m_silentAttempt, std::nullopt);
+    m_overlapTimer.cancel();
+}
+
+/// Once another endpoint has accepted the call, it may run there at any moment, and should then no longer run here.
+void ForwardedCall::armOverlapTimer()
+{
+    m_overlapTimer.expires_after(MaxOverlap);
+    m_overlapTimer.async_wait([self = Pointer(this), number = m_attempt->number](boost::system::error_code ec) {
+        const bool isCurrent = !ec && !self->m_isFinished && self->m_attempt && self->m_attempt->number == number;
+        if (isCurrent) {
+            self->dropSilentAttempt(SendResult::Silent);
+        }
+    });
 }
 
 /// Applies what an endpoint states about itself beside its response. It holds even if the response itself cannot be used, but not
@@ -199,6 +214,9 @@
     attempt->isRelaying = isSuccess && belongsToCall && m_route.kind.isStreamed;
     attempt->headers = m_forwarder.m_dependencies.wire.forwardedHeaders(headers);
     attempt->head = std::move(head);
+    if (attempt->isRelaying && m_silentAttempt && !isSilentAttempt(number)) {
+        armOverlapTimer();
+    }
     return net::HeaderAction::Accept;
 }
 
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -139,3 +139,16 @@
     CHECK(site.a.received.size() == 1);
     CHECK(exchange->body == stream(4, "a", 4));
 }
+
+TEST_CASE("an endpoint that has accepted a stream is the only one that has it, even before its first event")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + pause(LongPause) + pause(LongPause) + events(9)};
+    site.b.scripts = {step(EngineStep::Kind::Accept) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c1"}}, LongPause);
+    CHECK_FALSE(exchange->hasEnded());
+    CHECK(site.a.abandoned == 1);
+    CHECK(site.b.abandoned == 0);
+    site.runFor(LongPause);
+    CHECK(exchange->body == stream(2, "a", 4, "b"));
+}
