--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -40,8 +40,9 @@
     , m_service(routes::chooseService(route, m_call.id))
     , m_arrivedAt(now)
     , m_attempts(route.kind, std::max(1U, route.sendLimit), finalDeadline(route, m_call, now))
-    , m_eventCursor(m_call.lastEventId)
+    , m_lastEvent(m_call.lastEventId)
     , m_deadlineTimer(forwarder.m_dependencies.context)
+    , m_overlapTimer(forwarder.m_dependencies.context)
 {
     const auto &services = m_routes->configuration().services;
     const auto spec = services.find(m_service);
@@ -182,10 +183,11 @@
     m_attempt->number = ++m_attemptNumber;
     m_attempt->choice = choice;
     m_attempt->sentAt = base::now();
+    m_attempt->events = forwarding::EventCursor(m_lastEvent);
     m_attempts.recordSend();
     telemetry::log(LogLevel::Debug, "requests", "sends",
                    {{"request", m_call.id}, {"endpoint", choice.endpoint.text()}, {"reason", toString(choice.reason)}, {"work", m_qualifiedModel.text()}});
-    if (m_route.kind.isStreamed && m_eventCursor.lastEvent()) {
+    if (m_route.kind.isStreamed && m_lastEvent) {
         logResumption();
     }
     const bool isAtMostOnce = !m_route.kind.mayRunAgain();
@@ -205,7 +207,7 @@
                    {{"request", m_call.id},
                     {"begun_by", m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall},
                     {"by", isByCaller ? "caller" : "daemon"},
-                    {"after_event", *m_eventCursor.lastEvent()},
+                    {"after_event", *m_lastEvent},
                     {"endpoint", m_attempt->choice.endpoint.text()},
                     {"version", entry == endpoints.end() ? "unknown" : entry->second.softwareVersion}});
     m_forwarder.m_dependencies.metrics.count(isByCaller ? "streams_resumed_total{by=\"caller\"}" : "streams_resumed_total{by=\"daemon\"}");
@@ -269,7 +271,7 @@
                     {"has_run", m_attempts.mayHaveRun() ? "unknown" : "no"},
                     {"sends", static_cast<int>(m_attempts.sends())},
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, now)},
-                    {"events", m_eventCursor.events()},
+                    {"events", m_events},
                     {"response", m_isStreaming ? "cut_off" : "rejection"},
                     {"revision", m_routes->configuration().revision.value()},
                     {"revision_in_force_ms", base::millisecondsBetween(siteState.routesSince(), now)},
@@ -332,6 +334,7 @@
     const auto guard = Pointer(this);
     m_isFinished = true;
     m_deadlineTimer.cancel();
+    m_overlapTimer.cancel();
     unlink();
     const auto now = base::now();
     const auto total = now - m_arrivedAt;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -28,6 +28,7 @@
     std::optional<ResponseHead> head;
     net::Headers headers;
     std::string body; ///< of a response that is forwarded as a whole
+    forwarding::EventCursor events; ///< of a response whose events are forwarded as they arrive
     base::Time sentAt;
     bool hasFirstEvent = false;
     bool isRelaying = false; ///< events are forwarded to the caller as they arrive
@@ -67,6 +68,7 @@
     void startReplacement(base::Time now, bool isBudgetUsed);
     void dropSilentAttempt(forwarding::SendResult end);
     void returnToSilentAttempt(forwarding::SendResult end);
+    void armOverlapTimer();
     CallAttempt *findAttempt(std::uint64_t number);
     bool isSilentAttempt(std::uint64_t number) const;
     routing::RouteRequest routeRequest() const;
@@ -109,11 +111,13 @@
     base::Time m_lastEventAt;
     base::Duration m_maxEventGap{0}; ///< longest time between two chunks of a stream, for the log
     forwarding::Attempts m_attempts;
-    forwarding::EventCursor m_eventCursor;
+    std::optional<std::uint64_t> m_lastEvent; ///< last event that the caller has received
+    std::uint64_t m_events = 0; ///< events relayed to the caller
     boost::asio::steady_timer m_deadlineTimer;
     std::optional<CallAttempt> m_attempt;
     /// Has been silent for too long, but may go on: it stays until the attempt that is to replace it, m_attempt, brings something.
     std::optional<CallAttempt> m_silentAttempt;
+    boost::asio::steady_timer m_overlapTimer; ///< ends the silent attempt after the other one was accepted
     std::vector<base::EndpointId> m_excludedEndpoints; ///< endpoints of earlier attempts
     RejectionReason m_pendingRejection = RejectionReason::NoEndpoint;
     std::uint64_t m_attemptNumber = 0;
