--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -152,3 +152,72 @@
     site.runFor(LongPause);
     CHECK(exchange->body == stream(2, "a", 4, "b"));
 }
+
+TEST_CASE("a stream does not go on within an answer at an endpoint of another software version")
+{
+    TestSite site(FirstPort);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.a.scripts = {events(2) + step(EngineStep::Kind::Break)};
+    site.b.scripts = {events(9) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isCutOff);
+    CHECK(exchange->body == stream(2, "a", 2));
+    CHECK(site.b.received.empty());
+}
+
+TEST_CASE("a silent endpoint's stream is not tried at an endpoint of another software version")
+{
+    TestSite site(FirstPort);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
+    CHECK(site.call({{"Request-Id", "c1"}})->body == stream(4, "a", 4));
+    CHECK(site.b.received.empty());
+}
+
+TEST_CASE("a call whose endpoint fails before the first event may go to an endpoint of another software version")
+{
+    TestSite site(FirstPort);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.a.scripts = {step(EngineStep::Kind::Break)};
+    site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
+    CHECK(site.call({{"Request-Id", "c1"}})->body == stream(0, "a", 2, "b"));
+}
+
+TEST_CASE("a stream that its caller resumes goes on at the software version that began it")
+{
+    TestSite site(FirstPort);
+    site.applyEntries({site.b.entry("v1")});
+    site.b.scripts = {events(2) + step(EngineStep::Kind::Break), events(2) + step(EngineStep::Kind::End)};
+    CHECK(site.call({{"Request-Id", "c1"}})->isCutOff);
+    site.applyEntries({site.a.entry("v2"), site.b.entry("v1")}); // the closer endpoint has the other version
+    site.a.scripts = {events(2) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c2"}, {"Last-Event-Id", "2"}, {"Resumes", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(site.a.received.empty());
+    CHECK(site.b.received == std::vector<std::string>{"", "2"});
+}
+
+TEST_CASE("a stream whose software version is unknown or gone is not resumed while another version serves")
+{
+    TestSite site(FirstPort);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.a.scripts = {events(2) + step(EngineStep::Kind::Break), events(2)};
+    site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
+    const auto unknown = site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}});
+    CHECK(unknown->isComplete);
+    CHECK(unknown->status == 503);
+    CHECK(site.a.received.empty());
+    CHECK(site.b.received.empty());
+    CHECK(site.call({{"Request-Id", "c2"}})->isCutOff);
+    site.applyEntries({site.b.entry("v2")});
+    CHECK(site.call({{"Request-Id", "c3"}, {"Last-Event-Id", "2"}, {"Resumes", "c2"}})->status == 503);
+    CHECK(site.b.received.empty());
+}
+
+TEST_CASE("while one software version serves, a stream of an unknown one is resumed")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + step(EngineStep::Kind::End)};
+    CHECK(site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}})->isComplete);
+    CHECK(site.a.received == std::vector<std::string>{"2"});
+}
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -127,13 +127,14 @@
         m_server = net::listenHttp(context, std::move(options));
     }
 
-    discovery::EndpointEntry entry() const
+    discovery::EndpointEntry entry(const std::string &softwareVersion = "v1") const
     {
         discovery::EndpointEntry it;
         it.id = base::EndpointId(m_id);
         it.service = base::ServiceName("s");
         it.address = {"127.0.0.1", m_port};
         it.zone = base::ZoneName(m_id);
+        it.softwareVersion = softwareVersion;
         it.slots = 16;
         it.incarnation = base::Incarnation(1);
         it.models[base::ModelName("m")];
@@ -236,6 +237,7 @@
         call.model = base::ModelName("m");
         const std::string last(header(request.headers, "Last-Event-Id"));
         call.lastEventId = last.empty() ? std::optional<std::uint64_t>() : std::stoull(last);
+        call.resumedCall = std::string(header(request.headers, "Resumes"));
         return call;
     };
     wire.makeAttemptRequest = [](const net::HttpRequest &request, const AttemptHeaders &head) {
