Routing: a request may be bound to a software version

Cause: the router does not know which software an endpoint runs, so a stream that goes on elsewhere cannot be kept at its version. Change: an endpoint has a software version, and a request may name the only one that may get it; endpoints of it are found among any number of others, since they are selected before candidates are sampled.

--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -26,6 +27,7 @@
     base::Address address;
     base::ZoneName zone;
     std::uint32_t concurrency = 16; ///< streams that fit into its batch at full speed
+    std::string softwareVersion; ///< of its program; versions have no order
 
     friend auto operator<=>(const RoutableEndpoint &, const RoutableEndpoint &) = default;
     friend bool operator==(const RoutableEndpoint &, const RoutableEndpoint &) = default;
@@ -212,6 +214,7 @@
 
     static bool isUsable(const EndpointState &state);
     static bool isBetter(const ScoredCandidate &a, const ScoredCandidate &b);
+    const std::vector<EndpointIndex> &residentsFor(const base::ModelName &model, const RouteRequest &request);
     std::vector<EndpointIndex> usableReplicas(const base::ModelName &model) const;
     std::optional<ResolvedModel> resolve(const base::ModelName &name) const;
     void setResidents(EndpointIndex index, const LoadReport &report);
@@ -237,6 +240,7 @@
     double m_unreportedWorkFactor = 1;
     Ticket m_lastTicket = 0;
     std::vector<EndpointIndex> m_candidates; ///< scratch space of choose()
+    std::vector<EndpointIndex> m_residentsOfVersion; ///< scratch space of choose()
     std::vector<std::pair<EndpointIndex, Prefix>> m_cachedPrefixes; ///< scratch space of choose()
     std::vector<EndpointIndex> m_holders; ///< scratch space of choose()
 };
--- a/include/turmericplank/routing/routetypes.hpp
+++ b/include/turmericplank/routing/routetypes.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -24,6 +25,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0; ///< max tokens of the answer, zero if unknown
     std::vector<base::EndpointId> excluded; ///< endpoints that must not get the request
+    std::optional<std::string> softwareVersion; ///< only endpoints of this version may get the request
 
     friend bool operator==(const RouteRequest &, const RouteRequest &) = default;
 };
--- a/src/turmericplank/routing/router_test.cpp
+++ b/src/turmericplank/routing/router_test.cpp
@@ -197,3 +197,30 @@
     fixture.request.excluded = {secondEndpoint};
     CHECK(fixture.send(20).endpoint == firstEndpoint);
 }
+
+TEST_CASE("a request that is bound to a software version goes to an endpoint of it, however many others there are")
+{
+    Router router;
+    router.setModels({advice}, {});
+    std::vector<RoutableEndpoint> endpoints;
+    constexpr int Count = 200; // more than are scored for one request
+    for (int n = 0; n < Count; ++n) {
+        endpoints.push_back({base::EndpointId("e-" + std::to_string(n)), {"127.0.0.1", 1}, base::ZoneName("a"), 4, n == 150 ? "v2" : "v1"});
+    }
+    router.setEndpoints(endpoints);
+    for (const auto &it : endpoints) {
+        router.noteReport(it.id, reportWith(0, at(0)), at(0));
+    }
+    std::mt19937_64 random{1};
+    RouteRequest request;
+    request.model = advice;
+    request.deadline = base::Time::max();
+    request.softwareVersion = "v2";
+    const auto choice = router.choose(request, at(1), random);
+    REQUIRE(choice);
+    CHECK(choice->endpoint == base::EndpointId("e-150"));
+    request.excluded = {choice->endpoint};
+    CHECK_FALSE(router.choose(request, at(2), random).has_value());
+    request.softwareVersion = "v3";
+    CHECK_FALSE(router.choose(request, at(3), random).has_value());
+}
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <tuple>
 
 #include "turmericplank/base/digest.hpp"
@@ -39,7 +40,9 @@
         m_candidates = residents;
     } else {
         for (const auto &[index, prefix] : m_cachedPrefixes) {
-            m_candidates.push_back(index);
+            if (!request.softwareVersion || m_endpoints[index].endpoint.softwareVersion == *request.softwareVersion) {
+                m_candidates.push_back(index);
+            }
         }
         while (m_candidates.size() < m_options.maxCandidates) {
             m_candidates.push_back(residents[random() % residents.size()]);
@@ -53,6 +56,18 @@
     }
 }
 
+const std::vector<EndpointIndex> &Router::residentsFor(const base::ModelName &model, const RouteRequest &request)
+{
+    const auto &residents = m_residents[model];
+    if (!request.softwareVersion) {
+        return residents;
+    }
+    m_residentsOfVersion.clear();
+    std::ranges::copy_if(residents, std::back_inserter(m_residentsOfVersion),
+                         [&](EndpointIndex index) { return m_endpoints[index].endpoint.softwareVersion == *request.softwareVersion; });
+    return m_residentsOfVersion;
+}
+
 void Router::findCachedPrefixes(const RouteRequest &request, base::Time now)
 {
     m_cachedPrefixes.clear();
@@ -203,7 +218,7 @@
     if (!resolved) {
         return tl::unexpected(NoRoute{NoRouteReason::UnknownModel, retryAt});
     }
-    const auto &residents = m_residents[resolved->model];
+    const auto &residents = residentsFor(resolved->model, request);
     if (residents.empty()) {
         return tl::unexpected(NoRoute{NoRouteReason::NotResident, retryAt});
     }
