Origins of streams: memory and message between daemons

Change: forwarding/streamorigins remembers the version of each stream, own origins and those of peers. Origins are ordered by the end of their need, so that neither expiry nor a full map scans all of them, and unsent ones are listed. When a service becomes mixed again, origins sent during the first time are sent again, since daemons may have appeared in between.

--- /dev/null
+++ b/include/turmericplank/forwarding/streamorigins.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "turmericplank/base/identifier.hpp"
+#include "turmericplank/base/time.hpp"
+
+namespace turmericplank::forwarding {
+
+/// @brief Number that stands for the id of a call; equal for equal ids on all daemons.
+using CallDigest = std::uint64_t;
+
+/// @brief Digest of a caller's call id.
+CallDigest callDigest(std::string_view callId);
+
+/// @brief The software version at which a stream began.
+struct StreamOrigin
+{
+    CallDigest call = 0; ///< the call that brought the stream's first event
+    std::string softwareVersion; ///< of the endpoint that sent it
+    base::Time neededUntil; ///< until then its caller may resume the stream
+
+    friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
+};
+
+/// @brief A service whose endpoints run several software versions, or did so lately.
+struct MixedService
+{
+    base::ServiceName service;
+    base::Time mixedUntil; ///< until then a stream may have begun at a version that is no longer listed
+
+    friend bool operator==(const MixedService &, const MixedService &) = default;
+};
+
+/// @brief Limits of StreamOrigins.
+struct StreamOriginsOptions
+{
+    base::Duration mixedMemory = std::chrono::seconds(60); ///< how long a service counts as mixed after one version remains; longer than any call
+    std::size_t maxOrigins = 100000; ///< of each kind, own and from peers; the oldest ones go first
+};
+
+/// @brief Remembers at which software version each stream began, as far as this daemon and its peers have relayed it.
+///
+/// While all endpoints of a service run one version, origins stay with the daemon that relayed the stream. While they run several,
+/// takeUnsent() returns those that the peers do not have yet, including the ones from before.
+class StreamOrigins
+{
+public:
+    explicit StreamOrigins(StreamOriginsOptions options = {});
+
+    /// @brief Records a stream whose first event this daemon relays.
+    void record(const base::ServiceName &service, StreamOrigin origin, base::Time now);
+
+    /// @brief Records origins that another daemon has sent.
+    void recordFromPeer(const std::vector<StreamOrigin> &origins, base::Time now);
+
+    /// @brief Applies the software versions of the endpoints that are listed now, by service.
+    void noteVersions(const std::map<base::ServiceName, std::set<std::string>> &versions, base::Time now);
+
+    /// @brief Applies another daemon's knowledge of mixed services.
+    void noteMixed(const std::vector<MixedService> &services, base::Time now);
+
+    /// @brief Version of a stream; null if unknown. Valid until the next change.
+    const std::string *find(CallDigest call) const;
+
+    /// @brief Whether several versions serve, or did so within the memory.
+    bool isMixed(const base::ServiceName &service, base::Time now) const;
+
+    /// @brief Services for which isMixed() holds.
+    std::vector<MixedService> mixedServices(base::Time now) const;
+
+    /// @brief Own origins of mixed services that were not returned since the service became mixed, or are needed for longer now.
+    std::vector<StreamOrigin> takeUnsent(base::Time now);
+
+    /// @brief All own origins of mixed services, for a daemon that has just appeared.
+    std::vector<StreamOrigin> ownOfMixedServices(base::Time now) const;
+
+    /// @brief Drops origins that are no longer needed.
+    void expire(base::Time now);
+
+    /// @brief Number of origins, own and from peers.
+    std::size_t size() const;
+
+private:
+    /// Origins of one kind, at most a given number of them.
+    class Store
+    {
+    public:
+        struct Entry
+        {
+            base::ServiceName service; ///< empty for origins from peers
+            StreamOrigin origin;
+        };
+
+        /// Adds an origin. A known call keeps its version and gets the later of both times. Returns whether anything has changed.
+        bool add(Entry entry, std::size_t maxOrigins);
+        void expire(base::Time now);
+        const Entry *find(CallDigest call) const;
+        const std::unordered_map<CallDigest, Entry> &entries() const;
+
+    private:
+        void removeEarliest();
+
+        std::unordered_map<CallDigest, Entry> m_entries;
+        std::set<std::pair<base::Time, CallDigest>> m_byNeededUntil;
+    };
+
+    void extendMixed(const base::ServiceName &service, base::Time mixedUntil, base::Time now);
+
+    StreamOriginsOptions m_options;
+    std::map<base::ServiceName, base::Time> m_mixedUntil;
+    Store m_own;
+    Store m_fromPeers;
+    std::unordered_set<CallDigest> m_unsent; ///< own origins of mixed services; may name some that were dropped
+};
+
+} // namespace turmericplank::forwarding
