Origins of streams: mixed services are not passed on in circles, and a change in one step counts

Change: mixedServices() holds what this daemon itself has seen; noteVersions() compares with the versions of the read before.

--- a/include/turmericplank/forwarding/streamorigins.hpp
+++ b/include/turmericplank/forwarding/streamorigins.hpp
@@ -74,7 +74,9 @@
     /// @brief Whether several versions serve, or did so within the memory.
     bool isMixed(const base::ServiceName &service, base::Time now) const;
 
-    /// @brief Services for which isMixed() holds.
+    /// @brief Services that this daemon itself has seen mixed, for its peers.
+    ///
+    /// What peers reported is left out: passed on in circles, with the delay of each message, it would never end.
     std::vector<MixedService> mixedServices(base::Time now) const;
 
     /// @brief Own origins of mixed services that were not returned since the service became mixed, or are needed for longer now.
@@ -116,6 +118,8 @@
     void extendMixed(const base::ServiceName &service, base::Time mixedUntil, base::Time now);
 
     StreamOriginsOptions m_options;
+    std::map<base::ServiceName, std::set<std::string>> m_listed; ///< versions at the last call of noteVersions()
+    std::map<base::ServiceName, base::Time> m_seenMixedUntil; ///< by this daemon itself
     std::map<base::ServiceName, base::Time> m_mixedUntil;
     Store m_own;
     Store m_fromPeers;
--- a/src/turmericplank/forwarding/streamorigins.cpp
+++ b/src/turmericplank/forwarding/streamorigins.cpp
@@ -80,8 +80,12 @@
 void StreamOrigins::noteVersions(const std::map<base::ServiceName, std::set<std::string>> &versions, base::Time now)
 {
     for (const auto &[service, listed] : versions) {
-        if (listed.size() > 1) {
-            extendMixed(service, now + m_options.mixedMemory, now);
+        // All endpoints may have been replaced between two reads.
+        auto recent = std::exchange(m_listed[service], listed);
+        recent.insert(listed.begin(), listed.end());
+        if (recent.size() > 1) {
+            m_seenMixedUntil[service] = now + m_options.mixedMemory;
+            extendMixed(service, m_seenMixedUntil[service], now);
         }
     }
 }
@@ -128,7 +132,7 @@
 std::vector<MixedService> StreamOrigins::mixedServices(base::Time now) const
 {
     std::vector<MixedService> services;
-    for (const auto &[service, until] : m_mixedUntil) {
+    for (const auto &[service, until] : m_seenMixedUntil) {
         if (until > now) {
             services.push_back({service, until});
         }
@@ -165,6 +169,7 @@
     m_own.expire(now);
     m_fromPeers.expire(now);
     std::erase_if(m_mixedUntil, [now](const auto &it) { return it.second <= now; });
+    std::erase_if(m_seenMixedUntil, [now](const auto &it) { return it.second <= now; });
 }
 
 std::size_t StreamOrigins::size() const
