A stream goes on only at the software version that began it

Callers saw: streams with events of two software versions, within one answer and after they had resumed them with a new call. Cause: endpoints' versions were not looked at, and the daemon that a caller turns to does not know where the stream began: the one that knows may have ended. Class of fault: state that a later request depends on was kept nowhere. Change: the version of the endpoint that sends the first event binds every further send of the call. A call that resumes a stream is bound to the version of the call that it names; if that is unknown here, the group and the zone are asked. Unknown while versions are mixed, or served by no endpoint any more: 503 without Retry-After, at once. With one version nothing is sent and any endpoint is taken. A resumed call uses the service that its first call was split to.

--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -71,6 +71,7 @@
     BadRequest, ///< not run; the request is malformed
     NoEndpoint, ///< not run; no endpoint of the service has capacity
     NotResident, ///< not run; the model or adapter is not resident on any engine yet
+    VersionUnavailable, ///< not run; the stream cannot be resumed, since the software version that began it is unknown or gone
     Draining, ///< not run; this daemon is shutting down
     Overloaded, ///< not run; the call could not be answered in time
     RejectedByEndpoints, ///< not run; the endpoints rejected it
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -4,13 +4,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 
 #include "turmericplank/forwarding/retrydelay.hpp"
+#include "turmericplank/forwarding/streamorigins.hpp"
 #include "turmericplank/forwarding/waiting.hpp"
 #include "turmericplank/gateway/connectionpool.hpp"
 #include "turmericplank/gateway/interface.hpp"
@@ -38,6 +41,7 @@
     double retryBudgetShare = 0.8; ///< of the site's limit; the rest covers what the daemons do not know of each other yet
     double promptTokenMilliseconds = 0.034; ///< engine time, at about 30 prompt tokens per millisecond
     double answerTokenMilliseconds = 0.15; ///< engine time with a batch of about 40 requests
+    base::Duration originMargin = std::chrono::seconds(5); ///< how long the origin of a stream is kept after its call's deadline
     std::uint32_t maxAnsweredLinesPerSecond = 100; ///< log lines for answered calls; lines for other calls are not limited here
     forwarding::RetryDelayOptions retryDelay;
 };
@@ -52,6 +56,9 @@
     ConnectionPool &pool;
     telemetry::Metrics &metrics;
     std::mt19937_64 &random;
+    forwarding::StreamOrigins &streamOrigins;
+    /// Asks daemons that do not share their origins with this one; calls back once, with nothing if none of them knows the stream.
+    std::function<void(forwarding::CallDigest, std::function<void(std::optional<std::string>)>)> findRemoteOrigin;
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -56,6 +56,7 @@
         std::function<void(PeerStatus &)> fillStatus; ///< fills in this daemon's state
         std::function<placement::DemandCounters()> demand; ///< this daemon's demand, for the holder of the placement lease
         std::function<void(const PeerStatus &)> onPeerStatus;
+        std::function<void(const base::DaemonId &)> onPeerHeard; ///< first message of a daemon of the group, or the first one after a silence
         std::function<void(const base::DaemonId &)> onPeerSilent; ///< no message from a daemon within the timeout
     };
 
@@ -94,6 +95,11 @@
     /// @brief Sends a message to all peers in the group that are heard; the lease holder also sends it to all other daemons.
     void sendToAll(const std::string &kind, const std::string &body);
 
+    /// @brief Asks the daemons of the group and of this zone.
+    /// @param timeout until when each of them must answer
+    /// @param onDone gets the first answer that is not empty, or nothing; called exactly once, at once if there is nobody to ask
+    void askNearby(const std::string &kind, const std::string &body, base::Duration timeout, std::function<void(std::optional<std::string>)> onDone);
+
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
 
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -15,6 +15,8 @@
         return "no_endpoint";
     case RejectionReason::NotResident:
         return "not_resident";
+    case RejectionReason::VersionUnavailable:
+        return "version_unavailable";
     case RejectionReason::Draining:
         return "leaving";
     case RejectionReason::Overloaded:
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -37,7 +37,7 @@
     , m_call(std::move(call))
     , m_routes(std::move(routes))
     , m_route(route)
-    , m_service(routes::chooseService(route, m_call.id))
+    , m_service(routes::chooseService(route, m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall))
     , m_arrivedAt(now)
     , m_attempts(route.kind, std::max(1U, route.sendLimit), finalDeadline(route, m_call, now))
     , m_lastEvent(m_call.lastEventId)
@@ -61,7 +61,58 @@
     m_exchange->setOnClosed([self = Pointer(this)] { self->handleCallerDisconnect(); });
     m_forwarder.recordDemand(m_service, m_call);
     armDeadlineTimer();
-    selectEndpoint();
+    if (isResumption()) {
+        findOrigin();
+    } else {
+        selectEndpoint();
+    }
+}
+
+bool ForwardedCall::isResumption() const
+{
+    return m_route.kind.isStreamed && m_route.kind.isResumable && m_call.lastEventId;
+}
+
+/// Events of two software versions do not fit together. While only one version serves and no other did lately, the origin does not matter.
+void ForwardedCall::findOrigin()
+{
+    const auto &dependencies = m_forwarder.m_dependencies;
+    const auto call = forwarding::callDigest(m_call.resumedCall);
+    if (const auto *version = dependencies.streamOrigins.find(call)) {
+        resumeAt(*version);
+    } else if (!dependencies.streamOrigins.isMixed(m_service, base::now())) {
+        selectEndpoint();
+    } else {
+        dependencies.findRemoteOrigin(call, [self = Pointer(this)](const std::optional<std::string> &remoteVersion) {
+            if (self->m_isFinished) {
+                return;
+            }
+            if (remoteVersion) {
+                self->resumeAt(*remoteVersion);
+            } else {
+                self->reject(RejectionReason::VersionUnavailable);
+            }
+        });
+    }
+}
+
+void ForwardedCall::resumeAt(const std::string &softwareVersion)
+{
+    m_softwareVersion = softwareVersion;
+    if (isServing(softwareVersion)) {
+        selectEndpoint();
+    } else {
+        reject(RejectionReason::VersionUnavailable);
+    }
+}
+
+bool ForwardedCall::isServing(const std::string &softwareVersion) const
+{
+    const auto &siteState = m_forwarder.m_dependencies.siteState;
+    return std::ranges::any_of(siteState.endpoints(), [&](const auto &it) {
+        const auto &[id, entry] = it;
+        return entry.service == m_service && entry.softwareVersion == softwareVersion && !siteState.isDraining(id);
+    });
 }
 
 void ForwardedCall::retrySelection()
@@ -90,6 +141,7 @@
     request.promptTokens = m_call.promptTokens;
     request.answerTokens = m_call.maxAnswerTokens;
     request.excluded = m_excludedEndpoints;
+    request.softwareVersion = m_softwareVersion;
     return request;
 }
 
@@ -184,6 +236,9 @@
     m_attempt->choice = choice;
     m_attempt->sentAt = base::now();
     m_attempt->events = forwarding::EventCursor(m_lastEvent);
+    const auto &endpoints = m_forwarder.m_dependencies.siteState.endpoints();
+    const auto entry = endpoints.find(choice.endpoint);
+    m_attempt->softwareVersion = entry == endpoints.end() ? "" : entry->second.softwareVersion;
     m_attempts.recordSend();
     telemetry::log(LogLevel::Debug, "requests", "sends",
                    {{"request", m_call.id}, {"endpoint", choice.endpoint.text()}, {"reason", toString(choice.reason)}, {"work", m_qualifiedModel.text()}});
@@ -201,15 +256,14 @@
 void ForwardedCall::logResumption() const
 {
     const bool isByCaller = m_call.lastEventId && !m_isStreaming;
-    const auto &endpoints = m_forwarder.m_dependencies.siteState.endpoints();
-    const auto entry = endpoints.find(m_attempt->choice.endpoint);
     telemetry::log(LogLevel::Info, "requests", "resumes a stream",
                    {{"request", m_call.id},
                     {"begun_by", m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall},
                     {"by", isByCaller ? "caller" : "daemon"},
                     {"after_event", *m_lastEvent},
                     {"endpoint", m_attempt->choice.endpoint.text()},
-                    {"version", entry == endpoints.end() ? "unknown" : entry->second.softwareVersion}});
+                    {"version", m_attempt->softwareVersion},
+                    {"origin", m_softwareVersion ? "known" : "unknown"}});
     m_forwarder.m_dependencies.metrics.count(isByCaller ? "streams_resumed_total{by=\"caller\"}" : "streams_resumed_total{by=\"daemon\"}");
 }
 
@@ -255,7 +309,8 @@
 {
     const auto now = base::now();
     Rejection rejection{reason, std::nullopt};
-    if (!m_attempts.mayHaveRun()) {
+    const bool mayBeServedLater = reason != RejectionReason::VersionUnavailable;
+    if (!m_attempts.mayHaveRun() && mayBeServedLater) {
         const bool isPaused = m_pauseEnd && *m_pauseEnd > now;
         const auto recovery = isPaused ? *m_pauseEnd - now : forwarding::expectedRecovery(m_waitCause, m_isEngine, m_forwarder.m_options.wait);
         rejection.retryAfter =
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -29,6 +29,7 @@
     net::Headers headers;
     std::string body; ///< of a response that is forwarded as a whole
     forwarding::EventCursor events; ///< of a response whose events are forwarded as they arrive
+    std::string softwareVersion; ///< of the endpoint
     base::Time sentAt;
     bool hasFirstEvent = false;
     bool isRelaying = false; ///< events are forwarded to the caller as they arrive
@@ -52,6 +53,10 @@
 private:
     using Pointer = boost::intrusive_ptr<ForwardedCall>;
 
+    bool isResumption() const;
+    void findOrigin();
+    void resumeAt(const std::string &softwareVersion);
+    bool isServing(const std::string &softwareVersion) const;
     void selectEndpoint();
     void waitForEndpoint(forwarding::WaitCause cause);
     void waitForPauseEnd(base::Time pauseEnd);
@@ -75,6 +80,7 @@
     net::HeaderAction handleResponseHead(std::uint64_t number, int status, const net::Headers &headers);
     void handleBodyChunk(std::uint64_t number, std::string_view chunk);
     void keepOnly(std::uint64_t number);
+    void startStream(base::Time now);
     void handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome);
     std::optional<forwarding::SendResult> failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const;
     void relayCompleteResponse();
@@ -113,6 +119,7 @@
     forwarding::Attempts m_attempts;
     std::optional<std::uint64_t> m_lastEvent; ///< last event that the caller has received
     std::uint64_t m_events = 0; ///< events relayed to the caller
+    std::optional<std::string> m_softwareVersion; ///< at which the stream began, and must go on
     boost::asio::steady_timer m_deadlineTimer;
     std::optional<CallAttempt> m_attempt;
     /// Has been silent for too long, but may go on: it stays until the attempt that is to replace it, m_attempt, brings something.
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -244,16 +244,26 @@
         m_forwarder.m_dependencies.router.noteFirstToken(m_attempt->choice.ticket, now);
     }
     if (!m_isStreaming) {
-        m_isStreaming = true;
-        m_firstEventAt = now;
-        m_lastEventAt = now;
-        m_exchange->startStream(m_attempt->head->status, m_attempt->headers);
+        startStream(now);
     }
     m_maxEventGap = std::max(m_maxEventGap, now - std::exchange(m_lastEventAt, now));
     m_attempt->pooled->connection->setDeadline(silenceDeadline(*m_attempt, now));
     m_exchange->writeChunk(std::move(events));
 }
 
+void ForwardedCall::startStream(base::Time now)
+{
+    m_isStreaming = true;
+    m_firstEventAt = now;
+    m_lastEventAt = now;
+    m_softwareVersion = m_attempt->softwareVersion;
+    if (!m_call.lastEventId && m_route.kind.isResumable) {
+        m_forwarder.m_dependencies.streamOrigins.record(
+            m_service, {forwarding::callDigest(m_call.id), *m_softwareVersion, m_attempts.deadline() + m_forwarder.m_options.originMargin}, now);
+    }
+    m_exchange->startStream(m_attempt->head->status, m_attempt->headers);
+}
+
 /// Of two attempts, the first one that brings a whole event or the end of the answer is kept; the other one ends, so that only one runs on.
 void ForwardedCall::keepOnly(std::uint64_t number)
 {
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -157,7 +157,7 @@
 {
     TestSite site(FirstPort);
     site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
-    site.a.scripts = {events(2) + step(EngineStep::Kind::Break)};
+    site.a.scripts = {events(2) + pause(ShortPause) + step(EngineStep::Kind::Break)};
     site.b.scripts = {events(9) + step(EngineStep::Kind::End)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
     CHECK(exchange->isCutOff);
@@ -187,7 +187,7 @@
 {
     TestSite site(FirstPort);
     site.applyEntries({site.b.entry("v1")});
-    site.b.scripts = {events(2) + step(EngineStep::Kind::Break), events(2) + step(EngineStep::Kind::End)};
+    site.b.scripts = {events(2) + pause(ShortPause) + step(EngineStep::Kind::Break), events(2) + step(EngineStep::Kind::End)};
     CHECK(site.call({{"Request-Id", "c1"}})->isCutOff);
     site.applyEntries({site.a.entry("v2"), site.b.entry("v1")}); // the closer endpoint has the other version
     site.a.scripts = {events(2) + step(EngineStep::Kind::End)};
@@ -201,7 +201,7 @@
 {
     TestSite site(FirstPort);
     site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
-    site.a.scripts = {events(2) + step(EngineStep::Kind::Break), events(2)};
+    site.a.scripts = {events(2) + pause(ShortPause) + step(EngineStep::Kind::Break), events(2)};
     site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
     const auto unknown = site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}});
     CHECK(unknown->isComplete);
@@ -221,3 +221,13 @@
     CHECK(site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}})->isComplete);
     CHECK(site.a.received == std::vector<std::string>{"2"});
 }
+
+TEST_CASE("a stream whose software version only another daemon knows is resumed there")
+{
+    TestSite site(FirstPort);
+    site.applyEntries({site.a.entry("v2"), site.b.entry("v1")});
+    site.remoteOrigins[forwarding::callDigest("c0")] = "v1";
+    site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
+    CHECK(site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}})->isComplete);
+    CHECK(site.a.received.empty());
+}
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -224,6 +224,43 @@
     }
 }
 
+void Peers::askNearby(const std::string &kind, const std::string &body, base::Duration timeout, std::function<void(std::optional<std::string>)> onDone)
+{
+    struct Query
+    {
+        std::size_t open = 1; ///< questions without an answer; one more while they are being sent
+        std::function<void(std::optional<std::string>)> onDone;
+    };
+    const auto query = std::make_shared<Query>();
+    query->onDone = std::move(onDone);
+    const auto endOne = [query] {
+        if (--query->open == 0 && query->onDone) {
+            std::exchange(query->onDone, nullptr)(std::nullopt);
+        }
+    };
+    for (const auto &[id, peer] : m_peers) {
+        const bool isNearby = peer.isInGroup ? !peer.isSilent : peer.record && peer.record->zone == m_self.zone;
+        if (!peer.record || !isNearby) {
+            continue;
+        }
+        ++query->open;
+        peer::PeerCall call;
+        call.kind = kind;
+        call.body = body;
+        call.timeout = timeout;
+        call.onChunk = [query](std::string_view chunk) {
+            if (query->onDone && !chunk.empty()) {
+                std::exchange(query->onDone, nullptr)(std::string(chunk));
+            }
+        };
+        call.onEnd = [endOne](const auto &) {
+            endOne();
+        };
+        m_mesh.call(peer.record->peerAddress, std::move(call));
+    }
+    endOne();
+}
+
 void Peers::registerAgain()
 {
     m_isRegistered = false;
@@ -248,7 +285,8 @@
         peer.record = record;
         assignGroups();
     }
-    if (std::exchange(peer.isSilent, false)) {
+    const bool isNewlyHeard = std::exchange(peer.isSilent, false);
+    if (isNewlyHeard) {
         telemetry::log(LogLevel::Info, "peers", "heard", {{"daemon", status->from.text()}, {"incarnation", status->incarnation.value()}});
     }
     if (!peer.status || peer.status->isDraining != status->isDraining) {
@@ -256,6 +294,9 @@
     }
     peer.heardAt = base::now();
     peer.status = *status;
+    if (isNewlyHeard && peer.isInGroup && m_callbacks.onPeerHeard) {
+        m_callbacks.onPeerHeard(status->from);
+    }
     if (m_callbacks.onPeerStatus) {
         m_callbacks.onPeerStatus(*status);
     }
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -259,7 +259,8 @@
         return headers;
     };
     wire.makeRejection = [](const Rejection &rejection) {
-        return net::HttpResponse{rejection.retryAfter ? 503 : 502, {}, std::string(toString(rejection.reason))};
+        const bool mayHaveRun = rejection.reason == RejectionReason::OutcomeUnknown || rejection.reason == RejectionReason::TimedOut;
+        return net::HttpResponse{mayHaveRun ? 502 : 503, {}, std::string(toString(rejection.reason))};
     };
     return wire;
 }
@@ -287,6 +288,11 @@
         for (const auto &it : entries) {
             m_pool.setEndpoint(it.id, it.address, it.incarnation, 10);
         }
+        std::map<base::ServiceName, std::set<std::string>> versions;
+        for (const auto &[id, it] : m_siteState.endpoints()) {
+            versions[it.service].insert(it.softwareVersion);
+        }
+        m_streamOrigins.noteVersions(versions, base::now());
     }
 
     /// Sends a call and returns when it has ended, or after some time.
@@ -340,6 +346,26 @@
         return it;
     }
 
+    ForwarderDependencies dependencies()
+    {
+        return {m_context,
+                m_wire,
+                m_siteState,
+                m_router,
+                m_pool,
+                m_metrics,
+                m_random,
+                m_streamOrigins,
+                [this](forwarding::CallDigest call, const std::function<void(std::optional<std::string>)> &callback) {
+                    const auto it = remoteOrigins.find(call);
+                    callback(it == remoteOrigins.end() ? std::nullopt : std::optional(it->second));
+                },
+                [] { return std::size_t(1); },
+                [] {},
+                [](const base::ServiceName &, const base::ModelName &) {
+                }};
+    }
+
     static routing::RouterOptions routerOptions()
     {
         routing::RouterOptions it;
@@ -362,6 +388,7 @@
 public:
     ScriptedEngine a;
     ScriptedEngine b;
+    std::map<forwarding::CallDigest, std::string> remoteOrigins; ///< known to daemons that are asked
 
 private:
     WireFormat m_wire = testWireFormat();
@@ -370,10 +397,8 @@
     routing::Router m_router{routerOptions()};
     SiteState m_siteState{m_router};
     ConnectionPool m_pool{m_context, {}};
-    Forwarder m_forwarder{ForwarderDependencies{m_context, m_wire, m_siteState, m_router, m_pool, m_metrics, m_random, [] { return std::size_t(1); }, [] {},
-                                                [](const base::ServiceName &, const base::ModelName &) {
-                                                }},
-                          SiteBounds(), options()};
+    forwarding::StreamOrigins m_streamOrigins;
+    Forwarder m_forwarder{dependencies(), SiteBounds(), options()};
 };
 
 } // namespace turmericplank::gateway::testing
