The framing of an endpoint's answer is limited in size

Cause: the parser limits a status line and a header section (8 KB), but a chunk header or a trailer section without an end was buffered for as long as the endpoint sent, until the deadline of the call. Change: a connection whose parser waits for more than 8 KB is closed, and the request ends as malformed. Measured: net/clientconnection_test 'an endless chunk header or trailer section is malformed' failed before (3 of 3 checks, all 8 MB of the fake endpoint were taken), passes now. The new case on status lines and header sections passed before as well.

--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::size_t ReadSize = 4 * 1024; ///< bytes; enough for a few events of a streamed response
 constexpr std::uint64_t MaxBodyBytes = 64 * 1024 * 1024; ///< bytes; a streamed response does not declare its length
+constexpr std::size_t MaxFramingBytes = 8 * 1024; ///< of a header section, a chunk header or a trailer section
 constexpr int MaxSkippedResponses = 4; ///< if more late responses precede a request's own, the connection is treated as corrupt
 constexpr int TcpUserTimeoutMilliseconds = 4000; ///< TCP closes a connection whose peer acknowledges no data for this long
 
@@ -150,6 +151,7 @@
         m_hasHeaders = false;
         m_isSkipping = false;
         m_parser.emplace([this] { processHeaders(); }, [this](std::string_view chunk) { processChunk(chunk); });
+        m_parser->header_limit(MaxFramingBytes);
         m_parser->body_limit(MaxBodyBytes);
     }
 
@@ -200,7 +202,9 @@
             if (m_isClosed) {
                 return false;
             }
-            if (ec == http::error::need_more) {
+            // The parser itself limits the header section, but not what it waits for between the parts of a chunked body.
+            const bool isOverlong = ec == http::error::need_more && m_buffer.size() > MaxFramingBytes;
+            if (ec == http::error::need_more && !isOverlong) {
                 return true;
             }
             if (ec) {
--- a/src/turmericplank/net/clientconnection_test.cpp
+++ b/src/turmericplank/net/clientconnection_test.cpp
@@ -16,14 +16,21 @@
 
 namespace {
 
-/// Endpoint that writes the given bytes, one element for each read, and may then close the connection.
+constexpr std::size_t EndlessBlockBytes = 64 * 1024;
+constexpr std::size_t MaxEndlessBytes = 8 * 1024 * 1024; ///< far beyond every limit; keeps the test itself small if a limit is missing
+
+/// Endpoint that writes the given bytes, one element for each read, and may then close the connection or write a piece again and
+/// again until the connection is closed.
 struct FakeEndpoint
 {
-    FakeEndpoint(asio::io_context &context, std::vector<std::string> responses, bool closesAtEnd)
+    FakeEndpoint(asio::io_context &context, std::vector<std::string> responses, bool closesAtEnd, const std::string &endlessPiece)
         : acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
         , queuedResponses(std::move(responses))
         , closes(closesAtEnd)
     {
+        while (!endlessPiece.empty() && endlessBlock.size() < EndlessBlockBytes) {
+            endlessBlock += endlessPiece;
+        }
         acceptor.async_accept([this](boost::system::error_code ec, tcp::socket accepted) {
             if (!ec) {
                 socket.emplace(std::move(accepted));
@@ -44,10 +51,26 @@
                 socket->close();
                 return;
             }
+            if (next == queuedResponses.size() && !endlessBlock.empty()) {
+                writeEndlessly();
+                return;
+            }
             read();
         });
     }
 
+    void writeEndlessly()
+    {
+        asio::async_write(*socket, asio::buffer(endlessBlock), [this](boost::system::error_code ec, std::size_t n) {
+            endlessBytes += n;
+            if (ec || endlessBytes >= MaxEndlessBytes) {
+                socket->close();
+                return;
+            }
+            writeEndlessly();
+        });
+    }
+
     base::Address address() const
     {
         return {"127.0.0.1", acceptor.local_endpoint().port()};
@@ -57,7 +80,9 @@
     std::optional<tcp::socket> socket;
     std::array<char, 4096> buf{};
     std::vector<std::string> queuedResponses;
+    std::string endlessBlock;
     std::string received;
+    std::size_t endlessBytes = 0;
     std::size_t next = 0;
     bool closes = false;
 };
@@ -76,10 +101,11 @@
 }
 
 /// Sends one request with the id "mine" and runs until it ends; responses with other ids are skipped.
-Result sendRequest(std::vector<std::string> responses, bool closesAtEnd = false, base::Duration timeout = std::chrono::seconds(5))
+Result sendRequest(std::vector<std::string> responses, bool closesAtEnd = false, base::Duration timeout = std::chrono::seconds(5),
+                   const std::string &endlessPiece = {}, HeaderAction action = HeaderAction::Accept)
 {
     asio::io_context context;
-    FakeEndpoint endpoint(context, std::move(responses), closesAtEnd);
+    FakeEndpoint endpoint(context, std::move(responses), closesAtEnd, endlessPiece);
     Result result;
     ClientConnectionPointer connection;
     openConnection(context, endpoint.address(), base::now() + std::chrono::seconds(5), [&](const ClientConnectionPointer &opened) {
@@ -90,7 +116,7 @@
         clientRequest.deadline = base::now() + timeout;
         clientRequest.onHeaders = [&](int status, const Headers &headers) {
             result.status = status;
-            return header(headers, "Request-Id") == "mine" ? HeaderAction::Accept : HeaderAction::Skip;
+            return header(headers, "Request-Id") == "mine" ? action : HeaderAction::Skip;
         };
         clientRequest.onChunk = [&](std::string_view chunk) {
             result.body.append(chunk);
@@ -109,6 +135,14 @@
     return result;
 }
 
+/// Sends one request to an endpoint that starts with some bytes and then writes a piece without end.
+Result sendToEndlessEndpoint(const std::string &start, const std::string &piece, HeaderAction action = HeaderAction::Accept)
+{
+    return sendRequest({start}, false, std::chrono::seconds(5), piece, action);
+}
+
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 } // namespace
 
 TEST_CASE("a complete response leaves the connection open")
@@ -170,3 +204,19 @@
     context.run();
     CHECK(isCalled);
 }
+
+TEST_CASE("an endless status line or header section is malformed")
+{
+    CHECK((sendToEndlessEndpoint("x", "x").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint("\r\n", "\r\n").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint("HTTP/1.1 200 O", "O").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint("HTTP/1.1 200 OK\r\nRequest-Id: ", "x").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint("HTTP/1.1 200 OK\r\n", "X-Field: x\r\n").outcome == SendOutcome::Malformed));
+}
+
+TEST_CASE("an endless chunk header or trailer section is malformed")
+{
+    CHECK((sendToEndlessEndpoint(ChunkedHead, "0").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint(ChunkedHead + "5;", "x").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint(ChunkedHead + "0\r\n", "X-Field: x\r\n").outcome == SendOutcome::Malformed));
+}
