Interim responses of an endpoint are read past, at most four

Cause: a 1xx response counted as the whole answer. With the call's id it would have been relayed to the caller as if it were final. Change: it is skipped like a late answer to another call and counted with those; the fifth one ends the request as malformed.

--- a/include/turmericplank/net/clientconnection.hpp
+++ b/include/turmericplank/net/clientconnection.hpp
@@ -17,7 +17,7 @@
     NotSent, ///< no byte of the request was written to the connection
     ConnectionLost, ///< the connection ended before the whole response was received
     TimedOut, ///< the deadline passed before the response was complete
-    Malformed, ///< the received bytes are not a valid response, or too many late responses preceded it
+    Malformed, ///< the received bytes are not a valid response, or too many late or interim responses preceded it
 };
 
 /// @brief The outcome as it is written in logs.
@@ -34,7 +34,7 @@
 {
     HttpRequest request; ///< Host and Content-Length are added where they are missing
     base::Time deadline; ///< when onTimeout is called; moved with ClientConnection::setDeadline()
-    std::function<HeaderAction(int status, const Headers &headers)> onHeaders;
+    std::function<HeaderAction(int status, const Headers &headers)> onHeaders; ///< not called for interim responses (1xx), which are read past
     std::function<void(std::string_view chunk)> onChunk;
     /// Called when the deadline passes; may return a later deadline to go on waiting. Otherwise the request times out.
     std::function<base::Time()> onTimeout;
--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -24,7 +24,8 @@
 constexpr std::size_t ReadSize = 4 * 1024; ///< bytes; enough for a few events of a streamed response
 constexpr std::uint64_t MaxBodyBytes = 64 * 1024 * 1024; ///< bytes; a streamed response does not declare its length
 constexpr std::size_t MaxFramingBytes = 8 * 1024; ///< of a header section, a chunk header or a trailer section
-constexpr int MaxSkippedResponses = 4; ///< if more late responses precede a request's own, the connection is treated as corrupt
+constexpr int MaxSkippedResponses = 4; ///< if more late or interim responses precede a request's own, the connection is treated as corrupt
+constexpr int FirstFinalStatus = 200; ///< responses with a lower status precede the final response to the same request
 constexpr int TcpUserTimeoutMilliseconds = 4000; ///< TCP closes a connection whose peer acknowledges no data for this long
 
 std::string serializeRequest(const HttpRequest &request, const std::string &host)
@@ -158,7 +159,8 @@
     void processHeaders()
     {
         m_hasHeaders = true;
-        m_isSkipping = m_current && m_current->onHeaders && m_current->onHeaders(m_parser->status(), m_parser->headers()) == HeaderAction::Skip;
+        const bool isInterim = m_parser->status() < FirstFinalStatus;
+        m_isSkipping = isInterim || (m_current && m_current->onHeaders && m_current->onHeaders(m_parser->status(), m_parser->headers()) == HeaderAction::Skip);
     }
 
     void processChunk(std::string_view chunk)
--- a/src/turmericplank/net/clientconnection_test.cpp
+++ b/src/turmericplank/net/clientconnection_test.cpp
@@ -220,3 +220,13 @@
     CHECK((sendToEndlessEndpoint(ChunkedHead + "5;", "x").outcome == SendOutcome::Malformed));
     CHECK((sendToEndlessEndpoint(ChunkedHead + "0\r\n", "X-Field: x\r\n").outcome == SendOutcome::Malformed));
 }
+
+TEST_CASE("interim responses are read past, an endless series of them is malformed")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\nRequest-Id: mine\r\n\r\n";
+    const auto it = sendRequest({interim + makeResponse("mine", "hello")});
+    CHECK((it.outcome == SendOutcome::Complete));
+    CHECK(it.status == 200);
+    CHECK(it.body == "hello");
+    CHECK((sendToEndlessEndpoint(interim, interim).outcome == SendOutcome::Malformed));
+}
