The body of an endpoint's answer is limited to what a VM's memory allows

Cause: a body was taken up to 64 MB per call, in memory if it is collected as a whole, on VMs with 160 MB and several hundred calls. Change: 256 KB for a body that is collected or skipped, 4 MB for a stream. Measured: net/clientconnection_test 'an endless body ...', 'bodies up to the limits ...' and 'an endless late response ...' failed before (14 checks; 8 MB collected, all that the fake endpoint sends), pass now. The new case on idle connections passed before as well, and so did the skipped response that arrives slowly, which ends at the deadline.

--- a/include/turmericplank/net/clientconnection.hpp
+++ b/include/turmericplank/net/clientconnection.hpp
@@ -11,13 +11,20 @@
 
 namespace turmericplank::net {
 
+/// @brief Max bytes of a response that is collected as a whole, or skipped.
+///
+/// An answer has a few KB. With 300 calls in progress, bodies of this size would take half of a VM's 160 MB.
+constexpr std::size_t MaxBodyBytes = 256 * 1024;
+/// @brief Max bytes of a response that is passed on as it arrives: 1,000 events of 4 KB, which events do not reach.
+constexpr std::size_t MaxStreamBytes = 4 * 1024 * 1024;
+
 /// @brief How a request on a persistent connection ended.
 enum class SendOutcome {
     Complete, ///< the whole response was received
     NotSent, ///< no byte of the request was written to the connection
     ConnectionLost, ///< the connection ended before the whole response was received
     TimedOut, ///< the deadline passed before the response was complete
-    Malformed, ///< the received bytes are not a valid response, or too many late or interim responses preceded it
+    Malformed, ///< the received bytes are not a valid response, exceed a limit, or follow too many late or interim responses
 };
 
 /// @brief The outcome as it is written in logs.
@@ -25,7 +32,8 @@
 
 /// @brief What to do with a response, decided from its status and headers.
 enum class HeaderAction {
-    Accept, ///< the response belongs to the request
+    Accept, ///< the response belongs to the request and is collected as a whole
+    Stream, ///< the response belongs to the request and is passed on as it arrives
     Skip, ///< a late response to an earlier request: read it to its end and wait for the next one
 };
 
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -201,7 +201,7 @@
     attempt->isRelaying = isSuccess && belongsToCall && m_route.kind.isStreamed;
     attempt->headers = m_forwarder.m_dependencies.wire.forwardedHeaders(headers);
     attempt->head = std::move(head);
-    return net::HeaderAction::Accept;
+    return attempt->isRelaying ? net::HeaderAction::Stream : net::HeaderAction::Accept;
 }
 
 void ForwardedCall::handleBodyChunk(std::uint64_t number, std::string_view chunk)
--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -22,7 +22,6 @@
 using asio::ip::tcp;
 
 constexpr std::size_t ReadSize = 4 * 1024; ///< bytes; enough for a few events of a streamed response
-constexpr std::uint64_t MaxBodyBytes = 64 * 1024 * 1024; ///< bytes; a streamed response does not declare its length
 constexpr std::size_t MaxFramingBytes = 8 * 1024; ///< of a header section, a chunk header or a trailer section
 constexpr int MaxSkippedResponses = 4; ///< if more late or interim responses precede a request's own, the connection is treated as corrupt
 constexpr int FirstFinalStatus = 200; ///< responses with a lower status precede the final response to the same request
@@ -153,18 +152,28 @@
         m_isSkipping = false;
         m_parser.emplace([this] { processHeaders(); }, [this](std::string_view chunk) { processChunk(chunk); });
         m_parser->header_limit(MaxFramingBytes);
-        m_parser->body_limit(MaxBodyBytes);
+        m_parser->body_limit(MaxStreamBytes);
     }
 
     void processHeaders()
     {
         m_hasHeaders = true;
         const bool isInterim = m_parser->status() < FirstFinalStatus;
-        m_isSkipping = isInterim || (m_current && m_current->onHeaders && m_current->onHeaders(m_parser->status(), m_parser->headers()) == HeaderAction::Skip);
+        auto action = isInterim ? HeaderAction::Skip : HeaderAction::Accept;
+        if (!isInterim && m_current && m_current->onHeaders) {
+            action = m_current->onHeaders(m_parser->status(), m_parser->headers());
+        }
+        m_isSkipping = action == HeaderAction::Skip;
+        m_bodyBytesLeft = action == HeaderAction::Stream ? MaxStreamBytes : MaxBodyBytes;
     }
 
     void processChunk(std::string_view chunk)
     {
+        if (chunk.size() > m_bodyBytesLeft) {
+            finish(SendOutcome::Malformed);
+            return;
+        }
+        m_bodyBytesLeft -= chunk.size();
         if (!m_isSkipping && m_current && m_current->onChunk && !m_isClosed) {
             m_current->onChunk(chunk);
         }
@@ -317,6 +326,7 @@
     beast::flat_buffer m_buffer;
     std::string m_requestBytes;
     base::Time m_deadline;
+    std::size_t m_bodyBytesLeft = 0; ///< that the response may still have
     int m_skippedResponses = 0;
     bool m_hasHeaders = false;
     bool m_isSkipping = false;
--- a/src/turmericplank/net/clientconnection_test.cpp
+++ b/src/turmericplank/net/clientconnection_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -20,21 +21,24 @@
 constexpr std::size_t MaxEndlessBytes = 8 * 1024 * 1024; ///< far beyond every limit; keeps the test itself small if a limit is missing
 
 /// Endpoint that writes the given bytes, one element for each read, and may then close the connection or write a piece again and
-/// again until the connection is closed.
+/// again until the connection is closed, at full speed or with pauses.
 struct FakeEndpoint
 {
-    FakeEndpoint(asio::io_context &context, std::vector<std::string> responses, bool closesAtEnd, const std::string &endlessPiece)
+    FakeEndpoint(asio::io_context &context, std::vector<std::string> responses, bool closesAtEnd, const std::string &endlessPiece, base::Duration pause)
         : acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , timer(context)
         , queuedResponses(std::move(responses))
+        , endlessBlock(endlessPiece)
+        , endlessPause(pause)
         , closes(closesAtEnd)
     {
-        while (!endlessPiece.empty() && endlessBlock.size() < EndlessBlockBytes) {
+        while (!endlessPiece.empty() && pause.count() == 0 && endlessBlock.size() < EndlessBlockBytes) {
             endlessBlock += endlessPiece;
         }
         acceptor.async_accept([this](boost::system::error_code ec, tcp::socket accepted) {
             if (!ec) {
                 socket.emplace(std::move(accepted));
-                read();
+                queuedResponses.empty() && !endlessBlock.empty() ? writeEndlessly() : read();
             }
         });
     }
@@ -67,7 +71,8 @@
                 socket->close();
                 return;
             }
-            writeEndlessly();
+            timer.expires_after(endlessPause);
+            timer.async_wait([this](boost::system::error_code) { writeEndlessly(); });
         });
     }
 
@@ -77,10 +82,12 @@
     }
 
     tcp::acceptor acceptor;
+    asio::steady_timer timer;
     std::optional<tcp::socket> socket;
     std::array<char, 4096> buf{};
     std::vector<std::string> queuedResponses;
     std::string endlessBlock;
+    base::Duration endlessPause;
     std::string received;
     std::size_t endlessBytes = 0;
     std::size_t next = 0;
@@ -102,10 +109,10 @@
 
 /// Sends one request with the id "mine" and runs until it ends; responses with other ids are skipped.
 Result sendRequest(std::vector<std::string> responses, bool closesAtEnd = false, base::Duration timeout = std::chrono::seconds(5),
-                   const std::string &endlessPiece = {}, HeaderAction action = HeaderAction::Accept)
+                   const std::string &endlessPiece = {}, HeaderAction action = HeaderAction::Accept, base::Duration endlessPause = base::Duration(0))
 {
     asio::io_context context;
-    FakeEndpoint endpoint(context, std::move(responses), closesAtEnd, endlessPiece);
+    FakeEndpoint endpoint(context, std::move(responses), closesAtEnd, endlessPiece, endlessPause);
     Result result;
     ClientConnectionPointer connection;
     openConnection(context, endpoint.address(), base::now() + std::chrono::seconds(5), [&](const ClientConnectionPointer &opened) {
@@ -230,3 +237,52 @@
     CHECK(it.body == "hello");
     CHECK((sendToEndlessEndpoint(interim, interim).outcome == SendOutcome::Malformed));
 }
+
+TEST_CASE("an endless body is malformed and is passed on only up to the limit")
+{
+    const std::string unframedHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n";
+    const std::string lengthHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nContent-Length: 60000000\r\n\r\n";
+    for (const auto &[head, piece] : {std::pair(unframedHead, "x"), std::pair(lengthHead, "x"), std::pair(ChunkedHead, "5\r\nhello\r\n")}) {
+        const auto collected = sendToEndlessEndpoint(head, piece);
+        CHECK((collected.outcome == SendOutcome::Malformed));
+        CHECK(collected.body.size() <= MaxBodyBytes);
+        const auto streamed = sendToEndlessEndpoint(head, piece, HeaderAction::Stream);
+        CHECK((streamed.outcome == SendOutcome::Malformed));
+        CHECK(streamed.body.size() <= MaxStreamBytes);
+    }
+}
+
+TEST_CASE("bodies up to the limits are complete")
+{
+    const std::string body(MaxBodyBytes, 'x');
+    CHECK((sendRequest({makeResponse("mine", body)}).outcome == SendOutcome::Complete));
+    CHECK((sendRequest({makeResponse("mine", body + "x")}).outcome == SendOutcome::Malformed));
+    CHECK((sendRequest({makeResponse("mine", body + "x")}, false, std::chrono::seconds(5), {}, HeaderAction::Stream).outcome == SendOutcome::Complete));
+}
+
+TEST_CASE("an endless late response is malformed, or ends at the deadline")
+{
+    const std::string lateHead = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n";
+    CHECK((sendToEndlessEndpoint(lateHead, "x").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint(makeResponse("other", "late"), makeResponse("other", "late")).outcome == SendOutcome::Malformed));
+    // The endpoint writes another piece after each short pause.
+    const auto it = sendRequest({lateHead}, false, std::chrono::milliseconds(100), "x", HeaderAction::Accept, std::chrono::milliseconds(5));
+    CHECK((it.outcome == SendOutcome::TimedOut));
+}
+
+TEST_CASE("endless bytes on an idle connection close it")
+{
+    asio::io_context context;
+    FakeEndpoint endpoint(context, {}, false, "x", base::Duration(0));
+    bool isClosed = false;
+    ClientConnectionPointer connection;
+    openConnection(context, endpoint.address(), base::now() + std::chrono::seconds(5), [&](const ClientConnectionPointer &opened) {
+        REQUIRE(opened);
+        connection = opened;
+        connection->setOnIdleClose([&] { isClosed = true; });
+    });
+    context.run();
+    CHECK(isClosed);
+    CHECK_FALSE(connection->isIdle());
+    CHECK(endpoint.endlessBytes < MaxEndlessBytes);
+}
