An event of a stream is limited to 64 KB

Cause: the cursor buffered an event without end as long as its endpoint sent, up to the 64 MB of a body and now to the 4 MB of a stream, and searched all of it again after each read. Events that came with the refused bytes are not taken as passed on. Only new bytes are searched. Measured: with the limit taken out, forwarding/eventcursor_test 'an event without end ...' and 'events that come with ...' fail (7 checks; all of 128 KB buffered), and gateway/forwarder_test 'a stream whose endpoint sends an event without end ...' fails (cut off after 2 of 5 events); all pass now. The calls of feed() in the older cases were adapted to its type, with the same checks.

--- a/include/turmericplank/forwarding/eventcursor.hpp
+++ b/include/turmericplank/forwarding/eventcursor.hpp
@@ -5,8 +5,18 @@
 #include <string>
 #include <string_view>
 
+#include <tl/expected.hpp>
+
 namespace turmericplank::forwarding {
 
+/// @brief Max bytes between the ends of two events, which have well below 4 KB.
+constexpr std::size_t MaxEventBytes = 64 * 1024;
+
+/// @brief Why a stream cannot be followed any longer.
+enum class StreamFailure {
+    EventTooLong, ///< no event has ended within MaxEventBytes
+};
+
 /// @brief Splits a stream of numbered server-sent events into complete events, whatever the boundaries of the reads.
 ///
 /// If the stream continues at another endpoint, its bytes go to the same cursor, which drops events already passed on.
@@ -18,8 +28,8 @@
 
     /// @brief Adds received bytes.
     /// @param bytes next bytes of the stream
-    /// @return bytes of the events that are complete now
-    std::string feed(std::string_view bytes);
+    /// @return bytes of the events that are complete now; after a failure the stream must be restarted
+    tl::expected<std::string, StreamFailure> feed(std::string_view bytes);
 
     /// @brief Starts another endpoint's stream and drops the incomplete event of the previous one.
     void restart();
--- a/src/turmericplank/forwarding/eventcursor.cpp
+++ b/src/turmericplank/forwarding/eventcursor.cpp
@@ -1,5 +1,6 @@
 #include "turmericplank/forwarding/eventcursor.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace turmericplank::forwarding {
@@ -7,9 +8,10 @@
 namespace {
 
 /// Position after the blank line that ends the first event; npos if the event is incomplete.
-std::size_t eventEnd(std::string_view text)
+/// @param from position before which no event ends
+std::size_t eventEnd(std::string_view text, std::size_t from = 0)
 {
-    for (auto n = text.find('\n'); n != std::string_view::npos; n = text.find('\n', n + 1)) {
+    for (auto n = text.find('\n', from); n != std::string_view::npos; n = text.find('\n', n + 1)) {
         if (n + 1 < text.size() && text[n + 1] == '\n') {
             return n + 2;
         }
@@ -48,24 +50,34 @@
 {
 }
 
-std::string EventCursor::feed(std::string_view bytes)
+tl::expected<std::string, StreamFailure> EventCursor::feed(std::string_view bytes)
 {
+    constexpr std::size_t MaxSplitEnd = 2; ///< bytes of a blank line of which the rest has not arrived
+    const auto searched = m_buffer.size() - std::min(m_buffer.size(), MaxSplitEnd);
     m_buffer.append(bytes);
+    auto lastEvent = m_lastEvent;
+    auto events = m_events;
     std::string complete;
     std::string_view remaining = m_buffer;
-    for (auto end = eventEnd(remaining); end != std::string_view::npos; end = eventEnd(remaining)) {
+    for (auto end = eventEnd(remaining, searched); end != std::string_view::npos; end = eventEnd(remaining)) {
         const auto event = remaining.substr(0, end);
         remaining.remove_prefix(end);
         const auto number = eventNumber(event);
-        const bool isRepeated = number && m_lastEvent && *number <= *m_lastEvent;
+        const bool isRepeated = number && lastEvent && *number <= *lastEvent;
         if (isRepeated) {
             continue;
         }
-        m_lastEvent = number ? number : m_lastEvent;
-        ++m_events;
+        lastEvent = number ? number : lastEvent;
+        ++events;
         complete.append(event);
     }
+    if (remaining.size() > MaxEventBytes) {
+        m_buffer.clear();
+        return tl::make_unexpected(StreamFailure::EventTooLong);
+    }
     m_buffer.erase(0, m_buffer.size() - remaining.size());
+    m_lastEvent = lastEvent;
+    m_events = events;
     return complete;
 }
 
--- a/src/turmericplank/forwarding/eventcursor_test.cpp
+++ b/src/turmericplank/forwarding/eventcursor_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using turmericplank::forwarding::EventCursor;
+using turmericplank::forwarding::MaxEventBytes;
 
 TEST_CASE("only complete events are passed on, whatever the sizes of the reads")
 {
@@ -11,7 +12,7 @@
         EventCursor cursor;
         std::string passed;
         for (std::size_t n = 0; n < stream.size(); n += size) {
-            passed += cursor.feed(std::string_view(stream).substr(n, size));
+            passed += cursor.feed(std::string_view(stream).substr(n, size)).value();
         }
         CHECK(passed == stream);
         CHECK(cursor.lastEvent() == 3);
@@ -23,15 +24,40 @@
 TEST_CASE("a stream that continues at another endpoint skips events that the caller has")
 {
     EventCursor cursor;
-    CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\nda").value() == "id: 1\ndata: a\n\n");
     CHECK(cursor.hasPartialEvent());
     cursor.restart();
-    CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").value() == "id: 2\ndata: b\n\n");
     CHECK(cursor.lastEvent() == 2);
 }
 
 TEST_CASE("a caller that resumes gets only the following events")
 {
     EventCursor cursor(12);
-    CHECK(cursor.feed("id: 12\ndata: x\n\nid: 13\ndata: y\n\n") == "id: 13\ndata: y\n\n");
+    CHECK(cursor.feed("id: 12\ndata: x\n\nid: 13\ndata: y\n\n").value() == "id: 13\ndata: y\n\n");
+}
+
+TEST_CASE("an event without end is refused, at any size of the reads")
+{
+    for (const std::size_t size : {std::size_t(1), std::size_t(1000), MaxEventBytes + 1}) {
+        EventCursor cursor;
+        CHECK(cursor.feed("id: 1\ndata: a\n\n").value() == "id: 1\ndata: a\n\n");
+        std::size_t n = 0;
+        while (n <= 2 * MaxEventBytes && cursor.feed(std::string(size, 'x'))) {
+            n += size;
+        }
+        CHECK(n <= MaxEventBytes);
+        CHECK(cursor.lastEvent() == 1);
+        cursor.restart();
+        CHECK(cursor.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").value() == "id: 2\ndata: b\n\n");
+    }
+}
+
+TEST_CASE("events that come with the bytes that are refused are not taken as passed on")
+{
+    EventCursor cursor;
+    CHECK_FALSE(cursor.feed("id: 1\ndata: a\n\nid: 2\ndata: " + std::string(MaxEventBytes, 'x')));
+    CHECK(cursor.lastEvent() == std::nullopt);
+    CHECK(cursor.events() == 0);
+    CHECK_FALSE(cursor.hasPartialEvent());
 }
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -216,7 +216,11 @@
     }
     keepOnly(number);
     auto events = m_eventCursor.feed(chunk);
-    if (events.empty()) {
+    if (!events) {
+        handleAttemptEnd(number, net::SendOutcome::Malformed);
+        return;
+    }
+    if (events->empty()) {
         return;
     }
     const auto now = base::now();
@@ -232,7 +236,7 @@
     }
     m_maxEventGap = std::max(m_maxEventGap, now - std::exchange(m_lastEventAt, now));
     m_attempt->pooled->connection->setDeadline(silenceDeadline(*m_attempt, now));
-    m_exchange->writeChunk(std::move(events));
+    m_exchange->writeChunk(std::move(*events));
 }
 
 /// Of two attempts, the first one that brings something of the answer is kept; the other one ends, so that only one runs on.
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint16_t FirstPort = 20111;
 // An endpoint counts as silent after 100 ms.
+constexpr auto ShortInterval = std::chrono::milliseconds(5);
 constexpr auto ShortPause = std::chrono::milliseconds(50);
 constexpr auto PauseBeyondLimit = std::chrono::milliseconds(250);
 constexpr auto LongPause = std::chrono::milliseconds(600);
@@ -97,6 +98,18 @@
     CHECK(site.call({{"Request-Id", "c2"}})->body == stream(0, "a", 2, "b"));
 }
 
+TEST_CASE("a stream whose endpoint sends an event without end goes on at another endpoint")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {events(2) + noise(std::string(16 * 1024, 'x'), ShortInterval)};
+    site.b.scripts = {pause(ShortPause) + events(3) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(exchange->body == stream(2, "a", 5, "b"));
+    site.runFor(ShortPause);
+    CHECK(site.a.abandoned == 1);
+}
+
 TEST_CASE("a caller that leaves while two endpoints have its call stops both")
 {
     TestSite site(FirstPort);
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -81,9 +81,11 @@
         End, ///< ends the stream
         Reject, ///< answers that the call was not run
         Break, ///< closes the connection
+        Noise, ///< sends bytes again and again, with pauses, until the connection is closed
     };
     Kind kind = Kind::Event;
     base::Duration pause{0};
+    std::string bytes = {};
 };
 
 /// @brief Steps of a stream: events, and pauses between them, up to its end.
@@ -108,6 +110,11 @@
     return {{kind, {}}};
 }
 
+inline std::vector<EngineStep> noise(std::string bytes, base::Duration pause)
+{
+    return {{EngineStep::Kind::Noise, pause, std::move(bytes)}};
+}
+
 /// @brief An engine that plays a script for each call that it gets, one script after the other.
 class ScriptedEngine
 {
@@ -179,9 +186,7 @@
             const auto &it = run->steps[run->next++];
             switch (it.kind) {
             case EngineStep::Kind::Event:
-                if (!std::exchange(run->isStreaming, true)) {
-                    run->exchange->startStream(200, headers(*run));
-                }
+                startStream(*run);
                 ++run->lastEvent;
                 run->exchange->writeChunk("id: " + std::to_string(run->lastEvent) + "\ndata: " + m_id + "\n\n");
                 break;
@@ -202,10 +207,31 @@
             case EngineStep::Kind::Break:
                 run->exchange->abort();
                 break;
+            case EngineStep::Kind::Noise:
+                startStream(*run);
+                sendNoise(run, it);
+                return;
             }
         }
     }
 
+    void startStream(Run &run)
+    {
+        if (!std::exchange(run.isStreaming, true)) {
+            run.exchange->startStream(200, headers(run));
+        }
+    }
+
+    void sendNoise(const std::shared_ptr<Run> &run, const EngineStep &noise)
+    {
+        if (run->isAbandoned) {
+            return;
+        }
+        run->exchange->writeChunk(noise.bytes);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, noise.pause);
+        timer->async_wait([this, run, noise, timer](boost::system::error_code) { sendNoise(run, noise); });
+    }
+
     boost::asio::io_context &m_context;
     std::string m_id;
     std::uint16_t m_port;
