What has no number in a stream is no event

Cause: bytes between blank lines counted as an event even without a number. Blank lines, comments or noise without end were passed on to the caller, and each of them put off the deadline after which a silent endpoint's stream is tried elsewhere. Change: they are left out and count towards the 64 KB within which an event must end. Answers of streamed routes are sequences of numbered events (routes/callkind.hpp). Measured: forwarding/eventcursor_test 'what has no number ...' and 'too many bytes without an event ...' failed before (7 checks), pass now.

--- a/include/turmericplank/forwarding/eventcursor.hpp
+++ b/include/turmericplank/forwarding/eventcursor.hpp
@@ -19,6 +19,7 @@
 
 /// @brief Splits a stream of numbered server-sent events into complete events, whatever the boundaries of the reads.
 ///
+/// What has no number, such as a comment, is no event and is left out.
 /// If the stream continues at another endpoint, its bytes go to the same cursor, which drops events already passed on.
 class EventCursor
 {
@@ -46,6 +47,7 @@
 private:
     std::optional<std::uint64_t> m_lastEvent;
     std::string m_buffer; ///< bytes of the incomplete event
+    std::size_t m_skippedBytes = 0; ///< without a number, since the last event
     std::uint64_t m_events = 0;
 };
 
--- a/src/turmericplank/forwarding/eventcursor.cpp
+++ b/src/turmericplank/forwarding/eventcursor.cpp
@@ -57,33 +57,41 @@
     m_buffer.append(bytes);
     auto lastEvent = m_lastEvent;
     auto events = m_events;
+    auto skippedBytes = m_skippedBytes;
     std::string complete;
     std::string_view remaining = m_buffer;
     for (auto end = eventEnd(remaining, searched); end != std::string_view::npos; end = eventEnd(remaining)) {
         const auto event = remaining.substr(0, end);
         remaining.remove_prefix(end);
         const auto number = eventNumber(event);
-        const bool isRepeated = number && lastEvent && *number <= *lastEvent;
+        if (!number) {
+            skippedBytes += event.size();
+            continue;
+        }
+        skippedBytes = 0;
+        const bool isRepeated = lastEvent && *number <= *lastEvent;
         if (isRepeated) {
             continue;
         }
-        lastEvent = number ? number : lastEvent;
+        lastEvent = number;
         ++events;
         complete.append(event);
     }
-    if (remaining.size() > MaxEventBytes) {
-        m_buffer.clear();
+    if (skippedBytes + remaining.size() > MaxEventBytes) {
+        restart();
         return tl::make_unexpected(StreamFailure::EventTooLong);
     }
     m_buffer.erase(0, m_buffer.size() - remaining.size());
     m_lastEvent = lastEvent;
     m_events = events;
+    m_skippedBytes = skippedBytes;
     return complete;
 }
 
 void EventCursor::restart()
 {
     m_buffer.clear();
+    m_skippedBytes = 0;
 }
 
 std::optional<std::uint64_t> EventCursor::lastEvent() const
--- a/src/turmericplank/forwarding/eventcursor_test.cpp
+++ b/src/turmericplank/forwarding/eventcursor_test.cpp
@@ -61,3 +61,24 @@
     CHECK(cursor.events() == 0);
     CHECK_FALSE(cursor.hasPartialEvent());
 }
+
+TEST_CASE("what has no number is no event and is left out")
+{
+    EventCursor cursor;
+    CHECK(cursor.feed(": waiting\n\n\n\ndata: x\n\n").value().empty());
+    CHECK(cursor.events() == 0);
+    CHECK(cursor.feed("id: 1\ndata: a\n\n: waiting\n\n").value() == "id: 1\ndata: a\n\n");
+    CHECK(cursor.events() == 1);
+}
+
+TEST_CASE("too many bytes without an event are refused, also if blank lines divide them")
+{
+    for (const std::string piece : {"\n\n", ": waiting\n\n", "data: x\r\n\r\n"}) {
+        EventCursor cursor;
+        std::size_t n = 0;
+        while (n <= 2 * MaxEventBytes && cursor.feed(piece)) {
+            n += piece.size();
+        }
+        CHECK(n <= MaxEventBytes);
+    }
+}
