Bytes that are no event don't stop the endpoint that is to replace a silent one

Cause: of two endpoints that have a stream, the one from which any byte arrived first was kept. An endpoint that sends bytes but no events counts as silent, its next byte stopped the healthy endpoint, and with all sends used up the stream was cut off. Change: each attempt has its own event cursor, so that the first whole event, or a whole answer, decides. A stream that ends within an event is a lost attempt before the other one is stopped. Measured: gateway/forwarder_test 'bytes that are no events don't keep a stream ...' (two cases) failed before (16 checks: cut off after 2 of 5 events, the other endpoint's connection closed), passes now; 32 of 32 cases of the gateway pass.

--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -181,6 +181,8 @@
     m_attempt.emplace();
     m_attempt->number = ++m_attemptNumber;
     m_attempt->choice = choice;
+    m_attempt->eventCursor = m_eventCursor;
+    m_attempt->eventCursor.restart();
     m_attempt->sentAt = base::now();
     m_attempts.recordSend();
     telemetry::log(LogLevel::Debug, "requests", "sends",
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -28,6 +28,7 @@
     std::optional<ResponseHead> head;
     net::Headers headers;
     std::string body; ///< of a response that is forwarded as a whole
+    forwarding::EventCursor eventCursor; ///< of this endpoint's stream, after the events that the caller has
     base::Time sentAt;
     bool hasFirstEvent = false;
     bool isRelaying = false; ///< events are forwarded to the caller as they arrive
@@ -108,7 +109,7 @@
     base::Time m_lastEventAt;
     base::Duration m_maxEventGap{0}; ///< longest time between two chunks of a stream, for the log
     forwarding::Attempts m_attempts;
-    forwarding::EventCursor m_eventCursor;
+    forwarding::EventCursor m_eventCursor; ///< of the stream that the caller gets
     boost::asio::steady_timer m_deadlineTimer;
     std::optional<CallAttempt> m_attempt;
     /// Has been silent for too long, but may go on: it stays until the attempt that is to replace it, m_attempt, brings something.
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -145,7 +145,6 @@
     logAttemptEnd(*m_silentAttempt, end, true, "replaced");
     m_excludedEndpoints.push_back(m_silentAttempt->choice.endpoint);
     m_silentAttempt.reset();
-    m_eventCursor.restart();
 }
 
 /// Ends the attempt that was to replace the silent one.
@@ -214,8 +213,7 @@
         attempt->body.append(chunk);
         return;
     }
-    keepOnly(number);
-    auto events = m_eventCursor.feed(chunk);
+    auto events = attempt->eventCursor.feed(chunk);
     if (!events) {
         handleAttemptEnd(number, net::SendOutcome::Malformed);
         return;
@@ -223,6 +221,8 @@
     if (events->empty()) {
         return;
     }
+    keepOnly(number);
+    m_eventCursor = m_attempt->eventCursor;
     const auto now = base::now();
     if (!m_attempt->hasFirstEvent) {
         m_attempt->hasFirstEvent = true;
@@ -239,7 +239,7 @@
     m_exchange->writeChunk(std::move(*events));
 }
 
-/// Of two attempts, the first one that brings something of the answer is kept; the other one ends, so that only one runs on.
+/// Of two attempts, the first one that brings an event or a whole answer is kept; the other one ends, so that only one runs on.
 void ForwardedCall::keepOnly(std::uint64_t number)
 {
     if (isSilentAttempt(number)) {
@@ -275,7 +275,8 @@
     if (head.status >= FirstFailureStatus || (m_isStreaming && !attempt.isRelaying)) {
         return SendResult::Failed;
     }
-    return std::nullopt;
+    const bool isTruncated = attempt.isRelaying && attempt.eventCursor.hasPartialEvent();
+    return isTruncated ? std::optional(SendResult::Lost) : std::nullopt;
 }
 
 void ForwardedCall::handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome)
@@ -284,21 +285,17 @@
     if (attempt == nullptr) {
         return;
     }
-    auto failure = failureOf(*attempt, outcome);
+    const auto failure = failureOf(*attempt, outcome);
     releaseConnection(*attempt, outcome == net::SendOutcome::Complete && attempt->head);
     if (failure && isSilentAttempt(number)) {
         dropSilentAttempt(*failure);
         return;
     }
-    if (!failure) {
-        keepOnly(number);
-        const bool isTruncated = m_attempt->isRelaying && m_eventCursor.hasPartialEvent();
-        failure = isTruncated ? std::optional(SendResult::Lost) : std::nullopt;
-    }
     if (failure) {
         finishAttempt(*failure);
         return;
     }
+    keepOnly(number);
     relayCompleteResponse();
 }
 
@@ -363,7 +360,6 @@
     if (step == NextStep::SendAgain) {
         m_excludedEndpoints.push_back(m_attempt->choice.endpoint);
         m_attempt.reset();
-        m_eventCursor.restart();
         selectEndpoint();
         return;
     }
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -110,6 +110,31 @@
     CHECK(site.a.abandoned == 1);
 }
 
+TEST_CASE("bytes that are no events don't keep a stream at its endpoint")
+{
+    for (const std::string bytes : {"x", "\n", ": x\n\n", "data: x\n\n", "id: 1\n\n"}) {
+        TestSite site(FirstPort);
+        site.a.scripts = {events(2) + noise(bytes, ShortInterval)};
+        site.b.scripts = {pause(ShortPause) + events(3) + step(EngineStep::Kind::End)};
+        const auto exchange = site.call({{"Request-Id", "c1"}});
+        CHECK(exchange->isComplete);
+        CHECK(exchange->body == stream(2, "a", 5, "b"));
+        site.runFor(ShortPause);
+        CHECK(site.a.abandoned == 1);
+        CHECK(site.b.abandoned == 0);
+    }
+}
+
+TEST_CASE("bytes that are no events don't keep a stream that has not begun at its endpoint")
+{
+    TestSite site(FirstPort);
+    site.a.scripts = {noise(": x\n\n", ShortInterval)};
+    site.b.scripts = {pause(ShortPause) + events(3) + step(EngineStep::Kind::End)};
+    const auto exchange = site.call({{"Request-Id", "c1"}});
+    CHECK(exchange->isComplete);
+    CHECK(exchange->body == stream(0, "a", 3, "b"));
+}
+
 TEST_CASE("a caller that leaves while two endpoints have its call stops both")
 {
     TestSite site(FirstPort);
