--- a/src/turmericplank/net/clientconnection_test.cpp
+++ b/src/turmericplank/net/clientconnection_test.cpp
@@ -148,7 +148,7 @@
     return sendRequest({start}, false, std::chrono::seconds(5), piece, action);
 }
 
-const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 } // namespace
 
@@ -223,9 +223,9 @@
 
 TEST_CASE("an endless chunk header or trailer section is malformed")
 {
-    CHECK((sendToEndlessEndpoint(ChunkedHead, "0").outcome == SendOutcome::Malformed));
-    CHECK((sendToEndlessEndpoint(ChunkedHead + "5;", "x").outcome == SendOutcome::Malformed));
-    CHECK((sendToEndlessEndpoint(ChunkedHead + "0\r\n", "X-Field: x\r\n").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint(chunkedHead, "0").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint(chunkedHead + "5;", "x").outcome == SendOutcome::Malformed));
+    CHECK((sendToEndlessEndpoint(chunkedHead + "0\r\n", "X-Field: x\r\n").outcome == SendOutcome::Malformed));
 }
 
 TEST_CASE("interim responses are read past, an endless series of them is malformed")
@@ -242,7 +242,7 @@
 {
     const std::string unframedHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n";
     const std::string lengthHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nContent-Length: 60000000\r\n\r\n";
-    for (const auto &[head, piece] : {std::pair(unframedHead, "x"), std::pair(lengthHead, "x"), std::pair(ChunkedHead, "5\r\nhello\r\n")}) {
+    for (const auto &[head, piece] : {std::pair(unframedHead, "x"), std::pair(lengthHead, "x"), std::pair(chunkedHead, "5\r\nhello\r\n")}) {
         const auto collected = sendToEndlessEndpoint(head, piece);
         CHECK((collected.outcome == SendOutcome::Malformed));
         CHECK(collected.body.size() <= MaxBodyBytes);
