The own interface's client limits the framing of a response

Cause: its read buffer had no limit, so a chunk header without an end was buffered as long as the other side sent within 5 s. Change: the buffer is limited to 64 KB; beyond that the call ends as malformed.

--- a/src/turmericplank/net/http_test.cpp
+++ b/src/turmericplank/net/http_test.cpp
@@ -1,6 +1,8 @@
 #include "turmericplank/net/httpclient.hpp"
 #include "turmericplank/net/httpserver.hpp"
 
+#include <optional>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -196,3 +198,45 @@
     CHECK(queryParameter("/v1/entry", "zone").empty());
     CHECK(path("/v1/entry?model=a") == "/v1/entry");
 }
+
+TEST_CASE("a body that is larger than all buffers is received completely")
+{
+    const std::string body(1024 * 1024, 'x');
+    TestServer testServer([&](const ExchangePointer &exchange) {
+        if (exchange->request().target == "/whole") {
+            exchange->respond({200, {}, body});
+            return;
+        }
+        exchange->startStream(200, {});
+        for (int n = 0; n < 4; ++n) {
+            exchange->writeChunk(body);
+        }
+        exchange->endStream();
+    });
+    const auto whole = testServer.fetch({"GET", "/whole", {}, ""});
+    REQUIRE(whole);
+    CHECK(whole->body == body);
+    const auto streamed = testServer.fetch({"GET", "/streamed", {}, ""});
+    REQUIRE(streamed);
+    CHECK(streamed->body == body + body + body + body);
+}
+
+TEST_CASE("an endless chunk header is malformed")
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    boost::asio::ip::tcp::socket socket(context);
+    const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;" + std::string(8 * 1024 * 1024, 'x');
+    acceptor.async_accept(socket, [&](boost::system::error_code) {
+        boost::asio::async_write(socket, boost::asio::buffer(bytes), [&](boost::system::error_code, std::size_t) { socket.close(); });
+    });
+    std::optional<tl::expected<HttpResponse, CallFailure>> result;
+    HttpCallOptions options;
+    options.to = {"127.0.0.1", acceptor.local_endpoint().port()};
+    options.request = {"GET", "/", {}, ""};
+    fetchResponse(context, options, [&](auto it) { result = std::move(it); });
+    context.run();
+    REQUIRE(result);
+    REQUIRE_FALSE(*result);
+    CHECK(result->error() == CallFailure::Malformed);
+}
--- a/src/turmericplank/net/httpclient.cpp
+++ b/src/turmericplank/net/httpclient.cpp
@@ -62,6 +62,7 @@
 private:
     using Pointer = boost::intrusive_ptr<Call>;
     static constexpr std::size_t ReadBufferBytes = 16 * 1024;
+    static constexpr std::size_t MaxBufferBytes = 64 * 1024; ///< limits chunk headers and trailers, as the parser does not
 
     std::string serializeRequest() const
     {
@@ -201,7 +202,7 @@
 
     HttpCallOptions m_options;
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{MaxBufferBytes};
     http::response_parser<http::buffer_body> m_parser;
     std::array<char, ReadBufferBytes> m_bodyBuffer{};
     std::string m_requestBytes;
