--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -217,7 +217,7 @@
     if (attempt->isRelaying && m_silentAttempt && !isSilentAttempt(number)) {
         armOverlapTimer();
     }
-    return net::HeaderAction::Accept;
+    return attempt->isRelaying ? net::HeaderAction::Stream : net::HeaderAction::Accept;
 }
 
 void ForwardedCall::handleBodyChunk(std::uint64_t number, std::string_view chunk)
@@ -232,7 +232,11 @@
     }
     const auto known = attempt->events.events();
     auto events = attempt->events.feed(chunk);
-    if (events.empty()) {
+    if (!events) {
+        handleAttemptEnd(number, net::SendOutcome::Malformed);
+        return;
+    }
+    if (events->empty()) {
         return;
     }
     keepOnly(number);
@@ -248,7 +252,7 @@
     }
     m_maxEventGap = std::max(m_maxEventGap, now - std::exchange(m_lastEventAt, now));
     m_attempt->pooled->connection->setDeadline(silenceDeadline(*m_attempt, now));
-    m_exchange->writeChunk(std::move(events));
+    m_exchange->writeChunk(std::move(*events));
 }
 
 void ForwardedCall::startStream(base::Time now)
@@ -336,6 +340,7 @@
     if (!m_isStreaming) {
         m_exchange->startStream(status, m_attempt->headers);
     }
+    m_exchange->writeChunk(m_attempt->events.takeUnnumbered());
     m_exchange->endStream();
     recordPace();
     finish("answered");
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -83,9 +83,11 @@
         End, ///< ends the stream
         Reject, ///< answers that the call was not run
         Break, ///< closes the connection
+        Noise, ///< sends bytes again and again, with pauses, until the connection is closed
     };
     Kind kind = Kind::Event;
     base::Duration pause{0};
+    std::string bytes = {};
 };
 
 /// @brief Steps of a stream: events, and pauses between them, up to its end.
@@ -110,6 +112,11 @@
     return {{kind, {}}};
 }
 
+inline std::vector<EngineStep> noise(std::string bytes, base::Duration pause)
+{
+    return {{EngineStep::Kind::Noise, pause, std::move(bytes)}};
+}
+
 /// @brief An engine that plays a script for each call that it gets, one script after the other.
 class ScriptedEngine
 {
@@ -216,10 +223,24 @@
             case EngineStep::Kind::Break:
                 run->exchange->abort();
                 break;
+            case EngineStep::Kind::Noise:
+                accept(*run);
+                sendNoise(run, it);
+                return;
             }
         }
     }
 
+    void sendNoise(const std::shared_ptr<Run> &run, const EngineStep &noise)
+    {
+        if (run->isAbandoned) {
+            return;
+        }
+        run->exchange->writeChunk(noise.bytes);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, noise.pause);
+        timer->async_wait([this, run, noise, timer](boost::system::error_code) { sendNoise(run, noise); });
+    }
+
     boost::asio::io_context &m_context;
     std::string m_id;
     std::uint16_t m_port;
--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -22,8 +22,9 @@
 using asio::ip::tcp;
 
 constexpr std::size_t ReadSize = 4 * 1024; ///< bytes; enough for a few events of a streamed response
-constexpr std::uint64_t MaxBodyBytes = 64 * 1024 * 1024; ///< bytes; a streamed response does not declare its length
-constexpr int MaxSkippedResponses = 4; ///< if more late responses precede a request's own, the connection is treated as corrupt
+constexpr std::size_t MaxFramingBytes = 8 * 1024; ///< of a header section, a chunk header or a trailer section
+constexpr int MaxSkippedResponses = 4; ///< if more late or interim responses precede a request's own, the connection is treated as corrupt
+constexpr int FirstFinalStatus = 200; ///< responses with a lower status precede the final response to the same request
 constexpr int TcpUserTimeoutMilliseconds = 4000; ///< TCP closes a connection whose peer acknowledges no data for this long
 
 std::string serializeRequest(const HttpRequest &request, const std::string &host)
@@ -150,17 +151,29 @@
         m_hasHeaders = false;
         m_isSkipping = false;
         m_parser.emplace([this] { processHeaders(); }, [this](std::string_view chunk) { processChunk(chunk); });
-        m_parser->body_limit(MaxBodyBytes);
+        m_parser->header_limit(MaxFramingBytes);
+        m_parser->body_limit(MaxStreamBytes);
     }
 
     void processHeaders()
     {
         m_hasHeaders = true;
-        m_isSkipping = m_current && m_current->onHeaders && m_current->onHeaders(m_parser->status(), m_parser->headers()) == HeaderAction::Skip;
+        const bool isInterim = m_parser->status() < FirstFinalStatus;
+        auto action = isInterim ? HeaderAction::Skip : HeaderAction::Accept;
+        if (!isInterim && m_current && m_current->onHeaders) {
+            action = m_current->onHeaders(m_parser->status(), m_parser->headers());
+        }
+        m_isSkipping = action == HeaderAction::Skip;
+        m_bodyBytesLeft = action == HeaderAction::Stream ? MaxStreamBytes : MaxBodyBytes;
     }
 
     void processChunk(std::string_view chunk)
     {
+        if (chunk.size() > m_bodyBytesLeft) {
+            finish(SendOutcome::Malformed);
+            return;
+        }
+        m_bodyBytesLeft -= chunk.size();
         if (!m_isSkipping && m_current && m_current->onChunk && !m_isClosed) {
             m_current->onChunk(chunk);
         }
@@ -200,7 +213,9 @@
             if (m_isClosed) {
                 return false;
             }
-            if (ec == http::error::need_more) {
+            // The parser itself limits the header section, but not what it waits for between the parts of a chunked body.
+            const bool isOverlong = ec == http::error::need_more && m_buffer.size() > MaxFramingBytes;
+            if (ec == http::error::need_more && !isOverlong) {
                 return true;
             }
             if (ec) {
@@ -311,6 +326,7 @@
     beast::flat_buffer m_buffer;
     std::string m_requestBytes;
     base::Time m_deadline;
+    std::size_t m_bodyBytesLeft = 0; ///< that the response may still have
     int m_skippedResponses = 0;
     bool m_hasHeaders = false;
     bool m_isSkipping = false;
