--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -22,6 +22,7 @@
     std::string id = "e1";
     std::string service = "advisor";
     std::string zone = "a";
+    std::string version = "v1"; ///< software version
     std::string address;
     std::string store;
     std::vector<std::string> models;
@@ -41,10 +42,10 @@
 /// @brief An endpoint of the users' platform: answers calls with its Server-Seal header, executes orders and keeps its row in the
 /// store up to date.
 ///
-/// With models it is an engine that streams numbered events; without models it sends each answer in one piece. GET /runs
-/// returns the number of runs of each request; POST /drain makes the endpoint report that it is draining, POST /leave makes it
-/// say so in its answers only. POST /shed?seconds=N makes it reject calls and ask for a pause; GET /shed returns how many came.
-/// POST /pause?ms=N makes the streams in progress send nothing for this long, and then go on.
+/// With models it is an engine that streams numbered events, each with a line that names its software version; without models it
+/// sends each answer in one piece. GET /runs returns the number of runs of each request; POST /drain makes the endpoint report
+/// that it is draining, POST /leave makes it say so in its answers only. POST /shed?seconds=N makes it reject calls and ask for a
+/// pause; GET /shed returns how many came. POST /pause?ms=N makes the streams in progress send nothing for this long, and then go on.
 class Endpoint
 {
 public:
@@ -62,7 +63,7 @@
         Json entry{{"service", m_options.service},
                    {"address", m_options.address},
                    {"zone", m_options.zone},
-                   {"version", "v1"},
+                   {"version", m_options.version},
                    {"slots", 16},
                    {"state", m_isDraining ? "draining" : "ready"},
                    {"coldLeftMs", 0},
@@ -231,7 +232,7 @@
             exchange->endStream();
             return;
         }
-        exchange->writeChunk("id: " + std::to_string(number) + "\ndata: word" + std::to_string(number) + "\n\n");
+        exchange->writeChunk("id: " + std::to_string(number) + "\ndata: word" + std::to_string(number) + "\ndata: " + m_options.version + "\n\n");
         callAfter(m_program.context(), std::chrono::milliseconds(m_options.eventMilliseconds),
                   [this, exchange, number] { streamEvents(exchange, number + 1); });
     }
@@ -264,6 +265,7 @@
     app.add_option("--id", options.id, "key of its row in the store");
     app.add_option("--service", options.service, "service to which it belongs");
     app.add_option("--zone", options.zone, "availability zone");
+    app.add_option("--version", options.version, "software version that it reports to the store and names in its events");
     app.add_option("--address", options.address, "address that it reports to the store")->required();
     app.add_option("--store", options.store, "address of the metadata store")->required();
     app.add_option("--model", options.models, "resident model; may be repeated");
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -45,11 +45,13 @@
 }
 
 set_faults() { curl -s -m 5 -o /dev/null -X POST "http://$1/faults" -d "$2"; }
+declare -A zone_of=() version_of=() # of the engines, by number; z1 and v1 where not set
+event_ms=75
 start_engine() { # NUMBER MODEL...
     local n=$1
     shift
-    start "engine-$n" turmericplank-siteendpoint --listen "$(engine $n)" --address "$(engine $n)" --store "$store" --id "engine-$n" --zone z1 --events 40 --event-ms 75 \
-        $(printf -- '--model %s ' "$@")
+    start "engine-$n" turmericplank-siteendpoint --listen "$(engine $n)" --address "$(engine $n)" --store "$store" --id "engine-$n" --zone "${zone_of[$n]:-z1}" \
+        --version "${version_of[$n]:-v1}" --events 40 --event-ms "$event_ms" $(printf -- '--model %s ' "$@")
 }
 start_desk() { start "desk-$1" turmericplank-siteendpoint --listen "$(desk $1)" --address "$(desk $1)" --store "$store" --id "desk-$1" --service desk --zone z1; }
 start_daemon() {
