A call is not sent to an endpoint that has left while its connection was being opened

Cause: opening a connection may take up to 400 ms, and the endpoint was not looked at again before the call was sent. That this is all of it is suspected. Change: the endpoint is looked up again when the connection is open; if it has left, nothing is sent and another one is chosen. Evidence: gateway/forwarder_test 'a call whose endpoint leaves while its connection is being opened ...' failed before and passes.

--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -99,19 +99,19 @@
 void ForwardedCall::resumeAt(const std::string &softwareVersion)
 {
     m_softwareVersion = softwareVersion;
-    if (isServing(softwareVersion)) {
+    if (isVersionServing(softwareVersion)) {
         selectEndpoint();
     } else {
         reject(RejectionReason::VersionUnavailable);
     }
 }
 
-bool ForwardedCall::isServing(const std::string &softwareVersion) const
+bool ForwardedCall::isVersionServing(const std::string &softwareVersion) const
 {
     const auto &siteState = m_forwarder.m_dependencies.siteState;
     return std::ranges::any_of(siteState.endpoints(), [&](const auto &it) {
         const auto &[id, entry] = it;
-        return entry.service == m_service && entry.softwareVersion == softwareVersion && !siteState.isDraining(id);
+        return entry.service == m_service && entry.softwareVersion == softwareVersion && isServing(id);
     });
 }
 
@@ -276,13 +276,24 @@
         }
         return;
     }
-    if (!pooled) {
+    // The endpoint may have left while its connection was being opened.
+    const bool mayBeSent = pooled && isServing(m_attempt->choice.endpoint);
+    if (pooled && !mayBeSent) {
+        m_forwarder.m_dependencies.pool.returnConnection(*pooled, std::nullopt, base::now());
+    }
+    if (!mayBeSent) {
         finishAttempt(SendResult::NotSent);
         return;
     }
     sendRequest(*pooled);
 }
 
+bool ForwardedCall::isServing(const base::EndpointId &endpoint) const
+{
+    const auto &siteState = m_forwarder.m_dependencies.siteState;
+    return siteState.endpoints().contains(endpoint) && !siteState.isDraining(endpoint);
+}
+
 void ForwardedCall::respondToCaller(net::HttpResponse response)
 {
     const auto outcome = response.status < FirstFailureStatus ? "answered" : "endpoint_failure";
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -56,7 +56,8 @@
     bool isResumption() const;
     void findOrigin();
     void resumeAt(const std::string &softwareVersion);
-    bool isServing(const std::string &softwareVersion) const;
+    bool isVersionServing(const std::string &softwareVersion) const;
+    bool isServing(const base::EndpointId &endpoint) const;
     void selectEndpoint();
     void waitForEndpoint(forwarding::WaitCause cause);
     void waitForPauseEnd(base::Time pauseEnd);
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -269,3 +269,16 @@
     CHECK(site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}})->isComplete);
     CHECK(site.a.received.empty());
 }
+
+TEST_CASE("a call whose endpoint leaves while its connection is being opened is sent elsewhere")
+{
+    TestSite site(FirstPort);
+    site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
+    const auto exchange = site.begin({{"Request-Id", "c1"}}); // connects to the closer endpoint
+    auto leaving = site.a.entry();
+    leaving.isLeaving = true;
+    site.applyEntries({leaving, site.b.entry()});
+    site.runFor(ShortPause);
+    CHECK(site.a.received.empty());
+    CHECK(exchange->body == stream(0, "a", 2, "b"));
+}
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -316,11 +316,18 @@
         m_streamOrigins.noteVersions(versions, base::now());
     }
 
-    /// Sends a call and returns when it has ended, or after some time.
-    boost::intrusive_ptr<FakeExchange> call(net::Headers headers, base::Duration timeout = std::chrono::seconds(5))
+    /// Begins a call.
+    boost::intrusive_ptr<FakeExchange> begin(net::Headers headers)
     {
         const boost::intrusive_ptr<FakeExchange> exchange(new FakeExchange({"POST", "/r/x", std::move(headers), "question"}));
         m_forwarder.handleCall(exchange);
+        return exchange;
+    }
+
+    /// Sends a call and returns when it has ended, or after some time.
+    boost::intrusive_ptr<FakeExchange> call(net::Headers headers, base::Duration timeout = std::chrono::seconds(5))
+    {
+        const auto exchange = begin(std::move(headers));
         const auto deadline = base::now() + timeout;
         while (!exchange->hasEnded() && base::now() < deadline) {
             m_context.restart();
