End-to-end tests on the stand-ins never share ports

Cause: in one of five trial runs of tests/versions_test.sh two daemons ended by themselves while others answered at their ports; the ports depend on the process id modulo 95 only, so a parallel run elsewhere may have the same. Its logs were gone, so this is the likely cause, not a proven one. Change: tests/site.sh holds a lock for its ports and takes the next ones if another run holds them or answers there. No check changes.

--- a/tests/site.sh
+++ b/tests/site.sh
@@ -1,6 +1,13 @@
 # Starts a site of the users' platform on stand-ins: the metadata store, engines, instances of a plain service and daemons.
 # Sourced by end-to-end tests after tools/processes.sh.
-base=$((10000 + ($$ % 95) * 100 + 50)) # ports that depend on the process id, to keep parallel runs apart
+
+# Ports that depend on the process id, to keep parallel runs apart; the next ones if another run holds them.
+for n in $(seq $$ $(($$ + 94))); do
+    base=$((10000 + (n % 95) * 100 + 50))
+    exec {ports_lock}>"/tmp/turmericplank-ports-$base"
+    flock -n $ports_lock && ! (: <>"/dev/tcp/127.0.0.1/$base") 2>/dev/null && break
+    exec {ports_lock}>&-
+done
 store=127.0.0.1:$base
 engine() { echo "127.0.0.1:$((base + 10 + $1))"; }
 desk() { echo "127.0.0.1:$((base + 20 + $1))"; }
