A resumption that names no call is refused while versions are mixed; late answers on origins find no forwarder

Change: an unnamed stream is unknown; the callback looks at a shared flag, as the connection pool's do.

--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -57,7 +57,7 @@
     telemetry::Metrics &metrics;
     std::mt19937_64 &random;
     forwarding::StreamOrigins &streamOrigins;
-    /// Asks daemons that do not share their origins with this one; calls back once, with nothing if none of them knows the stream.
+    /// Asks other daemons for the version at which a stream began; calls back once, with nothing if none of them knows it.
     std::function<void(forwarding::CallDigest, std::function<void(std::optional<std::string>)>)> findRemoteOrigin;
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
@@ -107,6 +107,7 @@
     double m_uncountedMilliseconds = 0; ///< fraction carried over to the next call
     std::unique_ptr<WaitingList> m_waitingCalls;
     bool m_isRejectingNewCalls = false;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< shared with answers of other daemons, which may come later
     /// Shared, since callbacks of late connections may outlive the forwarder.
     std::shared_ptr<std::size_t> m_callsInProgress = std::make_shared<std::size_t>(0);
 };
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -77,14 +77,18 @@
 void ForwardedCall::findOrigin()
 {
     const auto &dependencies = m_forwarder.m_dependencies;
+    const bool isNamed = !m_call.resumedCall.empty();
     const auto call = forwarding::callDigest(m_call.resumedCall);
-    if (const auto *version = dependencies.streamOrigins.find(call)) {
+    const auto *version = isNamed ? dependencies.streamOrigins.find(call) : nullptr;
+    if (version != nullptr) {
         resumeAt(*version);
     } else if (!dependencies.streamOrigins.isMixed(m_service, base::now())) {
         selectEndpoint();
+    } else if (!isNamed) {
+        reject(RejectionReason::VersionUnavailable);
     } else {
-        dependencies.findRemoteOrigin(call, [self = Pointer(this)](const std::optional<std::string> &remoteVersion) {
-            if (self->m_isFinished) {
+        dependencies.findRemoteOrigin(call, [self = Pointer(this), isAlive = m_forwarder.m_isAlive](const std::optional<std::string> &remoteVersion) {
+            if (!*isAlive || self->m_isFinished) {
                 return;
             }
             if (remoteVersion) {
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -18,6 +18,7 @@
 
 Forwarder::~Forwarder()
 {
+    *m_isAlive = false;
     while (!m_waitingCalls->empty()) {
         const boost::intrusive_ptr<ForwardedCall> forwardedCall(&m_waitingCalls->front());
         forwardedCall->abandon();
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -244,6 +244,7 @@
     const auto unknown = site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}});
     CHECK(unknown->isComplete);
     CHECK(unknown->status == 503);
+    CHECK(site.call({{"Request-Id", "c1b"}, {"Last-Event-Id", "2"}})->status == 503);
     CHECK(site.a.received.empty());
     CHECK(site.b.received.empty());
     CHECK(site.call({{"Request-Id", "c2"}})->isCutOff);
