--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/gateway/forwarder.hpp"
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include "testsite.hpp"
 
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint16_t FirstPort = 20111;
+const auto firstPort = static_cast<std::uint16_t>(28000 + 2 * (getpid() % 1000)); ///< keeps parallel runs apart
 // An endpoint counts as silent after 100 ms.
 constexpr auto ShortInterval = std::chrono::milliseconds(5);
 constexpr auto ShortPause = std::chrono::milliseconds(50);
@@ -31,7 +32,7 @@
 
 TEST_CASE("a stream whose endpoint pauses is not cut off when the other endpoint rejects it")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     site.b.scripts = {step(EngineStep::Kind::Reject)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -43,7 +44,7 @@
 
 TEST_CASE("a stream whose endpoint stays silent goes on at another endpoint, and only there")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + pause(LongPause) + pause(LongPause) + events(9)};
     site.b.scripts = {events(3) + step(EngineStep::Kind::End)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -56,7 +57,7 @@
 
 TEST_CASE("a stream whose endpoint goes on before another one has begun stays there, and the other one is stopped")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + pause(PauseBeyondLimit) + events(2) + step(EngineStep::Kind::End)};
     site.b.scripts = {pause(LongPause) + events(9)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -69,7 +70,7 @@
 
 TEST_CASE("a stream goes on at the other endpoint if its silent one breaks off meanwhile")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + pause(PauseBeyondLimit) + step(EngineStep::Kind::Break)};
     site.b.scripts = {pause(ShortPause) + events(2) + step(EngineStep::Kind::End)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -79,7 +80,7 @@
 
 TEST_CASE("a stream stays at its silent endpoint if the other one breaks off")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     site.b.scripts = {step(EngineStep::Kind::Break)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -89,7 +90,7 @@
 
 TEST_CASE("a call without a first event is answered by whichever endpoint is first")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     site.b.scripts = {step(EngineStep::Kind::Reject)};
     CHECK(site.call({{"Request-Id", "c1"}})->body == stream(2, "a", 2));
@@ -100,7 +101,7 @@
 
 TEST_CASE("a stream whose endpoint sends an event without end goes on at another endpoint")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + noise(std::string(16 * 1024, 'x'), ShortInterval)};
     site.b.scripts = {pause(ShortPause) + events(3) + step(EngineStep::Kind::End)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -113,7 +114,7 @@
 TEST_CASE("bytes that are no events don't keep a stream at its endpoint")
 {
     for (const std::string bytes : {"x", "\n", ": x\n\n", "data: x\n\n", "id: 1\n\n"}) {
-        TestSite site(FirstPort);
+        TestSite site(firstPort);
         site.a.scripts = {events(2) + noise(bytes, ShortInterval)};
         site.b.scripts = {pause(ShortPause) + events(3) + step(EngineStep::Kind::End)};
         const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -127,7 +128,7 @@
 
 TEST_CASE("bytes that are no events don't keep a stream that has not begun at its endpoint")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {noise(": x\n\n", ShortInterval)};
     site.b.scripts = {pause(ShortPause) + events(3) + step(EngineStep::Kind::End)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -137,7 +138,7 @@
 
 TEST_CASE("a caller that leaves while two endpoints have its call stops both")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(1) + pause(LongPause) + pause(LongPause) + events(9)};
     site.b.scripts = {pause(LongPause) + pause(LongPause) + events(9)};
     const auto exchange = site.call({{"Request-Id", "c1"}}, PauseBeyondLimit);
@@ -151,7 +152,7 @@
 
 TEST_CASE("a stream goes on at the other endpoint if its silent one ends in the middle of an event")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + step(EngineStep::Kind::HalfEvent) + pause(PauseBeyondLimit) + step(EngineStep::Kind::End)};
     site.b.scripts = {pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -162,7 +163,7 @@
 
 TEST_CASE("a stream stays at its silent endpoint if the other one ends in the middle of an event")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     site.b.scripts = {step(EngineStep::Kind::Accept) + step(EngineStep::Kind::HalfEvent) + step(EngineStep::Kind::Break)};
     CHECK(site.call({{"Request-Id", "c1"}})->body == stream(4, "a", 4));
@@ -170,7 +171,7 @@
 
 TEST_CASE("a stream with sends left keeps its silent endpoint while the other one is silent as well")
 {
-    TestSite site(FirstPort, 3);
+    TestSite site(firstPort, 3);
     site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     site.b.scripts = {pause(PauseBeyondLimit) + step(EngineStep::Kind::Reject)};
     const auto exchange = site.call({{"Request-Id", "c1"}});
@@ -180,7 +181,7 @@
 
 TEST_CASE("an endpoint that has accepted a stream is the only one that has it, even before its first event")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + pause(LongPause) + pause(LongPause) + events(9)};
     site.b.scripts = {step(EngineStep::Kind::Accept) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     const auto exchange = site.call({{"Request-Id", "c1"}}, LongPause);
@@ -193,7 +194,7 @@
 
 TEST_CASE("a stream does not go on within an answer at an endpoint of another software version")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
     site.a.scripts = {events(2) + pause(ShortPause) + step(EngineStep::Kind::Break)};
     site.b.scripts = {events(9) + step(EngineStep::Kind::End)};
@@ -205,7 +206,7 @@
 
 TEST_CASE("a silent endpoint's stream is not tried at an endpoint of another software version")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
     site.a.scripts = {events(2) + pause(LongPause) + events(2) + step(EngineStep::Kind::End)};
     CHECK(site.call({{"Request-Id", "c1"}})->body == stream(4, "a", 4));
@@ -214,7 +215,7 @@
 
 TEST_CASE("a call whose endpoint fails before the first event may go to an endpoint of another software version")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
     site.a.scripts = {step(EngineStep::Kind::Break)};
     site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
@@ -223,7 +224,7 @@
 
 TEST_CASE("a stream that its caller resumes goes on at the software version that began it")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.applyEntries({site.b.entry("v1")});
     site.b.scripts = {events(2) + pause(ShortPause) + step(EngineStep::Kind::Break), events(2) + step(EngineStep::Kind::End)};
     CHECK(site.call({{"Request-Id", "c1"}})->isCutOff);
@@ -237,7 +238,7 @@
 
 TEST_CASE("a stream whose software version is unknown or gone is not resumed while another version serves")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
     site.a.scripts = {events(2) + pause(ShortPause) + step(EngineStep::Kind::Break), events(2)};
     site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
@@ -255,7 +256,7 @@
 
 TEST_CASE("while one software version serves, a stream of an unknown one is resumed")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.a.scripts = {events(2) + step(EngineStep::Kind::End)};
     CHECK(site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}})->isComplete);
     CHECK(site.a.received == std::vector<std::string>{"2"});
@@ -263,7 +264,7 @@
 
 TEST_CASE("a stream whose software version only another daemon knows is resumed there")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.applyEntries({site.a.entry("v2"), site.b.entry("v1")});
     site.remoteOrigins[forwarding::callDigest("c0")] = "v1";
     site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
@@ -273,7 +274,7 @@
 
 TEST_CASE("a call whose endpoint leaves while its connection is being opened is sent elsewhere")
 {
-    TestSite site(FirstPort);
+    TestSite site(firstPort);
     site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
     const auto exchange = site.begin({{"Request-Id", "c1"}}); // connects to the closer endpoint
     auto leaving = site.a.entry();
