Changed limits apply to connections that are idle already

Callers would have seen: after a configuration that raises the idle timeout, connections that they may still use are closed, and a larger request on one of them gets 413 or 431. Cause: a connection read the limits when it became idle. Also, the idle timeout closed the socket even if a request had just been received. Change: the limits of size are set when the request begins to arrive. The idle timeout is looked up again when it has passed, and then cancels the read, so that a request that was received is still served.

--- a/src/turmericplank/net/http_test.cpp
+++ b/src/turmericplank/net/http_test.cpp
@@ -170,6 +170,52 @@
     CHECK(response.find("two") != std::string::npos);
 }
 
+namespace {
+
+constexpr std::size_t HeaderBytes = 1024;
+constexpr std::size_t BodyBytes = 2048;
+
+/// Sends two requests on one connection, the second one after a pause in which the server's limits are raised, and returns what comes
+/// until the server closes.
+std::string sendAroundRaisedLimits(TestServer &testServer, const std::string &second)
+{
+    boost::asio::ip::tcp::socket socket(testServer.context);
+    socket.connect({boost::asio::ip::make_address(testAddress.host), testAddress.port});
+    boost::asio::write(socket, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\none")));
+    testServer.context.restart();
+    testServer.context.run_for(std::chrono::milliseconds(50));
+    testServer.server->setLimits(4 * HeaderBytes, 4 * BodyBytes, std::chrono::milliseconds(100), std::chrono::seconds(60));
+    testServer.context.restart();
+    testServer.context.run_for(std::chrono::milliseconds(300));
+    boost::system::error_code ec;
+    boost::asio::write(socket, boost::asio::buffer(second), ec);
+    std::string response;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(response),
+                            [&testServer](boost::system::error_code, std::size_t) { testServer.context.stop(); });
+    testServer.context.restart();
+    testServer.context.run_for(std::chrono::seconds(2));
+    return response;
+}
+
+} // namespace
+
+TEST_CASE("a raised idle timeout applies to connections that are idle already")
+{
+    TestServer testServer(echo);
+    testServer.server->setLimits(HeaderBytes, BodyBytes, std::chrono::milliseconds(100), std::chrono::milliseconds(150));
+    const auto response = sendAroundRaisedLimits(testServer, "POST / HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\ntwo");
+    CHECK(response.ends_with("two"));
+}
+
+TEST_CASE("raised limits of a request's size apply to connections that are idle already")
+{
+    TestServer testServer(echo);
+    const std::string body(2 * BodyBytes, 'x');
+    const auto response =
+        sendAroundRaisedLimits(testServer, "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body);
+    CHECK(response.ends_with(body));
+}
+
 TEST_CASE("the cause of an unanswered request is reported, and answered ones are not")
 {
     TestServer testServer([](const ExchangePointer &exchange) {
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -62,16 +62,17 @@
 
     void readRequest()
     {
-        m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_serverState->options.maxHeaderBytes));
-        m_parser->body_limit(m_serverState->options.maxBodyBytes);
         if (m_buffer.size() > 0) {
             readMessage();
             return;
         }
-        m_stream.expires_after(m_serverState->options.idleTimeout);
+        m_stream.expires_never();
+        m_idleSince = base::now();
+        armIdleTimer();
         m_stream.async_read_some(m_buffer.prepare(ReadSize), [self = ConnectionPointer(this)](beast::error_code ec, std::size_t n) {
             self->m_buffer.commit(n);
+            self->m_idleSince.reset();
+            self->m_requestTimer.cancel();
             if (ec || self->m_serverState->isStopping) {
                 self->close();
                 return;
@@ -151,8 +152,29 @@
 private:
     static constexpr std::size_t ReadSize = 8 * 1024; ///< bytes
 
+    /// The timeout is looked up again when it has passed, since it may have been raised meanwhile. Cancelling the read, rather than
+    /// closing the socket, keeps a request that has just been received.
+    void armIdleTimer()
+    {
+        m_requestTimer.expires_after(*m_idleSince + m_serverState->options.idleTimeout - base::now());
+        m_requestTimer.async_wait([self = ConnectionPointer(this)](beast::error_code ec) {
+            if (ec || self->m_isClosed || !self->m_idleSince) {
+                return;
+            }
+            if (base::now() < *self->m_idleSince + self->m_serverState->options.idleTimeout) {
+                self->armIdleTimer();
+                return;
+            }
+            beast::error_code ignored;
+            self->m_stream.socket().cancel(ignored);
+        });
+    }
+
     void readMessage()
     {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_serverState->options.maxHeaderBytes));
+        m_parser->body_limit(m_serverState->options.maxBodyBytes);
         m_stream.expires_never();
         m_hasTimedOut = false;
         m_requestTimer.expires_after(m_serverState->options.requestTimeout);
@@ -339,7 +361,8 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    asio::steady_timer m_requestTimer;
+    asio::steady_timer m_requestTimer; ///< also for the time between two requests
+    std::optional<base::Time> m_idleSince; ///< set while the next request is awaited
     ServerExchange *m_current = nullptr;
     std::deque<std::string> m_queue;
     std::vector<std::string> m_inFlight;
