Log lines of lost and refused calls name the content of the call

What was missing: nothing in the logs told that two calls are repetitions of one request, so that a request under which several endpoints end could not be found. 'requests: send ended' and 'requests: refused' now have content=, a fingerprint of method, host, target and body. Fingerprint and EndpointLoss move to a header of their own, unchanged.

--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -8,6 +8,7 @@
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/time.hpp"
 #include "turmericplank/net/httptypes.hpp"
+#include "turmericplank/requests/endpointloss.hpp"
 
 namespace turmericplank::gateway {
 
@@ -37,6 +38,12 @@
     friend bool operator==(const Call &, const Call &) = default;
 };
 
+/// @brief Fingerprint of the method, host, target and body of a call; callers' repetitions have the same one.
+requests::Fingerprint contentFingerprint(const Call &call, const net::HttpRequest &request);
+
+/// @brief A fingerprint as it is written in logs: 16 hexadecimal digits.
+std::string toString(requests::Fingerprint fingerprint);
+
 /// @brief Headers that the daemon adds to each attempt, a call that it sends to an endpoint.
 struct AttemptHeaders
 {
--- a/include/turmericplank/requests/suspects.hpp
+++ b/include/turmericplank/requests/suspects.hpp
@@ -10,15 +10,11 @@
 #include <variant>
 #include <vector>
 
-#include "turmericplank/base/identifier.hpp"
-#include "turmericplank/base/number.hpp"
 #include "turmericplank/base/time.hpp"
+#include "turmericplank/requests/endpointloss.hpp"
 
 namespace turmericplank::requests {
 
-/// @brief Hash of a request's content, independent of the caller and the request id.
-using Fingerprint = base::Number<struct FingerprintTag>;
-
 /// @brief Whether a request's content may crash endpoints.
 enum class SuspectState {
     Clear,
@@ -26,16 +22,6 @@
     Blocked, ///< rejected: two endpoints were lost while running it, or the daemon of its trial restarted or left without reporting the end
 };
 
-/// @brief Loss of an endpoint that was running a request; an endpoint that restarts and is lost again counts twice.
-struct EndpointLoss
-{
-    base::EndpointId endpoint;
-    base::Incarnation incarnation; ///< last one reported before the request was sent; zero if the endpoint reports none
-
-    friend auto operator<=>(const EndpointLoss &, const EndpointLoss &) = default;
-    friend bool operator==(const EndpointLoss &, const EndpointLoss &) = default;
-};
-
 /// @brief Asks another daemon whether the trial of a suspect may run on an endpoint.
 struct TrialQuestion
 {
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -1,7 +1,26 @@
 #include "turmericplank/gateway/call.hpp"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
+#include "turmericplank/base/digest.hpp"
+
 namespace turmericplank::gateway {
 
+requests::Fingerprint contentFingerprint(const Call &call, const net::HttpRequest &request)
+{
+    const auto address = base::fingerprint(request.method + '\n' + call.host + '\n' + request.target);
+    return requests::Fingerprint(base::fingerprint(request.body, address));
+}
+
+std::string toString(requests::Fingerprint fingerprint)
+{
+    std::array<char, 17> buf{};
+    const int n = std::snprintf(buf.data(), buf.size(), "%016" PRIx64, fingerprint.value());
+    return {buf.data(), static_cast<std::size_t>(n)};
+}
+
 std::string_view toString(RejectionReason reason)
 {
     switch (reason) {
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -35,6 +35,7 @@
     , m_callsInProgress(forwarder.m_callsInProgress)
     , m_exchange(std::move(exchange))
     , m_call(std::move(call))
+    , m_content(contentFingerprint(m_call, m_exchange->request()))
     , m_routes(std::move(routes))
     , m_route(route)
     , m_service(routes::chooseService(route, m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall))
@@ -338,6 +339,7 @@
                     {"route", m_route.name},
                     {"work", m_qualifiedModel.text()},
                     {"reason", toString(reason)},
+                    {"content", toString(m_content)},
                     {"has_run", m_attempts.mayHaveRun() ? "unknown" : "no"},
                     {"sends", static_cast<int>(m_attempts.sends())},
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, now)},
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -405,6 +405,7 @@
     telemetry::log(LogLevel::Info, "requests", "send ended",
                    {{"request", m_call.id},
                     {"route", m_route.name},
+                    {"content", toString(m_content)},
                     {"endpoint", attempt.choice.endpoint.text()},
                     {"end", toString(end)},
                     {"status", attempt.head ? attempt.head->status : 0},
