--- /dev/null
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -0,0 +1,353 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include "testsite.hpp"
+#include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/gateway/gateway.hpp"
+#include "turmericplank/net/httpclient.hpp"
+
+namespace turmericplank::gateway::testing {
+
+/// @brief The store of a site, in memory; it answers at once.
+class FleetStore
+{
+public:
+    /// @param context of the daemon, which runs the callbacks
+    /// @param isListed which other daemons this one finds in the list of daemons
+    SiteStore accessFrom(boost::asio::io_context &context, std::function<bool(const std::string &)> isListed)
+    {
+        SiteStore it;
+        it.readConfiguration = [this, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
+            boost::asio::post(context, [this, callback] { callback(ConfigurationSnapshot{configuration, 1, "configuration"}); });
+        };
+        it.awaitConfiguration = [&context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
+            daemon::callAt(context, base::now() + std::chrono::seconds(1), [position, callback] { callback(ConfigurationSnapshot{nullptr, position, {}}); });
+        };
+        it.readEndpoints = [this, &context](const ReadCallback<EndpointsSnapshot> &callback) {
+            boost::asio::post(context, [this, callback] {
+                EndpointsSnapshot snapshot;
+                for (const auto &[id, entry] : entries) {
+                    snapshot.entries.push_back(entry);
+                }
+                callback(snapshot);
+            });
+        };
+        it.parseConfiguration = [this](const std::string &) {
+            return configuration;
+        };
+        it.observeEra = [](const auto &) {
+        };
+        it.table.transact = [this, &context](std::vector<store::RowWrite> writes, std::function<void(store::WriteResult)> callback) {
+            boost::asio::post(context, [this, writes = std::move(writes), callback = std::move(callback)] { callback(write(writes)); });
+        };
+        it.table.readPrefix = [this, &context, isListed = std::move(isListed)](std::string prefix, std::function<void(store::ReadResult)> callback) {
+            boost::asio::post(context, [this, isListed, prefix = std::move(prefix), callback = std::move(callback)] {
+                std::vector<store::Row> found;
+                for (const auto &[key, row] : rows) {
+                    const bool isHidden = key.starts_with(DaemonPrefix) && !isListed(key.substr(DaemonPrefix.size()));
+                    if (key.starts_with(prefix) && !isHidden) {
+                        found.push_back(row);
+                    }
+                }
+                callback(found);
+            });
+        };
+        return it;
+    }
+
+    std::shared_ptr<const routes::SiteConfiguration> configuration;
+    std::map<base::EndpointId, discovery::EndpointEntry> entries;
+    std::map<std::string, store::Row> rows;
+
+private:
+    static inline const std::string DaemonPrefix = "daemons/";
+
+    store::WriteResult write(const std::vector<store::RowWrite> &writes)
+    {
+        store::TableError error{store::TableFailure::Conflict, {}};
+        for (const auto &it : writes) {
+            const auto row = rows.find(it.key);
+            const auto version = row == rows.end() ? base::RowVersion() : row->second.version;
+            if (it.expectedVersion && *it.expectedVersion != version) {
+                error.conflicts.push_back(row == rows.end() ? store::Row{it.key, {}, {}} : row->second);
+            }
+        }
+        if (!error.conflicts.empty()) {
+            return tl::unexpected(error);
+        }
+        ++m_version;
+        for (const auto &it : writes) {
+            if (it.value) {
+                rows[it.key] = {it.key, base::RowVersion(m_version), *it.value};
+            } else {
+                rows.erase(it.key);
+            }
+        }
+        return std::vector<base::RowVersion>(writes.size(), base::RowVersion(m_version));
+    }
+
+    std::uint64_t m_version = 0;
+};
+
+/// @brief An endpoint of a service that crashes while it runs certain calls, and starts again after some time under another id.
+class CrashingEndpoint
+{
+public:
+    CrashingEndpoint(FleetStore &store, std::string name, std::uint16_t port)
+        : m_store(store)
+        , m_name(std::move(name))
+        , m_port(port)
+    {
+        start();
+    }
+
+    /// Handles what is due; returns whether there was anything to do.
+    bool poll()
+    {
+        const auto now = base::now();
+        if (m_crashAt && now >= *m_crashAt) {
+            crash(now);
+        }
+        if (!m_context && now >= m_startsAt) {
+            start();
+        }
+        return m_context && m_context->poll() > 0;
+    }
+
+    std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
+    std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
+    std::size_t crashes = 0;
+
+private:
+    static constexpr auto WorkTime = std::chrono::milliseconds(10);
+    static constexpr auto CrashDelay = std::chrono::milliseconds(25); ///< from the arrival of a call to the crash
+    static constexpr auto RestartTime = std::chrono::milliseconds(300);
+
+    base::EndpointId id() const
+    {
+        return base::EndpointId(m_name + '-' + std::to_string(m_incarnation));
+    }
+
+    void start()
+    {
+        ++m_incarnation;
+        m_context = std::make_unique<boost::asio::io_context>();
+        net::HttpServerOptions options;
+        options.listen = {"127.0.0.1", m_port};
+        options.onRequest = [this](const net::ExchangePointer &exchange) {
+            handle(exchange);
+        };
+        m_server = net::listenHttp(*m_context, std::move(options));
+        discovery::EndpointEntry entry;
+        entry.id = id();
+        entry.service = base::ServiceName("s");
+        entry.address = {"127.0.0.1", m_port};
+        entry.zone = base::ZoneName("z");
+        entry.slots = 16;
+        entry.incarnation = base::Incarnation(m_incarnation);
+        m_store.entries[entry.id] = entry;
+    }
+
+    void crash(base::Time now)
+    {
+        ++crashes;
+        m_store.entries.erase(id());
+        m_crashAt.reset();
+        m_kept.clear();
+        m_server.reset();
+        m_context.reset();
+        m_startsAt = now + RestartTime;
+    }
+
+    void handle(const net::ExchangePointer &exchange)
+    {
+        if (onReceived) {
+            onReceived(exchange->request(), crashes);
+        }
+        if (isCrashing && isCrashing(exchange->request())) {
+            m_crashAt = m_crashAt.value_or(base::now() + CrashDelay);
+            m_kept.push_back(exchange);
+            return;
+        }
+        daemon::callAt(*m_context, base::now() + WorkTime, [exchange, name = m_name] {
+            exchange->respond({200, {{"Request-Id", std::string(header(exchange->request().headers, "Request-Id"))}, {"Server-Seal", name}}, "done"});
+        });
+    }
+
+    FleetStore &m_store;
+    std::string m_name;
+    std::uint16_t m_port;
+    std::uint64_t m_incarnation = 0;
+    std::unique_ptr<boost::asio::io_context> m_context; ///< its end closes all connections
+    std::unique_ptr<net::HttpServer> m_server;
+    std::vector<net::ExchangePointer> m_kept; ///< calls without a response
+    std::optional<base::Time> m_crashAt;
+    base::Time m_startsAt; ///< after a crash
+};
+
+/// @brief Daemons and endpoints of a site in one process, connected over loopback.
+class TestFleet
+{
+public:
+    /// @param contacts whether two daemons, by their numbers, find each other
+    TestFleet(std::size_t daemonCount, std::size_t endpointCount, std::function<bool(std::size_t, std::size_t)> contacts)
+        : m_contacts(std::move(contacts))
+    {
+        store.configuration = makeConfiguration();
+        for (std::size_t n = 0; n < endpointCount; ++n) {
+            endpoints.push_back(std::make_unique<CrashingEndpoint>(store, "e" + std::to_string(n), port(n)));
+        }
+        m_daemons.resize(daemonCount);
+        for (std::size_t n = 0; n < daemonCount; ++n) {
+            startDaemon(n);
+        }
+    }
+
+    ~TestFleet()
+    {
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            stopDaemon(n);
+        }
+    }
+
+    void startDaemon(std::size_t n)
+    {
+        auto &it = m_daemons[n];
+        it.context = std::make_unique<boost::asio::io_context>();
+        Settings settings;
+        settings.id = base::DaemonId(std::to_string(n));
+        settings.zone = base::ZoneName("z");
+        const auto first = EndpointPorts + PortsPerDaemon * n;
+        settings.callerAddress = {"127.0.0.1", port(first)};
+        settings.readinessAddress = {"127.0.0.1", port(first + 1)};
+        settings.directoryAddress = {"127.0.0.1", port(first + 2)};
+        settings.peerAddress = {"127.0.0.1", port(first + 3)};
+        settings.metricsAddress = {"127.0.0.1", port(first + 4)};
+        settings.bounds.drainTime = std::chrono::milliseconds(200); // entries are read every 100 ms
+        const auto isListed = [this, n](const std::string &other) {
+            return m_contacts(n, std::stoull(other));
+        };
+        it.gateway = std::make_unique<Gateway>(*it.context, settings, testWireFormat(), store.accessFrom(*it.context, isListed));
+    }
+
+    /// Ends a daemon as a kill does.
+    void stopDaemon(std::size_t n)
+    {
+        m_daemons[n].gateway.reset();
+        m_daemons[n].context.reset();
+    }
+
+    struct Result
+    {
+        int status = 0; ///< zero without a response
+        bool isEnded = false;
+    };
+
+    /// Sends a call to a daemon; the result is filled in later.
+    std::shared_ptr<Result> call(std::size_t daemon, net::Headers headers, std::string body)
+    {
+        const auto result = std::make_shared<Result>();
+        net::HttpCallOptions options;
+        options.to = {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon)};
+        headers.push_back({"Request-Id", "c" + std::to_string(++m_calls)});
+        options.request = {"POST", "/r/x", std::move(headers), std::move(body)};
+        net::fetchResponse(m_callers, std::move(options), [result](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
+            result->status = response ? response->status : 0;
+            result->isEnded = true;
+        });
+        return result;
+    }
+
+    /// Runs all parts for some time.
+    void runFor(base::Duration time)
+    {
+        const auto end = base::now() + time;
+        while (base::now() < end) {
+            bool isBusy = m_callers.poll() > 0;
+            m_callers.restart();
+            for (auto &it : endpoints) {
+                isBusy = it->poll() || isBusy;
+            }
+            for (auto &it : m_daemons) {
+                isBusy = (it.context && it.context->poll() > 0) || isBusy;
+            }
+            if (!isBusy) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+        }
+    }
+
+    std::size_t daemonCount() const
+    {
+        return m_daemons.size();
+    }
+
+    std::size_t crashes() const
+    {
+        std::size_t n = 0;
+        for (const auto &it : endpoints) {
+            n += it->crashes;
+        }
+        return n;
+    }
+
+    FleetStore store;
+    std::vector<std::unique_ptr<CrashingEndpoint>> endpoints;
+
+private:
+    static constexpr std::size_t EndpointPorts = 10;
+    static constexpr std::size_t PortsPerDaemon = 5;
+
+    struct Daemon
+    {
+        std::unique_ptr<boost::asio::io_context> context;
+        std::unique_ptr<Gateway> gateway;
+    };
+
+    /// Keeps parallel runs apart.
+    static std::uint16_t port(std::size_t n)
+    {
+        return static_cast<std::uint16_t>(20500 + 50 * (getpid() % 140) + n);
+    }
+
+    static std::shared_ptr<routes::SiteConfiguration> makeConfiguration()
+    {
+        auto it = std::make_shared<routes::SiteConfiguration>();
+        it->revision = base::Revision(1);
+        routes::ServiceSpec service;
+        service.name = base::ServiceName("s");
+        service.connectionLimit = 100;
+        it->services.emplace(service.name, service);
+        routes::Route route;
+        route.name = "r";
+        route.host = "h";
+        route.prefix = "/r/";
+        route.kind = {true, false, false};
+        route.timeout = std::chrono::seconds(2);
+        route.objective = std::chrono::milliseconds(400);
+        route.sendLimit = 2;
+        route.services.push_back({service.name, 1});
+        it->routes.push_back(route);
+        return it;
+    }
+
+    std::function<bool(std::size_t, std::size_t)> m_contacts;
+    boost::asio::io_context m_callers;
+    std::vector<Daemon> m_daemons;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace turmericplank::gateway::testing
