Requests that crash endpoints are refused by all daemons after three losses

Callers of a service with three endpoints were refused for seconds, again and again: one safe lookup crashed each endpoint that ran it, was sent to the next one, and came back with another id at any daemon.

Cause: on the platform no daemon remembered what an endpoint was lost with. Each daemon knew its own attempts only for the time of one call. Class of fault: knowledge that decides about a request is kept with one attempt of it.

A lost connection is now a loss against the content of the call (method, host, target, body). Three losses, each with another endpoint or incarnation, and the content is refused at once as not run; an answer clears it. Daemons tell each other every 100 ms, pass on what they hear, repeat it for 5 s, and give all they know to a daemon that appears or has restarted (a restart that was shorter than the silence limit went unnoticed so far). Refused contents have a row in the store, for the case that all daemons are killed.

--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -79,6 +79,7 @@
     NoEndpoint, ///< not run; no endpoint of the service has capacity
     NotResident, ///< not run; the model or adapter is not resident on any engine yet
     VersionUnavailable, ///< not run; the stream cannot be resumed, since the software version that began it is unknown or gone
+    CrashesEndpoints, ///< not run; endpoints were lost while they ran the same content
     Draining, ///< not run; this daemon is shutting down
     Overloaded, ///< not run; the call could not be answered in time
     RejectedByEndpoints, ///< not run; the endpoints rejected it
--- /dev/null
+++ b/include/turmericplank/gateway/crashexchange.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "turmericplank/base/identifier.hpp"
+#include "turmericplank/requests/crashhistory.hpp"
+#include "turmericplank/store/table.hpp"
+
+namespace turmericplank::gateway {
+
+/// @brief Intervals of the exchange.
+struct CrashExchangeOptions
+{
+    base::Duration sendInterval =
+        std::chrono::milliseconds(100); ///< between two messages with changes; a refusal may be late by this time for each daemon passed
+    base::Duration repeatInterval = std::chrono::seconds(1); ///< between two messages that repeat recent changes, and between two tries of a call to the store
+};
+
+/// @brief Tells other daemons which contents endpoints were lost with, and keeps the refused ones in the store.
+///
+/// The rows are for daemons that start while no other one knows, and for those that hear no other one. A row is removed when its
+/// content is no longer refused, by each daemon that has written or read it.
+class CrashExchange
+{
+public:
+    /// @param context runs the timers
+    /// @param history is filled with what others know
+    /// @param table the store's rows of this product
+    /// @param send sends a message to all daemons that this one sends its status to
+    CrashExchange(boost::asio::io_context &context, requests::CrashHistory &history, store::Table table, std::function<void(const std::string &body)> send);
+
+    /// @brief Records that this daemon has lost an endpoint while it ran a content.
+    void recordLoss(requests::Fingerprint content, const requests::EndpointLoss &loss);
+
+    /// @brief Applies another daemon's message.
+    void handleMessage(const base::DaemonId &from, const std::string &body);
+
+    /// @brief A message with all that is known, for a daemon that has just appeared; empty if nothing is known.
+    std::string completeMessage() const;
+
+    /// @brief Reads the rows again, since other daemons may have written some that they cannot tell this one.
+    void readRows();
+
+private:
+    void sendChanges();
+    void maintain();
+    void applyRows(const store::ReadResult &rows);
+    void writeRow(requests::Fingerprint content);
+    void removeRow(requests::Fingerprint content);
+
+    CrashExchangeOptions m_options;
+    requests::CrashHistory &m_history;
+    store::Table m_table;
+    std::function<void(const std::string &body)> m_send;
+    std::set<requests::Fingerprint> m_own; ///< contents with which this daemon has lost an endpoint
+    std::set<requests::Fingerprint> m_stored; ///< contents that have a row
+    bool m_isReading = false;
+    bool m_mustRead = true;
+};
+
+} // namespace turmericplank::gateway
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -22,6 +22,7 @@
 #include "turmericplank/net/httpserver.hpp"
 #include "turmericplank/placement/demand.hpp"
 #include "turmericplank/placement/tokencostestimator.hpp"
+#include "turmericplank/requests/crashhistory.hpp"
 #include "turmericplank/requests/retrybudget.hpp"
 #include "turmericplank/telemetry/logratelimiter.hpp"
 #include "turmericplank/telemetry/metrics.hpp"
@@ -57,8 +58,10 @@
     telemetry::Metrics &metrics;
     std::mt19937_64 &random;
     forwarding::StreamOrigins &streamOrigins;
+    requests::CrashHistory &crashHistory; ///< contents that endpoints were lost with
     /// Asks other daemons for the version at which a stream began; calls back once, with nothing if none of them knows it.
     std::function<void(forwarding::CallDigest, std::function<void(std::optional<std::string>)>)> findRemoteOrigin;
+    std::function<void(requests::Fingerprint, const requests::EndpointLoss &)> onEndpointLost; ///< while it ran a content
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -56,7 +56,7 @@
         std::function<void(PeerStatus &)> fillStatus; ///< fills in this daemon's state
         std::function<placement::DemandCounters()> demand; ///< this daemon's demand, for the holder of the placement lease
         std::function<void(const PeerStatus &)> onPeerStatus;
-        std::function<void(const base::DaemonId &)> onPeerHeard; ///< first message of a daemon of the group, or the first one after a silence
+        std::function<void(const base::DaemonId &)> onPeerHeard; ///< first message of a daemon of the group, also after a silence or a restart
         std::function<void(const base::DaemonId &)> onPeerSilent; ///< no message from a daemon within the timeout
     };
 
@@ -95,6 +95,9 @@
     /// @brief Sends a message to all peers in the group that are heard; the lease holder also sends it to all other daemons.
     void sendToAll(const std::string &kind, const std::string &body);
 
+    /// @brief Sends a message to all peers that this daemon sends its status to, heard or not: those of the group and the lease holder.
+    void sendToStatusPeers(const std::string &kind, const std::string &body);
+
     /// @brief Asks the daemons of the group and of this zone.
     /// @param timeout until when each of them must answer
     /// @param onDone gets the first answer that is not empty, or nothing; called exactly once, at once if there is nobody to ask
--- /dev/null
+++ b/include/turmericplank/requests/crashhistory.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "turmericplank/base/time.hpp"
+#include "turmericplank/requests/endpointloss.hpp"
+
+namespace turmericplank::requests {
+
+/// @brief The endpoints that were lost while they ran a content, as daemons tell each other and keep it in the store.
+struct ContentLosses
+{
+    Fingerprint content;
+    std::vector<EndpointLoss> counted; ///< losses that count against the content
+    std::vector<EndpointLoss> cleared; ///< losses that don't, since the content was answered later
+
+    friend bool operator==(const ContentLosses &, const ContentLosses &) = default;
+};
+
+/// @brief Limits of CrashHistory.
+struct CrashHistoryOptions
+{
+    std::size_t lossLimit = 3; ///< losses at which a content is refused; one or two may be those of another request beside it
+    std::size_t maxLosses = 16; ///< to remember of one content
+    std::size_t maxContents = 4096; ///< those whose last change is the oldest go first
+    base::Duration lifetime = std::chrono::minutes(10); ///< of what is known of a content, from its last change
+    base::Duration repeatTime = std::chrono::seconds(5); ///< in which a change is sent again; a silent connection is noticed earlier
+};
+
+/// @brief Remembers which endpoints were lost while they ran a content, and which contents are refused for that.
+///
+/// Unlike Suspects, it asks no other daemon before a request runs, so it suits sites where daemons come and go: each daemon counts
+/// what it knows. What several daemons know merges in any order and any number of times, also through others, to the same result.
+class CrashHistory
+{
+public:
+    explicit CrashHistory(CrashHistoryOptions options = {});
+
+    /// @brief Records that an endpoint was lost while it ran a content.
+    void recordLoss(Fingerprint content, const EndpointLoss &loss, base::Time now);
+
+    /// @brief Records that a content was answered: its losses so far had another cause.
+    void recordAnswer(Fingerprint content, base::Time now);
+
+    /// @brief Merges what another daemon or an earlier one knew.
+    void merge(const std::vector<ContentLosses> &contents, base::Time now);
+
+    /// @brief Whether a content has been lost with so many endpoints that it is refused.
+    bool isRefused(Fingerprint content, base::Time now) const;
+
+    /// @brief Number of losses that count against a content.
+    std::size_t lossCount(Fingerprint content, base::Time now) const;
+
+    /// @brief What has changed since the last call.
+    std::vector<ContentLosses> takeChanged();
+
+    /// @brief What has changed within the repeat time, to be sent again to peers that may have missed it.
+    std::vector<ContentLosses> recentlyChanged(base::Time now) const;
+
+    /// @brief All that is known.
+    std::vector<ContentLosses> all() const;
+
+    /// @brief What is known of one content.
+    ContentLosses find(Fingerprint content) const;
+
+    /// @brief Drops what is older than the lifetime.
+    void expire(base::Time now);
+
+private:
+    struct Entry
+    {
+        std::map<EndpointLoss, bool> losses; ///< and whether each one counts
+        base::Time repeatUntil;
+        base::Time expiresAt;
+    };
+
+    Entry &touch(Fingerprint content, base::Time now);
+    void mergeInto(const ContentLosses &content, base::Time now);
+    void limitLosses(std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known) const;
+    ContentLosses toMessage(Fingerprint content, const Entry &entry) const;
+
+    CrashHistoryOptions m_options;
+    std::map<Fingerprint, Entry> m_entries;
+    std::set<std::pair<base::Time, Fingerprint>> m_byExpiry;
+    std::set<Fingerprint> m_changed;
+};
+
+} // namespace turmericplank::requests
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -36,6 +36,8 @@
         return "not_resident";
     case RejectionReason::VersionUnavailable:
         return "version_unavailable";
+    case RejectionReason::CrashesEndpoints:
+        return "crashes_endpoints";
     case RejectionReason::Draining:
         return "leaving";
     case RejectionReason::Overloaded:
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -150,9 +150,19 @@
     return request;
 }
 
+bool ForwardedCall::isRefusedForCrashes() const
+{
+    return m_forwarder.m_dependencies.crashHistory.isRefused(m_content, base::now());
+}
+
 void ForwardedCall::selectEndpoint()
 {
     const auto now = base::now();
+    if (isRefusedForCrashes()) {
+        m_pendingRejection = RejectionReason::CrashesEndpoints;
+        rejectAfter(m_attempts.finalStep(now));
+        return;
+    }
     auto excluded = m_excludedEndpoints;
     for (;;) {
         auto request = routeRequest();
@@ -281,8 +291,8 @@
         }
         return;
     }
-    // The endpoint may have left while its connection was being opened.
-    const bool mayBeSent = pooled && isServing(m_attempt->choice.endpoint);
+    // While the connection was being opened, the endpoint may have left, or others may have crashed with the same content.
+    const bool mayBeSent = pooled && isServing(m_attempt->choice.endpoint) && !isRefusedForCrashes();
     if (pooled && !mayBeSent) {
         m_forwarder.m_dependencies.pool.returnConnection(*pooled, std::nullopt, base::now());
     }
@@ -325,7 +335,7 @@
 {
     const auto now = base::now();
     Rejection rejection{reason, std::nullopt};
-    const bool mayBeServedLater = reason != RejectionReason::VersionUnavailable;
+    const bool mayBeServedLater = reason != RejectionReason::VersionUnavailable && reason != RejectionReason::CrashesEndpoints;
     if (!m_attempts.mayHaveRun() && mayBeServedLater) {
         const bool isPaused = m_pauseEnd && *m_pauseEnd > now;
         const auto recovery = isPaused ? *m_pauseEnd - now : forwarding::expectedRecovery(m_waitCause, m_isEngine, m_forwarder.m_options.wait);
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -58,6 +58,7 @@
     void resumeAt(const std::string &softwareVersion);
     bool isVersionServing(const std::string &softwareVersion) const;
     bool isServing(const base::EndpointId &endpoint) const;
+    bool isRefusedForCrashes() const;
     void selectEndpoint();
     void waitForEndpoint(forwarding::WaitCause cause);
     void waitForPauseEnd(base::Time pauseEnd);
@@ -83,6 +84,7 @@
     void keepOnly(std::uint64_t number);
     void startStream(base::Time now);
     void handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome);
+    void recordEndpointLoss(const CallAttempt &attempt) const;
     std::optional<forwarding::SendResult> failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const;
     void relayCompleteResponse();
     void finishAttempt(forwarding::SendResult end);
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -110,7 +110,7 @@
 /// stays: an endpoint that is slow, not lost, still answers earlier than one that must start the call from the beginning.
 void ForwardedCall::startReplacement(base::Time now, bool isBudgetUsed)
 {
-    if (m_silentAttempt || !m_attempts.maySendAgain(now)) {
+    if (m_silentAttempt || !m_attempts.maySendAgain(now) || isRefusedForCrashes()) {
         return;
     }
     auto &dependencies = m_forwarder.m_dependencies;
@@ -315,6 +315,9 @@
         return;
     }
     const auto failure = failureOf(*attempt, outcome);
+    if (outcome == net::SendOutcome::ConnectionLost) {
+        recordEndpointLoss(*attempt);
+    }
     releaseConnection(*attempt, outcome == net::SendOutcome::Complete && attempt->head);
     if (failure && isSilentAttempt(number)) {
         dropSilentAttempt(*failure);
@@ -328,8 +331,18 @@
     relayCompleteResponse();
 }
 
+/// A connection may be lost for other reasons than a crash. Only several losses with the same content, each with another endpoint,
+/// lead to a refusal.
+void ForwardedCall::recordEndpointLoss(const CallAttempt &attempt) const
+{
+    if (attempt.pooled) {
+        m_forwarder.m_dependencies.onEndpointLost(m_content, {attempt.pooled->endpoint, attempt.pooled->incarnation});
+    }
+}
+
 void ForwardedCall::relayCompleteResponse()
 {
+    m_forwarder.m_dependencies.crashHistory.recordAnswer(m_content, base::now());
     const auto status = m_attempt->head->status;
     reportAttemptEnd(*m_attempt, routing::AttemptOutcome::Answered);
     m_forwarder.retryBudget(m_service).succeeded(base::now());
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/gateway/crashexchange.hpp"
 #include "turmericplank/gateway/endpointsmessage.hpp"
 #include "turmericplank/gateway/entryselection.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
@@ -22,6 +23,7 @@
 
 constexpr const char *EndpointsKind = "gateway/endpoints";
 constexpr const char *ConfigurationKind = "gateway/configuration";
+constexpr const char *CrashesKind = "gateway/crashes";
 constexpr const char *StreamOriginsKind = "gateway/origins";
 constexpr const char *OriginQueryKind = "gateway/origin"; ///< body: digest of a call as decimal text; response: its version, or nothing
 constexpr auto OriginsInterval = std::chrono::milliseconds(100); ///< a daemon that ends without notice takes the origins of this time with it
@@ -112,6 +114,7 @@
         , siteStateUpdater(context, siteStore, siteState, metrics, updaterCallbacks(), updaterOptions(settings.bounds))
         , placementRunner(placementDependencies(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
+        , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
         callerServer = listen(
             context, settings.callerAddress, [this](const net::ExchangePointer &it) { forwarder.handleCall(it); },
@@ -141,6 +144,10 @@
         });
         mesh->handle(OriginQueryKind,
                      [this](const base::DaemonId &, const std::string &body, const peer::PeerResponder &answer) { answerOriginQuery(body, answer); });
+        mesh->handle(CrashesKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
+            answer.end();
+            crashExchange.handleMessage(from, body);
+        });
         daemon::callEvery(context, OriginsInterval, [this] { sendStreamOrigins(); });
         siteStore.observeEra([this](base::StoreEra era) { noteStoreEra(era); });
         siteStateUpdater.start();
@@ -157,7 +164,9 @@
             metrics,
             random,
             streamOrigins,
+            crashHistory,
             [this](forwarding::CallDigest call, auto onDone) { peers.askNearby(OriginQueryKind, std::to_string(call), OriginQueryTimeout, std::move(onDone)); },
+            [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
             [this] { return daemonCount(); },
             [this] {
                 placementRunner.updateEngines();
@@ -245,6 +254,9 @@
             if (const auto mixed = streamOrigins.mixedServices(now); !mixed.empty()) {
                 peers.sendTo(id, StreamOriginsKind, encode(StreamOriginsMessage{streamOrigins.ownOfMixedServices(now), mixed}, now));
             }
+            if (const auto message = crashExchange.completeMessage(); !message.empty()) {
+                peers.sendTo(id, CrashesKind, message);
+            }
         };
         callbacks.onPeerSilent = [this](const base::DaemonId &id) {
             router.forgetPeer(id);
@@ -295,6 +307,15 @@
         }
     }
 
+    /// Daemons that are not heard may have written rows.
+    void recordEndpointLoss(requests::Fingerprint content, const requests::EndpointLoss &loss)
+    {
+        crashExchange.recordLoss(content, loss);
+        if (!peers.areAllHeard()) {
+            crashExchange.readRows();
+        }
+    }
+
     std::size_t daemonCount() const
     {
         return peers.otherDaemonCount() + 1;
@@ -452,11 +473,13 @@
     SiteState siteState;
     ConnectionPool pool;
     forwarding::StreamOrigins streamOrigins;
+    requests::CrashHistory crashHistory;
     std::unique_ptr<peer::Mesh> mesh;
     Forwarder forwarder;
     SiteStateUpdater siteStateUpdater;
     PlacementRunner placementRunner;
     Peers peers;
+    CrashExchange crashExchange;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> readinessServer;
     std::unique_ptr<net::HttpServer> directoryServer;
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -216,6 +216,15 @@
     }
 }
 
+void Peers::sendToStatusPeers(const std::string &kind, const std::string &body)
+{
+    for (const auto &[id, peer] : m_peers) {
+        if (peer.record && (peer.isInGroup || m_isHolder || isHolder(peer))) {
+            send(peer, kind, body);
+        }
+    }
+}
+
 void Peers::sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body)
 {
     const auto it = m_peers.find(id);
@@ -285,7 +294,9 @@
         peer.record = record;
         assignGroups();
     }
-    const bool isNewlyHeard = std::exchange(peer.isSilent, false);
+    // A daemon that restarts may be heard again before its silence is noticed.
+    const bool hasRestarted = peer.status && peer.status->incarnation < status->incarnation;
+    const bool isNewlyHeard = std::exchange(peer.isSilent, false) || hasRestarted;
     if (isNewlyHeard) {
         telemetry::log(LogLevel::Info, "peers", "heard", {{"daemon", status->from.text()}, {"incarnation", status->incarnation.value()}});
     }
--- a/src/turmericplank/gateway/streamoriginsmessage.cpp
+++ b/src/turmericplank/gateway/streamoriginsmessage.cpp
@@ -3,9 +3,8 @@
 #include <algorithm>
 #include <limits>
 #include <map>
-#include <span>
 
-#include <msgpack.hpp>
+#include "msgpackarrays.hpp"
 
 namespace turmericplank::gateway {
 
@@ -14,7 +13,6 @@
 using forwarding::CallDigest;
 using forwarding::MixedService;
 using forwarding::StreamOrigin;
-using Packer = msgpack::packer<msgpack::sbuffer>;
 using RemainingMilliseconds = std::uint32_t; ///< bounded, so that no received value overflows a time
 
 RemainingMilliseconds remaining(base::Time until, base::Time now)
@@ -23,11 +21,6 @@
     return static_cast<RemainingMilliseconds>(std::clamp<std::int64_t>(base::millisecondsBetween(now, until), 0, Max));
 }
 
-void packArraySize(Packer &packer, std::size_t size)
-{
-    packer.pack_array(static_cast<std::uint32_t>(size));
-}
-
 void writeOrigins(Packer &packer, const std::vector<StreamOrigin> &origins, base::Time now)
 {
     std::map<std::string_view, std::vector<const StreamOrigin *>> byVersion;
@@ -57,15 +50,6 @@
     }
 }
 
-/// Members of an array of at least the given size; the library reads beyond shorter ones when it converts them to tuples.
-std::span<const msgpack::object> members(const msgpack::object &object, std::uint32_t minSize)
-{
-    if (object.type != msgpack::type::ARRAY || object.via.array.size < minSize) {
-        throw msgpack::type_error();
-    }
-    return {object.via.array.ptr, object.via.array.size};
-}
-
 base::Time readTime(const msgpack::object &object, base::Time now)
 {
     return now + std::chrono::milliseconds(object.as<RemainingMilliseconds>());
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -384,10 +384,12 @@
                 m_metrics,
                 m_random,
                 m_streamOrigins,
+                m_crashHistory,
                 [this](forwarding::CallDigest call, const std::function<void(std::optional<std::string>)> &callback) {
                     const auto it = remoteOrigins.find(call);
                     callback(it == remoteOrigins.end() ? std::nullopt : std::optional(it->second));
                 },
+                [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { m_crashHistory.recordLoss(content, loss, base::now()); },
                 [] { return std::size_t(1); },
                 [] {},
                 [](const base::ServiceName &, const base::ModelName &) {
@@ -426,6 +428,7 @@
     SiteState m_siteState{m_router};
     ConnectionPool m_pool{m_context, {}};
     forwarding::StreamOrigins m_streamOrigins;
+    requests::CrashHistory m_crashHistory;
     Forwarder m_forwarder{dependencies(), SiteBounds(), options()};
 };
 
--- /dev/null
+++ b/src/turmericplank/requests/crashhistory.cpp
@@ -0,0 +1,146 @@
+#include "turmericplank/requests/crashhistory.hpp"
+
+#include <algorithm>
+
+namespace turmericplank::requests {
+
+CrashHistory::CrashHistory(CrashHistoryOptions options)
+    : m_options(options)
+{
+}
+
+void CrashHistory::recordLoss(Fingerprint content, const EndpointLoss &loss, base::Time now)
+{
+    mergeInto({content, {loss}, {}}, now);
+}
+
+void CrashHistory::recordAnswer(Fingerprint content, base::Time now)
+{
+    if (lossCount(content, now) > 0) {
+        mergeInto({content, {}, find(content).counted}, now);
+    }
+}
+
+void CrashHistory::merge(const std::vector<ContentLosses> &contents, base::Time now)
+{
+    for (const auto &it : contents) {
+        mergeInto(it, now);
+    }
+}
+
+bool CrashHistory::isRefused(Fingerprint content, base::Time now) const
+{
+    return lossCount(content, now) >= m_options.lossLimit;
+}
+
+std::size_t CrashHistory::lossCount(Fingerprint content, base::Time now) const
+{
+    const auto it = m_entries.find(content);
+    if (it == m_entries.end() || it->second.expiresAt <= now) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(it->second.losses, [](const auto &loss) { return loss.second; }));
+}
+
+std::vector<ContentLosses> CrashHistory::takeChanged()
+{
+    std::vector<ContentLosses> changed;
+    for (const auto content : std::exchange(m_changed, {})) {
+        if (const auto it = m_entries.find(content); it != m_entries.end()) {
+            changed.push_back(toMessage(content, it->second));
+        }
+    }
+    return changed;
+}
+
+std::vector<ContentLosses> CrashHistory::recentlyChanged(base::Time now) const
+{
+    std::vector<ContentLosses> recent;
+    for (const auto &[content, entry] : m_entries) {
+        if (now < entry.repeatUntil) {
+            recent.push_back(toMessage(content, entry));
+        }
+    }
+    return recent;
+}
+
+std::vector<ContentLosses> CrashHistory::all() const
+{
+    std::vector<ContentLosses> contents;
+    for (const auto &[content, entry] : m_entries) {
+        contents.push_back(toMessage(content, entry));
+    }
+    return contents;
+}
+
+ContentLosses CrashHistory::find(Fingerprint content) const
+{
+    const auto it = m_entries.find(content);
+    return it == m_entries.end() ? ContentLosses{content, {}, {}} : toMessage(content, it->second);
+}
+
+void CrashHistory::expire(base::Time now)
+{
+    while (!m_byExpiry.empty() && (m_byExpiry.begin()->first <= now || m_entries.size() > m_options.maxContents)) {
+        m_entries.erase(m_byExpiry.begin()->second);
+        m_byExpiry.erase(m_byExpiry.begin());
+    }
+}
+
+/// Finds or adds an entry and renews its times.
+CrashHistory::Entry &CrashHistory::touch(Fingerprint content, base::Time now)
+{
+    auto &entry = m_entries[content];
+    m_byExpiry.erase({entry.expiresAt, content});
+    entry.repeatUntil = now + m_options.repeatTime;
+    entry.expiresAt = now + m_options.lifetime;
+    m_byExpiry.emplace(entry.expiresAt, content);
+    return entry;
+}
+
+/// A loss that one daemon has cleared stays cleared, in whatever order the messages come.
+void CrashHistory::mergeInto(const ContentLosses &content, base::Time now)
+{
+    expire(now);
+    const auto known = m_entries.find(content.content);
+    auto losses = known == m_entries.end() ? std::map<EndpointLoss, bool>() : known->second.losses;
+    const auto before = losses;
+    for (const auto &it : content.cleared) {
+        losses[it] = false;
+    }
+    for (const auto &it : content.counted) {
+        losses.try_emplace(it, true);
+    }
+    limitLosses(losses, before);
+    if (losses == before) {
+        return;
+    }
+    touch(content.content, now).losses = std::move(losses);
+    m_changed.insert(content.content);
+    expire(now);
+}
+
+/// Losses that count matter more than cleared ones, and known ones more than new ones: these would otherwise change places for ever
+/// between two daemons.
+void CrashHistory::limitLosses(std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known) const
+{
+    const auto removeWhere = [&](auto mayGo) {
+        for (auto it = losses.begin(); it != losses.end() && losses.size() > m_options.maxLosses;) {
+            it = mayGo(*it) ? losses.erase(it) : std::next(it);
+        }
+    };
+    removeWhere([&](const auto &it) { return !it.second && !known.contains(it.first); });
+    removeWhere([](const auto &it) { return !it.second; });
+    removeWhere([&](const auto &it) { return !known.contains(it.first); });
+}
+
+ContentLosses CrashHistory::toMessage(Fingerprint content, const Entry &entry) const
+{
+    ContentLosses message{content, {}, {}};
+    for (const auto &[loss, isCounted] : entry.losses) {
+        (isCounted ? message.counted : message.cleared).push_back(loss);
+    }
+    return message;
+}
+
+} // namespace turmericplank::requests
--- /dev/null
+++ b/tests/crashes_test.sh
@@ -0,0 +1,78 @@
+#!/usr/bin/env bash
+# End-to-end test of requests that crash endpoints, with stand-ins: three daemons, three instances of a plain service, which are
+# started again under another id whenever they have ended, and the metadata store.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+bin=$(cd "${1:-build/bin}" && pwd)
+source tools/processes.sh
+source tests/site.sh
+
+crashes=0
+declare -A starts_of=()
+start_endpoint() { # NUMBER
+    starts_of[$1]=$((${starts_of[$1]:-0} + 1))
+    start "desk-$1" turmericplank-siteendpoint --listen "$(desk "$1")" --address "$(desk "$1")" --store "$store" --id "desk-$1-${starts_of[$1]}" --service desk --zone z1
+    until_true 5 answers "http://$(desk "$1")/runs"
+    set_faults "$(desk "$1")" '{"crash_on": "poison"}'
+}
+restart_ended() {
+    local n
+    for n in 1 2 3; do
+        kill -0 "${pid_of[desk-$n]}" 2>/dev/null && continue
+        crashes=$((crashes + 1))
+        wait "${pid_of[desk-$n]}" 2>/dev/null
+        start_endpoint $n
+    done
+}
+# Each with an id of its own, as callers repeat a request.
+request_number=0
+send_poison() { # DAEMON...
+    local n
+    for n in "$@"; do
+        request_number=$((request_number + 1))
+        status "$n" /check/a "poison-$request_number" "" -d poison >>"$work/poison" &
+        pids+=($!)
+        sleep 0.05
+        restart_ended
+    done
+    wait "${pids[@]}"
+    pids=()
+}
+pids=()
+# sound calls NAME...: a sound call to each daemon; succeeds if all are answered.
+sound() { for n in 1 2 3; do equals "$(status $n /check/a "$1-$n" "" -d "sound-$1-$n")" 200 || return 1; done; }
+
+start store turmericplank-sitestore --listen "$store"
+until_true 10 answers "http://$store/" || exit 1
+put_configuration 1 ',{"name":"check","host":"site.example","prefix":"/check/","kind":"safe","timeoutMs":3000,"goalMs":300,"priority":2,"service":"desk","maxAttempts":2}'
+for n in 1 2 3; do start_endpoint $n; done
+for n in 1 2 3; do start_daemon $n; done
+for n in 1 2 3; do step "daemon $n becomes ready" until_true 10 ready_is $n 200; done
+step "sound calls are answered" until_true 10 sound before
+sleep 2
+
+for _ in $(seq 6); do send_poison 1 2 3; done
+first=$crashes
+step "a request that crashes endpoints ends three or more ($first)" [ "$first" -ge 3 ]
+step "... and is refused soon" [ "$first" -le 6 ]
+for _ in $(seq 6); do send_poison 3 2 1; done
+step "... and from then on, at all daemons" equals "$crashes" "$first"
+step "... without Retry-After" equals "$(call 1 /check/a p1 "" -d poison -o /dev/null -D - | grep -ciE '^HTTP/1.1 503|^retry-after')" 1
+step "... which the log says" grep -q 'requests: refused request=p1 .*reason=crashes_endpoints content=[0-9a-f]* has_run=no' "$work/daemon-1.log"
+step "sound calls are answered again" until_true 10 sound after
+
+stop daemon-2
+start_daemon 2
+step "a daemon that restarts becomes ready" until_true 10 ready_is 2 200
+for _ in $(seq 3); do send_poison 2; done
+step "... and refuses the request as well" equals "$crashes" "$first"
+
+for n in 1 2 3; do stop daemon-$n; done
+for n in 1 2 3; do start_daemon $n; done
+for n in 1 2 3; do step "after all daemons were killed at the same time, daemon $n becomes ready" until_true 10 ready_is $n 200; done
+for _ in $(seq 3); do send_poison 1 2 3; done
+step "... and the request is still refused" equals "$crashes" "$first"
+step "... and sound calls are answered" until_true 10 sound last
+
+
+[ $failures = 0 ] || { grep -hE "crash|refuses" "$work"/daemon-*.log; tail -n 20 "$work"/daemon-*.log; exit 1; }
