A refused content is tried again after a minute

Endpoints may be lost for another reason than the content that they ran, for example three at once when a rack loses power. A content that many callers send would then be refused for ten minutes, since nothing that is refused can be answered. The lease holder lets one call run a minute after the last loss, then after twice as long with each further loss; a trial that loses its endpoint goes nowhere else.

--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -62,6 +62,7 @@
     /// Asks other daemons for the version at which a stream began; calls back once, with nothing if none of them knows it.
     std::function<void(forwarding::CallDigest, std::function<void(std::optional<std::string>)>)> findRemoteOrigin;
     std::function<void(requests::Fingerprint, const requests::EndpointLoss &)> onEndpointLost; ///< while it ran a content
+    std::function<bool()> mayTryRefused; ///< this daemon is the one that tries refused contents again
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -89,6 +89,9 @@
     /// @brief Whether this daemon reads the store on behalf of its group.
     bool isStoreReader() const;
 
+    /// @brief Whether this daemon holds the placement lease.
+    bool isLeaseHolder() const;
+
     /// @brief Sends a message to all peers in the group that are heard.
     void sendToGroup(const std::string &kind, const std::string &body);
 
--- a/include/turmericplank/requests/crashhistory.hpp
+++ b/include/turmericplank/requests/crashhistory.hpp
@@ -29,6 +29,7 @@
     std::size_t maxLosses = 16; ///< to remember of one content
     std::size_t maxContents = 4096; ///< those whose last change is the oldest go first
     base::Duration lifetime = std::chrono::minutes(10); ///< of what is known of a content, from its last change
+    base::Duration trialDelay = std::chrono::minutes(1); ///< from the last loss until a refused content is tried again; doubles with each further loss
     base::Duration repeatTime = std::chrono::seconds(5); ///< in which a change is sent again; a silent connection is noticed earlier
 };
 
@@ -53,6 +54,10 @@
     /// @brief Whether a content has been lost with so many endpoints that it is refused.
     bool isRefused(Fingerprint content, base::Time now) const;
 
+    /// @brief Starts a trial of a refused content if one is due, since the endpoints may have been lost for another reason.
+    /// @return whether one call with it may run
+    bool beginTrial(Fingerprint content, base::Time now);
+
     /// @brief Number of losses that count against a content.
     std::size_t lossCount(Fingerprint content, base::Time now) const;
 
@@ -75,6 +80,7 @@
     struct Entry
     {
         std::map<EndpointLoss, bool> losses; ///< and whether each one counts
+        base::Time nextTrialAt;
         base::Time repeatUntil;
         base::Time expiresAt;
     };
@@ -82,6 +88,8 @@
     Entry &touch(Fingerprint content, base::Time now);
     void mergeInto(const ContentLosses &content, base::Time now);
     void limitLosses(std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known) const;
+    static std::size_t countedLosses(const Entry &entry);
+    base::Duration trialDelay(const Entry &entry) const;
     ContentLosses toMessage(Fingerprint content, const Entry &entry) const;
 
     CrashHistoryOptions m_options;
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -152,13 +152,24 @@
 
 bool ForwardedCall::isRefusedForCrashes() const
 {
-    return m_forwarder.m_dependencies.crashHistory.isRefused(m_content, base::now());
+    return !m_isTrial && m_forwarder.m_dependencies.crashHistory.isRefused(m_content, base::now());
+}
+
+/// Only a call that has not been sent before is a trial, and only at one daemon, so that few endpoints are lost if it crashes them.
+bool ForwardedCall::beginTrial()
+{
+    auto &dependencies = m_forwarder.m_dependencies;
+    m_isTrial = m_attempts.sends() == 0 && dependencies.mayTryRefused() && dependencies.crashHistory.beginTrial(m_content, base::now());
+    if (m_isTrial) {
+        telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(m_content)}});
+    }
+    return m_isTrial;
 }
 
 void ForwardedCall::selectEndpoint()
 {
     const auto now = base::now();
-    if (isRefusedForCrashes()) {
+    if (isRefusedForCrashes() && !beginTrial()) {
         m_pendingRejection = RejectionReason::CrashesEndpoints;
         rejectAfter(m_attempts.finalStep(now));
         return;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -59,6 +59,7 @@
     bool isVersionServing(const std::string &softwareVersion) const;
     bool isServing(const base::EndpointId &endpoint) const;
     bool isRefusedForCrashes() const;
+    bool beginTrial();
     void selectEndpoint();
     void waitForEndpoint(forwarding::WaitCause cause);
     void waitForPauseEnd(base::Time pauseEnd);
@@ -84,7 +85,7 @@
     void keepOnly(std::uint64_t number);
     void startStream(base::Time now);
     void handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome);
-    void recordEndpointLoss(const CallAttempt &attempt) const;
+    void recordEndpointLoss(const CallAttempt &attempt);
     std::optional<forwarding::SendResult> failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const;
     void relayCompleteResponse();
     void finishAttempt(forwarding::SendResult end);
@@ -133,6 +134,7 @@
     RejectionReason m_pendingRejection = RejectionReason::NoEndpoint;
     std::uint64_t m_attemptNumber = 0;
     bool m_isStreaming = false; ///< the response head has been sent to the caller
+    bool m_isTrial = false; ///< of a content that is refused otherwise
     bool m_isFinished = false;
 };
 
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -333,8 +333,9 @@
 
 /// A connection may be lost for other reasons than a crash. Only several losses with the same content, each with another endpoint,
 /// lead to a refusal.
-void ForwardedCall::recordEndpointLoss(const CallAttempt &attempt) const
+void ForwardedCall::recordEndpointLoss(const CallAttempt &attempt)
 {
+    m_isTrial = false;
     if (attempt.pooled) {
         m_forwarder.m_dependencies.onEndpointLost(m_content, {attempt.pooled->endpoint, attempt.pooled->incarnation});
     }
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -284,3 +284,38 @@
     CHECK(site.a.received.empty());
     CHECK(exchange->body == stream(0, "a", 2, "b"));
 }
+
+TEST_CASE("a content that endpoints were lost with is refused as not run, tried again later, and served once it is answered")
+{
+    TestSite site(firstPort);
+    Call call;
+    call.host = "h";
+    const auto content = contentFingerprint(call, {"POST", "/r/x", {}, "question"});
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        site.crashHistory.recordLoss(content, {base::EndpointId("x"), base::Incarnation(n)}, base::now());
+    }
+    const auto refused = site.call({{"Request-Id", "c1"}});
+    CHECK(refused->status == 503);
+    CHECK(refused->body == "crashes_endpoints");
+    CHECK(site.a.received.empty());
+    site.a.scripts = {events(2) + step(EngineStep::Kind::End), events(2) + step(EngineStep::Kind::End)};
+    site.runFor(PauseBeyondLimit);
+    CHECK(site.call({{"Request-Id", "c2"}})->body == stream(2, "a", 2));
+    CHECK(site.call({{"Request-Id", "c3"}})->body == stream(2, "a", 2));
+}
+
+TEST_CASE("a trial that loses its endpoint is not sent to another one")
+{
+    TestSite site(firstPort);
+    Call call;
+    call.host = "h";
+    const auto content = contentFingerprint(call, {"POST", "/r/x", {}, "question"});
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        site.crashHistory.recordLoss(content, {base::EndpointId("x"), base::Incarnation(n)}, base::now());
+    }
+    site.a.scripts = {step(EngineStep::Kind::Accept) + step(EngineStep::Kind::Break)};
+    site.runFor(PauseBeyondLimit);
+    CHECK(site.call({{"Request-Id", "c1"}})->status == 502);
+    CHECK(site.a.received.size() == 1);
+    CHECK(site.b.received.empty());
+}
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -167,6 +167,7 @@
             crashHistory,
             [this](forwarding::CallDigest call, auto onDone) { peers.askNearby(OriginQueryKind, std::to_string(call), OriginQueryTimeout, std::move(onDone)); },
             [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
+            [this] { return peers.isLeaseHolder(); },
             [this] { return daemonCount(); },
             [this] {
                 placementRunner.updateEngines();
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -368,6 +368,11 @@
     });
 }
 
+bool Peers::isLeaseHolder() const
+{
+    return m_isHolder;
+}
+
 std::vector<std::pair<PeerRecord, PeerStatus>> Peers::servingPeers() const
 {
     std::vector<std::pair<PeerRecord, PeerStatus>> found;
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -384,12 +384,13 @@
                 m_metrics,
                 m_random,
                 m_streamOrigins,
-                m_crashHistory,
+                crashHistory,
                 [this](forwarding::CallDigest call, const std::function<void(std::optional<std::string>)> &callback) {
                     const auto it = remoteOrigins.find(call);
                     callback(it == remoteOrigins.end() ? std::nullopt : std::optional(it->second));
                 },
-                [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { m_crashHistory.recordLoss(content, loss, base::now()); },
+                [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { crashHistory.recordLoss(content, loss, base::now()); },
+                [] { return true; },
                 [] { return std::size_t(1); },
                 [] {},
                 [](const base::ServiceName &, const base::ModelName &) {
@@ -405,6 +406,13 @@
         return it;
     }
 
+    static requests::CrashHistoryOptions crashHistoryOptions()
+    {
+        requests::CrashHistoryOptions it;
+        it.trialDelay = std::chrono::milliseconds(100);
+        return it;
+    }
+
     static ForwarderOptions options()
     {
         ForwarderOptions it;
@@ -419,6 +427,7 @@
     ScriptedEngine a;
     ScriptedEngine b;
     std::map<forwarding::CallDigest, std::string> remoteOrigins; ///< known to daemons that are asked
+    requests::CrashHistory crashHistory{crashHistoryOptions()};
 
 private:
     WireFormat m_wire = testWireFormat();
@@ -428,7 +437,6 @@
     SiteState m_siteState{m_router};
     ConnectionPool m_pool{m_context, {}};
     forwarding::StreamOrigins m_streamOrigins;
-    requests::CrashHistory m_crashHistory;
     Forwarder m_forwarder{dependencies(), SiteBounds(), options()};
 };
 
--- a/src/turmericplank/requests/crashhistory.cpp
+++ b/src/turmericplank/requests/crashhistory.cpp
@@ -33,13 +33,20 @@
     return lossCount(content, now) >= m_options.lossLimit;
 }
 
-std::size_t CrashHistory::lossCount(Fingerprint content, base::Time now) const
+bool CrashHistory::beginTrial(Fingerprint content, base::Time now)
 {
     const auto it = m_entries.find(content);
-    if (it == m_entries.end() || it->second.expiresAt <= now) {
-        return 0;
+    if (!isRefused(content, now) || now < it->second.nextTrialAt) {
+        return false;
     }
-    return static_cast<std::size_t>(std::ranges::count_if(it->second.losses, [](const auto &loss) { return loss.second; }));
+    it->second.nextTrialAt = now + trialDelay(it->second);
+    return true;
+}
+
+std::size_t CrashHistory::lossCount(Fingerprint content, base::Time now) const
+{
+    const auto it = m_entries.find(content);
+    return it == m_entries.end() || it->second.expiresAt <= now ? 0 : countedLosses(it->second);
 }
 
 std::vector<ContentLosses> CrashHistory::takeChanged()
@@ -87,6 +94,17 @@
     }
 }
 
+std::size_t CrashHistory::countedLosses(const Entry &entry)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(entry.losses, [](const auto &loss) { return loss.second; }));
+}
+
+base::Duration CrashHistory::trialDelay(const Entry &entry) const
+{
+    const auto further = std::max(countedLosses(entry), m_options.lossLimit) - m_options.lossLimit;
+    return m_options.trialDelay * (std::int64_t(1) << std::min(further, m_options.maxLosses));
+}
+
 /// Finds or adds an entry and renews its times.
 CrashHistory::Entry &CrashHistory::touch(Fingerprint content, base::Time now)
 {
@@ -115,7 +133,9 @@
     if (losses == before) {
         return;
     }
-    touch(content.content, now).losses = std::move(losses);
+    auto &entry = touch(content.content, now);
+    entry.losses = std::move(losses);
+    entry.nextTrialAt = now + trialDelay(entry);
     m_changed.insert(content.content);
     expire(now);
 }
--- a/src/turmericplank/requests/crashhistory_test.cpp
+++ b/src/turmericplank/requests/crashhistory_test.cpp
@@ -101,6 +101,26 @@
     CHECK(history.all().empty());
 }
 
+TEST_CASE("a refused content is tried again, once at a time and ever more seldom while endpoints are lost with it")
+{
+    CrashHistoryOptions options;
+    options.trialDelay = 60s;
+    CrashHistory history(options);
+    CHECK_FALSE(history.beginTrial(crashing, Now));
+    for (const auto *endpoint : {"a", "b", "c"}) {
+        history.recordLoss(crashing, loss(endpoint), Now);
+    }
+    CHECK_FALSE(history.beginTrial(crashing, Now + 59s));
+    CHECK(history.beginTrial(crashing, Now + 60s));
+    CHECK_FALSE(history.beginTrial(crashing, Now + 61s));
+    history.recordLoss(crashing, loss("d"), Now + 62s);
+    CHECK_FALSE(history.beginTrial(crashing, Now + 181s));
+    CHECK(history.beginTrial(crashing, Now + 182s));
+    CHECK(history.isRefused(crashing, Now + 182s));
+    history.recordAnswer(crashing, Now + 183s);
+    CHECK_FALSE(history.isRefused(crashing, Now + 183s));
+}
+
 TEST_CASE("the number of contents and of losses of one content is bounded")
 {
     CrashHistoryOptions options;
