Repetitions of a crashing request may differ in their query

A call to a target with a query has a second content, without the query; either one is refused after three losses and cleared by an answer. Test: gateway/call_test, which does not compile on the code before.

--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -38,8 +38,9 @@
     friend bool operator==(const Call &, const Call &) = default;
 };
 
-/// @brief Fingerprint of the method, host, target and body of a call; callers' repetitions have the same one.
-requests::Fingerprint contentFingerprint(const Call &call, const net::HttpRequest &request);
+/// @brief Fingerprints of what a call has in common with repetitions of it by callers.
+/// @return that of method, host, target and body, and that without the query of the target if it has one, since repetitions may differ in it
+std::vector<requests::Fingerprint> contentFingerprints(const Call &call, const net::HttpRequest &request);
 
 /// @brief A fingerprint as it is written in logs: 16 hexadecimal digits.
 std::string toString(requests::Fingerprint fingerprint);
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -8,10 +8,18 @@
 
 namespace turmericplank::gateway {
 
-requests::Fingerprint contentFingerprint(const Call &call, const net::HttpRequest &request)
+std::vector<requests::Fingerprint> contentFingerprints(const Call &call, const net::HttpRequest &request)
 {
-    const auto address = base::fingerprint(request.method + '\n' + call.host + '\n' + request.target);
-    return requests::Fingerprint(base::fingerprint(request.body, address));
+    const auto fingerprint = [&](std::string_view target) {
+        const auto address = base::fingerprint(request.method + '\n' + call.host + '\n' + std::string(target));
+        return requests::Fingerprint(base::fingerprint(request.body, address));
+    };
+    std::vector<requests::Fingerprint> contents{fingerprint(request.target)};
+    const auto path = net::path(request.target);
+    if (path.size() < request.target.size()) {
+        contents.push_back(fingerprint(path));
+    }
+    return contents;
 }
 
 std::string toString(requests::Fingerprint fingerprint)
--- a/src/turmericplank/gateway/call_test.cpp
+++ b/src/turmericplank/gateway/call_test.cpp
@@ -5,21 +5,34 @@
 using namespace turmericplank;
 using namespace turmericplank::gateway;
 
-TEST_CASE("repetitions of a call have the same content fingerprint, and calls to another host, target or with another body don't")
+TEST_CASE("repetitions of a call have the same content fingerprints, and calls to another host, target or with another body don't")
 {
     Call call;
     call.id = "c1";
     call.host = "h";
     Call repetition = call;
     repetition.id = "c2";
-    const net::HttpRequest request{"POST", "/a?x=1", {{"Request-Id", "c1"}}, "question"};
-    const auto content = contentFingerprint(call, request);
-    CHECK(contentFingerprint(repetition, {"POST", "/a?x=1", {{"Request-Id", "c2"}, {"Deadline-Ms", "10"}}, "question"}) == content);
-    CHECK(contentFingerprint(call, {"GET", "/a?x=1", {}, "question"}) != content);
-    CHECK(contentFingerprint(call, {"POST", "/a?x=2", {}, "question"}) != content);
-    CHECK(contentFingerprint(call, {"POST", "/a?x=1", {}, "questions"}) != content);
+    const net::HttpRequest request{"POST", "/a", {{"Request-Id", "c1"}}, "question"};
+    const auto contents = contentFingerprints(call, request);
+    CHECK(contents.size() == 1);
+    CHECK(contentFingerprints(repetition, {"POST", "/a", {{"Request-Id", "c2"}, {"Deadline-Ms", "10"}}, "question"}) == contents);
+    CHECK(contentFingerprints(call, {"GET", "/a", {}, "question"}) != contents);
+    CHECK(contentFingerprints(call, {"POST", "/b", {}, "question"}) != contents);
+    CHECK(contentFingerprints(call, {"POST", "/a", {}, "questions"}) != contents);
     call.host = "other";
-    CHECK(contentFingerprint(call, request) != content);
+    CHECK(contentFingerprints(call, request) != contents);
+}
+
+TEST_CASE("calls to one path with different queries have one content fingerprint in common")
+{
+    const Call call;
+    const auto plain = contentFingerprints(call, {"GET", "/a", {}, {}});
+    const auto first = contentFingerprints(call, {"GET", "/a?x=1", {}, {}});
+    const auto second = contentFingerprints(call, {"GET", "/a?x=2", {}, {}});
+    CHECK(first.size() == 2);
+    CHECK(first.front() != second.front());
+    CHECK(first.back() == second.back());
+    CHECK(first.back() == plain.front());
 }
 
 TEST_CASE("a fingerprint is logged with all its digits")
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -35,7 +35,7 @@
     , m_callsInProgress(forwarder.m_callsInProgress)
     , m_exchange(std::move(exchange))
     , m_call(std::move(call))
-    , m_content(contentFingerprint(m_call, m_exchange->request()))
+    , m_contents(contentFingerprints(m_call, m_exchange->request()))
     , m_routes(std::move(routes))
     , m_route(route)
     , m_service(routes::chooseService(route, m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall))
@@ -152,16 +152,21 @@
 
 bool ForwardedCall::isRefusedForCrashes() const
 {
-    return !m_isTrial && m_forwarder.m_dependencies.crashHistory.isRefused(m_content, base::now());
+    const auto now = base::now();
+    return !m_isTrial && std::ranges::any_of(m_contents, [&](auto it) { return m_forwarder.m_dependencies.crashHistory.isRefused(it, now); });
 }
 
 /// Only a call that has not been sent before is a trial, and only at one daemon, so that few endpoints are lost if it crashes them.
 bool ForwardedCall::beginTrial()
 {
+    const auto now = base::now();
     auto &dependencies = m_forwarder.m_dependencies;
-    m_isTrial = m_attempts.sends() == 0 && dependencies.mayTryRefused() && dependencies.crashHistory.beginTrial(m_content, base::now());
+    const auto mayRun = [&](requests::Fingerprint it) {
+        return !dependencies.crashHistory.isRefused(it, now) || dependencies.crashHistory.beginTrial(it, now);
+    };
+    m_isTrial = m_attempts.sends() == 0 && dependencies.mayTryRefused() && std::ranges::all_of(m_contents, mayRun);
     if (m_isTrial) {
-        telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(m_content)}});
+        telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(m_contents.front())}});
     }
     return m_isTrial;
 }
@@ -360,7 +365,7 @@
                     {"route", m_route.name},
                     {"work", m_qualifiedModel.text()},
                     {"reason", toString(reason)},
-                    {"content", toString(m_content)},
+                    {"content", toString(m_contents.front())},
                     {"has_run", m_attempts.mayHaveRun() ? "unknown" : "no"},
                     {"sends", static_cast<int>(m_attempts.sends())},
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, now)},
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -108,7 +108,7 @@
     std::shared_ptr<std::size_t> m_callsInProgress;
     net::ExchangePointer m_exchange;
     Call m_call;
-    requests::Fingerprint m_content;
+    std::vector<requests::Fingerprint> m_contents; ///< the whole content first
     std::shared_ptr<const routes::RouteTable> m_routes; ///< keeps m_route alive
     const routes::Route &m_route;
     base::ServiceName m_service;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -336,14 +336,19 @@
 void ForwardedCall::recordEndpointLoss(const CallAttempt &attempt)
 {
     m_isTrial = false;
-    if (attempt.pooled) {
-        m_forwarder.m_dependencies.onEndpointLost(m_content, {attempt.pooled->endpoint, attempt.pooled->incarnation});
+    if (!attempt.pooled) {
+        return;
+    }
+    for (const auto it : m_contents) {
+        m_forwarder.m_dependencies.onEndpointLost(it, {attempt.pooled->endpoint, attempt.pooled->incarnation});
     }
 }
 
 void ForwardedCall::relayCompleteResponse()
 {
-    m_forwarder.m_dependencies.crashHistory.recordAnswer(m_content, base::now());
+    for (const auto it : m_contents) {
+        m_forwarder.m_dependencies.crashHistory.recordAnswer(it, base::now());
+    }
     const auto status = m_attempt->head->status;
     reportAttemptEnd(*m_attempt, routing::AttemptOutcome::Answered);
     m_forwarder.retryBudget(m_service).succeeded(base::now());
@@ -419,7 +424,7 @@
     telemetry::log(LogLevel::Info, "requests", "send ended",
                    {{"request", m_call.id},
                     {"route", m_route.name},
-                    {"content", toString(m_content)},
+                    {"content", toString(m_contents.front())},
                     {"endpoint", attempt.choice.endpoint.text()},
                     {"end", toString(end)},
                     {"status", attempt.head ? attempt.head->status : 0},
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -290,7 +290,7 @@
     TestSite site(firstPort);
     Call call;
     call.host = "h";
-    const auto content = contentFingerprint(call, {"POST", "/r/x", {}, "question"});
+    const auto content = contentFingerprints(call, {"POST", "/r/x", {}, "question"}).front();
     for (std::uint64_t n = 1; n <= 3; ++n) {
         site.crashHistory.recordLoss(content, {base::EndpointId("x"), base::Incarnation(n)}, base::now());
     }
@@ -309,7 +309,7 @@
     TestSite site(firstPort);
     Call call;
     call.host = "h";
-    const auto content = contentFingerprint(call, {"POST", "/r/x", {}, "question"});
+    const auto content = contentFingerprints(call, {"POST", "/r/x", {}, "question"}).front();
     for (std::uint64_t n = 1; n <= 3; ++n) {
         site.crashHistory.recordLoss(content, {base::EndpointId("x"), base::Incarnation(n)}, base::now());
     }
