--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -52,7 +52,7 @@
     void applyRelayedEntries(const std::vector<discovery::EndpointEntry> &entries);
 
     /// @brief Applies a configuration that another daemon has relayed.
-    void applyRelayedConfiguration(const std::string &text);
+    void applyRelayedConfiguration(const base::DaemonId &from, const std::string &text);
 
     /// @brief Notes the revision in force at another daemon.
     ///
@@ -70,14 +70,14 @@
     void rereadConfiguration();
     void handleWaitEnd(const ConfigurationSnapshot &result);
     void sendToPeerBehind(const base::DaemonId &peer, base::Revision revision, base::Time now);
-    void applyConfiguration(const tl::expected<ConfigurationSnapshot, TableFailure> &result);
+    void applyConfiguration(const tl::expected<ConfigurationSnapshot, TableFailure> &result, std::string_view source);
     void readEndpoints();
     void applyEndpointsSnapshot(const tl::expected<EndpointsSnapshot, TableFailure> &result);
     void tick();
     bool isEndpointsReadDue(base::Time now) const;
     base::Duration retryPause(unsigned failures) const;
     void applyEntries(const std::vector<discovery::EndpointEntry> &entries);
-    bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text);
+    bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text, std::string_view source);
     void setStoreAvailable(bool isAvailable);
 
     boost::asio::io_context &m_context;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -134,9 +134,9 @@
             answer.end();
             handleEntriesMessage(from, body);
         });
-        mesh->handle(ConfigurationKind, [this](const base::DaemonId &, const std::string &body, const peer::PeerResponder &answer) {
+        mesh->handle(ConfigurationKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
             answer.end();
-            siteStateUpdater.applyRelayedConfiguration(body);
+            siteStateUpdater.applyRelayedConfiguration(from, body);
         });
         mesh->handle(StreamOriginsKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
             answer.end();
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -11,6 +11,9 @@
 
 using telemetry::LogLevel;
 
+constexpr std::string_view ByWait = "wait";
+constexpr std::string_view ByRead = "read";
+
 } // namespace
 
 SiteStateUpdater::SiteStateUpdater(boost::asio::io_context &context, SiteStore store, SiteState &siteState, telemetry::Metrics &metrics, Callbacks callbacks,
@@ -70,7 +73,7 @@
 {
     m_metrics.count("store_calls_total{call=\"read_configuration\"}");
     m_siteStore.readConfiguration([this](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
-        applyConfiguration(result);
+        applyConfiguration(result, ByRead);
         if (!m_siteState.routes()) {
             daemon::callAt(m_context, base::now() + m_options.retryInterval, [this] { readConfiguration(); });
         }
@@ -91,7 +94,7 @@
             m_isAwaiting = false;
             return;
         }
-        applyConfiguration(result);
+        applyConfiguration(result, ByWait);
         // The history may have been discarded, so everything is read again before the next wait.
         daemon::callAt(m_context, base::now() + retryPause(m_awaitFailures++), [this, eraCount] {
             if (eraCount == m_eraCount) {
@@ -106,7 +109,7 @@
     m_metrics.count("store_calls_total{call=\"read_configuration\"}");
     m_siteStore.readConfiguration([this, eraCount = m_eraCount](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
         if (eraCount == m_eraCount) {
-            applyConfiguration(result);
+            applyConfiguration(result, ByRead);
             m_isAwaiting = false;
         }
     });
@@ -118,7 +121,7 @@
 void SiteStateUpdater::handleWaitEnd(const ConfigurationSnapshot &result)
 {
     if (!result.text.empty()) {
-        applyConfiguration(result);
+        applyConfiguration(result, ByWait);
         return;
     }
     setStoreAvailable(true);
@@ -140,7 +143,7 @@
     }
 }
 
-void SiteStateUpdater::applyConfiguration(const tl::expected<ConfigurationSnapshot, TableFailure> &result)
+void SiteStateUpdater::applyConfiguration(const tl::expected<ConfigurationSnapshot, TableFailure> &result, std::string_view source)
 {
     setStoreAvailable(result.has_value());
     if (!result) {
@@ -149,17 +152,17 @@
     }
     m_position = std::max(m_position, result->position);
     m_unconfirmedPosition = std::max(m_unconfirmedPosition, m_position);
-    if (activate(result->configuration, result->text)) {
+    if (activate(result->configuration, result->text, source)) {
         m_callbacks.onConfigurationText(result->text);
     }
 }
 
-void SiteStateUpdater::applyRelayedConfiguration(const std::string &text)
+void SiteStateUpdater::applyRelayedConfiguration(const base::DaemonId &from, const std::string &text)
 {
-    activate(m_siteStore.parseConfiguration(text), text);
+    activate(m_siteStore.parseConfiguration(text), text, from.text());
 }
 
-bool SiteStateUpdater::activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text)
+bool SiteStateUpdater::activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text, std::string_view source)
 {
     const auto now = base::now();
     const bool hasChanged = m_siteState.applyConfiguration(configuration, now);
@@ -169,7 +172,7 @@
         m_peerAheadSince.reset();
         const auto &site = *configuration;
         telemetry::log(LogLevel::Info, "configuration", "in force",
-                       {{"revision", site.revision.value()}, {"routes", std::uint64_t(site.routes.size())}, {"position", m_position}});
+                       {{"revision", site.revision.value()}, {"routes", std::uint64_t(site.routes.size())}, {"position", m_position}, {"by", source}});
         m_metrics.setGauge("configuration_revision", static_cast<double>(site.revision.value()));
         m_callbacks.onConfigurationChanged();
     }
@@ -212,7 +215,7 @@
     telemetry::log(LogLevel::Info, "configuration", "a peer has a later revision", {{"revision", revision.value()}});
     m_siteStore.readConfiguration([this](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
         m_isRereading = false;
-        applyConfiguration(result);
+        applyConfiguration(result, ByRead);
     });
 }
 
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -157,9 +157,9 @@
     it.stored = 4;
     it.updater.notePeerRevision(peer, base::Revision(4));
     CHECK(it.revision() == 1);
-    it.updater.applyRelayedConfiguration("3");
+    it.updater.applyRelayedConfiguration(peer, "3");
     CHECK(it.revision() == 3);
-    it.updater.applyRelayedConfiguration("2");
+    it.updater.applyRelayedConfiguration(peer, "2");
     CHECK(it.revision() == 3);
     const auto reads = it.configurationReads;
     it.updater.notePeerRevision(peer, base::Revision(4));
@@ -264,7 +264,7 @@
 {
     Daemon it(false);
     it.stopsWhenAwaiting = false;
-    it.updater.applyRelayedConfiguration("5");
+    it.updater.applyRelayedConfiguration(peer, "5");
     it.updater.notePeerRevision(peer, base::Revision(4));
     CHECK(it.sentToPeers.empty()); // the peer may be about to apply the change itself
     daemon::callAt(it.context, base::now() + std::chrono::milliseconds(30), [&] {
