Failing test: a wait for configuration changes that falls silent

The daemon that reads the store for its group has a silent wait, while its other calls are answered and it relays entries as usual; and two daemons whose waits fell silent for a moment.

--- /dev/null
+++ b/src/turmericplank/gateway/configurationchange_test.cpp
@@ -0,0 +1,70 @@
+#include "testfleet.hpp"
+
+using namespace turmericplank;
+using namespace turmericplank::gateway;
+using namespace turmericplank::gateway::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto DrainTime = 2s;
+constexpr auto StartTime = 4500ms; ///< until all daemons know each other and the endpoints
+constexpr auto MaxChangeTime = 10s; ///< far more than any path of a change takes
+
+/// Puts a configuration with another route, and runs until all daemons serve that route.
+/// @return daemons that never did
+std::vector<std::size_t> changeRoute(TestFleet &fleet, std::uint64_t revision)
+{
+    const auto prefix = "/r" + std::to_string(revision) + '/';
+    fleet.store.put(TestFleet::makeConfiguration(revision, prefix));
+    std::vector<std::size_t> behind;
+    const auto end = base::now() + MaxChangeTime;
+    do {
+        std::vector<std::shared_ptr<TestFleet::Result>> results;
+        for (std::size_t n = 0; n < fleet.daemonCount(); ++n) {
+            results.push_back(fleet.call(n, {}, "sound", prefix + "x"));
+        }
+        fleet.runFor(100ms);
+        behind.clear();
+        for (std::size_t n = 0; n < fleet.daemonCount(); ++n) {
+            if (results[n]->status != 200) {
+                behind.push_back(n);
+            }
+        }
+    } while (!behind.empty() && base::now() < end);
+    return behind;
+}
+
+} // namespace
+
+TEST_CASE("a change takes effect at all daemons although the wait for it of the one that reads the store for the others is silent")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    CHECK(changeRoute(fleet, 2).empty());
+    fleet.store.silencedWaits = {"0"};
+    CHECK(changeRoute(fleet, 3).empty());
+}
+
+TEST_CASE("a change takes effect at all daemons although the waits for it of two of them fell silent")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.store.silencedWaits = {"0", "1"};
+    fleet.runFor(100ms);
+    fleet.store.silencedWaits.clear();
+    CHECK(changeRoute(fleet, 2).empty());
+}
+
+TEST_CASE("a change takes effect at daemons that are in contact through others only, and one of which restarts meanwhile")
+{
+    TestFleet fleet(
+        5, 2, [](std::size_t a, std::size_t b) { return a + 1 == b || b + 1 == a; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.store.silencedWaits = {"0", "2"};
+    fleet.stopDaemon(3);
+    fleet.startDaemon(3);
+    CHECK(changeRoute(fleet, 2).empty());
+}
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -25,16 +25,17 @@
 class FleetStore
 {
 public:
+    /// @param self id of the daemon
     /// @param context of the daemon, which runs the callbacks
     /// @param isListed which other daemons this one finds in the list of daemons
-    SiteStore accessFrom(boost::asio::io_context &context, std::function<bool(const std::string &)> isListed)
+    SiteStore accessFrom(const std::string &self, boost::asio::io_context &context, std::function<bool(const std::string &)> isListed)
     {
         SiteStore it;
         it.readConfiguration = [this, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
-            boost::asio::post(context, [this, callback] { callback(ConfigurationSnapshot{configuration, 1, "configuration"}); });
+            boost::asio::post(context, [this, callback] { callback(snapshot()); });
         };
-        it.awaitConfiguration = [&context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
-            daemon::callAt(context, base::now() + std::chrono::seconds(1), [position, callback] { callback(ConfigurationSnapshot{nullptr, position, {}}); });
+        it.awaitConfiguration = [this, self, &context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
+            awaitChange(self, context, position, base::now() + WaitTime, callback);
         };
         it.readEndpoints = [this, &context](const ReadCallback<EndpointsSnapshot> &callback) {
             boost::asio::post(context, [this, callback] {
@@ -45,8 +46,8 @@
                 callback(snapshot);
             });
         };
-        it.parseConfiguration = [this](const std::string &) {
-            return configuration;
+        it.parseConfiguration = [this](const std::string &text) {
+            return configurations.at(std::stoull(text));
         };
         it.observeEra = [](const auto &) {
         };
@@ -68,11 +69,43 @@
         return it;
     }
 
-    std::shared_ptr<const routes::SiteConfiguration> configuration;
+    /// Puts a configuration in place of the one before; its revision is its position in the history.
+    void put(const std::shared_ptr<const routes::SiteConfiguration> &configuration)
+    {
+        configurations[configuration->revision.value()] = configuration;
+    }
+
+    std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
+    std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
     std::map<base::EndpointId, discovery::EndpointEntry> entries;
     std::map<std::string, store::Row> rows;
 
 private:
+    static constexpr auto WaitTime = std::chrono::seconds(1);
+    static constexpr auto ChangeCheckInterval = std::chrono::milliseconds(5);
+
+    ConfigurationSnapshot snapshot() const
+    {
+        const auto &[revision, configuration] = *configurations.rbegin();
+        return {configuration, revision, std::to_string(revision)};
+    }
+
+    void awaitChange(const std::string &self, boost::asio::io_context &context, std::uint64_t position, base::Time end,
+                     const ReadCallback<ConfigurationSnapshot> &callback)
+    {
+        if (silencedWaits.contains(self)) {
+            return;
+        }
+        if (configurations.rbegin()->first > position) {
+            callback(snapshot());
+        } else if (base::now() >= end) {
+            callback(ConfigurationSnapshot{nullptr, position, {}});
+        } else {
+            daemon::callAt(context, base::now() + ChangeCheckInterval,
+                           [this, self, &context, position, end, callback] { awaitChange(self, context, position, end, callback); });
+        }
+    }
+
     static inline const std::string DaemonPrefix = "daemons/";
 
     store::WriteResult write(const std::vector<store::RowWrite> &writes)
@@ -203,10 +236,13 @@
 {
 public:
     /// @param contacts whether two daemons, by their numbers, find each other
-    TestFleet(std::size_t daemonCount, std::size_t endpointCount, std::function<bool(std::size_t, std::size_t)> contacts)
+    /// @param drainTime twice the interval between two reads of the endpoints' entries
+    TestFleet(std::size_t daemonCount, std::size_t endpointCount, std::function<bool(std::size_t, std::size_t)> contacts,
+              base::Duration drainTime = std::chrono::milliseconds(200))
         : m_contacts(std::move(contacts))
+        , m_drainTime(drainTime)
     {
-        store.configuration = makeConfiguration();
+        store.put(makeConfiguration(1, "/r/"));
         for (std::size_t n = 0; n < endpointCount; ++n) {
             endpoints.push_back(std::make_unique<CrashingEndpoint>(store, "e" + std::to_string(n), port(n)));
         }
@@ -223,6 +259,28 @@
         }
     }
 
+    /// A configuration with one route.
+    static std::shared_ptr<routes::SiteConfiguration> makeConfiguration(std::uint64_t revision, const std::string &prefix)
+    {
+        auto it = std::make_shared<routes::SiteConfiguration>();
+        it->revision = base::Revision(revision);
+        routes::ServiceSpec service;
+        service.name = base::ServiceName("s");
+        service.connectionLimit = 100;
+        it->services.emplace(service.name, service);
+        routes::Route route;
+        route.name = "r";
+        route.host = "h";
+        route.prefix = prefix;
+        route.kind = {true, false, false};
+        route.timeout = std::chrono::seconds(2);
+        route.objective = std::chrono::milliseconds(400);
+        route.sendLimit = 2;
+        route.services.push_back({service.name, 1});
+        it->routes.push_back(route);
+        return it;
+    }
+
     void startDaemon(std::size_t n)
     {
         auto &it = m_daemons[n];
@@ -236,11 +294,11 @@
         settings.directoryAddress = {"127.0.0.1", port(first + 2)};
         settings.peerAddress = {"127.0.0.1", port(first + 3)};
         settings.metricsAddress = {"127.0.0.1", port(first + 4)};
-        settings.bounds.drainTime = std::chrono::milliseconds(200); // entries are read every 100 ms
+        settings.bounds.drainTime = m_drainTime;
         const auto isListed = [this, n](const std::string &other) {
             return m_contacts(n, std::stoull(other));
         };
-        it.gateway = std::make_unique<Gateway>(*it.context, settings, testWireFormat(), store.accessFrom(*it.context, isListed));
+        it.gateway = std::make_unique<Gateway>(*it.context, settings, testWireFormat(), store.accessFrom(std::to_string(n), *it.context, isListed));
     }
 
     /// Ends a daemon as a kill does.
@@ -257,13 +315,13 @@
     };
 
     /// Sends a call to a daemon; the result is filled in later.
-    std::shared_ptr<Result> call(std::size_t daemon, net::Headers headers, std::string body)
+    std::shared_ptr<Result> call(std::size_t daemon, net::Headers headers, std::string body, std::string target = "/r/x")
     {
         const auto result = std::make_shared<Result>();
         net::HttpCallOptions options;
         options.to = {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon)};
         headers.push_back({"Request-Id", "c" + std::to_string(++m_calls)});
-        options.request = {"POST", "/r/x", std::move(headers), std::move(body)};
+        options.request = {"POST", std::move(target), std::move(headers), std::move(body)};
         net::fetchResponse(m_callers, std::move(options), [result](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
             result->status = response ? response->status : 0;
             result->isEnded = true;
@@ -323,28 +381,8 @@
         return static_cast<std::uint16_t>(20500 + 50 * (getpid() % 140) + n);
     }
 
-    static std::shared_ptr<routes::SiteConfiguration> makeConfiguration()
-    {
-        auto it = std::make_shared<routes::SiteConfiguration>();
-        it->revision = base::Revision(1);
-        routes::ServiceSpec service;
-        service.name = base::ServiceName("s");
-        service.connectionLimit = 100;
-        it->services.emplace(service.name, service);
-        routes::Route route;
-        route.name = "r";
-        route.host = "h";
-        route.prefix = "/r/";
-        route.kind = {true, false, false};
-        route.timeout = std::chrono::seconds(2);
-        route.objective = std::chrono::milliseconds(400);
-        route.sendLimit = 2;
-        route.services.push_back({service.name, 1});
-        it->routes.push_back(route);
-        return it;
-    }
-
     std::function<bool(std::size_t, std::size_t)> m_contacts;
+    base::Duration m_drainTime;
     boost::asio::io_context m_callers;
     std::vector<Daemon> m_daemons;
     std::uint64_t m_calls = 0;
