A wait for configuration changes that falls silent is replaced, and two daemons wait

A call was refused as an older version of the configuration says, more than two seconds after the store had acknowledged the newer one.

Cause: one connection of one daemon carried each change to a whole group. When the wait for changes of the group's reader fell silent, it was given up after 4.2 s; the reader went on relaying entries of endpoints, which the others took as the sign that it watched the configuration as well. Class of fault: the sign of life of one function is taken for that of another, and a single path without a deadline shorter than its promise.

What decides when to watch the store oneself is derived from the shorter of the drain time and that time; before, only from the drain time.

Before: two of three cases of gateway/configurationchange_test failed, no daemon had the change after 10 s. Now all pass, as do the new cases of gateway/sitestateupdater_test.

--- a/daemons/turmericplankd/main.cpp
+++ b/daemons/turmericplankd/main.cpp
@@ -110,6 +110,7 @@
     boost::asio::io_context context(1);
     platform::StoreClientOptions store;
     store.address = settings->storeAddress;
+    store.watchTimeout = settings->gateway.bounds.configurationTime * 60 / 100; // leaves time to replace a wait that does not end
     gateway::Gateway gateway(context, settings->gateway, platform::wireFormat(), platform::makeSiteStore(context, store));
     runUntilDrained(context, gateway, [&] { reloadPlatformSettings(file, *settings); });
     return 0;
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -89,6 +89,9 @@
     /// @brief Whether this daemon reads the store on behalf of its group.
     bool isStoreReader() const;
 
+    /// @brief Whether this daemon waits for changes of the configuration on behalf of its group: the reader, and the one after it.
+    bool isConfigurationWatcher() const;
+
     /// @brief Whether this daemon holds the placement lease.
     bool isLeaseHolder() const;
 
@@ -130,6 +133,7 @@
     void assignGroups();
     bool isStatusDue(const Peer &peer, base::Time now) const;
     static bool isHolder(const Peer &peer);
+    std::size_t servingPeersBefore() const;
     void send(const Peer &peer, const std::string &kind, const std::string &body);
 
     boost::asio::io_context &m_context;
--- a/include/turmericplank/gateway/settings.hpp
+++ b/include/turmericplank/gateway/settings.hpp
@@ -12,6 +12,7 @@
 struct SiteBounds
 {
     base::Duration drainTime = std::chrono::seconds(2); ///< a draining endpoint gets no new calls after this time
+    base::Duration configurationTime = std::chrono::seconds(2); ///< from the acceptance of a configuration until it is in force at all daemons
     base::Duration shutdownTime = std::chrono::seconds(8); ///< from the stop signal to the end of the process
     base::Duration leaseHandoverPause = std::chrono::seconds(3); ///< without orders to an engine, between two lease holders
     base::Duration maxDirectoryTimeToLive = std::chrono::seconds(5); ///< upper bound of the directory's time to live
--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -19,6 +19,7 @@
 {
     base::Duration endpointsInterval = std::chrono::milliseconds(1000); ///< half the time in which a draining endpoint may still get calls
     base::Duration relayTimeout = std::chrono::milliseconds(1450); ///< without relayed entries before reading directly; the read ends within the drain time
+    base::Duration awaitTimeout = std::chrono::milliseconds(1500); ///< of one wait for changes, then another one starts; less than changes may take
     base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration configurationRelayTime = std::chrono::milliseconds(500); ///< for a peer to relay its later revision before it is read directly
     base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a failed call, by the reader of a group
@@ -37,6 +38,7 @@
         std::function<void()> onConfigurationChanged; ///< another revision is in force
         std::function<void(const std::vector<discovery::EndpointChange> &)> onEndpointsUpdated; ///< entries were read or relayed
         std::function<bool()> isStoreReader; ///< this daemon reads on behalf of its group
+        std::function<bool()> isConfigurationWatcher; ///< this daemon waits for changes of the configuration on behalf of its group
         std::function<void(const std::vector<discovery::EndpointEntry> &)> onEntriesRead; ///< entries to relay to the group
         std::function<void(const std::string &)> onConfigurationText; ///< a configuration to relay, as written by operators
         std::function<void(const base::DaemonId &, const std::string &)> onPeerBehind; ///< a daemon that needs the configuration in force, and its text
@@ -67,6 +69,7 @@
 private:
     void readConfiguration();
     void awaitConfiguration();
+    void replaceAwait(base::Time now);
     void rereadConfiguration();
     void handleWaitEnd(const ConfigurationSnapshot &result);
     void sendToPeerBehind(const base::DaemonId &peer, base::Revision revision, base::Time now);
@@ -75,7 +78,7 @@
     void applyEndpointsSnapshot(const tl::expected<EndpointsSnapshot, TableFailure> &result);
     void tick();
     bool isEndpointsReadDue(base::Time now) const;
-    base::Duration retryPause(unsigned failures) const;
+    base::Duration retryPause(bool isForGroup, unsigned failures) const;
     void applyEntries(const std::vector<discovery::EndpointEntry> &entries);
     bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text, std::string_view source);
     void setStoreAvailable(bool isAvailable);
@@ -90,13 +93,14 @@
     /// Position after the last wait that ended without a change. The store may have recorded a change before it that the wait
     /// was not told of, so the next wait still starts at m_position.
     std::uint64_t m_unconfirmedPosition = 0;
-    std::uint64_t m_eraCount = 0; ///< number of times that the store came back from an older copy
+    std::uint64_t m_awaitNumber = 0; ///< of the current wait, or of the read in its place; results of earlier ones are ignored
     std::size_t m_unreadableCount = 0;
     base::Time m_lastRequestAt; ///< when a read of the entries was last started
     base::Time m_lastUpdateAt; ///< when entries were last read or relayed
     base::Time m_lastRelayedAt; ///< when entries were last relayed
     bool m_isReadingEndpoints = false;
-    bool m_isAwaiting = false;
+    bool m_isAwaiting = false; ///< a wait, or a read in its place, is in progress
+    base::Time m_awaitDeadline; ///< when another wait takes its place
     unsigned m_endpointFailures = 0; ///< in a row
     unsigned m_awaitFailures = 0; ///< in a row
     bool m_isRereading = false;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -84,9 +84,12 @@
 
 SiteStateUpdaterOptions updaterOptions(const SiteBounds &bounds)
 {
+    // A daemon to which nothing is relayed learns of endpoints and of changes of the configuration by itself.
+    const auto shortest = std::min(bounds.drainTime, bounds.configurationTime);
     SiteStateUpdaterOptions options;
-    options.endpointsInterval = bounds.drainTime / 2;
-    options.relayTimeout = bounds.drainTime * 72 / 100;
+    options.endpointsInterval = shortest / 2;
+    options.relayTimeout = shortest * 72 / 100;
+    options.awaitTimeout = bounds.configurationTime * 75 / 100;
     return options;
 }
 
@@ -183,6 +186,7 @@
         return {[this] { onConfiguration(); },
                 [this](const auto &changes) { onEndpoints(changes); },
                 [this] { return peers.isStoreReader(); },
+                [this] { return peers.isConfigurationWatcher(); },
                 [this](const auto &entries) { peers.sendToGroup(EndpointsKind, encode(entries)); },
                 [this](const auto &text) {
                     peers.sendToAll(ConfigurationKind, text);
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -359,13 +359,24 @@
     });
 }
 
-bool Peers::isStoreReader() const
+/// Number of daemons of the group that serve, are heard and come before this one in the order of the ids.
+std::size_t Peers::servingPeersBefore() const
 {
-    return std::ranges::none_of(m_peers, [this](const auto &it) {
+    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [this](const auto &it) {
         const auto &peer = it.second;
         const bool isServing = !peer.isSilent && peer.isInGroup && peer.status && !peer.status->isDraining;
         return isServing && it.first < m_self.id;
-    });
+    }));
+}
+
+bool Peers::isStoreReader() const
+{
+    return servingPeersBefore() == 0;
+}
+
+bool Peers::isConfigurationWatcher() const
+{
+    return servingPeersBefore() <= 1;
 }
 
 bool Peers::isLeaseHolder() const
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -40,16 +40,18 @@
     if (!m_isReadingEndpoints && isEndpointsReadDue(now)) {
         readEndpoints();
     }
-    // A reader that is cut off from the store relays nothing; the others detect this in time to apply a change themselves.
-    const bool mustWatchStore = m_callbacks.isStoreReader() || now >= m_lastRelayedAt + m_options.relayTimeout;
+    // Watchers that are cut off from the store relay nothing; the others detect this in time to apply a change themselves.
+    const bool mustWatchStore = m_callbacks.isConfigurationWatcher() || now >= m_lastRelayedAt + m_options.relayTimeout;
     if (!m_isAwaiting && m_siteState.routes() && mustWatchStore) {
         awaitConfiguration();
+    } else if (m_isAwaiting && now >= m_awaitDeadline) {
+        replaceAwait(now);
     }
 }
 
 bool SiteStateUpdater::isEndpointsReadDue(base::Time now) const
 {
-    if (now < m_lastRequestAt + retryPause(m_endpointFailures)) {
+    if (now < m_lastRequestAt + retryPause(m_callbacks.isStoreReader(), m_endpointFailures)) {
         return false;
     }
     const auto keptUntil = m_siteState.missingEntriesKeptUntil();
@@ -58,12 +60,12 @@
     return mustDropMissing || isReaderDue || now >= m_lastUpdateAt + m_options.relayTimeout;
 }
 
-/// During an outage of the store, all daemons of a large site try to read what their readers do not relay. Readers retry often
-/// and relay what they get; the others only need to detect in time that just their reader is cut off, so they back off.
-base::Duration SiteStateUpdater::retryPause(unsigned failures) const
+/// During an outage of the store, all daemons of a large site try to read what their readers do not relay. Those that read for their
+/// group retry often and relay what they get; the others only need to detect in time that just those are cut off, so they back off.
+base::Duration SiteStateUpdater::retryPause(bool isForGroup, unsigned failures) const
 {
     constexpr unsigned MaxDoublings = 8;
-    if (m_callbacks.isStoreReader()) {
+    if (isForGroup) {
         return m_options.retryInterval;
     }
     return std::min(m_options.retryInterval * (1U << std::min(failures, MaxDoublings)), m_options.maxRetryInterval);
@@ -83,9 +85,10 @@
 void SiteStateUpdater::awaitConfiguration()
 {
     m_isAwaiting = true;
+    m_awaitDeadline = base::now() + m_options.awaitTimeout;
     m_metrics.count("store_calls_total{call=\"await_configuration\"}");
-    m_siteStore.awaitConfiguration(m_position, [this, eraCount = m_eraCount](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
-        if (eraCount != m_eraCount) {
+    m_siteStore.awaitConfiguration(m_position, [this, number = ++m_awaitNumber](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
+        if (number != m_awaitNumber) {
             return;
         }
         if (result) {
@@ -96,19 +99,31 @@
         }
         applyConfiguration(result, ByWait);
         // The history may have been discarded, so everything is read again before the next wait.
-        daemon::callAt(m_context, base::now() + retryPause(m_awaitFailures++), [this, eraCount] {
-            if (eraCount == m_eraCount) {
+        const auto retryAt = base::now() + retryPause(m_callbacks.isConfigurationWatcher(), m_awaitFailures++);
+        m_awaitDeadline = retryAt + m_options.awaitTimeout;
+        daemon::callAt(m_context, retryAt, [this, number] {
+            if (number == m_awaitNumber) {
                 rereadConfiguration();
             }
         });
     });
 }
 
+/// The connection of a wait may fall silent while other calls are answered.
+void SiteStateUpdater::replaceAwait(base::Time now)
+{
+    telemetry::log(LogLevel::Warning, "configuration", "a wait for changes does not end, starting another one",
+                   {{"position", m_position}, {"late_ms", base::millisecondsBetween(m_awaitDeadline, now)}});
+    m_metrics.count("store_failures_total{call=\"await_configuration\"}");
+    awaitConfiguration();
+}
+
 void SiteStateUpdater::rereadConfiguration()
 {
+    m_awaitDeadline = base::now() + m_options.awaitTimeout;
     m_metrics.count("store_calls_total{call=\"read_configuration\"}");
-    m_siteStore.readConfiguration([this, eraCount = m_eraCount](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
-        if (eraCount == m_eraCount) {
+    m_siteStore.readConfiguration([this, number = m_awaitNumber](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
+        if (number == m_awaitNumber) {
             applyConfiguration(result, ByRead);
             m_isAwaiting = false;
         }
@@ -131,12 +146,12 @@
 
 void SiteStateUpdater::noteStoreRestored()
 {
-    ++m_eraCount;
+    ++m_awaitNumber;
     m_position = 0;
     m_unconfirmedPosition = 0;
     m_siteState.noteStoreRestored(base::now());
     // Replaces a wait or a read that was started before; their results are ignored.
-    const bool mustWatchStore = m_isAwaiting || m_callbacks.isStoreReader();
+    const bool mustWatchStore = m_isAwaiting || m_callbacks.isConfigurationWatcher();
     if (m_siteState.routes() && mustWatchStore) {
         m_isAwaiting = true;
         rereadConfiguration();
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -34,6 +34,7 @@
         SiteStateUpdaterOptions it;
         it.endpointsInterval = std::chrono::milliseconds(60);
         it.relayTimeout = std::chrono::milliseconds(150);
+        it.awaitTimeout = std::chrono::milliseconds(300);
         it.configurationRelayTime = std::chrono::milliseconds(20);
         it.tickInterval = std::chrono::milliseconds(5);
         it.retryInterval = std::chrono::milliseconds(10);
@@ -47,6 +48,9 @@
         SiteStore it;
         it.readConfiguration = [this](const ReadCallback<ConfigurationSnapshot> &callback) {
             ++configurationReads;
+            if (isReadSilent) {
+                return;
+            }
             callback(ConfigurationSnapshot{configurationOf(stored), stored, std::to_string(stored)});
         };
         it.awaitConfiguration = [this](std::uint64_t position, ReadCallback<ConfigurationSnapshot> callback) {
@@ -80,6 +84,9 @@
         it.isStoreReader = [this] {
             return isStoreReader;
         };
+        it.isConfigurationWatcher = [this] {
+            return isStoreReader || isSecondWatcher;
+        };
         it.onEntriesRead = [this](const auto &) {
             ++relayCount;
         };
@@ -108,8 +115,10 @@
 
     boost::asio::io_context context;
     bool isStoreReader = false;
+    bool isSecondWatcher = false;
     bool stopsWhenAwaiting = true;
     bool isStoreDown = false; ///< for reads of the entries
+    bool isReadSilent = false; ///< for reads of the configuration
     std::uint64_t stored = 1;
     int configurationReads = 0;
     int endpointReads = 0;
@@ -292,3 +301,38 @@
     CHECK(it.configurationReads <= 1 + 4); // the first read, and one every 100 ms
     CHECK(it.revision() == 1);
 }
+
+TEST_CASE("the second watcher of a group waits for changes although entries are relayed to it")
+{
+    Daemon it(false);
+    it.isSecondWatcher = true;
+    daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] { it.updater.applyRelayedEntries({}); });
+    it.runUntilAwaiting();
+    it.awaiting(ConfigurationSnapshot{configurationOf(2), 2, "2"});
+    CHECK(it.revision() == 2);
+    CHECK(it.relayedTexts.back() == "2");
+}
+
+TEST_CASE("a wait that does not end is replaced by another one from the same position, and its late result is ignored")
+{
+    Daemon it(true);
+    it.runUntilAwaiting();
+    const auto silent = it.awaiting;
+    it.runUntilAwaiting();
+    CHECK(it.awaitedFrom == std::vector<std::uint64_t>{1, 1});
+    silent(tl::unexpected(TableFailure::Unavailable));
+    it.awaiting(ConfigurationSnapshot{configurationOf(2), 2, "2"});
+    CHECK(it.revision() == 2);
+    it.runUntilAwaiting();
+    CHECK(it.awaitedFrom.back() == 2);
+}
+
+TEST_CASE("a read in place of a wait that does not end is replaced as well")
+{
+    Daemon it(true);
+    it.runUntilAwaiting();
+    it.isReadSilent = true;
+    it.awaiting(tl::unexpected(TableFailure::Unavailable));
+    it.runUntilAwaiting();
+    CHECK(it.awaitedFrom == std::vector<std::uint64_t>{1, 1});
+}
