--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -31,6 +31,7 @@
     forwarding::EventCursor events; ///< of a response whose events are forwarded as they arrive
     std::string softwareVersion; ///< of the endpoint
     base::Time sentAt;
+    base::Time firstEventAt;
     bool hasFirstEvent = false;
     bool isRelaying = false; ///< events are forwarded to the caller as they arrive
 };
@@ -89,6 +90,7 @@
     std::optional<forwarding::SendResult> failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const;
     void relayCompleteResponse();
     void finishAttempt(forwarding::SendResult end);
+    std::string promptText() const;
     void logAttemptEnd(const CallAttempt &attempt, forwarding::SendResult end, bool isRetryAllowed, std::string_view next) const;
     void reportAttemptEnd(const CallAttempt &attempt, routing::AttemptOutcome end);
     void recordPace();
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -1,6 +1,8 @@
 #include "forwardedcall.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 #include "turmericplank/telemetry/log.hpp"
@@ -245,6 +247,7 @@
     const auto now = base::now();
     if (!m_attempt->hasFirstEvent) {
         m_attempt->hasFirstEvent = true;
+        m_attempt->firstEventAt = now;
         m_forwarder.m_dependencies.router.noteFirstToken(m_attempt->choice.ticket, now);
     }
     if (!m_isStreaming) {
@@ -419,6 +422,18 @@
     rejectAfter(step);
 }
 
+/// Ids of the parts of the prompt, as callers send them.
+std::string ForwardedCall::promptText() const
+{
+    std::string text;
+    for (const auto &it : m_call.prompt) {
+        std::array<char, 17> buf{};
+        const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), it.id, 16).ptr;
+        text += (text.empty() ? "" : ",") + std::string(buf.data(), end);
+    }
+    return text;
+}
+
 void ForwardedCall::logAttemptEnd(const CallAttempt &attempt, SendResult end, bool isRetryAllowed, std::string_view next) const
 {
     telemetry::log(LogLevel::Info, "requests", "send ended",
@@ -429,6 +444,8 @@
                     {"end", toString(end)},
                     {"status", attempt.head ? attempt.head->status : 0},
                     {"after_ms", base::millisecondsBetween(attempt.sentAt, base::now())},
+                    {"writing_ms", attempt.hasFirstEvent ? base::millisecondsBetween(attempt.firstEventAt, base::now()) : -1},
+                    {"prompt", promptText()},
                     {"sends", static_cast<int>(m_attempts.sends())},
                     {"budget", isRetryAllowed ? "open" : "used"},
                     {"next", next}});
