Failing test: a part of prompts that crashes each engine that answers it

Streams that are all different but for one part of their prompts crash each endpoint that answers them; sound streams share their first part and come beside them. Sends are counted over all daemons; one case has daemons in contact through others only, one restarts them in turn and all at once.

--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -160,11 +160,19 @@
         return m_context && m_context->poll() > 0;
     }
 
+    /// Crashes as soon as it is polled again.
+    void crashNow()
+    {
+        m_crashAt = base::now();
+    }
+
     std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
     std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
     std::size_t crashes = 0;
 
 private:
+    static constexpr int EventCount = 20; ///< of a stream
+    static constexpr auto EventInterval = std::chrono::milliseconds(30);
     static constexpr auto WorkTime = std::chrono::milliseconds(10);
     static constexpr auto CrashDelay = std::chrono::milliseconds(25); ///< from the arrival of a call to the crash
     static constexpr auto RestartTime = std::chrono::milliseconds(300);
@@ -210,14 +218,35 @@
         if (onReceived) {
             onReceived(exchange->request(), crashes);
         }
+        const bool isStream = net::path(exchange->request().target).starts_with("/s/");
+        if (isStream) {
+            exchange->startStream(200, responseHeaders(*exchange));
+        }
         if (isCrashing && isCrashing(exchange->request())) {
             m_crashAt = m_crashAt.value_or(base::now() + CrashDelay);
             m_kept.push_back(exchange);
             return;
         }
-        daemon::callAt(*m_context, base::now() + WorkTime, [exchange, name = m_name] {
-            exchange->respond({200, {{"Request-Id", std::string(header(exchange->request().headers, "Request-Id"))}, {"Server-Seal", name}}, "done"});
-        });
+        if (isStream) {
+            sendEvent(exchange, 1);
+            return;
+        }
+        daemon::callAt(*m_context, base::now() + WorkTime, [this, exchange] { exchange->respond({200, responseHeaders(*exchange), "done"}); });
+    }
+
+    net::Headers responseHeaders(const net::HttpExchange &exchange) const
+    {
+        return {{"Request-Id", std::string(header(exchange.request().headers, "Request-Id"))}, {"Server-Seal", m_name}};
+    }
+
+    void sendEvent(const net::ExchangePointer &exchange, int number)
+    {
+        exchange->writeChunk("id: " + std::to_string(number) + "\ndata: x\n\n");
+        if (number == EventCount) {
+            exchange->endStream();
+            return;
+        }
+        daemon::callAt(*m_context, base::now() + EventInterval, [this, exchange, number] { sendEvent(exchange, number + 1); });
     }
 
     FleetStore &m_store;
@@ -259,7 +288,7 @@
         }
     }
 
-    /// A configuration with one route.
+    /// A configuration with a route of repeatable calls and one of streams.
     static std::shared_ptr<routes::SiteConfiguration> makeConfiguration(std::uint64_t revision, const std::string &prefix)
     {
         auto it = std::make_shared<routes::SiteConfiguration>();
@@ -278,6 +307,11 @@
         route.sendLimit = 2;
         route.services.push_back({service.name, 1});
         it->routes.push_back(route);
+        route.name = "s";
+        route.prefix = "/s/";
+        route.kind = {false, true, true};
+        route.eventGapObjective = std::chrono::milliseconds(300);
+        it->routes.push_back(route);
         return it;
     }
 
@@ -301,6 +335,14 @@
         it.gateway = std::make_unique<Gateway>(*it.context, settings, testWireFormat(), store.accessFrom(std::to_string(n), *it.context, isListed));
     }
 
+    /// Crashes all endpoints at the same time.
+    void crashEndpoints()
+    {
+        for (auto &it : endpoints) {
+            it->crashNow();
+        }
+    }
+
     /// Ends a daemon as a kill does.
     void stopDaemon(std::size_t n)
     {
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -247,7 +248,7 @@
     std::unique_ptr<net::HttpServer> m_server;
 };
 
-/// @brief Wire format with as few headers as the tests need.
+/// @brief Wire format with as few headers as the tests need. Prompt has the ids of the prompt's parts, separated by blanks.
 inline WireFormat testWireFormat()
 {
     WireFormat wire;
@@ -259,10 +260,18 @@
         const std::string last(header(request.headers, "Last-Event-Id"));
         call.lastEventId = last.empty() ? std::optional<std::uint64_t>() : std::stoull(last);
         call.resumedCall = std::string(header(request.headers, "Resumes"));
+        std::istringstream parts{std::string(header(request.headers, "Prompt"))};
+        for (std::uint64_t id = 0; parts >> id;) {
+            call.prompt.push_back({id, 10});
+        }
         return call;
     };
     wire.makeAttemptRequest = [](const net::HttpRequest &request, const AttemptHeaders &head) {
-        net::HttpRequest attempt{request.method, request.target, {{"Request-Id", std::string(header(request.headers, "Request-Id"))}}, request.body};
+        net::HttpRequest attempt{
+            request.method,
+            request.target,
+            {{"Request-Id", std::string(header(request.headers, "Request-Id"))}, {"Prompt", std::string(header(request.headers, "Prompt"))}},
+            request.body};
         if (head.lastEventId) {
             attempt.headers.push_back({"Last-Event-Id", std::to_string(*head.lastEventId)});
         }
