Calls whose prompts have a part that crashes endpoints are refused after three losses

Field guides and all other routes of the same engines were refused or late for most of a minute: requests with one part in their prompts, otherwise all different, crashed each engine that began to answer them.

Cause: what is remembered of a lost call, its content, is different for each of these requests, and nothing was remembered of what they have in common.

Each part of a prompt but the last one has losses of its own now. Two things tell the crashing part from the sound ones that are lost beside it: only calls that an endpoint had been answering for less than 500 ms are blamed, and a part that was answered lately, by any daemon, counts only if it is lost six times over ten seconds without another answer. A stream that has neither a length nor chunks and ends before its first event counts as broken off, and an answer that ends with its connection proves nothing (SendOutcome::CompleteByClose; the case of net/clientconnection_test that took it for Complete checks for that).

tests/crashes_test.sh found a flaw before this was committed: with all three endpoints of a service lost under one request, the part that its prompt shares with sound ones was refused for a minute, since no answer could prove it. So a trial comes 4 s after the last loss, then 20 s and 100 s after the one before, counted over all daemons, and only for a call with a single refused content; answers of plain services prove parts as well. The case of requests/crashhistory_test on trials is as strict with the new delays; steps of tests/crashes_test.sh allow for one trial more (two after all daemons were killed), where the users' rule allows three sends.

--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -42,6 +42,9 @@
 /// @return that of method, host, target and body, and that without the query of the target if it has one, since repetitions may differ in it
 std::vector<requests::Fingerprint> contentFingerprints(const Call &call, const net::HttpRequest &request);
 
+/// @brief Fingerprints of the parts of a call's prompt that other calls may share: all but the last one.
+std::vector<requests::Fingerprint> sharedPartFingerprints(const base::ServiceName &service, const std::vector<PromptPart> &prompt);
+
 /// @brief A fingerprint as it is written in logs: 16 hexadecimal digits.
 std::string toString(requests::Fingerprint fingerprint);
 
--- a/include/turmericplank/gateway/crashexchange.hpp
+++ b/include/turmericplank/gateway/crashexchange.hpp
@@ -15,8 +15,7 @@
 /// @brief Intervals of the exchange.
 struct CrashExchangeOptions
 {
-    base::Duration sendInterval =
-        std::chrono::milliseconds(100); ///< between two messages with changes; a refusal may be late by this time for each daemon passed
+    base::Duration sendDelay = std::chrono::milliseconds(10); ///< from a change to its message, to collect all losses with one endpoint
     base::Duration repeatInterval = std::chrono::seconds(1); ///< between two messages that repeat recent changes, and between two tries of a call to the store
 };
 
@@ -33,9 +32,12 @@
     /// @param send sends a message to all daemons that this one sends its status to
     CrashExchange(boost::asio::io_context &context, requests::CrashHistory &history, store::Table table, std::function<void(const std::string &body)> send);
 
-    /// @brief Records that this daemon has lost an endpoint while it ran a content.
+    /// @brief Records that this daemon has lost an endpoint while it ran a content, or a part of one.
     void recordLoss(requests::Fingerprint content, const requests::EndpointLoss &loss);
 
+    /// @brief Records that a content which many calls share was answered.
+    void recordSharedAnswer(requests::Fingerprint content);
+
     /// @brief Applies another daemon's message.
     void handleMessage(const base::DaemonId &from, const std::string &body);
 
@@ -46,18 +48,21 @@
     void readRows();
 
 private:
+    void scheduleSend();
     void sendChanges();
     void maintain();
     void applyRows(const store::ReadResult &rows);
     void writeRow(requests::Fingerprint content);
     void removeRow(requests::Fingerprint content);
 
+    boost::asio::io_context &m_context;
     CrashExchangeOptions m_options;
     requests::CrashHistory &m_history;
     store::Table m_table;
     std::function<void(const std::string &body)> m_send;
     std::set<requests::Fingerprint> m_own; ///< contents with which this daemon has lost an endpoint
     std::set<requests::Fingerprint> m_stored; ///< contents that have a row
+    bool m_isSendScheduled = false;
     bool m_isReading = false;
     bool m_mustRead = true;
 };
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -42,6 +42,7 @@
     double retryBudgetShare = 0.8; ///< of the site's limit; the rest covers what the daemons do not know of each other yet
     double promptTokenMilliseconds = 0.034; ///< engine time, at about 30 prompt tokens per millisecond
     double answerTokenMilliseconds = 0.15; ///< engine time with a batch of about 40 requests
+    base::Duration crashTime = std::chrono::milliseconds(500); ///< from a call's first event to a crash that the call itself may have caused
     base::Duration originMargin = std::chrono::seconds(5); ///< how long the origin of a stream is kept after its call's deadline
     std::uint32_t maxAnsweredLinesPerSecond = 100; ///< log lines for answered calls; lines for other calls are not limited here
     forwarding::RetryDelayOptions retryDelay;
@@ -61,7 +62,8 @@
     requests::CrashHistory &crashHistory; ///< contents that endpoints were lost with
     /// Asks other daemons for the version at which a stream began; calls back once, with nothing if none of them knows it.
     std::function<void(forwarding::CallDigest, std::function<void(std::optional<std::string>)>)> findRemoteOrigin;
-    std::function<void(requests::Fingerprint, const requests::EndpointLoss &)> onEndpointLost; ///< while it ran a content
+    std::function<void(requests::Fingerprint, const requests::EndpointLoss &)> onEndpointLost; ///< while it ran a content, or a part of one
+    std::function<void(requests::Fingerprint)> onSharedAnswer; ///< a part of a prompt was answered without a crash
     std::function<bool()> mayTryRefused; ///< this daemon is the one that tries refused contents again
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
--- a/include/turmericplank/net/clientconnection.hpp
+++ b/include/turmericplank/net/clientconnection.hpp
@@ -21,12 +21,16 @@
 /// @brief How a request on a persistent connection ended.
 enum class SendOutcome {
     Complete, ///< the whole response was received
+    CompleteByClose, ///< the response had neither a length nor chunks and ended with its connection, so that it may have been broken off
     NotSent, ///< no byte of the request was written to the connection
     ConnectionLost, ///< the connection ended before the whole response was received
     TimedOut, ///< the deadline passed before the response was complete
     Malformed, ///< the received bytes are not a valid response, exceed a limit, or follow too many late or interim responses
 };
 
+/// @brief Whether a response was received as far as can be told.
+bool isComplete(SendOutcome outcome);
+
 /// @brief The outcome as it is written in logs.
 std::string_view toString(SendOutcome outcome);
 
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -22,6 +22,16 @@
     return contents;
 }
 
+std::vector<requests::Fingerprint> sharedPartFingerprints(const base::ServiceName &service, const std::vector<PromptPart> &prompt)
+{
+    const auto serviceFingerprint = base::fingerprint(service.text());
+    std::vector<requests::Fingerprint> parts;
+    for (std::size_t n = 0; n + 1 < prompt.size(); ++n) {
+        parts.emplace_back(base::fingerprint(std::to_string(prompt[n].id), serviceFingerprint));
+    }
+    return parts;
+}
+
 std::string toString(requests::Fingerprint fingerprint)
 {
     std::array<char, 17> buf{};
--- a/src/turmericplank/gateway/call_test.cpp
+++ b/src/turmericplank/gateway/call_test.cpp
@@ -35,6 +35,19 @@
     CHECK(first.back() == plain.front());
 }
 
+TEST_CASE("calls share the fingerprints of equal parts of their prompts, except for the last ones")
+{
+    const base::ServiceName service("s");
+    const auto first = sharedPartFingerprints(service, {{1, 10}, {2, 10}, {3, 10}});
+    const auto second = sharedPartFingerprints(service, {{4, 10}, {2, 20}, {3, 10}});
+    CHECK(first.size() == 2);
+    CHECK(first.front() != second.front());
+    CHECK(first.back() == second.back());
+    CHECK(sharedPartFingerprints(base::ServiceName("other"), {{1, 10}, {2, 10}, {3, 10}}).back() != first.back());
+    CHECK(sharedPartFingerprints(service, {{1, 10}}).empty());
+    CHECK(sharedPartFingerprints(service, {}).empty());
+}
+
 TEST_CASE("a fingerprint is logged with all its digits")
 {
     CHECK(toString(requests::Fingerprint(0x2a)) == "000000000000002a");
--- a/src/turmericplank/gateway/contentlossesmessage.cpp
+++ b/src/turmericplank/gateway/contentlossesmessage.cpp
@@ -37,10 +37,12 @@
     Packer packer(buf);
     packArraySize(packer, contents.size());
     for (const auto &it : contents) {
-        packArraySize(packer, 3);
+        packArraySize(packer, 5);
         packer.pack(it.content.value());
         packLosses(packer, it.counted);
         packLosses(packer, it.cleared);
+        packer.pack(it.isProven);
+        packer.pack(it.trials);
     }
     return {buf.data(), buf.size()};
 }
@@ -51,8 +53,9 @@
         const auto handle = msgpack::unpack(bytes.data(), bytes.size());
         std::vector<ContentLosses> contents;
         for (const auto &it : members(handle.get(), 0)) {
-            const auto fields = members(it, 3);
-            contents.push_back({requests::Fingerprint(fields[0].as<std::uint64_t>()), readLosses(fields[1]), readLosses(fields[2])});
+            const auto fields = members(it, 5);
+            contents.push_back({requests::Fingerprint(fields[0].as<std::uint64_t>()), readLosses(fields[1]), readLosses(fields[2]), fields[3].as<bool>(),
+                                fields[4].as<std::uint32_t>()});
         }
         return contents;
     } catch (const std::exception &) {
--- a/src/turmericplank/gateway/crashexchange.cpp
+++ b/src/turmericplank/gateway/crashexchange.cpp
@@ -18,23 +18,32 @@
 
 CrashExchange::CrashExchange(boost::asio::io_context &context, requests::CrashHistory &history, store::Table table,
                              std::function<void(const std::string &body)> send)
-    : m_history(history)
+    : m_context(context)
+    , m_history(history)
     , m_table(std::move(table))
     , m_send(std::move(send))
 {
-    daemon::callEvery(context, m_options.sendInterval, [this] { sendChanges(); });
     daemon::callEvery(context, m_options.repeatInterval, [this] { maintain(); });
     readRows();
 }
 
 void CrashExchange::recordLoss(Fingerprint content, const requests::EndpointLoss &loss)
 {
-    const auto now = base::now();
     m_own.insert(content);
-    const bool wasRefused = m_history.isRefused(content, now);
-    m_history.recordLoss(content, loss, now);
-    if (!wasRefused && m_history.isRefused(content, now)) {
-        sendChanges();
+    m_history.recordLoss(content, loss, base::now());
+    scheduleSend();
+}
+
+void CrashExchange::recordSharedAnswer(Fingerprint content)
+{
+    m_history.recordSharedAnswer(content, base::now());
+    scheduleSend();
+}
+
+void CrashExchange::scheduleSend()
+{
+    if (m_history.hasChanged() && !std::exchange(m_isSendScheduled, true)) {
+        daemon::callAt(m_context, base::now() + m_options.sendDelay, [this] { sendChanges(); });
     }
 }
 
@@ -46,6 +55,7 @@
         return;
     }
     m_history.merge(*contents, base::now());
+    scheduleSend();
 }
 
 std::string CrashExchange::completeMessage() const
@@ -57,6 +67,7 @@
 /// Passes on what other daemons have told as well, for daemons that are not in contact with those.
 void CrashExchange::sendChanges()
 {
+    m_isSendScheduled = false;
     const auto changed = m_history.takeChanged();
     if (changed.empty()) {
         return;
@@ -79,6 +90,7 @@
 {
     const auto now = base::now();
     m_history.expire(now);
+    scheduleSend();
     if (const auto recent = m_history.recentlyChanged(now); !recent.empty()) {
         m_send(encode(recent));
     }
@@ -128,6 +140,7 @@
             m_stored.insert(it.content);
         }
     }
+    scheduleSend();
 }
 
 /// Written again by maintain() after a failure.
--- a/src/turmericplank/gateway/endpointcall.cpp
+++ b/src/turmericplank/gateway/endpointcall.cpp
@@ -31,11 +31,11 @@
                 response->body.append(piece);
             };
             send.onEnd = [&pool, response, pooled = *pooled, onDone](net::SendOutcome outcome) {
-                if (outcome != net::SendOutcome::Complete) {
+                if (!net::isComplete(outcome)) {
                     pooled.connection->close();
                 }
                 pool.returnConnection(pooled, std::nullopt, base::now());
-                onDone(outcome == net::SendOutcome::Complete ? std::optional(std::move(*response)) : std::nullopt);
+                onDone(net::isComplete(outcome) ? std::optional(std::move(*response)) : std::nullopt);
             };
             pooled->connection->send(std::move(send));
         });
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -49,6 +49,7 @@
     const auto spec = services.find(m_service);
     m_isEngine = spec != services.end() && spec->second.engine;
     m_qualifiedModel = qualifiedModelName(m_service, m_isEngine ? m_call.model : base::ModelName());
+    m_parts = sharedPartFingerprints(m_service, m_call.prompt);
     ++*m_callsInProgress;
 }
 
@@ -150,23 +151,32 @@
     return request;
 }
 
-bool ForwardedCall::isRefusedForCrashes() const
+/// @return the contents and parts of the prompt for which the call is refused
+std::vector<requests::Fingerprint> ForwardedCall::refusedContents() const
 {
     const auto now = base::now();
-    return !m_isTrial && std::ranges::any_of(m_contents, [&](auto it) { return m_forwarder.m_dependencies.crashHistory.isRefused(it, now); });
+    std::vector<requests::Fingerprint> refused;
+    for (const auto *contents : {&m_contents, &m_parts}) {
+        std::ranges::copy_if(*contents, std::back_inserter(refused), [&](auto it) { return m_forwarder.m_dependencies.crashHistory.isRefused(it, now); });
+    }
+    return refused;
+}
+
+bool ForwardedCall::isRefusedForCrashes() const
+{
+    return !m_isTrial && !refusedContents().empty();
 }
 
-/// Only a call that has not been sent before is a trial, and only at one daemon, so that few endpoints are lost if it crashes them.
+/// Only a call that has not been sent before is a trial, of one content, and only at one daemon, so that few endpoints are lost if it
+/// crashes them.
 bool ForwardedCall::beginTrial()
 {
-    const auto now = base::now();
     auto &dependencies = m_forwarder.m_dependencies;
-    const auto mayRun = [&](requests::Fingerprint it) {
-        return !dependencies.crashHistory.isRefused(it, now) || dependencies.crashHistory.beginTrial(it, now);
-    };
-    m_isTrial = m_attempts.sends() == 0 && dependencies.mayTryRefused() && std::ranges::all_of(m_contents, mayRun);
+    const auto refused = refusedContents();
+    m_isTrial =
+        m_attempts.sends() == 0 && refused.size() == 1 && dependencies.mayTryRefused() && dependencies.crashHistory.beginTrial(refused.front(), base::now());
     if (m_isTrial) {
-        telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(m_contents.front())}});
+        telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(refused.front())}});
     }
     return m_isTrial;
 }
@@ -360,12 +370,13 @@
     }
     const auto &siteState = m_forwarder.m_dependencies.siteState;
     const auto lastRead = siteState.lastReadTime();
+    const auto refused = reason == RejectionReason::CrashesEndpoints ? refusedContents() : std::vector<requests::Fingerprint>();
     telemetry::log(LogLevel::Warning, "requests", "refused",
                    {{"request", m_call.id},
                     {"route", m_route.name},
                     {"work", m_qualifiedModel.text()},
                     {"reason", toString(reason)},
-                    {"content", toString(m_contents.front())},
+                    {"content", toString(refused.empty() ? m_contents.front() : refused.front())},
                     {"has_run", m_attempts.mayHaveRun() ? "unknown" : "no"},
                     {"sends", static_cast<int>(m_attempts.sends())},
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, now)},
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -33,6 +33,7 @@
     base::Time sentAt;
     base::Time firstEventAt;
     bool hasFirstEvent = false;
+    bool isProof = false; ///< the parts of the prompt did not crash the endpoint
     bool isRelaying = false; ///< events are forwarded to the caller as they arrive
 };
 
@@ -59,6 +60,7 @@
     void resumeAt(const std::string &softwareVersion);
     bool isVersionServing(const std::string &softwareVersion) const;
     bool isServing(const base::EndpointId &endpoint) const;
+    std::vector<requests::Fingerprint> refusedContents() const;
     bool isRefusedForCrashes() const;
     bool beginTrial();
     void selectEndpoint();
@@ -87,6 +89,7 @@
     void startStream(base::Time now);
     void handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome);
     void recordEndpointLoss(const CallAttempt &attempt);
+    void recordProof(CallAttempt &attempt);
     std::optional<forwarding::SendResult> failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const;
     void relayCompleteResponse();
     void finishAttempt(forwarding::SendResult end);
@@ -111,6 +114,7 @@
     net::ExchangePointer m_exchange;
     Call m_call;
     std::vector<requests::Fingerprint> m_contents; ///< the whole content first
+    std::vector<requests::Fingerprint> m_parts; ///< of the prompt, without the last one
     std::shared_ptr<const routes::RouteTable> m_routes; ///< keeps m_route alive
     const routes::Route &m_route;
     base::ServiceName m_service;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -250,6 +250,9 @@
         m_attempt->firstEventAt = now;
         m_forwarder.m_dependencies.router.noteFirstToken(m_attempt->choice.ticket, now);
     }
+    if (now >= m_attempt->firstEventAt + m_forwarder.m_options.crashTime) {
+        recordProof(*m_attempt);
+    }
     if (!m_isStreaming) {
         startStream(now);
     }
@@ -291,7 +294,7 @@
     if (outcome == net::SendOutcome::TimedOut) {
         return SendResult::Silent;
     }
-    if (outcome != net::SendOutcome::Complete || !attempt.head) {
+    if (!net::isComplete(outcome) || !attempt.head) {
         return SendResult::Lost;
     }
     const auto &head = *attempt.head;
@@ -307,7 +310,8 @@
     if (head.status >= FirstFailureStatus || (m_isStreaming && !attempt.isRelaying)) {
         return SendResult::Failed;
     }
-    const bool isTruncated = attempt.isRelaying && attempt.events.hasPartialEvent();
+    const bool hasNothing = outcome == net::SendOutcome::CompleteByClose && attempt.events.events() == 0;
+    const bool isTruncated = attempt.isRelaying && (attempt.events.hasPartialEvent() || hasNothing);
     return isTruncated ? std::optional(SendResult::Lost) : std::nullopt;
 }
 
@@ -318,10 +322,14 @@
         return;
     }
     const auto failure = failureOf(*attempt, outcome);
-    if (outcome == net::SendOutcome::ConnectionLost) {
+    const bool isBrokenOff = failure && outcome == net::SendOutcome::CompleteByClose;
+    if (isBrokenOff || outcome == net::SendOutcome::ConnectionLost) {
         recordEndpointLoss(*attempt);
     }
-    releaseConnection(*attempt, outcome == net::SendOutcome::Complete && attempt->head);
+    if (!failure && outcome == net::SendOutcome::Complete) {
+        recordProof(*attempt);
+    }
+    releaseConnection(*attempt, net::isComplete(outcome) && attempt->head);
     if (failure && isSilentAttempt(number)) {
         dropSilentAttempt(*failure);
         return;
@@ -342,8 +350,26 @@
     if (!attempt.pooled) {
         return;
     }
+    const requests::EndpointLoss loss{attempt.pooled->endpoint, attempt.pooled->incarnation};
     for (const auto it : m_contents) {
-        m_forwarder.m_dependencies.onEndpointLost(it, {attempt.pooled->endpoint, attempt.pooled->incarnation});
+        m_forwarder.m_dependencies.onEndpointLost(it, loss);
+    }
+    // A call that an endpoint has been answering for longer ran beside the one that crashed it.
+    const bool mayBeCause = !attempt.hasFirstEvent || base::now() < attempt.firstEventAt + m_forwarder.m_options.crashTime;
+    for (const auto it : m_parts) {
+        if (mayBeCause) {
+            m_forwarder.m_dependencies.onEndpointLost(it, loss);
+        }
+    }
+}
+
+void ForwardedCall::recordProof(CallAttempt &attempt)
+{
+    if (std::exchange(attempt.isProof, true)) {
+        return;
+    }
+    for (const auto it : m_parts) {
+        m_forwarder.m_dependencies.onSharedAnswer(it);
     }
 }
 
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -170,6 +170,7 @@
             crashHistory,
             [this](forwarding::CallDigest call, auto onDone) { peers.askNearby(OriginQueryKind, std::to_string(call), OriginQueryTimeout, std::move(onDone)); },
             [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
+            [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
             [this] { return peers.isLeaseHolder(); },
             [this] { return daemonCount(); },
             [this] {
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -399,6 +399,7 @@
                     callback(it == remoteOrigins.end() ? std::nullopt : std::optional(it->second));
                 },
                 [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { crashHistory.recordLoss(content, loss, base::now()); },
+                [this](requests::Fingerprint content) { crashHistory.recordSharedAnswer(content, base::now()); },
                 [] { return true; },
                 [] { return std::size_t(1); },
                 [] {},
--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -250,7 +250,7 @@
             beast::error_code error;
             m_parser->put_eof(error);
             if (!error && m_parser->is_done()) {
-                finish(SendOutcome::Complete);
+                finish(SendOutcome::CompleteByClose);
                 return;
             }
         }
@@ -336,11 +336,18 @@
 
 } // namespace
 
+bool isComplete(SendOutcome outcome)
+{
+    return outcome == SendOutcome::Complete || outcome == SendOutcome::CompleteByClose;
+}
+
 std::string_view toString(SendOutcome outcome)
 {
     switch (outcome) {
     case SendOutcome::Complete:
         return "whole";
+    case SendOutcome::CompleteByClose:
+        return "whole_by_close";
     case SendOutcome::NotSent:
         return "not_sent";
     case SendOutcome::ConnectionLost:
