--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -1,4 +1,6 @@
+#include <cstdio>
 #include <map>
+#include <optional>
 #include <set>
 
 #include <CLI/CLI.hpp>
@@ -7,6 +9,7 @@
 
 #include "common/program.hpp"
 #include "turmericplank/net/httpclient.hpp"
+#include "unframedlistener.hpp"
 
 namespace turmericplank::standins::siteendpoint {
 
@@ -16,6 +19,7 @@
 
 constexpr auto HeartbeatInterval = std::chrono::milliseconds(300);
 constexpr auto OrderDuration = std::chrono::milliseconds(200);
+constexpr auto CrashDelay = std::chrono::milliseconds(50); ///< from the first event of an answer to the crash
 
 struct Options
 {
@@ -46,6 +50,8 @@
 /// sends each answer in one piece. GET /runs returns the number of runs of each request; POST /drain makes the endpoint report
 /// that it is draining, POST /leave makes it say so in its answers only. POST /shed?seconds=N makes it reject calls and ask for a
 /// pause; GET /shed returns how many came. POST /pause?ms=N makes the streams in progress send nothing for this long, and then go on.
+/// POST /crash-part?id=ID makes an engine crash when it has begun to answer a prompt that has this part before its last one. POST
+/// /break?after=N makes it break off streams inside the event after the Nth one, or before the first one with N=head.
 class Endpoint
 {
 public:
@@ -102,6 +108,18 @@
             handleShed(exchange);
             return;
         }
+        if (path == "/crash-part") {
+            m_crashingPart = net::queryParameter(request.target, "id");
+            exchange->respond({204, {}, {}});
+            return;
+        }
+        if (path == "/break") {
+            const auto after = net::queryParameter(request.target, "after");
+            m_breaksAtHead = after == "head";
+            m_breakAfter = m_breaksAtHead ? 0 : std::stoull('0' + after);
+            exchange->respond({204, {}, {}});
+            return;
+        }
         if (path == "/pause") {
             m_pausedUntil = base::now() + std::chrono::milliseconds(std::stoll("0" + net::queryParameter(request.target, "ms")));
             exchange->respond({204, {}, {}});
@@ -218,9 +236,24 @@
         }
         const std::string last(header(request.headers, "Last-Event-Id"));
         exchange->startStream(200, headers);
+        if (hasCrashingPart(header(request.headers, "Prompt-Prefix"))) {
+            callAfter(m_program.context(), CrashDelay, [] { crash(); });
+        }
+        if (m_breaksAtHead) {
+            callAfter(m_program.context(), CrashDelay, [exchange] { exchange->abort(); });
+            return;
+        }
         streamEvents(exchange, last.empty() ? 1 : std::stoull(last) + 1);
     }
 
+    /// Prompts are lists of ID:TOKENS, separated by commas.
+    bool hasCrashingPart(std::string_view prompt) const
+    {
+        const auto list = ',' + std::string(prompt);
+        const auto at = list.find(',' + m_crashingPart + ':');
+        return !m_crashingPart.empty() && at != std::string::npos && list.find(',', at + 1) != std::string::npos;
+    }
+
     void streamEvents(const net::ExchangePointer &exchange, std::uint64_t number)
     {
         const auto now = base::now();
@@ -232,6 +265,11 @@
             exchange->endStream();
             return;
         }
+        if (m_breakAfter > 0 && number == m_breakAfter + 1) {
+            exchange->writeChunk("id: " + std::to_string(number) + "\n");
+            callAfter(m_program.context(), CrashDelay, [exchange] { exchange->abort(); });
+            return;
+        }
         exchange->writeChunk("id: " + std::to_string(number) + "\ndata: word" + std::to_string(number) + "\ndata: " + m_options.version + "\n\n");
         callAfter(m_program.context(), std::chrono::milliseconds(m_options.eventMilliseconds),
                   [this, exchange, number] { streamEvents(exchange, number + 1); });
@@ -249,6 +287,9 @@
     bool m_isDraining = false;
     bool m_isLeaving = false; ///< says so in its answers
     base::Time m_pausedUntil; ///< streams send nothing until then
+    std::string m_crashingPart; ///< of prompts; empty for none
+    bool m_breaksAtHead = false; ///< sends only the head of a stream
+    std::uint64_t m_breakAfter = 0; ///< events of a stream; zero for not at all
     std::string m_retryAfter; ///< seconds; while not empty, calls are rejected with this pause
     std::uint64_t m_shedCalls = 0;
 };
@@ -271,9 +312,21 @@
     app.add_option("--model", options.models, "resident model; may be repeated");
     app.add_option("--event-ms", options.eventMilliseconds, "time between two events");
     app.add_option("--events", options.events, "number of events per stream");
+    std::string unframed;
+    app.add_option("--unframed", unframed, "IP:PORT where answers have neither a length nor chunks and end with their connection");
     Program program(app);
     CLI11_PARSE(app, argc, argv);
     siteendpoint::Endpoint endpoint(program, options);
+    std::optional<siteendpoint::UnframedListener> unframedListener;
+    if (!unframed.empty()) {
+        const auto address = turmericplank::base::parseAddress(unframed);
+        const auto upstream = turmericplank::base::parseAddress(app.get_option("--listen")->as<std::string>());
+        if (!address || !upstream) {
+            std::fprintf(stderr, "--unframed: expected IP:PORT, not %s\n", unframed.c_str());
+            return 2;
+        }
+        unframedListener.emplace(program.context(), *address, *upstream);
+    }
     endpoint.sendHeartbeat();
     return program.serve([&endpoint](const turmericplank::net::ExchangePointer &exchange) { endpoint.handle(exchange); });
 }
--- a/tests/crashes_test.sh
+++ b/tests/crashes_test.sh
@@ -79,4 +79,53 @@
 step "... and sound calls are answered" until_true 10 sound last
 
 
+# Engines that crash when they begin to answer a prompt with a certain part, whatever else the call holds.
+start_crashing_engine() { # NUMBER
+    starts_of[engine-$1]=$((${starts_of[engine-$1]:-0} + 1))
+    start "engine-$1" turmericplank-siteendpoint --listen "$(engine "$1")" --address "$(engine "$1")" --store "$store" --id "engine-$1-${starts_of[engine-$1]}" \
+        --zone z1 --events 40 --event-ms 20 --model m
+    until_true 5 answers "http://$(engine "$1")/runs"
+    curl -s -m 2 -o /dev/null -X POST "http://$(engine "$1")/crash-part?id=bad"
+}
+restart_ended_engines() {
+    local n
+    for n in 1 2 3 4; do
+        kill -0 "${pid_of[engine-$n]}" 2>/dev/null && continue
+        crashes=$((crashes + 1))
+        wait "${pid_of[engine-$n]}" 2>/dev/null
+        start_crashing_engine $n
+    done
+}
+send_bad_part() { # DAEMON...
+    local n
+    for n in "$@"; do
+        request_number=$((request_number + 1))
+        prompt=1:5,bad:5,$request_number:5 status "$n" "/guide/$request_number" "bad-$request_number" m >>"$work/poison" &
+        pids+=($!)
+        sleep 0.1
+        restart_ended_engines
+    done
+    wait "${pids[@]}"
+    pids=()
+}
+# Their prompts have the same first part.
+sound_streams() { for n in 1 2 3; do prompt=1:5,2:5,$RANDOM:5 call $n "/guide/$1-$n" "$1-$n" m >"$work/sound" && is_complete "$work/sound" || return 1; done; }
+
+crashes=0
+for n in 1 2 3 4; do start_crashing_engine $n; done
+step "sound streams are complete" until_true 10 sound_streams first
+for _ in $(seq 5); do send_bad_part 1 2 3; done
+first=$crashes
+step "streams with a part that crashes engines end three or more ($first)" [ "$first" -ge 3 ]
+step "... and are refused soon" [ "$first" -le 8 ]
+for _ in $(seq 5); do send_bad_part 3 2 1; done
+step "... and from then on, at all daemons, but for a trial" at_most first+1
+step "... while sound streams with the same first part are complete" until_true 10 sound_streams second
+for n in 1 2 3; do stop daemon-$n; done
+for n in 1 2 3; do start_daemon $n; done
+for n in 1 2 3; do step "after all daemons lost power at the same time, daemon $n becomes ready" until_true 10 ready_is $n 200; done
+step "... sound streams are complete" until_true 10 sound_streams third
+for _ in $(seq 3); do send_bad_part 1 2 3; done
+step "... and those with the crashing part are still refused" at_most first+2
+
 [ $failures = 0 ] || { grep -hE "refuses a content|tries a refused" "$work"/daemon-*.log; tail -n 10 "$work"/daemon-*.log; exit 1; }
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -60,6 +60,18 @@
     start "engine-$n" turmericplank-siteendpoint --listen "$(engine $n)" --address "$(engine $n)" --store "$store" --id "engine-$n" --zone "${zone_of[$n]:-z1}" \
         --version "${version_of[$n]:-v1}" --events 40 --event-ms "$event_ms" $(printf -- '--model %s ' "$@")
 }
+# An engine, or an instance of the plain service, whose answers have neither a length nor chunks.
+unframed() { echo "127.0.0.1:$((base + 40 + $1))"; }
+start_unframed_engine() { # NUMBER MODEL...
+    local n=$1
+    shift
+    start "engine-$n" turmericplank-siteendpoint --listen "$(engine $n)" --address "$(unframed $n)" --unframed "$(unframed $n)" --store "$store" --id "engine-$n" \
+        --zone z1 --events 40 --event-ms "$event_ms" $(printf -- '--model %s ' "$@")
+}
+start_unframed_desk() {
+    start "desk-$1" turmericplank-siteendpoint --listen "$(desk $1)" --address "$(unframed $((5 + $1)))" --unframed "$(unframed $((5 + $1)))" --store "$store" \
+        --id "desk-$1" --service desk --zone z1
+}
 start_desk() { start "desk-$1" turmericplank-siteendpoint --listen "$(desk $1)" --address "$(desk $1)" --store "$store" --id "desk-$1" --service desk --zone z1; }
 start_daemon() {
     settings "$1" >"$work/settings-$1.toml"
