--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -350,14 +350,14 @@
     if (!attempt.pooled) {
         return;
     }
-    const requests::EndpointLoss loss{attempt.pooled->endpoint, attempt.pooled->incarnation};
-    for (const auto it : m_contents) {
-        m_forwarder.m_dependencies.onEndpointLost(it, loss);
-    }
     // A call that an endpoint has been answering for longer ran beside the one that crashed it.
     const bool mayBeCause = !attempt.hasFirstEvent || base::now() < attempt.firstEventAt + m_forwarder.m_options.crashTime;
-    for (const auto it : m_parts) {
-        if (mayBeCause) {
+    if (!mayBeCause) {
+        return;
+    }
+    const requests::EndpointLoss loss{attempt.pooled->endpoint, attempt.pooled->incarnation};
+    for (const auto *contents : {&m_contents, &m_parts}) {
+        for (const auto it : *contents) {
             m_forwarder.m_dependencies.onEndpointLost(it, loss);
         }
     }
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -319,3 +319,23 @@
     CHECK(site.a.received.size() == 1);
     CHECK(site.b.received.empty());
 }
+
+TEST_CASE("a stream that its endpoint had been answering for a while is not blamed when the endpoint is lost")
+{
+    Call call;
+    call.host = "h";
+    const auto content = contentFingerprints(call, {"POST", "/r/x", {}, "question"}).front();
+    std::vector<EngineStep> longAnswer;
+    for (int n = 0; n < 14; ++n) {
+        longAnswer = longAnswer + events(1) + pause(ShortPause);
+    }
+    TestSite site(firstPort, 1);
+    site.a.scripts = {step(EngineStep::Kind::Accept) + step(EngineStep::Kind::Break)};
+    site.b.scripts = {longAnswer + step(EngineStep::Kind::Break)};
+    CHECK(site.call({{"Request-Id", "c1"}})->status == 502);
+    CHECK(site.crashHistory.lossCount(content, base::now()) == 1);
+    // The other engine is preferred after the loss.
+    CHECK(site.call({{"Request-Id", "c2"}})->isCutOff);
+    CHECK(site.b.received.size() == 1);
+    CHECK(site.crashHistory.lossCount(content, base::now()) == 1);
+}
