Rows of refused contents are written again after the store came back from an older copy

After a new era the rows are read, and daemons that lost endpoints with a content write its row again.

--- a/include/turmericplank/gateway/crashexchange.hpp
+++ b/include/turmericplank/gateway/crashexchange.hpp
@@ -47,6 +47,9 @@
     /// @brief Reads the rows again, since other daemons may have written some that they cannot tell this one.
     void readRows();
 
+    /// @brief Notes that the store came back from an older copy, which may lack rows: they are written again.
+    void noteStoreRestored();
+
 private:
     void scheduleSend();
     void sendChanges();
--- a/src/turmericplank/gateway/crashexchange.cpp
+++ b/src/turmericplank/gateway/crashexchange.cpp
@@ -96,7 +96,7 @@
     }
     std::erase_if(m_own, [&](Fingerprint it) { return m_history.lossCount(it, now) == 0; });
     for (const auto it : m_own) {
-        if (m_history.isRefused(it, now) && !m_stored.contains(it)) {
+        if (!m_isReading && m_history.isRefused(it, now) && !m_stored.contains(it)) {
             writeRow(it);
         }
     }
@@ -123,6 +123,12 @@
     });
 }
 
+void CrashExchange::noteStoreRestored()
+{
+    m_stored.clear();
+    readRows();
+}
+
 void CrashExchange::applyRows(const store::ReadResult &rows)
 {
     if (!rows) {
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -227,6 +227,7 @@
             telemetry::log(LogLevel::Warning, "store", "came back from an older copy", {{"era", era.value()}});
             metrics.count("store_restores_total");
             siteStateUpdater.noteStoreRestored();
+            crashExchange.noteStoreRestored();
         }
         notePeerStoreEra(era);
     }
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -106,7 +106,7 @@
         }
     }
 
-    static inline const std::string DaemonPrefix = "daemons/";
+    static constexpr std::string_view DaemonPrefix = "daemons/";
 
     store::WriteResult write(const std::vector<store::RowWrite> &writes)
     {
