A rejection or an error without framing is not taken for a lost endpoint

Only a stream that was broken off counts. An answer of a plain service that ends with its connection proves the parts of its prompt, since it may be the only kind that the service sends.

Test: gateway/forwarder_test; without the change two of its five checks fail.

--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -322,11 +322,12 @@
         return;
     }
     const auto failure = failureOf(*attempt, outcome);
-    const bool isBrokenOff = failure && outcome == net::SendOutcome::CompleteByClose;
+    const bool isBrokenOff = failure == SendResult::Lost && attempt->isRelaying && outcome == net::SendOutcome::CompleteByClose;
     if (isBrokenOff || outcome == net::SendOutcome::ConnectionLost) {
         recordEndpointLoss(*attempt);
     }
-    if (!failure && outcome == net::SendOutcome::Complete) {
+    // A stream that ends with its connection may have been broken off between two events.
+    if (!failure && (outcome == net::SendOutcome::Complete || !attempt->isRelaying)) {
         recordProof(*attempt);
     }
     releaseConnection(*attempt, net::isComplete(outcome) && attempt->head);
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -1,5 +1,9 @@
 #include "turmericplank/gateway/forwarder.hpp"
 
+#include <array>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <unistd.h>
 
@@ -12,6 +16,7 @@
 namespace {
 
 const auto firstPort = static_cast<std::uint16_t>(28000 + 2 * (getpid() % 1000)); ///< keeps parallel runs apart
+constexpr std::uint16_t RawPortOffset = 2100; ///< beyond the ports of all runs
 // An endpoint counts as silent after 100 ms.
 constexpr auto ShortInterval = std::chrono::milliseconds(5);
 constexpr auto ShortPause = std::chrono::milliseconds(50);
@@ -28,6 +33,54 @@
     return text;
 }
 
+/// An endpoint that answers each connection with the same bytes and closes it.
+class RawEndpoint
+{
+public:
+    RawEndpoint(boost::asio::io_context &context, std::uint16_t port, std::string response)
+        : m_response(std::move(response))
+        , m_acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), port})
+    {
+        accept();
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+            if (!ec) {
+                const auto connection = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket));
+                connection->async_read_some(boost::asio::buffer(m_buf), [this, connection](boost::system::error_code, std::size_t) {
+                    boost::system::error_code ignored;
+                    boost::asio::write(*connection, boost::asio::buffer(m_response), ignored);
+                    connection->close(ignored);
+                });
+                accept();
+            }
+        });
+    }
+
+    std::string m_response;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::array<char, 4096> m_buf{};
+};
+
+/// Losses of the content of a call that an endpoint answers with these bytes and the end of the connection.
+std::size_t lossesAfter(const std::string &response)
+{
+    TestSite site(firstPort, 1);
+    const auto port = static_cast<std::uint16_t>(firstPort + RawPortOffset);
+    RawEndpoint raw(site.context(), port, "HTTP/1.1 " + response);
+    auto entry = site.a.entry();
+    entry.id = base::EndpointId("raw");
+    entry.address = {"127.0.0.1", port};
+    site.applyEntries({entry});
+    site.call({{"Request-Id", "c1"}});
+    Call call;
+    call.host = "h";
+    return site.crashHistory.lossCount(contentFingerprints(call, {"POST", "/r/x", {}, "question"}).front(), base::now());
+}
+
 } // namespace
 
 TEST_CASE("a stream whose endpoint pauses is not cut off when the other endpoint rejects it")
@@ -339,3 +392,13 @@
     CHECK(site.b.received.size() == 1);
     CHECK(site.crashHistory.lossCount(content, base::now()) == 1);
 }
+
+TEST_CASE("a stream without framing that ends before its first event or inside an event is a loss, an answer or a rejection without framing is not")
+{
+    const std::string head = "200 OK\r\nRequest-Id: c1\r\nServer-Seal: x\r\n\r\n";
+    CHECK(lossesAfter(head) == 1);
+    CHECK(lossesAfter(head + "id: 1\n") == 1);
+    CHECK(lossesAfter(head + "id: 1\ndata: x\n\n") == 0);
+    CHECK(lossesAfter("503 Busy\r\nRequest-Id: c1\r\nNot-Executed: 1\r\n\r\n") == 0);
+    CHECK(lossesAfter("500 Failed\r\nRequest-Id: c1\r\nServer-Seal: x\r\n\r\nfailed") == 0);
+}
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -353,6 +353,11 @@
         m_context.run_for(time);
     }
 
+    boost::asio::io_context &context()
+    {
+        return m_context;
+    }
+
     std::size_t callsInProgress() const
     {
         return m_forwarder.callsInProgress();
