--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -402,3 +402,26 @@
     CHECK(lossesAfter("503 Busy\r\nRequest-Id: c1\r\nNot-Executed: 1\r\n\r\n") == 0);
     CHECK(lossesAfter("500 Failed\r\nRequest-Id: c1\r\nServer-Seal: x\r\n\r\nfailed") == 0);
 }
+
+TEST_CASE("a call whose target has a query is tried again as well, and a call with two refused parts is not")
+{
+    TestSite site(firstPort);
+    Call call;
+    call.host = "h";
+    const auto refuse = [&site](const std::vector<requests::Fingerprint> &contents) {
+        for (const auto it : contents) {
+            for (std::uint64_t n = 1; n <= 3; ++n) {
+                site.crashHistory.recordLoss(it, {base::EndpointId("x"), base::Incarnation(n)}, base::now());
+            }
+        }
+    };
+    const std::string target = "/r/x?page=1";
+    refuse(contentFingerprints(call, {"POST", target, {}, "question"}));
+    refuse(sharedPartFingerprints(base::ServiceName("s"), {{1, 10}, {2, 10}, {3, 10}}));
+    site.a.scripts = {events(2) + step(EngineStep::Kind::End), events(2) + step(EngineStep::Kind::End)};
+    CHECK(site.call({{"Request-Id", "c1"}}, std::chrono::seconds(5), target)->body == "crashes_endpoints");
+    site.runFor(PauseBeyondLimit);
+    CHECK(site.call({{"Request-Id", "c2"}, {"Prompt", "1 2 3"}})->body == "crashes_endpoints");
+    CHECK(site.call({{"Request-Id", "c3"}}, std::chrono::seconds(5), target)->body == stream(2, "a", 2));
+    CHECK(site.call({{"Request-Id", "c4"}, {"Prompt", "1 4 5"}})->body == stream(2, "a", 2));
+}
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -326,17 +326,17 @@
     }
 
     /// Begins a call.
-    boost::intrusive_ptr<FakeExchange> begin(net::Headers headers)
+    boost::intrusive_ptr<FakeExchange> begin(net::Headers headers, std::string target = "/r/x")
     {
-        const boost::intrusive_ptr<FakeExchange> exchange(new FakeExchange({"POST", "/r/x", std::move(headers), "question"}));
+        const boost::intrusive_ptr<FakeExchange> exchange(new FakeExchange({"POST", std::move(target), std::move(headers), "question"}));
         m_forwarder.handleCall(exchange);
         return exchange;
     }
 
     /// Sends a call and returns when it has ended, or after some time.
-    boost::intrusive_ptr<FakeExchange> call(net::Headers headers, base::Duration timeout = std::chrono::seconds(5))
+    boost::intrusive_ptr<FakeExchange> call(net::Headers headers, base::Duration timeout = std::chrono::seconds(5), std::string target = "/r/x")
     {
-        const auto exchange = begin(std::move(headers));
+        const auto exchange = begin(std::move(headers), std::move(target));
         const auto deadline = base::now() + timeout;
         while (!exchange->hasEnded() && base::now() < deadline) {
             m_context.restart();
