--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -151,38 +151,6 @@
     return request;
 }
 
-/// @return the contents and parts of the prompt for which the call is refused
-std::vector<requests::Fingerprint> ForwardedCall::refusedContents() const
-{
-    const auto now = base::now();
-    std::vector<requests::Fingerprint> refused;
-    for (const auto *contents : {&m_contents, &m_parts}) {
-        std::ranges::copy_if(*contents, std::back_inserter(refused), [&](auto it) { return m_forwarder.m_dependencies.crashHistory.isRefused(it, now); });
-    }
-    return refused;
-}
-
-bool ForwardedCall::isRefusedForCrashes() const
-{
-    return !m_isTrial && !refusedContents().empty();
-}
-
-/// Only a call that has not been sent before is a trial, of its content or of one part of its prompt, and only at one daemon, so that few
-/// endpoints are lost if it crashes them.
-bool ForwardedCall::beginTrial()
-{
-    auto &dependencies = m_forwarder.m_dependencies;
-    const auto now = base::now();
-    const auto refused = refusedContents();
-    const bool isOfContent = std::ranges::all_of(refused, [this](auto it) { return std::ranges::find(m_contents, it) != m_contents.end(); });
-    const bool mayBeTrial = m_attempts.sends() == 0 && (isOfContent || refused.size() == 1) && dependencies.mayTryRefused();
-    m_isTrial = mayBeTrial && std::ranges::all_of(refused, [&](auto it) { return dependencies.crashHistory.beginTrial(it, now); });
-    if (m_isTrial) {
-        telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(refused.front())}});
-    }
-    return m_isTrial;
-}
-
 void ForwardedCall::selectEndpoint()
 {
     const auto now = base::now();
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -90,6 +90,7 @@
     void handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome);
     void recordEndpointLoss(const CallAttempt &attempt);
     void recordProof(CallAttempt &attempt);
+    void recordAnswer() const;
     std::optional<forwarding::SendResult> failureOf(const CallAttempt &attempt, net::SendOutcome outcome) const;
     void relayCompleteResponse();
     void finishAttempt(forwarding::SendResult end);
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -343,42 +343,9 @@
     relayCompleteResponse();
 }
 
-/// A connection may be lost for other reasons than a crash. Only several losses with the same content, each with another endpoint,
-/// lead to a refusal.
-void ForwardedCall::recordEndpointLoss(const CallAttempt &attempt)
-{
-    m_isTrial = false;
-    if (!attempt.pooled) {
-        return;
-    }
-    // A call that an endpoint has been answering for longer ran beside the one that crashed it.
-    const bool mayBeCause = !attempt.hasFirstEvent || base::now() < attempt.firstEventAt + m_forwarder.m_options.crashTime;
-    if (!mayBeCause) {
-        return;
-    }
-    const requests::EndpointLoss loss{attempt.pooled->endpoint, attempt.pooled->incarnation};
-    for (const auto *contents : {&m_contents, &m_parts}) {
-        for (const auto it : *contents) {
-            m_forwarder.m_dependencies.onEndpointLost(it, loss);
-        }
-    }
-}
-
-void ForwardedCall::recordProof(CallAttempt &attempt)
-{
-    if (std::exchange(attempt.isProof, true)) {
-        return;
-    }
-    for (const auto it : m_parts) {
-        m_forwarder.m_dependencies.onSharedAnswer(it);
-    }
-}
-
 void ForwardedCall::relayCompleteResponse()
 {
-    for (const auto it : m_contents) {
-        m_forwarder.m_dependencies.crashHistory.recordAnswer(it, base::now());
-    }
+    recordAnswer();
     const auto status = m_attempt->head->status;
     reportAttemptEnd(*m_attempt, routing::AttemptOutcome::Answered);
     m_forwarder.retryBudget(m_service).succeeded(base::now());
--- /dev/null
+++ b/src/turmericplank/gateway/forwardedcallcrashes.cpp
@@ -0,0 +1,87 @@
+#include "forwardedcall.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::gateway {
+
+namespace {
+
+using telemetry::LogLevel;
+
+} // namespace
+
+/// @return the contents and parts of the prompt for which the call is refused
+std::vector<requests::Fingerprint> ForwardedCall::refusedContents() const
+{
+    const auto now = base::now();
+    std::vector<requests::Fingerprint> refused;
+    for (const auto *contents : {&m_contents, &m_parts}) {
+        std::ranges::copy_if(*contents, std::back_inserter(refused), [&](auto it) { return m_forwarder.m_dependencies.crashHistory.isRefused(it, now); });
+    }
+    return refused;
+}
+
+bool ForwardedCall::isRefusedForCrashes() const
+{
+    return !m_isTrial && !refusedContents().empty();
+}
+
+/// Only a call that has not been sent before is a trial, of its content or of one part of its prompt, and only at one daemon, so that few
+/// endpoints are lost if it crashes them.
+bool ForwardedCall::beginTrial()
+{
+    auto &dependencies = m_forwarder.m_dependencies;
+    const auto now = base::now();
+    const auto refused = refusedContents();
+    const bool isOfContent = std::ranges::all_of(refused, [this](auto it) { return std::ranges::find(m_contents, it) != m_contents.end(); });
+    const bool mayBeTrial = m_attempts.sends() == 0 && (isOfContent || refused.size() == 1) && dependencies.mayTryRefused();
+    m_isTrial = mayBeTrial && std::ranges::all_of(refused, [&](auto it) { return dependencies.crashHistory.beginTrial(it, now); });
+    if (m_isTrial) {
+        telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(refused.front())}});
+    }
+    return m_isTrial;
+}
+
+/// A connection may be lost for other reasons than a crash. Only several losses with the same content, each with another endpoint,
+/// lead to a refusal.
+void ForwardedCall::recordEndpointLoss(const CallAttempt &attempt)
+{
+    m_isTrial = false;
+    if (!attempt.pooled) {
+        return;
+    }
+    // A call that an endpoint has been answering for longer ran beside the one that crashed it.
+    const bool mayBeCause = !attempt.hasFirstEvent || base::now() < attempt.firstEventAt + m_forwarder.m_options.crashTime;
+    if (!mayBeCause) {
+        return;
+    }
+    const requests::EndpointLoss loss{attempt.pooled->endpoint, attempt.pooled->incarnation};
+    for (const auto *contents : {&m_contents, &m_parts}) {
+        for (const auto it : *contents) {
+            m_forwarder.m_dependencies.onEndpointLost(it, loss);
+        }
+    }
+}
+
+void ForwardedCall::recordProof(CallAttempt &attempt)
+{
+    if (std::exchange(attempt.isProof, true)) {
+        return;
+    }
+    for (const auto it : m_parts) {
+        m_forwarder.m_dependencies.onSharedAnswer(it);
+    }
+}
+
+void ForwardedCall::recordAnswer() const
+{
+    for (const auto it : m_contents) {
+        m_forwarder.m_dependencies.crashHistory.recordAnswer(it, base::now());
+    }
+}
+
+} // namespace turmericplank::gateway
