Log line of a resumed stream tells the endpoint's incarnation and how much the daemon knows of its versions

Hypotheses 1 and 2 of the incident (a daemon that has just started, a daemon whose view is old) both show as origin=unknown. They differ in versions_known_ms, since when the daemon knows versions of the service, and endpoints_age_ms. The incarnation shows hypothesis 3, an endpoint that has started again under its id.

--- a/include/turmericplank/forwarding/streamorigins.hpp
+++ b/include/turmericplank/forwarding/streamorigins.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -74,6 +75,9 @@
     /// @brief Whether several versions serve, or did so within the memory.
     bool isMixed(const base::ServiceName &service, base::Time now) const;
 
+    /// @brief Since when this daemon has known versions of a service; nothing before the first call of noteVersions() with it.
+    std::optional<base::Time> versionsKnownSince(const base::ServiceName &service) const;
+
     /// @brief Services that this daemon itself has seen mixed, for its peers.
     ///
     /// What peers reported is left out: passed on in circles, with the delay of each message, it would never end.
@@ -119,6 +123,7 @@
 
     StreamOriginsOptions m_options;
     std::map<base::ServiceName, std::set<std::string>> m_listed; ///< versions at the last call of noteVersions()
+    std::map<base::ServiceName, base::Time> m_knownSince; ///< first call of noteVersions() with the service
     std::map<base::ServiceName, base::Time> m_seenMixedUntil; ///< by this daemon itself
     std::map<base::ServiceName, base::Time> m_mixedUntil;
     Store m_own;
--- a/src/turmericplank/forwarding/streamorigins.cpp
+++ b/src/turmericplank/forwarding/streamorigins.cpp
@@ -80,6 +80,7 @@
 void StreamOrigins::noteVersions(const std::map<base::ServiceName, std::set<std::string>> &versions, base::Time now)
 {
     for (const auto &[service, listed] : versions) {
+        m_knownSince.try_emplace(service, now);
         // All endpoints may have been replaced between two reads.
         auto recent = std::exchange(m_listed[service], listed);
         recent.insert(listed.begin(), listed.end());
@@ -129,6 +130,12 @@
     return it != m_mixedUntil.end() && it->second > now;
 }
 
+std::optional<base::Time> StreamOrigins::versionsKnownSince(const base::ServiceName &service) const
+{
+    const auto it = m_knownSince.find(service);
+    return it == m_knownSince.end() ? std::nullopt : std::optional(it->second);
+}
+
 std::vector<MixedService> StreamOrigins::mixedServices(base::Time now) const
 {
     std::vector<MixedService> services;
--- a/src/turmericplank/forwarding/streamorigins_test.cpp
+++ b/src/turmericplank/forwarding/streamorigins_test.cpp
@@ -99,6 +99,16 @@
     CHECK(origins.mixedServices(Start + 91s).empty());
 }
 
+TEST_CASE("the versions of a service are known since they were first listed")
+{
+    StreamOrigins origins;
+    CHECK_FALSE(origins.versionsKnownSince(chat));
+    origins.noteVersions({{chat, {"v1"}}}, Start);
+    origins.noteVersions({{chat, {"v2"}}, {search, {"v1"}}}, Start + 1s);
+    CHECK(origins.versionsKnownSince(chat) == Start);
+    CHECK(origins.versionsKnownSince(search) == Start + 1s);
+}
+
 TEST_CASE("the later time counts if several daemons know that a service is mixed")
 {
     StreamOrigins origins({.mixedMemory = 60s});
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -267,14 +267,22 @@
 void ForwardedCall::logResumption() const
 {
     const bool isByCaller = m_call.lastEventId && !m_isStreaming;
+    const auto now = base::now();
+    const auto &siteState = m_forwarder.m_dependencies.siteState;
+    const auto entry = siteState.endpoints().find(m_attempt->choice.endpoint);
+    const auto lastRead = siteState.lastReadTime();
+    const auto knownSince = m_forwarder.m_dependencies.streamOrigins.versionsKnownSince(m_service);
     telemetry::log(LogLevel::Info, "requests", "resumes a stream",
                    {{"request", m_call.id},
                     {"begun_by", m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall},
                     {"by", isByCaller ? "caller" : "daemon"},
                     {"after_event", *m_lastEvent},
                     {"endpoint", m_attempt->choice.endpoint.text()},
+                    {"incarnation", entry == siteState.endpoints().end() ? std::uint64_t(0) : entry->second.incarnation.value()},
                     {"version", m_attempt->softwareVersion},
-                    {"origin", m_softwareVersion ? "known" : "unknown"}});
+                    {"origin", m_softwareVersion ? "known" : "unknown"},
+                    {"versions_known_ms", knownSince ? base::millisecondsBetween(*knownSince, now) : -1},
+                    {"endpoints_age_ms", lastRead ? base::millisecondsBetween(*lastRead, now) : -1}});
     m_forwarder.m_dependencies.metrics.count(isByCaller ? "streams_resumed_total{by=\"caller\"}" : "streams_resumed_total{by=\"daemon\"}");
 }
 
