Failing tests: streams resumed at another version by daemons that have just started

A daemon that starts after a version has left, or while its entries are missing, resumes streams of it at the other version: 200 instead of 503. Two more cases pass and guard against needless refusals. Test endpoints can be listed with a version, and the store of the tests can turn a daemon's calls about rows and entries away.

--- /dev/null
+++ b/src/turmericplank/gateway/streamversions_test.cpp
@@ -0,0 +1,152 @@
+#include "testfleet.hpp"
+
+using namespace turmericplank;
+using namespace turmericplank::gateway;
+using namespace turmericplank::gateway::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto StartTime = 2500ms; ///< until all daemons know each other and the endpoints
+constexpr auto ReadTime = 400ms; ///< until a daemon has started and read the entries, or a running one has read them again
+constexpr auto StreamTime = 900ms; ///< of a whole stream, with a margin
+
+bool allInContact(std::size_t, std::size_t)
+{
+    return true;
+}
+
+/// A fleet with an endpoint of version v1 and one of v2, of which only the former is listed at first, and a caller with a stream that
+/// began there.
+class Rollout
+{
+public:
+    explicit Rollout(std::size_t daemonCount)
+        : fleet(daemonCount, 2, allInContact)
+    {
+        oldEndpoint().list("v1");
+        newEndpoint().list("v2");
+        newEndpoint().unlist();
+        newEndpoint().onReceived = [this](const net::HttpRequest &request, std::size_t) {
+            resumedAtNew += header(request.headers, "Last-Event-Id").empty() ? 0 : 1;
+        };
+        fleet.runFor(StartTime);
+    }
+
+    /// Begins a stream that is still in progress when this returns.
+    void beginStream(std::size_t daemon)
+    {
+        m_stream = fleet.call(daemon, {}, "question", "/s/x")->id;
+        fleet.runFor(150ms);
+    }
+
+    std::shared_ptr<TestFleet::Result> resumeStream(std::size_t daemon)
+    {
+        return fleet.call(daemon, {{"Last-Event-Id", "2"}, {"Resumes", m_stream}}, "question", "/s/x");
+    }
+
+    CrashingEndpoint &oldEndpoint()
+    {
+        return *fleet.endpoints[0];
+    }
+
+    CrashingEndpoint &newEndpoint()
+    {
+        return *fleet.endpoints[1];
+    }
+
+    void stopDaemons()
+    {
+        for (std::size_t n = 0; n < fleet.daemonCount(); ++n) {
+            fleet.stopDaemon(n);
+        }
+    }
+
+    void startDaemons()
+    {
+        for (std::size_t n = 0; n < fleet.daemonCount(); ++n) {
+            fleet.startDaemon(n);
+        }
+    }
+
+    TestFleet fleet;
+    int resumedAtNew = 0; ///< resumptions that reached the endpoint of v2
+
+private:
+    std::string m_stream;
+};
+
+} // namespace
+
+TEST_CASE("daemons that all start after a version was replaced don't resume its streams at the other version")
+{
+    Rollout rollout(2);
+    rollout.beginStream(0);
+    rollout.stopDaemons();
+    rollout.oldEndpoint().unlist();
+    rollout.newEndpoint().list("v2");
+    rollout.startDaemons();
+    rollout.fleet.runFor(ReadTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtNew == 0);
+}
+
+TEST_CASE("daemons that all start while the entries of one of two versions are missing don't resume its streams at the other version")
+{
+    Rollout rollout(2);
+    rollout.newEndpoint().list("v2");
+    rollout.fleet.runFor(StartTime);
+    rollout.beginStream(0);
+    rollout.stopDaemons();
+    rollout.oldEndpoint().unlist();
+    rollout.startDaemons();
+    rollout.fleet.runFor(ReadTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtNew == 0);
+}
+
+TEST_CASE("a daemon that starts after a version was replaced does not resume its streams at the other version before its peers are heard")
+{
+    Rollout rollout(2);
+    rollout.beginStream(1);
+    rollout.newEndpoint().list("v2");
+    rollout.oldEndpoint().unlist();
+    rollout.fleet.runFor(ReadTime);
+    rollout.fleet.stopDaemon(1);
+    rollout.fleet.startDaemon(1);
+    const auto end = base::now() + 800ms;
+    while (base::now() < end) {
+        rollout.resumeStream(1);
+        rollout.fleet.runFor(20ms);
+    }
+    CHECK(rollout.resumedAtNew == 0);
+}
+
+TEST_CASE("daemons that all start where only one version has served resume its streams")
+{
+    Rollout rollout(2);
+    rollout.beginStream(0);
+    rollout.stopDaemons();
+    rollout.startDaemons();
+    rollout.fleet.runFor(ReadTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 200);
+}
+
+TEST_CASE("a daemon that starts without rows of the store resumes streams once a peer has told that only one version has served")
+{
+    Rollout rollout(2);
+    rollout.beginStream(1);
+    rollout.fleet.stopDaemon(1);
+    rollout.fleet.store.hiddenRowsFor = {"1"};
+    rollout.fleet.startDaemon(1);
+    rollout.fleet.runFor(StartTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 200);
+}
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -37,8 +37,12 @@
         it.awaitConfiguration = [this, self, &context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
             awaitChange(self, context, position, base::now() + WaitTime, callback);
         };
-        it.readEndpoints = [this, &context](const ReadCallback<EndpointsSnapshot> &callback) {
-            boost::asio::post(context, [this, callback] {
+        it.readEndpoints = [this, self, &context](const ReadCallback<EndpointsSnapshot> &callback) {
+            boost::asio::post(context, [this, self, callback] {
+                if (!mayUseRows(self)) {
+                    callback(tl::unexpected(TableFailure::Unavailable));
+                    return;
+                }
                 EndpointsSnapshot snapshot;
                 for (const auto &[id, entry] : entries) {
                     snapshot.entries.push_back(entry);
@@ -51,11 +55,17 @@
         };
         it.observeEra = [](const auto &) {
         };
-        it.table.transact = [this, &context](std::vector<store::RowWrite> writes, std::function<void(store::WriteResult)> callback) {
-            boost::asio::post(context, [this, writes = std::move(writes), callback = std::move(callback)] { callback(write(writes)); });
+        it.table.transact = [this, self, &context](std::vector<store::RowWrite> writes, std::function<void(store::WriteResult)> callback) {
+            boost::asio::post(context, [this, self, writes = std::move(writes), callback = std::move(callback)] {
+                callback(mayUseRows(self) ? write(writes) : tl::unexpected(store::TableError()));
+            });
         };
-        it.table.readPrefix = [this, &context, isListed = std::move(isListed)](std::string prefix, std::function<void(store::ReadResult)> callback) {
-            boost::asio::post(context, [this, isListed, prefix = std::move(prefix), callback = std::move(callback)] {
+        it.table.readPrefix = [this, self, &context, isListed = std::move(isListed)](std::string prefix, std::function<void(store::ReadResult)> callback) {
+            boost::asio::post(context, [this, self, isListed, prefix = std::move(prefix), callback = std::move(callback)] {
+                if (!mayUseRows(self)) {
+                    callback(tl::unexpected(store::TableError()));
+                    return;
+                }
                 std::vector<store::Row> found;
                 for (const auto &[key, row] : rows) {
                     const bool isHidden = key.starts_with(DaemonPrefix) && !isListed(key.substr(DaemonPrefix.size()));
@@ -76,11 +86,17 @@
     }
 
     std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
+    std::set<std::string> hiddenRowsFor; ///< daemons whose calls about entries and rows are turned away
     std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
     std::map<base::EndpointId, discovery::EndpointEntry> entries;
     std::map<std::string, store::Row> rows;
 
 private:
+    bool mayUseRows(const std::string &self) const
+    {
+        return !hiddenRowsFor.contains(self);
+    }
+
     static constexpr auto WaitTime = std::chrono::seconds(1);
     static constexpr auto ChangeCheckInterval = std::chrono::milliseconds(5);
 
@@ -166,6 +182,27 @@
         m_crashAt = base::now();
     }
 
+    /// Writes the entry in the store, for example with another version.
+    void list(const std::string &softwareVersion)
+    {
+        m_softwareVersion = softwareVersion;
+        discovery::EndpointEntry entry;
+        entry.id = id();
+        entry.service = base::ServiceName("s");
+        entry.address = {"127.0.0.1", m_port};
+        entry.zone = base::ZoneName("z");
+        entry.softwareVersion = softwareVersion;
+        entry.slots = 16;
+        entry.incarnation = base::Incarnation(m_incarnation);
+        m_store.entries[entry.id] = entry;
+    }
+
+    /// Removes the entry; calls are still answered.
+    void unlist()
+    {
+        m_store.entries.erase(id());
+    }
+
     std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
     std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
     std::size_t crashes = 0;
@@ -192,14 +229,7 @@
             handle(exchange);
         };
         m_server = net::listenHttp(*m_context, std::move(options));
-        discovery::EndpointEntry entry;
-        entry.id = id();
-        entry.service = base::ServiceName("s");
-        entry.address = {"127.0.0.1", m_port};
-        entry.zone = base::ZoneName("z");
-        entry.slots = 16;
-        entry.incarnation = base::Incarnation(m_incarnation);
-        m_store.entries[entry.id] = entry;
+        list(m_softwareVersion);
     }
 
     void crash(base::Time now)
@@ -252,6 +282,7 @@
     FleetStore &m_store;
     std::string m_name;
     std::uint16_t m_port;
+    std::string m_softwareVersion;
     std::uint64_t m_incarnation = 0;
     std::unique_ptr<boost::asio::io_context> m_context; ///< its end closes all connections
     std::unique_ptr<net::HttpServer> m_server;
@@ -352,6 +383,7 @@
 
     struct Result
     {
+        std::string id; ///< Request-Id
         int status = 0; ///< zero without a response
         bool isEnded = false;
     };
@@ -362,7 +394,8 @@
         const auto result = std::make_shared<Result>();
         net::HttpCallOptions options;
         options.to = {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon)};
-        headers.push_back({"Request-Id", "c" + std::to_string(++m_calls)});
+        result->id = "c" + std::to_string(++m_calls);
+        headers.push_back({"Request-Id", result->id});
         options.request = {"POST", std::move(target), std::move(headers), std::move(body)};
         net::fetchResponse(m_callers, std::move(options), [result](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
             result->status = response ? response->status : 0;
