--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -1,6 +1,5 @@
 #include "turmericplank/gateway/gateway.hpp"
 
-#include <charconv>
 #include <random>
 
 #include "turmericplank/daemon/timers.hpp"
@@ -11,7 +10,7 @@
 #include "turmericplank/gateway/peers.hpp"
 #include "turmericplank/gateway/placementrunner.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
-#include "turmericplank/gateway/streamoriginsmessage.hpp"
+#include "turmericplank/gateway/streamoriginexchange.hpp"
 #include "turmericplank/telemetry/log.hpp"
 #include "turmericplank/telemetry/process.hpp"
 
@@ -24,10 +23,6 @@
 constexpr const char *EndpointsKind = "gateway/endpoints";
 constexpr const char *ConfigurationKind = "gateway/configuration";
 constexpr const char *CrashesKind = "gateway/crashes";
-constexpr const char *StreamOriginsKind = "gateway/origins";
-constexpr const char *OriginQueryKind = "gateway/origin"; ///< body: digest of a call as decimal text; response: its version, or nothing
-constexpr auto OriginsInterval = std::chrono::milliseconds(100); ///< a daemon that ends without notice takes the origins of this time with it
-constexpr auto OriginQueryTimeout = std::chrono::milliseconds(150); ///< several round trips within a region; the caller waits meanwhile
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr auto DirectoryTimeToLive = std::chrono::seconds(1); ///< some callers cache a response for three times as long
@@ -73,15 +68,6 @@
     return net::listenHttp(context, options);
 }
 
-std::string joined(const std::set<std::string> &texts)
-{
-    std::string list;
-    for (const auto &it : texts) {
-        list += (list.empty() ? "" : ",") + it;
-    }
-    return list;
-}
-
 SiteStateUpdaterOptions updaterOptions(const SiteBounds &bounds)
 {
     // A daemon to which nothing is relayed learns of endpoints and of changes of the configuration by itself.
@@ -117,6 +103,7 @@
         , siteStateUpdater(context, siteStore, siteState, metrics, updaterCallbacks(), updaterOptions(settings.bounds))
         , placementRunner(placementDependencies(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
+        , originExchange(context, streamOrigins, *mesh, peers)
         , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
         callerServer = listen(
@@ -141,45 +128,37 @@
             answer.end();
             siteStateUpdater.applyRelayedConfiguration(from, body);
         });
-        mesh->handle(StreamOriginsKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
-            answer.end();
-            handleStreamOrigins(from, body);
-        });
-        mesh->handle(OriginQueryKind,
-                     [this](const base::DaemonId &, const std::string &body, const peer::PeerResponder &answer) { answerOriginQuery(body, answer); });
         mesh->handle(CrashesKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
             answer.end();
             crashExchange.handleMessage(from, body);
         });
-        daemon::callEvery(context, OriginsInterval, [this] { sendStreamOrigins(); });
         siteStore.observeEra([this](base::StoreEra era) { noteStoreEra(era); });
         siteStateUpdater.start();
     }
 
     ForwarderDependencies forwarderDependencies()
     {
-        return {
-            context,
-            wire,
-            siteState,
-            router,
-            pool,
-            metrics,
-            random,
-            streamOrigins,
-            crashHistory,
-            [this](forwarding::CallDigest call, auto onDone) { peers.askNearby(OriginQueryKind, std::to_string(call), OriginQueryTimeout, std::move(onDone)); },
-            [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
-            [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
-            [this] { return peers.isLeaseHolder(); },
-            [this] { return daemonCount(); },
-            [this] {
-                placementRunner.updateEngines();
-                peers.sendStatus();
-            },
-            [this](const base::ServiceName &, const base::ModelName &) {
-                peers.sendStatus();
-            }};
+        return {context,
+                wire,
+                siteState,
+                router,
+                pool,
+                metrics,
+                random,
+                streamOrigins,
+                crashHistory,
+                [this](forwarding::CallDigest call, auto onDone) { originExchange.findRemote(call, std::move(onDone)); },
+                [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
+                [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
+                [this] { return peers.isLeaseHolder(); },
+                [this] { return daemonCount(); },
+                [this] {
+                    placementRunner.updateEngines();
+                    peers.sendStatus();
+                },
+                [this](const base::ServiceName &, const base::ModelName &) {
+                    peers.sendStatus();
+                }};
     }
 
     SiteStateUpdater::Callbacks updaterCallbacks()
@@ -257,10 +236,7 @@
             handlePeerStatus(status);
         };
         callbacks.onPeerHeard = [this](const base::DaemonId &id) {
-            const auto now = base::now();
-            if (const auto mixed = streamOrigins.mixedServices(now); !mixed.empty()) {
-                peers.sendTo(id, StreamOriginsKind, encode(StreamOriginsMessage{streamOrigins.ownOfMixedServices(now), mixed}, now));
-            }
+            originExchange.notePeerHeard(id);
             if (const auto message = crashExchange.completeMessage(); !message.empty()) {
                 peers.sendTo(id, CrashesKind, message);
             }
@@ -282,38 +258,6 @@
         }
     }
 
-    void handleStreamOrigins(const base::DaemonId &from, const std::string &body)
-    {
-        const auto now = base::now();
-        const auto message = decodeStreamOrigins(body, now);
-        if (!message) {
-            telemetry::log(LogLevel::Warning, "peers", "cannot decode stream origins", {{"daemon", from.text()}, {"bytes", std::uint64_t(body.size())}});
-            return;
-        }
-        streamOrigins.recordFromPeer(message->origins, now);
-        streamOrigins.noteMixed(message->mixed, now);
-    }
-
-    void answerOriginQuery(const std::string &body, const peer::PeerResponder &answer) const
-    {
-        forwarding::CallDigest call = 0;
-        const auto [rest, ec] = std::from_chars(body.data(), body.data() + body.size(), call);
-        const auto *version = ec == std::errc() ? streamOrigins.find(call) : nullptr;
-        if (version != nullptr && !version->empty()) {
-            answer.write(*version);
-        }
-        answer.end();
-    }
-
-    void sendStreamOrigins()
-    {
-        const auto now = base::now();
-        const auto unsent = streamOrigins.takeUnsent(now);
-        if (!unsent.empty()) {
-            peers.sendToGroup(StreamOriginsKind, encode(StreamOriginsMessage{unsent, streamOrigins.mixedServices(now)}, now));
-        }
-    }
-
     /// Daemons that are not heard may have written rows.
     void recordEndpointLoss(requests::Fingerprint content, const requests::EndpointLoss &loss)
     {
@@ -394,27 +338,12 @@
                 pool.removeEndpoint(it.entry.id);
             }
         }
-        noteSoftwareVersions();
+        originExchange.noteEndpoints(siteState.endpoints());
         setConnectionLimits();
         placementRunner.updateEngines();
         forwarder.retryWaitingCalls();
     }
 
-    void noteSoftwareVersions()
-    {
-        std::map<base::ServiceName, std::set<std::string>> versions;
-        for (const auto &[id, entry] : siteState.endpoints()) {
-            versions[entry.service].insert(entry.softwareVersion);
-        }
-        for (const auto &[service, listed] : versions) {
-            if (listed != softwareVersions[service]) {
-                telemetry::log(LogLevel::Info, "endpoints", "software versions", {{"service", service.text()}, {"versions", joined(listed)}});
-            }
-        }
-        softwareVersions = versions;
-        streamOrigins.noteVersions(versions, base::now());
-    }
-
     void setConnectionLimits()
     {
         if (!siteState.routes()) {
@@ -486,6 +415,7 @@
     SiteStateUpdater siteStateUpdater;
     PlacementRunner placementRunner;
     Peers peers;
+    StreamOriginExchange originExchange;
     CrashExchange crashExchange;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> readinessServer;
@@ -493,7 +423,6 @@
     std::unique_ptr<net::HttpServer> metricsServer;
     base::StoreEra storeEra; ///< as reported by the store to this daemon
     base::StoreEra registrationEra; ///< latest era that this daemon or a peer has seen, in which its row has been or is being written
-    std::map<base::ServiceName, std::set<std::string>> softwareVersions; ///< of the endpoints listed at the last read
     bool isDraining = false;
     bool isDrained = false;
 };
