A daemon that starts knows which software versions served before

Callers saw streams that went on at another software version than the one that began them. A daemon took a service for mixed only if it had itself read entries of several versions since its start, or once a peer had heard of it and told it, 0.4 s to 0.8 s later. If the older version had left by then, or its entries were missing, it resumed streams of unknown origin at the only version that it saw. When all daemons ended at once, nothing told them at all.

The versions that were listed within the last minute now have a row of the store, which a starting daemon reads and compares with the entries. Peers send it theirs when they hear of it. Until it has one of the two, it refuses resumptions of unknown origin. The reader of a group writes the row when the versions change, so that it costs one read a start and one write a change.

--- a/include/turmericplank/forwarding/streamorigins.hpp
+++ b/include/turmericplank/forwarding/streamorigins.hpp
@@ -32,6 +32,9 @@
     friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
 };
 
+/// @brief Software versions of the endpoints of each service.
+using ServiceVersions = std::map<base::ServiceName, std::set<std::string>>;
+
 /// @brief A service whose endpoints run several software versions, or did so lately.
 struct MixedService
 {
@@ -64,7 +67,18 @@
     void recordFromPeer(const std::vector<StreamOrigin> &origins, base::Time now);
 
     /// @brief Applies the software versions of the endpoints that are listed now, by service.
-    void noteVersions(const std::map<base::ServiceName, std::set<std::string>> &versions, base::Time now);
+    void noteVersions(const ServiceVersions &versions, base::Time now);
+
+    /// @brief Applies versions that have been listed within the memory, according to the store or another daemon.
+    ///
+    /// From then on this daemon knows of all versions at which a stream may have begun, also before its own start.
+    void noteHistory(const ServiceVersions &versions, base::Time now);
+
+    /// @brief Whether this daemon knows of all versions of a service at which a stream may have begun.
+    bool isHistoryKnown(const base::ServiceName &service, base::Time now) const;
+
+    /// @brief Versions that this daemon itself has found listed within the memory, for the store and for other daemons.
+    ServiceVersions recentVersions(base::Time now) const;
 
     /// @brief Applies another daemon's knowledge of mixed services.
     void noteMixed(const std::vector<MixedService> &services, base::Time now);
@@ -119,10 +133,14 @@
         std::set<std::pair<base::Time, CallDigest>> m_byNeededUntil;
     };
 
+    void compareWithHistory(base::Time now);
     void extendMixed(const base::ServiceName &service, base::Time mixedUntil, base::Time now);
 
     StreamOriginsOptions m_options;
-    std::map<base::ServiceName, std::set<std::string>> m_listed; ///< versions at the last call of noteVersions()
+    ServiceVersions m_listed; ///< versions at the last call of noteVersions()
+    std::map<base::ServiceName, std::map<std::string, base::Time>> m_lastListed; ///< with the time until which each version was listed
+    ServiceVersions m_history; ///< by the last call of noteHistory()
+    std::optional<base::Time> m_historyNotedAt;
     std::map<base::ServiceName, base::Time> m_knownSince; ///< first call of noteVersions() with the service
     std::map<base::ServiceName, base::Time> m_seenMixedUntil; ///< by this daemon itself
     std::map<base::ServiceName, base::Time> m_mixedUntil;
--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -12,6 +12,7 @@
 #include "turmericplank/forwarding/streamorigins.hpp"
 #include "turmericplank/gateway/peers.hpp"
 #include "turmericplank/peer/mesh.hpp"
+#include "turmericplank/store/table.hpp"
 
 namespace turmericplank::gateway {
 
@@ -19,10 +20,13 @@
 struct StreamOriginExchangeOptions
 {
     base::Duration sendInterval = std::chrono::milliseconds(100); ///< a daemon that ends without notice takes the origins of this time with it
+    base::Duration historyInterval = std::chrono::seconds(1); ///< between comparisons of the stored versions with the listed ones
     base::Duration queryTimeout = std::chrono::milliseconds(150); ///< several round trips within a region; the caller waits meanwhile
 };
 
 /// @brief Tells other daemons at which software versions streams began, and asks them.
+///
+/// The versions that were listed lately are kept in a row of the store, for daemons that start after one of them was replaced.
 class StreamOriginExchange
 {
 public:
@@ -30,7 +34,8 @@
     /// @param origins is filled with what others know
     /// @param mesh gets the handlers of the messages
     /// @param peers sends the messages
-    StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers);
+    /// @param table the store's rows of this product
+    StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers, store::Table table);
 
     /// @brief Notes the software versions of the endpoints that are listed now.
     void noteEndpoints(const std::map<base::EndpointId, discovery::EndpointEntry> &endpoints);
@@ -38,6 +43,9 @@
     /// @brief Tells a daemon that has just appeared what this one knows.
     void notePeerHeard(const base::DaemonId &id);
 
+    /// @brief Notes that the store came back from an older copy, which may lack versions.
+    void noteStoreRestored();
+
     /// @brief Asks other daemons for the version at which a stream began.
     /// @param onDone called once, with nothing if none of them knows it
     void findRemote(forwarding::CallDigest call, std::function<void(std::optional<std::string>)> onDone);
@@ -46,11 +54,22 @@
     void handleOrigins(const base::DaemonId &from, const std::string &body);
     void answerQuery(const std::string &body, const peer::PeerResponder &answer) const;
     void sendUnsent();
+    void handleHistory(const base::DaemonId &from, const std::string &body);
+    void maintainHistory();
+    void readHistory();
+    void applyRow(const std::vector<store::Row> &rows);
+    void writeHistory(const forwarding::ServiceVersions &versions);
 
     StreamOriginExchangeOptions m_options;
     forwarding::StreamOrigins &m_origins;
     Peers &m_peers;
-    std::map<base::ServiceName, std::set<std::string>> m_listed; ///< versions of the endpoints that were listed last, for the log
+    store::Table m_table;
+    forwarding::ServiceVersions m_stored; ///< as last read or written
+    base::RowVersion m_storedRow; ///< zero if the row is absent
+    base::Time m_keepStoredUntil; ///< until then a stored version may still matter, although this daemon has not found it listed
+    bool m_mustRead = true;
+    bool m_isCallInProgress = false;
+    forwarding::ServiceVersions m_listed; ///< versions of the endpoints that were listed last, for the log
 };
 
 } // namespace turmericplank::gateway
--- a/include/turmericplank/gateway/streamoriginsmessage.hpp
+++ b/include/turmericplank/gateway/streamoriginsmessage.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,4 +28,11 @@
 /// @brief Decodes the output of encode(); the times count from the receiver's now, since clocks of daemons differ.
 tl::expected<StreamOriginsMessage, MessageDecodeFailure> decodeStreamOrigins(std::string_view bytes, base::Time now);
 
+/// @brief Encodes software versions as JSON, an array of versions for each service.
+std::string encodeVersions(const forwarding::ServiceVersions &versions);
+
+/// @brief Decodes the output of encodeVersions().
+/// @return nothing if it is malformed
+std::optional<forwarding::ServiceVersions> decodeVersions(const std::string &text);
+
 } // namespace turmericplank::gateway
--- a/src/turmericplank/forwarding/streamorigins.cpp
+++ b/src/turmericplank/forwarding/streamorigins.cpp
@@ -77,18 +77,70 @@
     }
 }
 
-void StreamOrigins::noteVersions(const std::map<base::ServiceName, std::set<std::string>> &versions, base::Time now)
+void StreamOrigins::noteVersions(const ServiceVersions &versions, base::Time now)
 {
     for (const auto &[service, listed] : versions) {
         m_knownSince.try_emplace(service, now);
         // All endpoints may have been replaced between two reads.
         auto recent = std::exchange(m_listed[service], listed);
         recent.insert(listed.begin(), listed.end());
+        for (const auto &it : recent) {
+            m_lastListed[service][it] = now;
+        }
         if (recent.size() > 1) {
             m_seenMixedUntil[service] = now + m_options.mixedMemory;
             extendMixed(service, m_seenMixedUntil[service], now);
         }
     }
+    compareWithHistory(now);
+}
+
+void StreamOrigins::noteHistory(const ServiceVersions &versions, base::Time now)
+{
+    if (m_historyNotedAt && now >= *m_historyNotedAt + m_options.mixedMemory) {
+        m_history.clear();
+    }
+    m_historyNotedAt = now;
+    for (const auto &[service, earlier] : versions) {
+        m_history[service].insert(earlier.begin(), earlier.end());
+    }
+    compareWithHistory(now);
+}
+
+/// What others report does not count as seen by this daemon, see mixedServices().
+void StreamOrigins::compareWithHistory(base::Time now)
+{
+    if (!m_historyNotedAt) {
+        return;
+    }
+    for (const auto &[service, earlier] : m_history) {
+        auto versions = earlier;
+        if (const auto listed = m_listed.find(service); listed != m_listed.end()) {
+            versions.insert(listed->second.begin(), listed->second.end());
+        }
+        if (versions.size() > 1) {
+            extendMixed(service, *m_historyNotedAt + m_options.mixedMemory, now);
+        }
+    }
+}
+
+bool StreamOrigins::isHistoryKnown(const base::ServiceName &service, base::Time now) const
+{
+    const auto since = versionsKnownSince(service);
+    return m_historyNotedAt || (since && now >= *since + m_options.mixedMemory);
+}
+
+ServiceVersions StreamOrigins::recentVersions(base::Time now) const
+{
+    ServiceVersions recent;
+    for (const auto &[service, versions] : m_lastListed) {
+        for (const auto &[version, until] : versions) {
+            if (now < until + m_options.mixedMemory) {
+                recent[service].insert(version);
+            }
+        }
+    }
+    return recent;
 }
 
 void StreamOrigins::noteMixed(const std::vector<MixedService> &services, base::Time now)
@@ -176,6 +228,9 @@
     m_own.expire(now);
     m_fromPeers.expire(now);
     std::erase_if(m_mixedUntil, [now](const auto &it) { return it.second <= now; });
+    for (auto &[service, versions] : m_lastListed) {
+        std::erase_if(versions, [&](const auto &it) { return it.second + m_options.mixedMemory <= now; });
+    }
     std::erase_if(m_seenMixedUntil, [now](const auto &it) { return it.second <= now; });
 }
 
--- a/src/turmericplank/forwarding/streamorigins_test.cpp
+++ b/src/turmericplank/forwarding/streamorigins_test.cpp
@@ -142,6 +142,58 @@
     CHECK_FALSE(origins.isMixed(chat, Start + 61s));
 }
 
+TEST_CASE("a service is mixed if another version is in its history, for the memory")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    origins.noteVersions({{chat, {"v2"}}, {search, {"v1"}}}, Start);
+    origins.noteHistory({{chat, {"v1"}}, {search, {"v1"}}}, Start + 1s);
+    CHECK(origins.isMixed(chat, Start + 61s - 1us));
+    CHECK_FALSE(origins.isMixed(chat, Start + 61s));
+    CHECK_FALSE(origins.isMixed(search, Start + 1s));
+    // The order of both does not matter.
+    StreamOrigins other({.mixedMemory = 60s});
+    other.noteHistory({{chat, {"v1"}}}, Start);
+    CHECK_FALSE(other.isMixed(chat, Start));
+    other.noteVersions({{chat, {"v2"}}}, Start + 1s);
+    CHECK(other.isMixed(chat, Start + 60s - 1us));
+    CHECK_FALSE(other.isMixed(chat, Start + 60s));
+}
+
+TEST_CASE("histories that are noted one after the other add up, and are forgotten after the memory")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    origins.noteHistory({{chat, {"v1"}}}, Start);
+    origins.noteHistory({{chat, {"v2"}}}, Start + 1s);
+    CHECK(origins.isMixed(chat, Start + 1s));
+    origins.noteHistory({{chat, {"v3"}}}, Start + 61s);
+    CHECK_FALSE(origins.isMixed(chat, Start + 61s));
+}
+
+TEST_CASE("the history of a service is known once it was noted, or after the memory")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    CHECK_FALSE(origins.isHistoryKnown(chat, Start));
+    origins.noteVersions({{chat, {"v1"}}}, Start);
+    CHECK_FALSE(origins.isHistoryKnown(chat, Start + 60s - 1us));
+    CHECK(origins.isHistoryKnown(chat, Start + 60s));
+    CHECK_FALSE(origins.isHistoryKnown(search, Start + 60s));
+    origins.noteHistory({}, Start + 1s);
+    CHECK(origins.isHistoryKnown(search, Start + 1s));
+}
+
+TEST_CASE("versions that this daemon has found listed are recent for the memory, those of a history are not passed on")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    origins.noteHistory({{chat, {"v0"}}}, Start);
+    origins.noteVersions({{chat, {"v1"}}}, Start);
+    origins.noteVersions({{chat, {"v2"}}}, Start + 1s);
+    CHECK(origins.mixedServices(Start + 1s) == std::vector<MixedService>{{chat, Start + 61s}});
+    CHECK(origins.recentVersions(Start + 61s - 1us) == ServiceVersions{{chat, {"v1", "v2"}}});
+    origins.noteVersions({{chat, {"v2"}}}, Start + 61s);
+    origins.expire(Start + 61s);
+    CHECK(origins.recentVersions(Start + 61s) == ServiceVersions{{chat, {"v2"}}});
+}
+
 TEST_CASE("origins stay with the daemon while a service runs one version")
 {
     StreamOrigins origins;
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -75,7 +75,7 @@
     return m_route.kind.isStreamed && m_route.kind.isResumable && m_call.lastEventId;
 }
 
-/// Events of two software versions do not fit together. While only one version serves and no other did lately, the origin does not matter.
+/// Events of two software versions do not fit together. If it is certain that only one version has served lately, the origin does not matter.
 void ForwardedCall::findOrigin()
 {
     const auto &dependencies = m_forwarder.m_dependencies;
@@ -84,7 +84,7 @@
     const auto *version = isNamed ? dependencies.streamOrigins.find(call) : nullptr;
     if (version != nullptr) {
         resumeAt(*version);
-    } else if (!dependencies.streamOrigins.isMixed(m_service, base::now())) {
+    } else if (isSingleVersion()) {
         selectEndpoint();
     } else if (!isNamed) {
         reject(RejectionReason::VersionUnavailable);
@@ -102,6 +102,13 @@
     }
 }
 
+bool ForwardedCall::isSingleVersion() const
+{
+    const auto now = base::now();
+    const auto &origins = m_forwarder.m_dependencies.streamOrigins;
+    return origins.isHistoryKnown(m_service, now) && !origins.isMixed(m_service, now);
+}
+
 void ForwardedCall::resumeAt(const std::string &softwareVersion)
 {
     m_softwareVersion = softwareVersion;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -57,6 +57,7 @@
 
     bool isResumption() const;
     void findOrigin();
+    bool isSingleVersion() const;
     void resumeAt(const std::string &softwareVersion);
     bool isVersionServing(const std::string &softwareVersion) const;
     bool isServing(const base::EndpointId &endpoint) const;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -103,7 +103,7 @@
         , siteStateUpdater(context, siteStore, siteState, metrics, updaterCallbacks(), updaterOptions(settings.bounds))
         , placementRunner(placementDependencies(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
-        , originExchange(context, streamOrigins, *mesh, peers)
+        , originExchange(context, streamOrigins, *mesh, peers, siteStore.table)
         , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
         callerServer = listen(
@@ -207,6 +207,7 @@
             metrics.count("store_restores_total");
             siteStateUpdater.noteStoreRestored();
             crashExchange.noteStoreRestored();
+            originExchange.noteStoreRestored();
         }
         notePeerStoreEra(era);
     }
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -1,5 +1,6 @@
 #include "turmericplank/gateway/streamoriginexchange.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -15,6 +16,8 @@
 
 constexpr const char *OriginsKind = "gateway/origins";
 constexpr const char *QueryKind = "gateway/origin"; ///< body: digest of a call as decimal text; response: its version, or nothing
+constexpr const char *HistoryKind = "gateway/versions"; ///< body: encode(ServiceVersions)
+constexpr const char *HistoryRow = "versions/recent";
 
 std::string joined(const std::set<std::string> &texts)
 {
@@ -27,21 +30,29 @@
 
 } // namespace
 
-StreamOriginExchange::StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers)
+StreamOriginExchange::StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers,
+                                           store::Table table)
     : m_origins(origins)
     , m_peers(peers)
+    , m_table(std::move(table))
 {
     mesh.handle(OriginsKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
         answer.end();
         handleOrigins(from, body);
     });
     mesh.handle(QueryKind, [this](const base::DaemonId &, const std::string &body, const peer::PeerResponder &answer) { answerQuery(body, answer); });
+    mesh.handle(HistoryKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
+        answer.end();
+        handleHistory(from, body);
+    });
     daemon::callEvery(context, m_options.sendInterval, [this] { sendUnsent(); });
+    daemon::callEvery(context, m_options.historyInterval, [this] { maintainHistory(); });
+    readHistory();
 }
 
 void StreamOriginExchange::noteEndpoints(const std::map<base::EndpointId, discovery::EndpointEntry> &endpoints)
 {
-    std::map<base::ServiceName, std::set<std::string>> versions;
+    forwarding::ServiceVersions versions;
     for (const auto &[id, entry] : endpoints) {
         versions[entry.service].insert(entry.softwareVersion);
     }
@@ -60,6 +71,95 @@
     if (const auto mixed = m_origins.mixedServices(now); !mixed.empty()) {
         m_peers.sendTo(id, OriginsKind, encode(StreamOriginsMessage{m_origins.ownOfMixedServices(now), mixed}, now));
     }
+    // A daemon that has just started itself may have missed a version.
+    const auto recent = m_origins.recentVersions(now);
+    const bool isComplete = !recent.empty() && std::ranges::all_of(recent, [&](const auto &it) { return m_origins.isHistoryKnown(it.first, now); });
+    if (isComplete) {
+        m_peers.sendTo(id, HistoryKind, encodeVersions(recent));
+    }
+}
+
+void StreamOriginExchange::handleHistory(const base::DaemonId &from, const std::string &body)
+{
+    if (const auto versions = decodeVersions(body)) {
+        m_origins.noteHistory(*versions, base::now());
+    } else {
+        telemetry::log(LogLevel::Warning, "peers", "cannot decode software versions", {{"daemon", from.text()}, {"bytes", std::uint64_t(body.size())}});
+    }
+}
+
+void StreamOriginExchange::noteStoreRestored()
+{
+    m_storedRow = base::RowVersion();
+    m_stored.clear();
+    readHistory();
+}
+
+void StreamOriginExchange::readHistory()
+{
+    m_mustRead = true;
+    if (std::exchange(m_isCallInProgress, true)) {
+        return;
+    }
+    m_mustRead = false;
+    m_table.readPrefix(HistoryRow, [this](const store::ReadResult &rows) {
+        m_isCallInProgress = false;
+        if (rows) {
+            applyRow(*rows);
+        } else {
+            m_mustRead = true;
+        }
+    });
+}
+
+void StreamOriginExchange::applyRow(const std::vector<store::Row> &rows)
+{
+    m_stored.clear();
+    m_storedRow = base::RowVersion();
+    if (!rows.empty()) {
+        m_storedRow = rows.front().version;
+        if (auto versions = decodeVersions(rows.front().value)) {
+            m_stored = std::move(*versions);
+        } else {
+            telemetry::log(LogLevel::Warning, "store", "cannot decode a row of software versions", {{"key", rows.front().key}});
+        }
+    }
+    const auto now = base::now();
+    m_keepStoredUntil = now + forwarding::StreamOriginsOptions().mixedMemory;
+    m_origins.noteHistory(m_stored, now);
+}
+
+/// One daemon of each group writes the row; a conflict with that of another group is settled by reading the row again.
+void StreamOriginExchange::maintainHistory()
+{
+    if (m_mustRead) {
+        readHistory();
+        return;
+    }
+    const auto now = base::now();
+    auto versions = m_origins.recentVersions(now);
+    if (now < m_keepStoredUntil) {
+        for (const auto &[service, stored] : m_stored) {
+            versions[service].insert(stored.begin(), stored.end());
+        }
+    }
+    if (!m_isCallInProgress && m_peers.isStoreReader() && versions != m_stored && !versions.empty()) {
+        writeHistory(versions);
+    }
+}
+
+void StreamOriginExchange::writeHistory(const forwarding::ServiceVersions &versions)
+{
+    m_isCallInProgress = true;
+    m_table.transact({{HistoryRow, m_storedRow, encodeVersions(versions)}}, [this, versions](const store::WriteResult &result) {
+        m_isCallInProgress = false;
+        if (result && !m_mustRead) {
+            m_storedRow = result->front();
+            m_stored = versions;
+        } else {
+            m_mustRead = true;
+        }
+    });
 }
 
 void StreamOriginExchange::findRemote(forwarding::CallDigest call, std::function<void(std::optional<std::string>)> onDone)
--- a/src/turmericplank/gateway/streamoriginsmessage.cpp
+++ b/src/turmericplank/gateway/streamoriginsmessage.cpp
@@ -4,6 +4,8 @@
 #include <limits>
 #include <map>
 
+#include <nlohmann/json.hpp>
+
 #include "msgpackarrays.hpp"
 
 namespace turmericplank::gateway {
@@ -103,4 +105,30 @@
     }
 }
 
+std::string encodeVersions(const forwarding::ServiceVersions &versions)
+{
+    auto json = nlohmann::json::object();
+    for (const auto &[service, listed] : versions) {
+        json[service.text()] = listed;
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<forwarding::ServiceVersions> decodeVersions(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return std::nullopt;
+    }
+    forwarding::ServiceVersions versions;
+    for (const auto &[service, listed] : json.items()) {
+        const bool isList = listed.is_array() && std::ranges::all_of(listed, [](const auto &it) { return it.is_string(); });
+        if (!isList) {
+            return std::nullopt;
+        }
+        versions.emplace(base::ServiceName(service), listed.template get<std::set<std::string>>());
+    }
+    return versions;
+}
+
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/streamoriginsmessage_test.cpp
+++ b/src/turmericplank/gateway/streamoriginsmessage_test.cpp
@@ -104,3 +104,17 @@
     CHECK(decodeStreamOrigins("\x92\x91\x92\xa1v\x91\x92\x01\x02\x91\x92\xa1s\x03", Start)
           == StreamOriginsMessage{{{1, "v", Start + 2ms}}, {{base::ServiceName("s"), Start + 3ms}}});
 }
+
+TEST_CASE("encoded software versions decode to the same versions")
+{
+    const forwarding::ServiceVersions versions{{base::ServiceName("s"), {"v1", "v2"}}, {base::ServiceName("t"), {}}};
+    CHECK(decodeVersions(encodeVersions(versions)) == versions);
+    CHECK(decodeVersions(encodeVersions({})) == forwarding::ServiceVersions());
+}
+
+TEST_CASE("malformed software versions are rejected")
+{
+    for (const auto *it : {"", "[]", "{\"s\":\"v1\"}", "{\"s\":[1]}", "{\"s\":[\"v1\"]"}) {
+        CHECK_FALSE(decodeVersions(it));
+    }
+}
--- a/src/turmericplank/gateway/streamversions_test.cpp
+++ b/src/turmericplank/gateway/streamversions_test.cpp
@@ -150,3 +150,21 @@
     rollout.fleet.runFor(StreamTime);
     CHECK(resumption->status == 200);
 }
+
+TEST_CASE("versions that served lately have a row of the store, which is written again when it is lost")
+{
+    Rollout rollout(2);
+    const auto row = [&] {
+        const auto it = rollout.fleet.store.rows.find("versions/recent");
+        return it == rollout.fleet.store.rows.end() ? std::string() : it->second.value;
+    };
+    CHECK(row() == R"({"s":["v1"]})");
+    rollout.newEndpoint().list("v2");
+    rollout.oldEndpoint().unlist();
+    rollout.fleet.runFor(StartTime);
+    CHECK(row() == R"({"s":["v1","v2"]})");
+    rollout.fleet.store.rows.erase("versions/recent");
+    rollout.fleet.store.beginEra();
+    rollout.fleet.runFor(StartTime);
+    CHECK(row() == R"({"s":["v1","v2"]})");
+}
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -53,7 +53,11 @@
         it.parseConfiguration = [this](const std::string &text) {
             return configurations.at(std::stoull(text));
         };
-        it.observeEra = [](const auto &) {
+        it.observeEra = [this, self, &context](std::function<void(base::StoreEra)> observer) {
+            observer(base::StoreEra(m_era));
+            m_eraObservers[self] = [&context, observer = std::move(observer)](base::StoreEra era) {
+                boost::asio::post(context, [observer, era] { observer(era); });
+            };
         };
         it.table.transact = [this, self, &context](std::vector<store::RowWrite> writes, std::function<void(store::WriteResult)> callback) {
             boost::asio::post(context, [this, self, writes = std::move(writes), callback = std::move(callback)] {
@@ -85,6 +89,21 @@
         configurations[configuration->revision.value()] = configuration;
     }
 
+    /// Tells all daemons that the store came back from an older copy.
+    void beginEra()
+    {
+        ++m_era;
+        for (const auto &[self, observer] : m_eraObservers) {
+            observer(base::StoreEra(m_era));
+        }
+    }
+
+    /// Forgets a daemon that has ended.
+    void removeObserver(const std::string &self)
+    {
+        m_eraObservers.erase(self);
+    }
+
     std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
     std::set<std::string> hiddenRowsFor; ///< daemons whose calls about entries and rows are turned away
     std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
@@ -149,6 +168,8 @@
     }
 
     std::uint64_t m_version = 0;
+    std::uint64_t m_era = 1;
+    std::map<std::string, std::function<void(base::StoreEra)>> m_eraObservers; ///< by daemon
 };
 
 /// @brief An endpoint of a service that crashes while it runs certain calls, and starts again after some time under another id.
@@ -377,6 +398,7 @@
     /// Ends a daemon as a kill does.
     void stopDaemon(std::size_t n)
     {
+        store.removeObserver(std::to_string(n));
         m_daemons[n].gateway.reset();
         m_daemons[n].context.reset();
     }
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -308,6 +308,7 @@
         , b(m_context, "b", static_cast<std::uint16_t>(firstPort + 1))
     {
         m_siteState.applyConfiguration(configuration(sendLimit), base::now());
+        m_streamOrigins.noteHistory({}, base::now());
         applyEntries({a.entry(), b.entry()});
     }
 
