A stream of unknown origin is resumed only after the endpoints' entries were read for it

Callers saw streams that went on at another software version than the one that began them. A daemon that was frozen, cut off or only between two reads still saw one version, and resumed streams at it that other daemons had begun at a version that had appeared since.

Before a daemon concludes that only one version serves, it reads the entries once more; resumptions that come during a read share the next one.

gateway/streamversions_test: the cases of a daemon that has not read since a version appeared, and of one that reaches neither store nor peer, failed before (200 instead of 503, the resumption reached the other version); streams of the only version still go on while the store is away.

--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -60,6 +60,8 @@
     std::mt19937_64 &random;
     forwarding::StreamOrigins &streamOrigins;
     requests::CrashHistory &crashHistory; ///< contents that endpoints were lost with
+    /// Brings the view of the endpoints up to date; calls back once, with whether the versions that serve are known for certain.
+    std::function<void(std::function<void(bool)>)> refreshVersions;
     /// Asks other daemons for the version at which a stream began; calls back once, with nothing if none of them knows it.
     std::function<void(forwarding::CallDigest, std::function<void(std::optional<std::string>)>)> findRemoteOrigin;
     std::function<void(requests::Fingerprint, const requests::EndpointLoss &)> onEndpointLost; ///< while it ran a content, or a part of one
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -83,6 +83,9 @@
     /// @brief Number of other daemons in the group that are heard.
     std::size_t groupPeerCount() const;
 
+    /// @brief Whether another daemon of the group has been heard within the timeout.
+    bool isAnyHeard() const;
+
     /// @brief Whether no daemon that was heard lately has fallen silent without having announced that it leaves.
     bool areAllHeard() const;
 
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -76,30 +76,53 @@
 }
 
 /// Events of two software versions do not fit together. If it is certain that only one version has served lately, the origin does not matter.
+/// Another daemon may have found a new version that this one has not read yet, so it reads the entries before it concludes that.
 void ForwardedCall::findOrigin()
 {
     const auto &dependencies = m_forwarder.m_dependencies;
-    const bool isNamed = !m_call.resumedCall.empty();
-    const auto call = forwarding::callDigest(m_call.resumedCall);
-    const auto *version = isNamed ? dependencies.streamOrigins.find(call) : nullptr;
-    if (version != nullptr) {
+    if (knownOrigin() != nullptr || dependencies.streamOrigins.isMixed(m_service, base::now())) {
+        askForOrigin();
+        return;
+    }
+    dependencies.refreshVersions([self = Pointer(this), isAlive = m_forwarder.m_isAlive](bool isCertain) {
+        if (!*isAlive || self->m_isFinished) {
+            return;
+        }
+        if (isCertain && self->isSingleVersion()) {
+            self->selectEndpoint();
+        } else {
+            self->askForOrigin();
+        }
+    });
+}
+
+/// @return the version at which the stream began; null if this daemon does not know it
+const std::string *ForwardedCall::knownOrigin() const
+{
+    return m_call.resumedCall.empty() ? nullptr : m_forwarder.m_dependencies.streamOrigins.find(forwarding::callDigest(m_call.resumedCall));
+}
+
+void ForwardedCall::askForOrigin()
+{
+    if (const auto *version = knownOrigin()) {
         resumeAt(*version);
-    } else if (isSingleVersion()) {
-        selectEndpoint();
-    } else if (!isNamed) {
+        return;
+    }
+    if (m_call.resumedCall.empty()) {
         reject(RejectionReason::VersionUnavailable);
-    } else {
-        dependencies.findRemoteOrigin(call, [self = Pointer(this), isAlive = m_forwarder.m_isAlive](const std::optional<std::string> &remoteVersion) {
-            if (!*isAlive || self->m_isFinished) {
-                return;
-            }
-            if (remoteVersion) {
-                self->resumeAt(*remoteVersion);
-            } else {
-                self->reject(RejectionReason::VersionUnavailable);
-            }
-        });
+        return;
     }
+    m_forwarder.m_dependencies.findRemoteOrigin(forwarding::callDigest(m_call.resumedCall),
+                                                [self = Pointer(this), isAlive = m_forwarder.m_isAlive](const std::optional<std::string> &remoteVersion) {
+                                                    if (!*isAlive || self->m_isFinished) {
+                                                        return;
+                                                    }
+                                                    if (remoteVersion) {
+                                                        self->resumeAt(*remoteVersion);
+                                                    } else {
+                                                        self->reject(RejectionReason::VersionUnavailable);
+                                                    }
+                                                });
 }
 
 bool ForwardedCall::isSingleVersion() const
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -57,6 +57,8 @@
 
     bool isResumption() const;
     void findOrigin();
+    const std::string *knownOrigin() const;
+    void askForOrigin();
     bool isSingleVersion() const;
     void resumeAt(const std::string &softwareVersion);
     bool isVersionServing(const std::string &softwareVersion) const;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -138,19 +138,14 @@
 
     ForwarderDependencies forwarderDependencies()
     {
-        return {context,
-                wire,
-                siteState,
-                router,
-                pool,
-                metrics,
-                random,
-                streamOrigins,
-                crashHistory,
+        return {context, wire, siteState, router, pool, metrics, random, streamOrigins, crashHistory,
+                // Daemons that hear each other learn of a new version within moments, also while the store is away.
+                [this](auto onDone) {
+                    siteStateUpdater.refreshEndpoints([this, onDone = std::move(onDone)](bool isRead) { onDone(isRead || peers.isAnyHeard()); });
+                },
                 [this](forwarding::CallDigest call, auto onDone) { originExchange.findRemote(call, std::move(onDone)); },
                 [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
-                [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
-                [this] { return peers.isLeaseHolder(); },
+                [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); }, [this] { return peers.isLeaseHolder(); },
                 [this] { return daemonCount(); },
                 [this] {
                     placementRunner.updateEngines();
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -350,6 +350,13 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_peers, [](const auto &it) { return !it.second.isSilent && it.second.isInGroup; }));
 }
 
+/// Does not rely on detectSilentPeers(), which has not run yet when a process goes on after a pause.
+bool Peers::isAnyHeard() const
+{
+    const auto oldest = base::now() - m_options.peerTimeout;
+    return std::ranges::any_of(m_peers, [oldest](const auto &it) { return it.second.isInGroup && it.second.status && it.second.heardAt > oldest; });
+}
+
 bool Peers::areAllHeard() const
 {
     const auto oldest = base::now() - m_options.maxSilence;
--- a/src/turmericplank/gateway/streamversions_test.cpp
+++ b/src/turmericplank/gateway/streamversions_test.cpp
@@ -16,17 +16,26 @@
     return true;
 }
 
+bool noneInContact(std::size_t, std::size_t)
+{
+    return false;
+}
+
 /// A fleet with an endpoint of version v1 and one of v2, of which only the former is listed at first, and a caller with a stream that
 /// began there.
 class Rollout
 {
 public:
-    explicit Rollout(std::size_t daemonCount)
-        : fleet(daemonCount, 2, allInContact)
+    explicit Rollout(std::size_t daemonCount, std::function<bool(std::size_t, std::size_t)> contacts = allInContact,
+                     base::Duration drainTime = std::chrono::milliseconds(200))
+        : fleet(daemonCount, 2, std::move(contacts), drainTime)
     {
         oldEndpoint().list("v1");
         newEndpoint().list("v2");
         newEndpoint().unlist();
+        oldEndpoint().onReceived = [this](const net::HttpRequest &request, std::size_t) {
+            resumedAtOld += header(request.headers, "Last-Event-Id").empty() ? 0 : 1;
+        };
         newEndpoint().onReceived = [this](const net::HttpRequest &request, std::size_t) {
             resumedAtNew += header(request.headers, "Last-Event-Id").empty() ? 0 : 1;
         };
@@ -70,6 +79,7 @@
     }
 
     TestFleet fleet;
+    int resumedAtOld = 0; ///< resumptions that reached the endpoint of v1
     int resumedAtNew = 0; ///< resumptions that reached the endpoint of v2
 
 private:
@@ -168,3 +178,35 @@
     rollout.fleet.runFor(StartTime);
     CHECK(row() == R"({"s":["v1","v2"]})");
 }
+
+TEST_CASE("a daemon that has not read the entries since a version appeared does not resume its streams at the other version")
+{
+    Rollout rollout(2, noneInContact, 4s);
+    rollout.newEndpoint().list("v2");
+    // As if another daemon had read the entry and begun a stream there.
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtOld == 0);
+}
+
+TEST_CASE("a daemon that reaches neither the store nor a peer does not resume a stream of an unknown version")
+{
+    Rollout rollout(2, noneInContact);
+    rollout.fleet.store.hiddenRowsFor = {"1"};
+    rollout.newEndpoint().list("v2");
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtOld == 0);
+}
+
+TEST_CASE("daemons that hear each other resume streams of the only version while the store is away")
+{
+    Rollout rollout(2);
+    rollout.fleet.store.hiddenRowsFor = {"0", "1"};
+    rollout.fleet.runFor(StartTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 200);
+}
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -400,6 +400,7 @@
                 m_random,
                 m_streamOrigins,
                 crashHistory,
+                [](const std::function<void(bool)> &callback) { callback(true); },
                 [this](forwarding::CallDigest call, const std::function<void(std::optional<std::string>)> &callback) {
                     const auto it = remoteOrigins.find(call);
                     callback(it == remoteOrigins.end() ? std::nullopt : std::optional(it->second));
