The origin of a stream is kept for the calls that resume it

An origin was kept until 5 s after the deadline of the stream's first call. Callers resume a stream several times, each time naming its first call and with a deadline of their own. Once the origin was forgotten, the stream was refused while several versions served, and could go on at another version after that.

gateway/forwarder_test: 'the version of a stream is remembered for the calls that resume it ...' failed before.

--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -267,9 +267,11 @@
     m_firstEventAt = now;
     m_lastEventAt = now;
     m_softwareVersion = m_attempt->softwareVersion;
-    if (!m_call.lastEventId && m_route.kind.isResumable) {
+    // Callers name the first call of a stream each time that they resume it.
+    const auto &firstCall = m_call.lastEventId ? m_call.resumedCall : m_call.id;
+    if (m_route.kind.isResumable && !firstCall.empty()) {
         m_forwarder.m_dependencies.streamOrigins.record(
-            m_service, {forwarding::callDigest(m_call.id), *m_softwareVersion, m_attempts.deadline() + m_forwarder.m_options.originMargin}, now);
+            m_service, {forwarding::callDigest(firstCall), *m_softwareVersion, m_attempts.deadline() + m_forwarder.m_options.originMargin}, now);
     }
     m_exchange->startStream(m_attempt->head->status, m_attempt->headers);
 }
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -12,6 +12,7 @@
 using namespace turmericplank;
 using namespace turmericplank::gateway;
 using namespace turmericplank::gateway::testing;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -307,6 +308,22 @@
     CHECK(site.b.received.empty());
 }
 
+TEST_CASE("the version of a stream is remembered for the calls that resume it, which have later deadlines than its first call")
+{
+    TestSite site(firstPort);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.a.scripts = {events(2) + pause(ShortPause) + step(EngineStep::Kind::Break), events(2) + step(EngineStep::Kind::End)};
+    const auto begunAt = base::now();
+    CHECK(site.call({{"Request-Id", "c1"}})->isCutOff);
+    site.runFor(500ms);
+    const auto resumedAt = base::now();
+    CHECK(site.call({{"Request-Id", "c2"}, {"Last-Event-Id", "2"}, {"Resumes", "c1"}})->isComplete);
+    const auto callTime = 4s + ForwarderOptions().originMargin;
+    REQUIRE(resumedAt > begunAt + 400ms);
+    site.streamOrigins().expire(begunAt + callTime + 400ms);
+    CHECK(site.streamOrigins().find(forwarding::callDigest("c1")) != nullptr);
+}
+
 TEST_CASE("while one software version serves, a stream of an unknown one is resumed")
 {
     TestSite site(firstPort);
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -359,6 +359,11 @@
         return m_context;
     }
 
+    forwarding::StreamOrigins &streamOrigins()
+    {
+        return m_streamOrigins;
+    }
+
     std::size_t callsInProgress() const
     {
         return m_forwarder.callsInProgress();
