A call is not sent to an incarnation of an endpoint that it was not meant for

A daemon chooses an endpoint by its entry, with the software version of it, and may then take up to 0.4 s to open a connection. If the endpoint started again under its id meanwhile and its new entry was read, the call was sent to the new incarnation all the same, and a stream went on at, or was remembered for, a version that the endpoint no longer has. The incarnation is now compared before the send.

gateway/forwarder_test: 'a stream does not go on at an endpoint that starts again with another software version ...' failed before (sent, 200).

--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -325,8 +325,12 @@
         }
         return;
     }
-    // While the connection was being opened, the endpoint may have left, or others may have crashed with the same content.
-    const bool mayBeSent = pooled && isServing(m_attempt->choice.endpoint) && !isRefusedForCrashes();
+    // While the connection was being opened, the endpoint may have left or started again, possibly with another software version, or others
+    // may have crashed with the same content.
+    const auto &endpoints = m_forwarder.m_dependencies.siteState.endpoints();
+    const auto entry = endpoints.find(m_attempt->choice.endpoint);
+    const bool isSameIncarnation = pooled && entry != endpoints.end() && entry->second.incarnation == pooled->incarnation;
+    const bool mayBeSent = isSameIncarnation && isServing(m_attempt->choice.endpoint) && !isRefusedForCrashes();
     if (pooled && !mayBeSent) {
         m_forwarder.m_dependencies.pool.returnConnection(*pooled, std::nullopt, base::now());
     }
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -355,6 +355,22 @@
     CHECK(exchange->body == stream(0, "a", 2, "b"));
 }
 
+TEST_CASE("a stream does not go on at an endpoint that starts again with another software version while its connection is being opened")
+{
+    TestSite site(firstPort);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.remoteOrigins[forwarding::callDigest("c0")] = "v1";
+    site.a.scripts = {events(2) + step(EngineStep::Kind::End)};
+    const auto exchange = site.begin({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}});
+    auto restarted = site.a.entry("v2");
+    restarted.incarnation = base::Incarnation(2);
+    site.applyEntries({restarted, site.b.entry("v2")});
+    site.runFor(ShortPause);
+    CHECK(site.a.received.empty());
+    CHECK(site.b.received.empty());
+    CHECK(exchange->status != 200);
+}
+
 TEST_CASE("a content that endpoints were lost with is refused as not run, tried again later, and served once it is answered")
 {
     TestSite site(firstPort);
