--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -472,10 +472,10 @@
         std::unique_ptr<Gateway> gateway;
     };
 
-    /// Keeps parallel runs apart.
+    /// Keeps parallel runs apart, also from the tests of whole programs, which use ports from 10000 on.
     static std::uint16_t port(std::size_t n)
     {
-        return static_cast<std::uint16_t>(20500 + 50 * (getpid() % 140) + n);
+        return static_cast<std::uint16_t>(2500 + 50 * (getpid() % 140) + n);
     }
 
     std::function<bool(std::size_t, std::size_t)> m_contacts;
