--- a/src/turmericplank/forwarding/streamorigins_test.cpp
+++ b/src/turmericplank/forwarding/streamorigins_test.cpp
@@ -169,6 +169,24 @@
     CHECK_FALSE(origins.isMixed(chat, Start + 61s));
 }
 
+TEST_CASE("a service stays mixed for as long as several versions are listed, also if the entries are not read again")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    origins.noteVersions({{chat, {"v1", "v2"}}}, Start);
+    CHECK(origins.isMixed(chat, Start + 61s));
+}
+
+TEST_CASE("a version of a history is forgotten after the memory, also if other histories are noted in between")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    origins.noteHistory({{chat, {"v1"}}}, Start);
+    for (auto now = Start; now < Start + 200s; now += 20s) {
+        origins.noteVersions({{chat, {"v2"}}}, now);
+        origins.noteHistory({{chat, {"v2"}}}, now); // from daemons that start and that know nothing of v1
+    }
+    CHECK_FALSE(origins.isMixed(chat, Start + 200s));
+}
+
 TEST_CASE("the history of a service is known once it was noted, or after the memory")
 {
     StreamOrigins origins({.mixedMemory = 60s});
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -332,6 +332,32 @@
     CHECK(site.a.received == std::vector<std::string>{"2"});
 }
 
+TEST_CASE("a stream resumed at the only software version does not go on at one that appears while the call is in progress")
+{
+    TestSite site(firstPort);
+    site.applyEntries({site.a.entry("v1")});
+    site.a.scripts = {pause(ShortPause) + step(EngineStep::Kind::Break)};
+    site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
+    const auto exchange = site.begin({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}});
+    site.runFor(ShortInterval);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.runFor(LongPause);
+    CHECK(site.a.received == std::vector<std::string>{"2"});
+    CHECK(site.b.received.empty());
+    CHECK(exchange->status != 200);
+}
+
+TEST_CASE("a stream of an unknown software version is not resumed while two are listed, however long ago the entries were read")
+{
+    TestSite site(firstPort);
+    site.applyEntries({site.a.entry("v1"), site.b.entry("v2")});
+    site.a.scripts = {events(2) + step(EngineStep::Kind::End)};
+    site.streamOrigins().expire(base::now() + 61s); // as if the store had been away for a minute
+    CHECK(site.call({{"Request-Id", "c1"}, {"Last-Event-Id", "2"}, {"Resumes", "c0"}})->status == 503);
+    CHECK(site.a.received.empty());
+    CHECK(site.b.received.empty());
+}
+
 TEST_CASE("a stream whose software version only another daemon knows is resumed there")
 {
     TestSite site(firstPort);
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -383,3 +383,47 @@
     it.heldEndpointReads[0](EndpointsSnapshot{});
     CHECK(ends == std::vector<bool>{false});
 }
+
+TEST_CASE("refreshes succeed as long as the store answers each read within their timeout, also those that come during a read")
+{
+    Daemon it(true);
+    it.runUntilAwaiting();
+    it.stopsWhenAwaiting = false;
+    it.holdsEndpointReads = true;
+    std::vector<bool> ends;
+    const auto onDone = [&](bool isRead) {
+        ends.push_back(isRead);
+    };
+    const auto runFor = [&](std::chrono::milliseconds time) {
+        it.context.restart();
+        it.context.run_for(time);
+    };
+    // The timeout is 100 ms, and each read takes 80 ms, as 240 ms of a slow store to 300 ms.
+    it.updater.refreshEndpoints(onDone);
+    runFor(std::chrono::milliseconds(10));
+    it.updater.refreshEndpoints(onDone);
+    runFor(std::chrono::milliseconds(70));
+    it.heldEndpointReads[0](EndpointsSnapshot{});
+    runFor(std::chrono::milliseconds(80));
+    it.heldEndpointReads.back()(EndpointsSnapshot{});
+    CHECK(ends == std::vector<bool>{true, true});
+}
+
+TEST_CASE("an endpoint that a refresh has found is not reported as removed because of entries that the reader had read before")
+{
+    Daemon it(false);
+    it.runUntilAwaiting();
+    it.updater.applyRelayedEntries({});
+    it.holdsEndpointReads = true;
+    it.updater.refreshEndpoints([](bool) {
+    });
+    EndpointsSnapshot snapshot;
+    snapshot.entries.emplace_back();
+    snapshot.entries.back().id = base::EndpointId("new");
+    snapshot.entries.back().incarnation = base::Incarnation(1);
+    it.heldEndpointReads[0](snapshot);
+    // The relay was on its way meanwhile.
+    it.updater.applyRelayedEntries({});
+    CHECK(it.siteState.endpoints().size() == 1);
+    CHECK(it.siteState.drainingEndpoints(base::now()).empty());
+}
--- a/src/turmericplank/gateway/streamversions_test.cpp
+++ b/src/turmericplank/gateway/streamversions_test.cpp
@@ -210,3 +210,69 @@
     rollout.fleet.runFor(StreamTime);
     CHECK(resumption->status == 200);
 }
+
+TEST_CASE("a daemon that knows a version only from the row of the store does not tell others that it never served")
+{
+    Rollout rollout(2);
+    rollout.beginStream(0);
+    rollout.stopDaemons();
+    rollout.oldEndpoint().unlist();
+    rollout.newEndpoint().list("v2");
+    rollout.fleet.store.hiddenRowsFor = {"1"};
+    rollout.startDaemons();
+    rollout.fleet.runFor(StartTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtNew == 0);
+}
+
+TEST_CASE("a daemon without the store that hears only a peer that is not the reader does not resume a stream at another version than that peer knows")
+{
+    // Daemon 1 hears both others, which don't hear each other; daemon 0 reads the store for daemon 1.
+    const auto contacts = [](std::size_t self, std::size_t other) {
+        return self == 1 || other == 1;
+    };
+    Rollout rollout(3, contacts);
+    rollout.fleet.store.hiddenRowsFor = {"2"};
+    rollout.newEndpoint().list("v2");
+    rollout.fleet.runFor(ReadTime);
+    // As if daemon 0 had begun a stream at v2.
+    const auto resumption = rollout.resumeStream(2);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtOld == 0);
+}
+
+TEST_CASE("daemons that hear each other, but neither the store nor most of the others, don't resume a stream of an unknown version")
+{
+    Rollout rollout(5);
+    // As if daemons 2 to 4 served on behind a cut, with the store: from here they look as if they had ended.
+    for (std::size_t n = 2; n < 5; ++n) {
+        rollout.fleet.stopDaemon(n);
+    }
+    rollout.fleet.store.hiddenRowsFor = {"0", "1"};
+    rollout.newEndpoint().list("v2");
+    rollout.fleet.runFor(StartTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtOld == 0);
+}
+
+TEST_CASE("a daemon that has just started resumes a stream whose version a peer knows")
+{
+    Rollout rollout(2);
+    rollout.beginStream(0); // at v1
+    rollout.newEndpoint().list("v2");
+    rollout.fleet.runFor(ReadTime);
+    rollout.fleet.stopDaemon(1);
+    rollout.fleet.startDaemon(1);
+    rollout.fleet.runFor(50ms);
+    const auto newStream = rollout.fleet.call(1, {}, "question", "/s/x");
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(newStream->status == 200);
+    CHECK(resumption->status == 200);
+    CHECK(rollout.resumedAtOld == 1);
+}
