--- a/include/turmericplank/forwarding/streamorigins.hpp
+++ b/include/turmericplank/forwarding/streamorigins.hpp
@@ -32,8 +32,11 @@
     friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
 };
 
-/// @brief Software versions of the endpoints of each service.
-using ServiceVersions = std::map<base::ServiceName, std::set<std::string>>;
+/// @brief Software versions of the endpoints of each service that are listed.
+using ListedVersions = std::map<base::ServiceName, std::set<std::string>>;
+
+/// @brief Software versions of each service at which streams may have begun, with the time until which these may be resumed.
+using VersionHistory = std::map<base::ServiceName, std::map<std::string, base::Time>>;
 
 /// @brief A service whose endpoints run several software versions, or did so lately.
 struct MixedService
@@ -67,18 +70,21 @@
     void recordFromPeer(const std::vector<StreamOrigin> &origins, base::Time now);
 
     /// @brief Applies the software versions of the endpoints that are listed now, by service.
-    void noteVersions(const ServiceVersions &versions, base::Time now);
+    void noteVersions(const ListedVersions &versions, base::Time now);
 
     /// @brief Applies versions that have been listed within the memory, according to the store or another daemon.
     ///
     /// From then on this daemon knows of all versions at which a stream may have begun, also before its own start.
-    void noteHistory(const ServiceVersions &versions, base::Time now);
+    void noteHistory(const VersionHistory &versions, base::Time now);
 
     /// @brief Whether this daemon knows of all versions of a service at which a stream may have begun.
     bool isHistoryKnown(const base::ServiceName &service, base::Time now) const;
 
-    /// @brief Versions that this daemon itself has found listed within the memory, for the store and for other daemons.
-    ServiceVersions recentVersions(base::Time now) const;
+    /// @brief All versions at which a stream may have begun, as far as this daemon knows, for the store and for other daemons.
+    VersionHistory history(base::Time now) const;
+
+    /// @brief The version at which each stream of a service must have begun; nothing unless it is certain that there is just one.
+    std::optional<std::string> onlyVersion(const base::ServiceName &service, base::Time now) const;
 
     /// @brief Applies another daemon's knowledge of mixed services.
     void noteMixed(const std::vector<MixedService> &services, base::Time now);
@@ -86,7 +92,7 @@
     /// @brief Version of a stream; null if unknown. Valid until the next change.
     const std::string *find(CallDigest call) const;
 
-    /// @brief Whether several versions serve, or did so within the memory.
+    /// @brief Whether several versions are listed, or were so within the memory.
     bool isMixed(const base::ServiceName &service, base::Time now) const;
 
     /// @brief Since when this daemon has known versions of a service; nothing before the first call of noteVersions() with it.
@@ -133,14 +139,14 @@
         std::set<std::pair<base::Time, CallDigest>> m_byNeededUntil;
     };
 
-    void compareWithHistory(base::Time now);
+    void compareWithHistory(const base::ServiceName &service, base::Time now);
+    void addToHistory(const base::ServiceName &service, const std::string &version, base::Time until);
     void extendMixed(const base::ServiceName &service, base::Time mixedUntil, base::Time now);
 
     StreamOriginsOptions m_options;
-    ServiceVersions m_listed; ///< versions at the last call of noteVersions()
-    std::map<base::ServiceName, std::map<std::string, base::Time>> m_lastListed; ///< with the time until which each version was listed
-    ServiceVersions m_history; ///< by the last call of noteHistory()
-    std::optional<base::Time> m_historyNotedAt;
+    ListedVersions m_listed; ///< versions at the last call of noteVersions()
+    VersionHistory m_history; ///< of versions that were listed earlier, or are known from others
+    bool m_isHistoryKnown = false; ///< others have told this daemon what served before its start
     std::map<base::ServiceName, base::Time> m_knownSince; ///< first call of noteVersions() with the service
     std::map<base::ServiceName, base::Time> m_seenMixedUntil; ///< by this daemon itself
     std::map<base::ServiceName, base::Time> m_mixedUntil;
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -83,8 +83,8 @@
     /// @brief Number of other daemons in the group that are heard.
     std::size_t groupPeerCount() const;
 
-    /// @brief Whether another daemon of the group has been heard within the timeout.
-    bool isAnyHeard() const;
+    /// @brief Whether at least half of the daemons of the group that were heard lately, this one included, are heard now.
+    bool isHalfHeard() const;
 
     /// @brief Whether no daemon that was heard lately has fallen silent without having announced that it leaves.
     bool areAllHeard() const;
@@ -109,8 +109,10 @@
 
     /// @brief Asks the daemons of the group and of this zone.
     /// @param timeout until when each of them must answer
-    /// @param onDone gets the first answer that is not empty, or nothing; called exactly once, at once if there is nobody to ask
-    void askNearby(const std::string &kind, const std::string &body, base::Duration timeout, std::function<void(std::optional<std::string>)> onDone);
+    /// @param onAnswer gets each answer that is not empty; returns whether it is enough
+    /// @param onDone called exactly once, after an answer that is enough or after all; at once if there is nobody to ask
+    void askNearby(const std::string &kind, const std::string &body, base::Duration timeout, std::function<bool(std::string_view)> onAnswer,
+                   std::function<void()> onDone);
 
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -2,7 +2,6 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,7 +23,6 @@
     base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration configurationRelayTime = std::chrono::milliseconds(500); ///< for a peer to relay its later revision before it is read directly
     base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a failed call, by the reader of a group
-    base::Duration refreshTimeout = std::chrono::milliseconds(300); ///< of a read that a caller waits for; a slow store takes 240 ms
     /// Between two reads because a peer has a later revision than the store, which may have come back from an older copy.
     base::Duration peerRereadInterval = std::chrono::milliseconds(1000);
     /// Upper bound of the exponential backoff of other daemons; within the time in which a daemon must be up to date again.
@@ -64,10 +62,6 @@
     /// example at a daemon that started while the store held an older copy, the configuration in force is sent to that daemon.
     void notePeerRevision(const base::DaemonId &from, base::Revision revision);
 
-    /// @brief Reads the endpoints' entries now.
-    /// @param onDone called once with whether a read that was started after this call has succeeded in time
-    void refreshEndpoints(std::function<void(bool)> onDone);
-
     /// @brief Notes that the store has come back from an older copy: positions in its history are void, and endpoints that it no
     /// longer lists are expected to register again.
     void noteStoreRestored();
@@ -82,7 +76,6 @@
     void applyConfiguration(const tl::expected<ConfigurationSnapshot, TableFailure> &result, std::string_view source);
     void readEndpoints();
     void applyEndpointsSnapshot(const tl::expected<EndpointsSnapshot, TableFailure> &result);
-    void endRefreshes(bool isSuccess);
     void tick();
     bool isEndpointsReadDue(base::Time now) const;
     base::Duration retryPause(bool isForGroup, unsigned failures) const;
@@ -90,12 +83,6 @@
     bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text, std::string_view source);
     void setStoreAvailable(bool isAvailable);
 
-    struct Refresh
-    {
-        base::Time since;
-        std::function<void(bool)> onDone; ///< empty after it was called
-    };
-
     boost::asio::io_context &m_context;
     SiteStore m_siteStore;
     SiteState &m_siteState;
@@ -112,7 +99,6 @@
     base::Time m_lastUpdateAt; ///< when entries were last read or relayed
     base::Time m_lastRelayedAt; ///< when entries were last relayed
     bool m_isReadingEndpoints = false;
-    std::vector<std::shared_ptr<Refresh>> m_refreshes;
     bool m_isAwaiting = false; ///< a wait, or a read in its place, is in progress
     base::Time m_awaitDeadline; ///< when another wait takes its place
     unsigned m_endpointFailures = 0; ///< in a row
--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -21,6 +21,7 @@
 {
     base::Duration sendInterval = std::chrono::milliseconds(100); ///< a daemon that ends without notice takes the origins of this time with it
     base::Duration historyInterval = std::chrono::seconds(1); ///< between comparisons of the stored versions with the listed ones
+    base::Duration historyPrecision = std::chrono::seconds(15); ///< by which times in the stored versions may be wrong
     base::Duration queryTimeout = std::chrono::milliseconds(150); ///< several round trips within a region; the caller waits meanwhile
 };
 
@@ -38,7 +39,7 @@
     StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers, store::Table table);
 
     /// @brief Notes the software versions of the endpoints that are listed now.
-    void noteEndpoints(const std::map<base::EndpointId, discovery::EndpointEntry> &endpoints);
+    void noteEndpoints(const std::vector<discovery::EndpointEntry> &endpoints);
 
     /// @brief Tells a daemon that has just appeared what this one knows.
     void notePeerHeard(const base::DaemonId &id);
@@ -50,6 +51,10 @@
     /// @param onDone called once, with nothing if none of them knows it
     void findRemote(forwarding::CallDigest call, std::function<void(std::optional<std::string>)> onDone);
 
+    /// @brief Asks other daemons which versions served lately, and notes what they say.
+    /// @param onDone called once
+    void refreshHistory(std::function<void()> onDone);
+
 private:
     void handleOrigins(const base::DaemonId &from, const std::string &body);
     void answerQuery(const std::string &body, const peer::PeerResponder &answer) const;
@@ -58,18 +63,19 @@
     void maintainHistory();
     void readHistory();
     void applyRow(const std::vector<store::Row> &rows);
-    void writeHistory(const forwarding::ServiceVersions &versions);
+    void writeHistory(const forwarding::VersionHistory &history, base::Time now);
+    bool isRowOutdated(const forwarding::VersionHistory &history, base::Time now) const;
 
     StreamOriginExchangeOptions m_options;
     forwarding::StreamOrigins &m_origins;
     Peers &m_peers;
     store::Table m_table;
-    forwarding::ServiceVersions m_stored; ///< as last read or written
+    forwarding::VersionHistory m_stored; ///< as last read or written
+    base::Time m_storedAt; ///< when that was; the row has the times that were left then
     base::RowVersion m_storedRow; ///< zero if the row is absent
-    base::Time m_keepStoredUntil; ///< until then a stored version may still matter, although this daemon has not found it listed
     bool m_mustRead = true;
     bool m_isCallInProgress = false;
-    forwarding::ServiceVersions m_listed; ///< versions of the endpoints that were listed last, for the log
+    forwarding::ListedVersions m_listed; ///< versions of the endpoints that were listed last, for the log
 };
 
 } // namespace turmericplank::gateway
--- a/include/turmericplank/gateway/streamoriginsmessage.hpp
+++ b/include/turmericplank/gateway/streamoriginsmessage.hpp
@@ -28,11 +28,11 @@
 /// @brief Decodes the output of encode(); the times count from the receiver's now, since clocks of daemons differ.
 tl::expected<StreamOriginsMessage, MessageDecodeFailure> decodeStreamOrigins(std::string_view bytes, base::Time now);
 
-/// @brief Encodes software versions as JSON, an array of versions for each service.
-std::string encodeVersions(const forwarding::ServiceVersions &versions);
+/// @brief Encodes versions as JSON: for each service an object with the milliseconds that are left for each version.
+std::string encode(const forwarding::VersionHistory &history, base::Time now);
 
-/// @brief Decodes the output of encodeVersions().
+/// @brief Decodes the output of encode(); the times count from the receiver's now, since clocks of daemons differ.
 /// @return nothing if it is malformed
-std::optional<forwarding::ServiceVersions> decodeVersions(const std::string &text);
+std::optional<forwarding::VersionHistory> decodeVersionHistory(std::string_view text, base::Time now);
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/forwarding/streamorigins.cpp
+++ b/src/turmericplank/forwarding/streamorigins.cpp
@@ -1,6 +1,8 @@
 #include "turmericplank/forwarding/streamorigins.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <vector>
 
 #include <xxhash.h>
 
@@ -77,70 +79,87 @@
     }
 }
 
-void StreamOrigins::noteVersions(const ServiceVersions &versions, base::Time now)
+void StreamOrigins::noteVersions(const ListedVersions &versions, base::Time now)
 {
     for (const auto &[service, listed] : versions) {
         m_knownSince.try_emplace(service, now);
         // All endpoints may have been replaced between two reads.
         auto recent = std::exchange(m_listed[service], listed);
-        recent.insert(listed.begin(), listed.end());
         for (const auto &it : recent) {
-            m_lastListed[service][it] = now;
+            addToHistory(service, it, now + m_options.mixedMemory);
         }
+        recent.insert(listed.begin(), listed.end());
         if (recent.size() > 1) {
             m_seenMixedUntil[service] = now + m_options.mixedMemory;
             extendMixed(service, m_seenMixedUntil[service], now);
         }
+        compareWithHistory(service, now);
     }
-    compareWithHistory(now);
 }
 
-void StreamOrigins::noteHistory(const ServiceVersions &versions, base::Time now)
+void StreamOrigins::noteHistory(const VersionHistory &versions, base::Time now)
 {
-    if (m_historyNotedAt && now >= *m_historyNotedAt + m_options.mixedMemory) {
-        m_history.clear();
-    }
-    m_historyNotedAt = now;
+    m_isHistoryKnown = true;
     for (const auto &[service, earlier] : versions) {
-        m_history[service].insert(earlier.begin(), earlier.end());
+        for (const auto &[version, until] : earlier) {
+            addToHistory(service, version, std::min(until, now + m_options.mixedMemory));
+        }
+        compareWithHistory(service, now);
     }
-    compareWithHistory(now);
 }
 
-/// What others report does not count as seen by this daemon, see mixedServices().
-void StreamOrigins::compareWithHistory(base::Time now)
+void StreamOrigins::addToHistory(const base::ServiceName &service, const std::string &version, base::Time until)
 {
-    if (!m_historyNotedAt) {
+    auto &known = m_history[service][version];
+    known = std::max(known, until);
+}
+
+/// A service is mixed for as long as two of its versions matter. What others report does not count as seen by this daemon, see
+/// mixedServices().
+void StreamOrigins::compareWithHistory(const base::ServiceName &service, base::Time now)
+{
+    const auto all = history(now);
+    const auto it = all.find(service);
+    if (it == all.end() || it->second.size() < 2) {
         return;
     }
-    for (const auto &[service, earlier] : m_history) {
-        auto versions = earlier;
-        if (const auto listed = m_listed.find(service); listed != m_listed.end()) {
-            versions.insert(listed->second.begin(), listed->second.end());
-        }
-        if (versions.size() > 1) {
-            extendMixed(service, *m_historyNotedAt + m_options.mixedMemory, now);
-        }
+    std::vector<base::Time> times;
+    for (const auto &[version, until] : it->second) {
+        times.push_back(until);
     }
+    std::ranges::sort(times, std::greater());
+    extendMixed(service, times[1], now);
 }
 
 bool StreamOrigins::isHistoryKnown(const base::ServiceName &service, base::Time now) const
 {
     const auto since = versionsKnownSince(service);
-    return m_historyNotedAt || (since && now >= *since + m_options.mixedMemory);
+    return m_isHistoryKnown || (since && now >= *since + m_options.mixedMemory);
 }
 
-ServiceVersions StreamOrigins::recentVersions(base::Time now) const
+VersionHistory StreamOrigins::history(base::Time now) const
 {
-    ServiceVersions recent;
-    for (const auto &[service, versions] : m_lastListed) {
+    VersionHistory all;
+    for (const auto &[service, versions] : m_history) {
         for (const auto &[version, until] : versions) {
-            if (now < until + m_options.mixedMemory) {
-                recent[service].insert(version);
+            if (until > now) {
+                all[service][version] = until;
             }
         }
     }
-    return recent;
+    for (const auto &[service, listed] : m_listed) {
+        for (const auto &it : listed) {
+            all[service][it] = now + m_options.mixedMemory;
+        }
+    }
+    return all;
+}
+
+std::optional<std::string> StreamOrigins::onlyVersion(const base::ServiceName &service, base::Time now) const
+{
+    const auto listed = m_listed.find(service);
+    const bool isOnly = isHistoryKnown(service, now) && !isMixed(service, now) && listed != m_listed.end() && listed->second.size() == 1;
+    return isOnly ? std::optional(*listed->second.begin()) : std::nullopt;
 }
 
 void StreamOrigins::noteMixed(const std::vector<MixedService> &services, base::Time now)
@@ -155,8 +174,8 @@
     if (mixedUntil <= now) {
         return;
     }
-    const bool wasMixed = isMixed(service, now);
     auto &until = m_mixedUntil[service];
+    const bool wasMixed = until > now;
     until = std::max(until, mixedUntil);
     if (wasMixed) {
         return;
@@ -178,8 +197,9 @@
 
 bool StreamOrigins::isMixed(const base::ServiceName &service, base::Time now) const
 {
+    const auto listed = m_listed.find(service);
     const auto it = m_mixedUntil.find(service);
-    return it != m_mixedUntil.end() && it->second > now;
+    return (listed != m_listed.end() && listed->second.size() > 1) || (it != m_mixedUntil.end() && it->second > now);
 }
 
 std::optional<base::Time> StreamOrigins::versionsKnownSince(const base::ServiceName &service) const
@@ -190,8 +210,14 @@
 
 std::vector<MixedService> StreamOrigins::mixedServices(base::Time now) const
 {
+    auto seen = m_seenMixedUntil;
+    for (const auto &[service, listed] : m_listed) {
+        if (listed.size() > 1) {
+            seen[service] = now + m_options.mixedMemory;
+        }
+    }
     std::vector<MixedService> services;
-    for (const auto &[service, until] : m_seenMixedUntil) {
+    for (const auto &[service, until] : seen) {
         if (until > now) {
             services.push_back({service, until});
         }
@@ -228,8 +254,8 @@
     m_own.expire(now);
     m_fromPeers.expire(now);
     std::erase_if(m_mixedUntil, [now](const auto &it) { return it.second <= now; });
-    for (auto &[service, versions] : m_lastListed) {
-        std::erase_if(versions, [&](const auto &it) { return it.second + m_options.mixedMemory <= now; });
+    for (auto &[service, versions] : m_history) {
+        std::erase_if(versions, [now](const auto &it) { return it.second <= now; });
     }
     std::erase_if(m_seenMixedUntil, [now](const auto &it) { return it.second <= now; });
 }
--- a/src/turmericplank/forwarding/streamorigins_test.cpp
+++ b/src/turmericplank/forwarding/streamorigins_test.cpp
@@ -120,6 +120,7 @@
     origins.noteVersions({{chat, {"v1", "v2"}}}, Start);
     origins.noteMixed({{chat, Start + 70s}}, Start);
     origins.noteVersions({{chat, {"v1", "v2"}}}, Start + 1s);
+    origins.noteVersions({{chat, {"v2"}}}, Start + 2s);
     CHECK(origins.isMixed(chat, Start + 70s - 1us));
     CHECK_FALSE(origins.isMixed(chat, Start + 70s));
 }
@@ -146,13 +147,13 @@
 {
     StreamOrigins origins({.mixedMemory = 60s});
     origins.noteVersions({{chat, {"v2"}}, {search, {"v1"}}}, Start);
-    origins.noteHistory({{chat, {"v1"}}, {search, {"v1"}}}, Start + 1s);
+    origins.noteHistory({{chat, {{"v1", Start + 61s}}}, {search, {{"v1", Start + 61s}}}}, Start + 1s);
     CHECK(origins.isMixed(chat, Start + 61s - 1us));
     CHECK_FALSE(origins.isMixed(chat, Start + 61s));
     CHECK_FALSE(origins.isMixed(search, Start + 1s));
     // The order of both does not matter.
     StreamOrigins other({.mixedMemory = 60s});
-    other.noteHistory({{chat, {"v1"}}}, Start);
+    other.noteHistory({{chat, {{"v1", Start + 60s}}}}, Start);
     CHECK_FALSE(other.isMixed(chat, Start));
     other.noteVersions({{chat, {"v2"}}}, Start + 1s);
     CHECK(other.isMixed(chat, Start + 60s - 1us));
@@ -162,10 +163,10 @@
 TEST_CASE("histories that are noted one after the other add up, and are forgotten after the memory")
 {
     StreamOrigins origins({.mixedMemory = 60s});
-    origins.noteHistory({{chat, {"v1"}}}, Start);
-    origins.noteHistory({{chat, {"v2"}}}, Start + 1s);
+    origins.noteHistory({{chat, {{"v1", Start + 60s}}}}, Start);
+    origins.noteHistory({{chat, {{"v2", Start + 61s}}}}, Start + 1s);
     CHECK(origins.isMixed(chat, Start + 1s));
-    origins.noteHistory({{chat, {"v3"}}}, Start + 61s);
+    origins.noteHistory({{chat, {{"v3", Start + 121s}}}}, Start + 61s);
     CHECK_FALSE(origins.isMixed(chat, Start + 61s));
 }
 
@@ -179,10 +180,10 @@
 TEST_CASE("a version of a history is forgotten after the memory, also if other histories are noted in between")
 {
     StreamOrigins origins({.mixedMemory = 60s});
-    origins.noteHistory({{chat, {"v1"}}}, Start);
+    origins.noteHistory({{chat, {{"v1", Start + 60s}}}}, Start);
     for (auto now = Start; now < Start + 200s; now += 20s) {
         origins.noteVersions({{chat, {"v2"}}}, now);
-        origins.noteHistory({{chat, {"v2"}}}, now); // from daemons that start and that know nothing of v1
+        origins.noteHistory({{chat, {{"v2", now + 60s}}}}, now); // from daemons that start and that know nothing of v1
     }
     CHECK_FALSE(origins.isMixed(chat, Start + 200s));
 }
@@ -199,17 +200,40 @@
     CHECK(origins.isHistoryKnown(search, Start + 1s));
 }
 
-TEST_CASE("versions that this daemon has found listed are recent for the memory, those of a history are not passed on")
+TEST_CASE("a history has the versions that are listed, that were listed and that others know, until each of them is forgotten")
 {
     StreamOrigins origins({.mixedMemory = 60s});
-    origins.noteHistory({{chat, {"v0"}}}, Start);
+    origins.noteHistory({{chat, {{"v0", Start + 30s}}}}, Start);
     origins.noteVersions({{chat, {"v1"}}}, Start);
     origins.noteVersions({{chat, {"v2"}}}, Start + 1s);
     CHECK(origins.mixedServices(Start + 1s) == std::vector<MixedService>{{chat, Start + 61s}});
-    CHECK(origins.recentVersions(Start + 61s - 1us) == ServiceVersions{{chat, {"v1", "v2"}}});
-    origins.noteVersions({{chat, {"v2"}}}, Start + 61s);
+    CHECK(origins.history(Start + 2s) == VersionHistory{{chat, {{"v0", Start + 30s}, {"v1", Start + 61s}, {"v2", Start + 62s}}}});
+    CHECK(origins.history(Start + 61s - 1us) == VersionHistory{{chat, {{"v1", Start + 61s}, {"v2", Start + 121s - 1us}}}});
     origins.expire(Start + 61s);
-    CHECK(origins.recentVersions(Start + 61s) == ServiceVersions{{chat, {"v2"}}});
+    CHECK(origins.history(Start + 100s) == VersionHistory{{chat, {{"v2", Start + 160s}}}});
+}
+
+TEST_CASE("a version that others know for longer than this daemon remembers is kept for the memory")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    origins.noteHistory({{chat, {{"v1", Start + 1h}, {"v2", Start + 10s}}}}, Start);
+    CHECK(origins.isMixed(chat, Start + 10s - 1us));
+    CHECK_FALSE(origins.isMixed(chat, Start + 10s));
+    CHECK(origins.history(Start + 60s - 1us).at(chat).contains("v1"));
+    CHECK(origins.history(Start + 60s).empty());
+}
+
+TEST_CASE("the only version of a service is certain if its history is known and no other one is in it")
+{
+    StreamOrigins origins({.mixedMemory = 60s});
+    origins.noteVersions({{chat, {"v1"}}}, Start);
+    CHECK_FALSE(origins.onlyVersion(chat, Start));
+    origins.noteHistory({}, Start);
+    CHECK(origins.onlyVersion(chat, Start) == "v1");
+    CHECK_FALSE(origins.onlyVersion(search, Start));
+    origins.noteHistory({{chat, {{"v0", Start + 10s}}}}, Start);
+    CHECK_FALSE(origins.onlyVersion(chat, Start + 10s - 1us));
+    CHECK(origins.onlyVersion(chat, Start + 10s) == "v1");
 }
 
 TEST_CASE("origins stay with the daemon while a service runs one version")
@@ -265,6 +289,7 @@
     origins.noteVersions({{chat, {"v1", "v2"}}}, Start);
     origins.record(chat, origin(1), Start);
     CHECK(sortedCalls(origins.takeUnsent(Start)) == Calls{1});
+    origins.noteVersions({{chat, {"v2"}}}, Start);
     origins.record(chat, origin(2), Start + 59s);
     CHECK(origins.takeUnsent(Start + 60s).empty());
     origins.record(chat, origin(3), Start + 61s);
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -75,67 +75,61 @@
     return m_route.kind.isStreamed && m_route.kind.isResumable && m_call.lastEventId;
 }
 
-/// Events of two software versions do not fit together. If it is certain that only one version has served lately, the origin does not matter.
-/// Another daemon may have found a new version that this one has not read yet, so it reads the entries before it concludes that.
+/// Events of two software versions do not fit together, so the stream goes on at the one that began it: as this daemon or another one
+/// remembers it, or the only one that has served lately, if that is certain.
 void ForwardedCall::findOrigin()
 {
     const auto &dependencies = m_forwarder.m_dependencies;
-    if (knownOrigin() != nullptr || dependencies.streamOrigins.isMixed(m_service, base::now())) {
-        askForOrigin();
+    if (m_call.resumedCall.empty()) {
+        resumeAtOnlyVersion();
         return;
     }
-    dependencies.refreshVersions([self = Pointer(this), isAlive = m_forwarder.m_isAlive](bool isCertain) {
+    const auto call = forwarding::callDigest(m_call.resumedCall);
+    if (const auto *version = dependencies.streamOrigins.find(call)) {
+        resumeAt(*version);
+        return;
+    }
+    dependencies.findRemoteOrigin(call, [self = Pointer(this), isAlive = m_forwarder.m_isAlive](const std::optional<std::string> &version) {
         if (!*isAlive || self->m_isFinished) {
             return;
         }
-        if (isCertain && self->isSingleVersion()) {
-            self->selectEndpoint();
+        if (version) {
+            self->resumeAt(*version);
         } else {
-            self->askForOrigin();
+            self->resumeAtOnlyVersion();
         }
     });
 }
 
-/// @return the version at which the stream began; null if this daemon does not know it
-const std::string *ForwardedCall::knownOrigin() const
+/// Another daemon may have found a new version that this one has not read yet, so the entries are read before the conclusion.
+void ForwardedCall::resumeAtOnlyVersion()
 {
-    return m_call.resumedCall.empty() ? nullptr : m_forwarder.m_dependencies.streamOrigins.find(forwarding::callDigest(m_call.resumedCall));
-}
-
-void ForwardedCall::askForOrigin()
-{
-    if (const auto *version = knownOrigin()) {
-        resumeAt(*version);
-        return;
-    }
-    if (m_call.resumedCall.empty()) {
+    const auto &dependencies = m_forwarder.m_dependencies;
+    if (dependencies.streamOrigins.isMixed(m_service, base::now())) {
         reject(RejectionReason::VersionUnavailable);
         return;
     }
-    m_forwarder.m_dependencies.findRemoteOrigin(forwarding::callDigest(m_call.resumedCall),
-                                                [self = Pointer(this), isAlive = m_forwarder.m_isAlive](const std::optional<std::string> &remoteVersion) {
-                                                    if (!*isAlive || self->m_isFinished) {
-                                                        return;
-                                                    }
-                                                    if (remoteVersion) {
-                                                        self->resumeAt(*remoteVersion);
-                                                    } else {
-                                                        self->reject(RejectionReason::VersionUnavailable);
-                                                    }
-                                                });
-}
-
-bool ForwardedCall::isSingleVersion() const
-{
-    const auto now = base::now();
-    const auto &origins = m_forwarder.m_dependencies.streamOrigins;
-    return origins.isHistoryKnown(m_service, now) && !origins.isMixed(m_service, now);
+    dependencies.refreshVersions([self = Pointer(this), isAlive = m_forwarder.m_isAlive](bool isCertain) {
+        if (!*isAlive || self->m_isFinished) {
+            return;
+        }
+        const auto version =
+            isCertain ? self->m_forwarder.m_dependencies.streamOrigins.onlyVersion(self->m_service, base::now()) : std::optional<std::string>();
+        if (version) {
+            self->resumeAt(*version);
+        } else {
+            self->reject(RejectionReason::VersionUnavailable);
+        }
+    });
 }
 
 void ForwardedCall::resumeAt(const std::string &softwareVersion)
 {
     m_softwareVersion = softwareVersion;
-    if (isVersionServing(softwareVersion)) {
+    // Entries that have not been read yet, or that may have expired while the store was away, are awaited like those of missing models.
+    const auto &siteState = m_forwarder.m_dependencies.siteState;
+    const bool mayAppear = !siteState.lastReadTime() || base::now() < siteState.missingEntriesKeptUntil();
+    if (mayAppear || isVersionServing(softwareVersion)) {
         selectEndpoint();
     } else {
         reject(RejectionReason::VersionUnavailable);
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -57,9 +57,7 @@
 
     bool isResumption() const;
     void findOrigin();
-    const std::string *knownOrigin() const;
-    void askForOrigin();
-    bool isSingleVersion() const;
+    void resumeAtOnlyVersion();
     void resumeAt(const std::string &softwareVersion);
     bool isVersionServing(const std::string &softwareVersion) const;
     bool isServing(const base::EndpointId &endpoint) const;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/gateway/crashexchange.hpp"
+#include "turmericplank/gateway/endpointrefresh.hpp"
 #include "turmericplank/gateway/endpointsmessage.hpp"
 #include "turmericplank/gateway/entryselection.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
@@ -103,6 +104,7 @@
         , siteStateUpdater(context, siteStore, siteState, metrics, updaterCallbacks(), updaterOptions(settings.bounds))
         , placementRunner(placementDependencies(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
+        , endpointRefresh(context, siteStore.readEndpoints, [this](const auto &entries) { originExchange.noteEndpoints(entries); })
         , originExchange(context, streamOrigins, *mesh, peers, siteStore.table)
         , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
@@ -138,14 +140,20 @@
 
     ForwarderDependencies forwarderDependencies()
     {
-        return {context, wire, siteState, router, pool, metrics, random, streamOrigins, crashHistory,
-                // Daemons that hear each other learn of a new version within moments, also while the store is away.
-                [this](auto onDone) {
-                    siteStateUpdater.refreshEndpoints([this, onDone = std::move(onDone)](bool isRead) { onDone(isRead || peers.isAnyHeard()); });
-                },
+        return {context,
+                wire,
+                siteState,
+                router,
+                pool,
+                metrics,
+                random,
+                streamOrigins,
+                crashHistory,
+                [this](auto onDone) { refreshVersions(std::move(onDone)); },
                 [this](forwarding::CallDigest call, auto onDone) { originExchange.findRemote(call, std::move(onDone)); },
                 [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
-                [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); }, [this] { return peers.isLeaseHolder(); },
+                [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
+                [this] { return peers.isLeaseHolder(); },
                 [this] { return daemonCount(); },
                 [this] {
                     placementRunner.updateEngines();
@@ -263,6 +271,19 @@
         }
     }
 
+    /// While the store does not answer, versions are known for certain if most of the daemons are heard: what any of them has found, they
+    /// tell. A few that hear only each other may be cut off from the store and from those that find a new version.
+    void refreshVersions(std::function<void(bool)> onDone)
+    {
+        endpointRefresh.refresh([this, onDone = std::move(onDone)](bool isRead) {
+            if (isRead || !peers.isHalfHeard()) {
+                onDone(isRead);
+            } else {
+                originExchange.refreshHistory([onDone] { onDone(true); });
+            }
+        });
+    }
+
     std::size_t daemonCount() const
     {
         return peers.otherDaemonCount() + 1;
@@ -334,7 +355,11 @@
                 pool.removeEndpoint(it.entry.id);
             }
         }
-        originExchange.noteEndpoints(siteState.endpoints());
+        std::vector<discovery::EndpointEntry> entries;
+        for (const auto &[id, entry] : siteState.endpoints()) {
+            entries.push_back(entry);
+        }
+        originExchange.noteEndpoints(entries);
         setConnectionLimits();
         placementRunner.updateEngines();
         forwarder.retryWaitingCalls();
@@ -411,6 +436,7 @@
     SiteStateUpdater siteStateUpdater;
     PlacementRunner placementRunner;
     Peers peers;
+    EndpointRefresh endpointRefresh;
     StreamOriginExchange originExchange;
     CrashExchange crashExchange;
     std::unique_ptr<net::HttpServer> callerServer;
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -59,6 +59,7 @@
         handleMessage(body);
     });
     registerSelf();
+    readDaemonList();
     daemon::callEvery(m_context, m_options.statusInterval, [this] {
         const auto now = base::now();
         registerSelf();
@@ -233,22 +234,31 @@
     }
 }
 
-void Peers::askNearby(const std::string &kind, const std::string &body, base::Duration timeout, std::function<void(std::optional<std::string>)> onDone)
+/// Daemons that are listed and have not been heard yet are asked as well, since this one may have just started.
+void Peers::askNearby(const std::string &kind, const std::string &body, base::Duration timeout, std::function<bool(std::string_view)> onAnswer,
+                      std::function<void()> onDone)
 {
     struct Query
     {
         std::size_t open = 1; ///< questions without an answer; one more while they are being sent
-        std::function<void(std::optional<std::string>)> onDone;
+        std::function<bool(std::string_view)> onAnswer;
+        std::function<void()> onDone; ///< empty after it was called
     };
     const auto query = std::make_shared<Query>();
+    query->onAnswer = std::move(onAnswer);
     query->onDone = std::move(onDone);
-    const auto endOne = [query] {
-        if (--query->open == 0 && query->onDone) {
-            std::exchange(query->onDone, nullptr)(std::nullopt);
+    const auto finish = [query] {
+        if (const auto callback = std::exchange(query->onDone, nullptr)) {
+            callback();
+        }
+    };
+    const auto endOne = [query, finish] {
+        if (--query->open == 0) {
+            finish();
         }
     };
     for (const auto &[id, peer] : m_peers) {
-        const bool isNearby = peer.isInGroup ? !peer.isSilent : peer.record && peer.record->zone == m_self.zone;
+        const bool isNearby = peer.isInGroup ? !peer.isSilent || !peer.status : peer.record && peer.record->zone == m_self.zone;
         if (!peer.record || !isNearby) {
             continue;
         }
@@ -257,9 +267,9 @@
         call.kind = kind;
         call.body = body;
         call.timeout = timeout;
-        call.onChunk = [query](std::string_view chunk) {
-            if (query->onDone && !chunk.empty()) {
-                std::exchange(query->onDone, nullptr)(std::string(chunk));
+        call.onChunk = [query, finish](std::string_view chunk) {
+            if (query->onDone && !chunk.empty() && query->onAnswer(chunk)) {
+                finish();
             }
         };
         call.onEnd = [endOne](const auto &) {
@@ -351,10 +361,17 @@
 }
 
 /// Does not rely on detectSilentPeers(), which has not run yet when a process goes on after a pause.
-bool Peers::isAnyHeard() const
+bool Peers::isHalfHeard() const
 {
-    const auto oldest = base::now() - m_options.peerTimeout;
-    return std::ranges::any_of(m_peers, [oldest](const auto &it) { return it.second.isInGroup && it.second.status && it.second.heardAt > oldest; });
+    const auto now = base::now();
+    std::size_t known = 1;
+    std::size_t heard = 1;
+    for (const auto &[id, peer] : m_peers) {
+        const bool isKnown = peer.isInGroup && peer.status && !peer.status->isDraining && peer.heardAt + m_options.maxSilence > now;
+        known += isKnown ? 1 : 0;
+        heard += isKnown && peer.heardAt + m_options.peerTimeout > now ? 1 : 0;
+    }
+    return heard > 1 && heard * 2 >= known;
 }
 
 bool Peers::areAllHeard() const
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -1,8 +1,6 @@
 #include "turmericplank/gateway/sitestateupdater.hpp"
 
 #include <algorithm>
-#include <iterator>
-#include <utility>
 
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/telemetry/log.hpp"
@@ -244,40 +242,6 @@
     m_siteStore.readEndpoints([this](const tl::expected<EndpointsSnapshot, TableFailure> &result) { applyEndpointsSnapshot(result); });
 }
 
-void SiteStateUpdater::refreshEndpoints(std::function<void(bool)> onDone)
-{
-    const auto now = base::now();
-    const auto refresh = std::make_shared<Refresh>(Refresh{now, std::move(onDone)});
-    m_refreshes.push_back(refresh);
-    daemon::callAt(m_context, now + m_options.refreshTimeout, [refresh] {
-        if (auto callback = std::exchange(refresh->onDone, nullptr)) {
-            callback(false);
-        }
-    });
-    if (!m_isReadingEndpoints) {
-        readEndpoints();
-    }
-}
-
-/// Ends the refreshes that the last read counts for; the others need another read.
-void SiteStateUpdater::endRefreshes(bool isSuccess)
-{
-    const auto isDone = [this](const auto &it) {
-        return it->since <= m_lastRequestAt;
-    };
-    std::vector<std::shared_ptr<Refresh>> ended;
-    std::ranges::copy_if(m_refreshes, std::back_inserter(ended), isDone);
-    std::erase_if(m_refreshes, isDone);
-    for (const auto &it : ended) {
-        if (auto callback = std::exchange(it->onDone, nullptr)) {
-            callback(isSuccess);
-        }
-    }
-    if (!m_refreshes.empty() && !m_isReadingEndpoints) {
-        readEndpoints();
-    }
-}
-
 void SiteStateUpdater::applyEndpointsSnapshot(const tl::expected<EndpointsSnapshot, TableFailure> &result)
 {
     m_isReadingEndpoints = false;
@@ -285,7 +249,6 @@
     if (!result) {
         ++m_endpointFailures;
         m_metrics.count("store_failures_total{call=\"endpoints\"}");
-        endRefreshes(false);
         return;
     }
     m_endpointFailures = 0;
@@ -298,7 +261,6 @@
     if (m_callbacks.isStoreReader()) {
         m_callbacks.onEntriesRead(result->entries);
     }
-    endRefreshes(true);
 }
 
 void SiteStateUpdater::applyRelayedEntries(const std::vector<discovery::EndpointEntry> &entries)
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -1,7 +1,5 @@
 #include "turmericplank/gateway/sitestateupdater.hpp"
 
-#include <thread>
-
 #include <doctest/doctest.h>
 
 #include "turmericplank/daemon/timers.hpp"
@@ -42,7 +40,6 @@
         it.retryInterval = std::chrono::milliseconds(10);
         it.peerRereadInterval = std::chrono::milliseconds(100);
         it.maxRetryInterval = std::chrono::milliseconds(80);
-        it.refreshTimeout = std::chrono::milliseconds(100);
         return it;
     }
 
@@ -65,9 +62,7 @@
         };
         it.readEndpoints = [this](const ReadCallback<EndpointsSnapshot> &callback) {
             ++endpointReads;
-            if (holdsEndpointReads) {
-                heldEndpointReads.push_back(callback);
-            } else if (isStoreDown) {
+            if (isStoreDown) {
                 callback(tl::unexpected(TableFailure::Unavailable));
             } else {
                 callback(EndpointsSnapshot{});
@@ -123,8 +118,6 @@
     bool isSecondWatcher = false;
     bool stopsWhenAwaiting = true;
     bool isStoreDown = false; ///< for reads of the entries
-    bool holdsEndpointReads = false; ///< they end only by the test
-    std::vector<ReadCallback<EndpointsSnapshot>> heldEndpointReads;
     bool isReadSilent = false; ///< for reads of the configuration
     std::uint64_t stored = 1;
     int configurationReads = 0;
@@ -343,87 +336,3 @@
     it.runUntilAwaiting();
     CHECK(it.awaitedFrom == std::vector<std::uint64_t>{1, 1});
 }
-
-TEST_CASE("a refresh ends with a read that began after it, and all refreshes during a read share the next one")
-{
-    Daemon it(true);
-    it.runUntilAwaiting();
-    it.holdsEndpointReads = true;
-    const auto reads = it.endpointReads;
-    std::vector<bool> ends;
-    const auto onDone = [&](bool isRead) {
-        ends.push_back(isRead);
-    };
-    it.updater.refreshEndpoints(onDone);
-    CHECK(it.endpointReads == reads + 1);
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    it.updater.refreshEndpoints(onDone);
-    it.updater.refreshEndpoints(onDone);
-    CHECK(it.endpointReads == reads + 1);
-    it.heldEndpointReads[0](EndpointsSnapshot{});
-    CHECK(ends == std::vector<bool>{true});
-    CHECK(it.endpointReads == reads + 2);
-    it.heldEndpointReads[1](tl::unexpected(TableFailure::Unavailable));
-    CHECK(ends == std::vector<bool>{true, false, false});
-}
-
-TEST_CASE("a refresh whose read does not end fails in time")
-{
-    Daemon it(true);
-    it.runUntilAwaiting();
-    it.holdsEndpointReads = true;
-    std::vector<bool> ends;
-    it.updater.refreshEndpoints([&](bool isRead) {
-        ends.push_back(isRead);
-        it.context.stop();
-    });
-    it.context.restart();
-    it.context.run();
-    CHECK(ends == std::vector<bool>{false});
-    it.heldEndpointReads[0](EndpointsSnapshot{});
-    CHECK(ends == std::vector<bool>{false});
-}
-
-TEST_CASE("refreshes succeed as long as the store answers each read within their timeout, also those that come during a read")
-{
-    Daemon it(true);
-    it.runUntilAwaiting();
-    it.stopsWhenAwaiting = false;
-    it.holdsEndpointReads = true;
-    std::vector<bool> ends;
-    const auto onDone = [&](bool isRead) {
-        ends.push_back(isRead);
-    };
-    const auto runFor = [&](std::chrono::milliseconds time) {
-        it.context.restart();
-        it.context.run_for(time);
-    };
-    // The timeout is 100 ms, and each read takes 80 ms, as 240 ms of a slow store to 300 ms.
-    it.updater.refreshEndpoints(onDone);
-    runFor(std::chrono::milliseconds(10));
-    it.updater.refreshEndpoints(onDone);
-    runFor(std::chrono::milliseconds(70));
-    it.heldEndpointReads[0](EndpointsSnapshot{});
-    runFor(std::chrono::milliseconds(80));
-    it.heldEndpointReads.back()(EndpointsSnapshot{});
-    CHECK(ends == std::vector<bool>{true, true});
-}
-
-TEST_CASE("an endpoint that a refresh has found is not reported as removed because of entries that the reader had read before")
-{
-    Daemon it(false);
-    it.runUntilAwaiting();
-    it.updater.applyRelayedEntries({});
-    it.holdsEndpointReads = true;
-    it.updater.refreshEndpoints([](bool) {
-    });
-    EndpointsSnapshot snapshot;
-    snapshot.entries.emplace_back();
-    snapshot.entries.back().id = base::EndpointId("new");
-    snapshot.entries.back().incarnation = base::Incarnation(1);
-    it.heldEndpointReads[0](snapshot);
-    // The relay was on its way meanwhile.
-    it.updater.applyRelayedEntries({});
-    CHECK(it.siteState.endpoints().size() == 1);
-    CHECK(it.siteState.drainingEndpoints(base::now()).empty());
-}
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -16,7 +16,8 @@
 
 constexpr const char *OriginsKind = "gateway/origins";
 constexpr const char *QueryKind = "gateway/origin"; ///< body: digest of a call as decimal text; response: its version, or nothing
-constexpr const char *HistoryKind = "gateway/versions"; ///< body: encode(ServiceVersions)
+constexpr const char *HistoryKind = "gateway/versions"; ///< body: encode(VersionHistory)
+constexpr const char *HistoryQueryKind = "gateway/versions_query"; ///< no body; response: encode(VersionHistory)
 constexpr const char *HistoryRow = "versions/recent";
 
 std::string joined(const std::set<std::string> &texts)
@@ -45,16 +46,21 @@
         answer.end();
         handleHistory(from, body);
     });
+    mesh.handle(HistoryQueryKind, [this](const base::DaemonId &, const std::string &, const peer::PeerResponder &answer) {
+        const auto now = base::now();
+        answer.write(encode(m_origins.history(now), now));
+        answer.end();
+    });
     daemon::callEvery(context, m_options.sendInterval, [this] { sendUnsent(); });
     daemon::callEvery(context, m_options.historyInterval, [this] { maintainHistory(); });
     readHistory();
 }
 
-void StreamOriginExchange::noteEndpoints(const std::map<base::EndpointId, discovery::EndpointEntry> &endpoints)
+void StreamOriginExchange::noteEndpoints(const std::vector<discovery::EndpointEntry> &endpoints)
 {
-    forwarding::ServiceVersions versions;
-    for (const auto &[id, entry] : endpoints) {
-        versions[entry.service].insert(entry.softwareVersion);
+    forwarding::ListedVersions versions;
+    for (const auto &it : endpoints) {
+        versions[it.service].insert(it.softwareVersion);
     }
     for (const auto &[service, listed] : versions) {
         if (listed != m_listed[service]) {
@@ -68,21 +74,24 @@
 void StreamOriginExchange::notePeerHeard(const base::DaemonId &id)
 {
     const auto now = base::now();
-    if (const auto mixed = m_origins.mixedServices(now); !mixed.empty()) {
-        m_peers.sendTo(id, OriginsKind, encode(StreamOriginsMessage{m_origins.ownOfMixedServices(now), mixed}, now));
+    const auto mixed = m_origins.mixedServices(now);
+    const auto origins = m_origins.ownOfMixedServices(now);
+    if (!mixed.empty() || !origins.empty()) {
+        m_peers.sendTo(id, OriginsKind, encode(StreamOriginsMessage{origins, mixed}, now));
     }
     // A daemon that has just started itself may have missed a version.
-    const auto recent = m_origins.recentVersions(now);
-    const bool isComplete = !recent.empty() && std::ranges::all_of(recent, [&](const auto &it) { return m_origins.isHistoryKnown(it.first, now); });
+    const auto history = m_origins.history(now);
+    const bool isComplete = !history.empty() && std::ranges::all_of(history, [&](const auto &it) { return m_origins.isHistoryKnown(it.first, now); });
     if (isComplete) {
-        m_peers.sendTo(id, HistoryKind, encodeVersions(recent));
+        m_peers.sendTo(id, HistoryKind, encode(history, now));
     }
 }
 
 void StreamOriginExchange::handleHistory(const base::DaemonId &from, const std::string &body)
 {
-    if (const auto versions = decodeVersions(body)) {
-        m_origins.noteHistory(*versions, base::now());
+    const auto now = base::now();
+    if (const auto history = decodeVersionHistory(body, now)) {
+        m_origins.noteHistory(*history, now);
     } else {
         telemetry::log(LogLevel::Warning, "peers", "cannot decode software versions", {{"daemon", from.text()}, {"bytes", std::uint64_t(body.size())}});
     }
@@ -114,18 +123,18 @@
 
 void StreamOriginExchange::applyRow(const std::vector<store::Row> &rows)
 {
+    const auto now = base::now();
     m_stored.clear();
+    m_storedAt = now;
     m_storedRow = base::RowVersion();
     if (!rows.empty()) {
         m_storedRow = rows.front().version;
-        if (auto versions = decodeVersions(rows.front().value)) {
-            m_stored = std::move(*versions);
+        if (auto history = decodeVersionHistory(rows.front().value, now)) {
+            m_stored = std::move(*history);
         } else {
             telemetry::log(LogLevel::Warning, "store", "cannot decode a row of software versions", {{"key", rows.front().key}});
         }
     }
-    const auto now = base::now();
-    m_keepStoredUntil = now + forwarding::StreamOriginsOptions().mixedMemory;
     m_origins.noteHistory(m_stored, now);
 }
 
@@ -137,25 +146,34 @@
         return;
     }
     const auto now = base::now();
-    auto versions = m_origins.recentVersions(now);
-    if (now < m_keepStoredUntil) {
-        for (const auto &[service, stored] : m_stored) {
-            versions[service].insert(stored.begin(), stored.end());
-        }
-    }
-    if (!m_isCallInProgress && m_peers.isStoreReader() && versions != m_stored && !versions.empty()) {
-        writeHistory(versions);
+    const auto history = m_origins.history(now);
+    if (!m_isCallInProgress && m_peers.isStoreReader() && isRowOutdated(history, now)) {
+        writeHistory(history, now);
     }
 }
 
-void StreamOriginExchange::writeHistory(const forwarding::ServiceVersions &versions)
+/// The row has the time that was left for each version, whenever it is read. So it is written again while the time of a version that is no
+/// longer listed runs out.
+bool StreamOriginExchange::isRowOutdated(const forwarding::VersionHistory &history, base::Time now) const
+{
+    const auto isSameTime = [&](const auto &current, const auto &stored) {
+        return current.first == stored.first && current.second - now + m_options.historyPrecision > stored.second - m_storedAt;
+    };
+    const auto isSameService = [&](const auto &current, const auto &stored) {
+        return current.first == stored.first && std::ranges::equal(current.second, stored.second, isSameTime);
+    };
+    return !history.empty() && !std::ranges::equal(history, m_stored, isSameService);
+}
+
+void StreamOriginExchange::writeHistory(const forwarding::VersionHistory &history, base::Time now)
 {
     m_isCallInProgress = true;
-    m_table.transact({{HistoryRow, m_storedRow, encodeVersions(versions)}}, [this, versions](const store::WriteResult &result) {
+    m_table.transact({{HistoryRow, m_storedRow, encode(history, now)}}, [this, history, now](const store::WriteResult &result) {
         m_isCallInProgress = false;
         if (result && !m_mustRead) {
             m_storedRow = result->front();
-            m_stored = versions;
+            m_stored = history;
+            m_storedAt = now;
         } else {
             m_mustRead = true;
         }
@@ -164,7 +182,28 @@
 
 void StreamOriginExchange::findRemote(forwarding::CallDigest call, std::function<void(std::optional<std::string>)> onDone)
 {
-    m_peers.askNearby(QueryKind, std::to_string(call), m_options.queryTimeout, std::move(onDone));
+    const auto version = std::make_shared<std::optional<std::string>>();
+    m_peers.askNearby(
+        QueryKind, std::to_string(call), m_options.queryTimeout,
+        [version](std::string_view answer) {
+            *version = std::string(answer);
+            return true;
+        },
+        [version, onDone = std::move(onDone)] { onDone(*version); });
+}
+
+void StreamOriginExchange::refreshHistory(std::function<void()> onDone)
+{
+    m_peers.askNearby(
+        HistoryQueryKind, {}, m_options.queryTimeout,
+        [this](std::string_view answer) {
+            const auto now = base::now();
+            if (const auto history = decodeVersionHistory(answer, now)) {
+                m_origins.noteHistory(*history, now);
+            }
+            return false;
+        },
+        std::move(onDone));
 }
 
 void StreamOriginExchange::handleOrigins(const base::DaemonId &from, const std::string &body)
--- a/src/turmericplank/gateway/streamoriginsmessage.cpp
+++ b/src/turmericplank/gateway/streamoriginsmessage.cpp
@@ -105,30 +105,37 @@
     }
 }
 
-std::string encodeVersions(const forwarding::ServiceVersions &versions)
+std::string encode(const forwarding::VersionHistory &history, base::Time now)
 {
     auto json = nlohmann::json::object();
-    for (const auto &[service, listed] : versions) {
-        json[service.text()] = listed;
+    for (const auto &[service, versions] : history) {
+        auto &member = json[service.text()] = nlohmann::json::object();
+        for (const auto &[version, until] : versions) {
+            member[version] = remaining(until, now);
+        }
     }
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::optional<forwarding::ServiceVersions> decodeVersions(const std::string &text)
+std::optional<forwarding::VersionHistory> decodeVersionHistory(std::string_view text, base::Time now)
 {
     const auto json = nlohmann::json::parse(text, nullptr, false);
     if (!json.is_object()) {
         return std::nullopt;
     }
-    forwarding::ServiceVersions versions;
-    for (const auto &[service, listed] : json.items()) {
-        const bool isList = listed.is_array() && std::ranges::all_of(listed, [](const auto &it) { return it.is_string(); });
-        if (!isList) {
+    forwarding::VersionHistory history;
+    for (const auto &[service, versions] : json.items()) {
+        const bool isValid = versions.is_object() && std::ranges::all_of(versions, [](const auto &it) { return it.is_number_unsigned(); });
+        if (!isValid) {
             return std::nullopt;
         }
-        versions.emplace(base::ServiceName(service), listed.template get<std::set<std::string>>());
+        auto &known = history[base::ServiceName(service)];
+        for (const auto &[version, left] : versions.items()) {
+            known[version] =
+                now + std::chrono::milliseconds(std::min<std::uint64_t>(left.template get<std::uint64_t>(), std::numeric_limits<RemainingMilliseconds>::max()));
+        }
     }
-    return versions;
+    return history;
 }
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/streamoriginsmessage_test.cpp
+++ b/src/turmericplank/gateway/streamoriginsmessage_test.cpp
@@ -105,16 +105,20 @@
           == StreamOriginsMessage{{{1, "v", Start + 2ms}}, {{base::ServiceName("s"), Start + 3ms}}});
 }
 
-TEST_CASE("encoded software versions decode to the same versions")
+TEST_CASE("an encoded history of versions decodes to the same history, with times that count from the receiver's now")
 {
-    const forwarding::ServiceVersions versions{{base::ServiceName("s"), {"v1", "v2"}}, {base::ServiceName("t"), {}}};
-    CHECK(decodeVersions(encodeVersions(versions)) == versions);
-    CHECK(decodeVersions(encodeVersions({})) == forwarding::ServiceVersions());
+    constexpr auto now = base::timeFromMilliseconds(1'000'000);
+    const forwarding::VersionHistory history{{base::ServiceName("s"), {{"v1", now + 5s}, {"v2", now + 60s}}}, {base::ServiceName("t"), {}}};
+    CHECK(decodeVersionHistory(encode(history, now), now) == history);
+    const auto later = decodeVersionHistory(encode(history, now + 2s), now + 1h);
+    REQUIRE(later);
+    CHECK(later->at(base::ServiceName("s")).at("v1") == now + 1h + 3s);
+    CHECK(decodeVersionHistory(encode(forwarding::VersionHistory(), now), now) == forwarding::VersionHistory());
 }
 
-TEST_CASE("malformed software versions are rejected")
+TEST_CASE("malformed histories of versions are rejected")
 {
-    for (const auto *it : {"", "[]", "{\"s\":\"v1\"}", "{\"s\":[1]}", "{\"s\":[\"v1\"]"}) {
-        CHECK_FALSE(decodeVersions(it));
+    for (const auto *it : {"", "[]", R"({"s":"v1"})", R"({"s":["v1"]})", R"({"s":{"v1":-1}})", R"({"s":{"v1":1})"}) {
+        CHECK_FALSE(decodeVersionHistory(it, base::Time()));
     }
 }
--- a/src/turmericplank/gateway/streamversions_test.cpp
+++ b/src/turmericplank/gateway/streamversions_test.cpp
@@ -1,4 +1,5 @@
 #include "testfleet.hpp"
+#include "turmericplank/gateway/streamoriginsmessage.hpp"
 
 using namespace turmericplank;
 using namespace turmericplank::gateway;
@@ -165,18 +166,23 @@
 {
     Rollout rollout(2);
     const auto row = [&] {
+        std::set<std::string> versions;
         const auto it = rollout.fleet.store.rows.find("versions/recent");
-        return it == rollout.fleet.store.rows.end() ? std::string() : it->second.value;
+        const auto history = it == rollout.fleet.store.rows.end() ? std::nullopt : decodeVersionHistory(it->second.value, base::now());
+        for (const auto &[version, until] : history ? history->at(base::ServiceName("s")) : std::map<std::string, base::Time>()) {
+            versions.insert(version);
+        }
+        return versions;
     };
-    CHECK(row() == R"({"s":["v1"]})");
+    CHECK(row() == std::set<std::string>{"v1"});
     rollout.newEndpoint().list("v2");
     rollout.oldEndpoint().unlist();
     rollout.fleet.runFor(StartTime);
-    CHECK(row() == R"({"s":["v1","v2"]})");
+    CHECK(row() == std::set<std::string>{"v1", "v2"});
     rollout.fleet.store.rows.erase("versions/recent");
     rollout.fleet.store.beginEra();
     rollout.fleet.runFor(StartTime);
-    CHECK(row() == R"({"s":["v1","v2"]})");
+    CHECK(row() == std::set<std::string>{"v1", "v2"});
 }
 
 TEST_CASE("a daemon that has not read the entries since a version appeared does not resume its streams at the other version")
@@ -276,3 +282,20 @@
     CHECK(resumption->status == 200);
     CHECK(rollout.resumedAtOld == 1);
 }
+
+TEST_CASE("an endpoint that was found by a read for a resumption is not used before a regular read, so that older relayed entries don't remove it")
+{
+    Rollout rollout(1, noneInContact, 4s);
+    int newStreams = 0;
+    rollout.newEndpoint().onReceived = [&](const net::HttpRequest &, std::size_t) {
+        ++newStreams;
+    };
+    rollout.newEndpoint().list("v2");
+    rollout.resumeStream(0);
+    rollout.fleet.runFor(50ms);
+    for (int n = 0; n < 20; ++n) {
+        rollout.fleet.call(0, {}, "question", "/s/" + std::to_string(n));
+    }
+    rollout.fleet.runFor(200ms);
+    CHECK(newStreams == 0);
+}
