Log lines tell why a connection to an endpoint could not be opened or has ended

Cause: `send ended` had end=not_sent for a connection that was refused, reset or not established in time, and end=lost for one that was reset, closed or ended by TCP_USER_TIMEOUT; no line said that a daemon had lost contact to an endpoint or to all of them.

Change: openConnection() reports the error, a connection keeps why it has ended, and `send ended` has connection_error=. Gauge endpoints_connections_fail. Decisions are unchanged. requesttimeline matches `send ended` by its message and the fields request and endpoint, which stay.

--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -12,6 +12,7 @@
 #include "turmericplank/base/address.hpp"
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/number.hpp"
+#include "turmericplank/gateway/connectionfailures.hpp"
 #include "turmericplank/net/clientconnection.hpp"
 
 namespace turmericplank::gateway {
@@ -39,11 +40,18 @@
     ConnectFailed, ///< the endpoint is unknown or accepts no connection
 };
 
+/// @brief Failure of the pool to provide a connection.
+struct AcquireError
+{
+    AcquireFailure failure = AcquireFailure::ConnectFailed;
+    net::ConnectionError connectionError = net::ConnectionError::None; ///< if a connection was tried
+};
+
 /// @brief Keep-alive connections to the endpoints, with a limit for each endpoint.
 class ConnectionPool
 {
 public:
-    using AcquireCallback = std::function<void(tl::expected<PooledConnection, AcquireFailure>)>;
+    using AcquireCallback = std::function<void(tl::expected<PooledConnection, AcquireError>)>;
 
     ConnectionPool(boost::asio::io_context &context, ConnectionPoolOptions options);
     ~ConnectionPool();
@@ -72,6 +80,9 @@
     /// @brief Number of connections that are open or being opened.
     std::size_t openConnectionCount() const;
 
+    /// @brief Whether the endpoints accept connections.
+    const ConnectionFailures &failures() const;
+
     /// @brief Number of connections opened since the start.
     std::uint64_t openedTotal() const;
 
@@ -103,6 +114,7 @@
     ConnectionPoolOptions m_options;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     std::map<base::EndpointId, Endpoint> m_endpoints;
+    ConnectionFailures m_failures;
     std::uint64_t m_openedTotal = 0;
 };
 
--- a/include/turmericplank/net/clientconnection.hpp
+++ b/include/turmericplank/net/clientconnection.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <tl/expected.hpp>
 
 #include "turmericplank/net/httptypes.hpp"
 
@@ -31,6 +32,19 @@
 /// @brief Whether a response was received as far as can be told.
 bool isComplete(SendOutcome outcome);
 
+/// @brief Why a connection could not be opened, or ended.
+enum class ConnectionError {
+    None,
+    Refused, ///< nothing accepts connections at the address
+    Reset, ///< the other side has reset the connection
+    Closed, ///< the other side has closed the connection
+    TimedOut, ///< the connection was not established in time, or sent bytes were not acknowledged in time
+    Other,
+};
+
+/// @brief The error as it is written in logs.
+std::string_view toString(ConnectionError error);
+
 /// @brief The outcome as it is written in logs.
 std::string_view toString(SendOutcome outcome);
 
@@ -69,6 +83,8 @@
     virtual void close() = 0;
     /// @brief Whether the next request may be sent.
     virtual bool isIdle() const = 0;
+    /// @brief Why the connection has ended, if not by this side.
+    virtual ConnectionError error() const = 0;
     /// @brief Sets the callback for a connection that ends while it is idle.
     virtual void setOnIdleClose(std::function<void()> callback) = 0;
 };
@@ -79,7 +95,8 @@
 /// @param context runs all callbacks
 /// @param to address of the endpoint
 /// @param deadline when the attempt to connect is abandoned
-/// @param onOpen receives the connection, or null on failure; called exactly once, never before the function returns
-void openConnection(boost::asio::io_context &context, const base::Address &to, base::Time deadline, std::function<void(ClientConnectionPointer)> onOpen);
+/// @param onOpen receives the connection, or the error; called exactly once, never before the function returns
+void openConnection(boost::asio::io_context &context, const base::Address &to, base::Time deadline,
+                    std::function<void(tl::expected<ClientConnectionPointer, ConnectionError>)> onOpen);
 
 } // namespace turmericplank::net
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -28,6 +28,7 @@
     endpoint.incarnation = incarnation;
     endpoint.limit = limit;
     endpoint.wasRemoved = false;
+    m_failures.addEndpoint(id);
 }
 
 void ConnectionPool::removeEndpoint(const base::EndpointId &id)
@@ -37,6 +38,7 @@
         return;
     }
     closeIdle(it->second);
+    m_failures.removeEndpoint(id, base::now());
     it->second.wasRemoved = true;
     if (it->second.open == 0) {
         m_endpoints.erase(it);
@@ -53,7 +55,7 @@
 {
     const auto it = m_endpoints.find(id);
     if (it == m_endpoints.end() || it->second.wasRemoved) {
-        callback(tl::unexpected(AcquireFailure::ConnectFailed));
+        callback(tl::unexpected(AcquireError{AcquireFailure::ConnectFailed}));
         return;
     }
     auto &endpoint = it->second;
@@ -68,7 +70,7 @@
         --endpoint.open;
     }
     if (endpoint.open >= endpoint.limit) {
-        callback(tl::unexpected(AcquireFailure::LimitReached));
+        callback(tl::unexpected(AcquireError{AcquireFailure::LimitReached}));
         return;
     }
     open(id, endpoint, now, callback);
@@ -100,18 +102,20 @@
     ++endpoint.open;
     ++m_openedTotal;
     const auto incarnation = endpoint.incarnation;
-    net::openConnection(m_context, endpoint.address, now + m_options.connectTimeout,
-                        [this, isAlive = m_isAlive, id, incarnation, callback](const net::ClientConnectionPointer &connection) {
-                            if (!*isAlive) {
-                                return;
-                            }
-                            if (connection) {
-                                callback(PooledConnection{id, incarnation, connection});
-                                return;
-                            }
-                            onConnectionClosed(id);
-                            callback(tl::unexpected(AcquireFailure::ConnectFailed));
-                        });
+    net::openConnection(
+        m_context, endpoint.address, now + m_options.connectTimeout,
+        [this, isAlive = m_isAlive, id, incarnation, callback](const tl::expected<net::ClientConnectionPointer, net::ConnectionError> &connection) {
+            if (!*isAlive) {
+                return;
+            }
+            m_failures.noteResult(id, connection ? net::ConnectionError::None : connection.error(), base::now());
+            if (connection) {
+                callback(PooledConnection{id, incarnation, *connection});
+                return;
+            }
+            onConnectionClosed(id);
+            callback(tl::unexpected(AcquireError{AcquireFailure::ConnectFailed, connection.error()}));
+        });
 }
 
 void ConnectionPool::returnConnection(const PooledConnection &pooled, std::optional<base::Duration> idleTimeout, base::Time now)
@@ -188,6 +192,11 @@
     return n;
 }
 
+const ConnectionFailures &ConnectionPool::failures() const
+{
+    return m_failures;
+}
+
 std::uint64_t ConnectionPool::openedTotal() const
 {
     return m_openedTotal;
--- a/src/turmericplank/gateway/endpointcall.cpp
+++ b/src/turmericplank/gateway/endpointcall.cpp
@@ -9,7 +9,7 @@
 {
     pool.acquireConnection(
         id, true, base::now(),
-        [&pool, &wire, request = std::move(request), deadline, onDone = std::move(onDone)](tl::expected<PooledConnection, AcquireFailure> pooled) {
+        [&pool, &wire, request = std::move(request), deadline, onDone = std::move(onDone)](tl::expected<PooledConnection, AcquireError> pooled) {
             if (!pooled) {
                 onDone(std::nullopt);
                 return;
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -264,11 +264,10 @@
         logResumption();
     }
     const bool isAtMostOnce = !m_route.kind.mayRunAgain();
-    m_forwarder.m_dependencies.pool.acquireConnection(
-        choice.endpoint, isAtMostOnce, m_attempt->sentAt,
-        [self = Pointer(this), number = m_attempt->number](tl::expected<PooledConnection, AcquireFailure> pooled) {
-            self->onConnection(number, std::move(pooled));
-        });
+    m_forwarder.m_dependencies.pool.acquireConnection(choice.endpoint, isAtMostOnce, m_attempt->sentAt,
+                                                      [self = Pointer(this), number = m_attempt->number](tl::expected<PooledConnection, AcquireError> pooled) {
+                                                          self->onConnection(number, std::move(pooled));
+                                                      });
 }
 
 void ForwardedCall::logResumption() const
@@ -293,7 +292,7 @@
     m_forwarder.m_dependencies.metrics.count(isByCaller ? "streams_resumed_total{by=\"caller\"}" : "streams_resumed_total{by=\"daemon\"}");
 }
 
-void ForwardedCall::onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireFailure> pooled)
+void ForwardedCall::onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireError> pooled)
 {
     const bool isCurrent = !m_isFinished && m_attempt && m_attempt->number == number;
     if (!isCurrent) {
@@ -308,6 +307,7 @@
         m_forwarder.m_dependencies.pool.returnConnection(*pooled, std::nullopt, base::now());
     }
     if (!mayBeSent) {
+        m_attempt->connectionError = pooled ? net::ConnectionError::None : pooled.error().connectionError;
         finishAttempt(SendResult::NotSent);
         return;
     }
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -30,6 +30,7 @@
     std::string body; ///< of a response that is forwarded as a whole
     forwarding::EventCursor events; ///< of a response whose events are forwarded as they arrive
     std::string softwareVersion; ///< of the endpoint
+    net::ConnectionError connectionError = net::ConnectionError::None; ///< why there was no connection, or why it ended
     base::Time sentAt;
     base::Time firstEventAt;
     bool hasFirstEvent = false;
@@ -72,7 +73,7 @@
     bool wouldAnswerTooLate(const routing::Choice &choice) const;
     void startAttempt(const routing::Choice &choice);
     void logResumption() const;
-    void onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireFailure> pooled);
+    void onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireError> pooled);
     void sendRequest(const PooledConnection &pooled);
     AttemptHeaders attemptHeaders(base::Time now) const;
     base::Time silenceDeadline(const CallAttempt &attempt, base::Time now) const;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -322,6 +322,7 @@
         return;
     }
     const auto failure = failureOf(*attempt, outcome);
+    attempt->connectionError = attempt->pooled->connection->error();
     const bool isBrokenOff = failure == SendResult::Lost && attempt->isRelaying && outcome == net::SendOutcome::CompleteByClose;
     if (isBrokenOff || outcome == net::SendOutcome::ConnectionLost) {
         recordEndpointLoss(*attempt);
@@ -436,6 +437,7 @@
                     {"content", toString(m_contents.front())},
                     {"endpoint", attempt.choice.endpoint.text()},
                     {"end", toString(end)},
+                    {"connection_error", toString(attempt.connectionError)},
                     {"status", attempt.head ? attempt.head->status : 0},
                     {"after_ms", base::millisecondsBetween(attempt.sentAt, base::now())},
                     {"writing_ms", attempt.hasFirstEvent ? base::millisecondsBetween(attempt.firstEventAt, base::now()) : -1},
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -396,6 +396,7 @@
         metrics.setGauge("requests_in_progress", static_cast<double>(forwarder.callsInProgress()));
         metrics.setGauge("endpoint_connections", static_cast<double>(pool.openConnectionCount()));
         metrics.setGauge("endpoint_connections_opened", static_cast<double>(pool.openedTotal()));
+        metrics.setGauge("endpoints_connections_fail", static_cast<double>(pool.failures().failingCount()));
         metrics.setGauge("mesh_bytes", static_cast<double>(mesh->bytesTransferred()));
         telemetry::updateProcessMetrics(metrics);
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text()});
--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -45,6 +45,20 @@
     return buf;
 }
 
+ConnectionError connectionError(const boost::system::error_code &ec)
+{
+    if (ec == asio::error::connection_refused) {
+        return ConnectionError::Refused;
+    }
+    if (ec == asio::error::connection_reset || ec == asio::error::broken_pipe) {
+        return ConnectionError::Reset;
+    }
+    if (ec == asio::error::eof) {
+        return ConnectionError::Closed;
+    }
+    return ec == asio::error::timed_out ? ConnectionError::TimedOut : ConnectionError::Other;
+}
+
 class Connection final : public ClientConnection
 {
 public:
@@ -55,7 +69,7 @@
     {
     }
 
-    void open(const base::Address &to, base::Time deadline, std::function<void(ClientConnectionPointer)> onOpen)
+    void open(const base::Address &to, base::Time deadline, std::function<void(tl::expected<ClientConnectionPointer, ConnectionError>)> onOpen)
     {
         boost::system::error_code ec;
         const auto host = asio::ip::make_address(to.host, ec);
@@ -81,6 +95,7 @@
         m_current->request = {};
         asio::async_write(m_socket, asio::buffer(m_requestBytes), [self = Pointer(this)](boost::system::error_code ec, std::size_t n) {
             if (ec && !self->m_isClosed) {
+                self->m_error = connectionError(ec);
                 self->finish(n == 0 ? SendOutcome::NotSent : SendOutcome::ConnectionLost);
             }
         });
@@ -118,6 +133,11 @@
         return !m_isClosed && !m_current;
     }
 
+    ConnectionError error() const override
+    {
+        return m_error;
+    }
+
     void setOnIdleClose(std::function<void()> callback) override
     {
         m_onIdleClose = std::move(callback);
@@ -136,14 +156,14 @@
         m_isTimerArmed = false;
         if (ec) {
             close();
-            callback(nullptr);
+            callback(tl::unexpected(connectionError(ec)));
             return;
         }
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
         m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(TcpUserTimeoutMilliseconds), ignored);
         read();
-        callback(Pointer(this));
+        callback(ClientConnectionPointer(this));
     }
 
     void startParser()
@@ -246,6 +266,7 @@
 
     void onReadError(boost::system::error_code ec)
     {
+        m_error = connectionError(ec);
         if (ec == asio::error::eof && m_parser && m_hasHeaders && !m_isSkipping) {
             beast::error_code error;
             m_parser->put_eof(error);
@@ -319,7 +340,7 @@
     tcp::socket m_socket;
     asio::steady_timer m_timer;
     std::string m_host;
-    std::function<void(ClientConnectionPointer)> m_onOpen;
+    std::function<void(tl::expected<ClientConnectionPointer, ConnectionError>)> m_onOpen;
     std::function<void()> m_onIdleClose;
     std::optional<ClientRequest> m_current;
     std::optional<ResponseParser> m_parser;
@@ -327,6 +348,7 @@
     std::string m_requestBytes;
     base::Time m_deadline;
     std::size_t m_bodyBytesLeft = 0; ///< that the response may still have
+    ConnectionError m_error = ConnectionError::None;
     int m_skippedResponses = 0;
     bool m_hasHeaders = false;
     bool m_isSkipping = false;
@@ -341,6 +363,25 @@
     return outcome == SendOutcome::Complete || outcome == SendOutcome::CompleteByClose;
 }
 
+std::string_view toString(ConnectionError error)
+{
+    switch (error) {
+    case ConnectionError::None:
+        return "none";
+    case ConnectionError::Refused:
+        return "refused";
+    case ConnectionError::Reset:
+        return "reset";
+    case ConnectionError::Closed:
+        return "closed";
+    case ConnectionError::TimedOut:
+        return "timed_out";
+    case ConnectionError::Other:
+        break;
+    }
+    return "other";
+}
+
 std::string_view toString(SendOutcome outcome)
 {
     switch (outcome) {
@@ -360,7 +401,8 @@
     return "lost";
 }
 
-void openConnection(asio::io_context &context, const base::Address &to, base::Time deadline, std::function<void(ClientConnectionPointer)> onOpen)
+void openConnection(asio::io_context &context, const base::Address &to, base::Time deadline,
+                    std::function<void(tl::expected<ClientConnectionPointer, ConnectionError>)> onOpen)
 {
     const auto connection = boost::intrusive_ptr<Connection>(new Connection(context, to));
     connection->open(to, deadline, std::move(onOpen));
--- a/src/turmericplank/net/clientconnection_test.cpp
+++ b/src/turmericplank/net/clientconnection_test.cpp
@@ -115,26 +115,27 @@
     FakeEndpoint endpoint(context, std::move(responses), closesAtEnd, endlessPiece, endlessPause);
     Result result;
     ClientConnectionPointer connection;
-    openConnection(context, endpoint.address(), base::now() + std::chrono::seconds(5), [&](const ClientConnectionPointer &opened) {
-        REQUIRE(opened);
-        connection = opened;
-        ClientRequest clientRequest;
-        clientRequest.request = {"POST", "/x", {{"Request-Id", "mine"}}, "question"};
-        clientRequest.deadline = base::now() + timeout;
-        clientRequest.onHeaders = [&](int status, const Headers &headers) {
-            result.status = status;
-            return header(headers, "Request-Id") == "mine" ? action : HeaderAction::Skip;
-        };
-        clientRequest.onChunk = [&](std::string_view chunk) {
-            result.body.append(chunk);
-        };
-        clientRequest.onEnd = [&](SendOutcome outcome) {
-            result.outcome = outcome;
-            result.isIdle = connection->isIdle();
-            context.stop();
-        };
-        connection->send(std::move(clientRequest));
-    });
+    openConnection(context, endpoint.address(), base::now() + std::chrono::seconds(5),
+                   [&](const tl::expected<ClientConnectionPointer, ConnectionError> &opened) {
+                       REQUIRE(opened);
+                       connection = *opened;
+                       ClientRequest clientRequest;
+                       clientRequest.request = {"POST", "/x", {{"Request-Id", "mine"}}, "question"};
+                       clientRequest.deadline = base::now() + timeout;
+                       clientRequest.onHeaders = [&](int status, const Headers &headers) {
+                           result.status = status;
+                           return header(headers, "Request-Id") == "mine" ? action : HeaderAction::Skip;
+                       };
+                       clientRequest.onChunk = [&](std::string_view chunk) {
+                           result.body.append(chunk);
+                       };
+                       clientRequest.onEnd = [&](SendOutcome outcome) {
+                           result.outcome = outcome;
+                           result.isIdle = connection->isIdle();
+                           context.stop();
+                       };
+                       connection->send(std::move(clientRequest));
+                   });
     context.run();
     CHECK(endpoint.received.find("POST /x HTTP/1.1\r\n") == 0);
     CHECK(endpoint.received.find("Content-Length: 8\r\n\r\nquestion") != std::string::npos);
@@ -204,10 +205,12 @@
         unusedAddress = {"127.0.0.1", acceptor.local_endpoint().port()};
     }
     bool isCalled = false;
-    openConnection(context, unusedAddress, base::now() + std::chrono::seconds(2), [&](const ClientConnectionPointer &connection) {
-        isCalled = true;
-        CHECK(connection == nullptr);
-    });
+    openConnection(context, unusedAddress, base::now() + std::chrono::seconds(2),
+                   [&](const tl::expected<ClientConnectionPointer, ConnectionError> &connection) {
+                       isCalled = true;
+                       REQUIRE_FALSE(connection);
+                       CHECK((connection.error() == ConnectionError::Refused));
+                   });
     context.run();
     CHECK(isCalled);
 }
@@ -276,11 +279,12 @@
     FakeEndpoint endpoint(context, {}, false, "x", base::Duration(0));
     bool isClosed = false;
     ClientConnectionPointer connection;
-    openConnection(context, endpoint.address(), base::now() + std::chrono::seconds(5), [&](const ClientConnectionPointer &opened) {
-        REQUIRE(opened);
-        connection = opened;
-        connection->setOnIdleClose([&] { isClosed = true; });
-    });
+    openConnection(context, endpoint.address(), base::now() + std::chrono::seconds(5),
+                   [&](const tl::expected<ClientConnectionPointer, ConnectionError> &opened) {
+                       REQUIRE(opened);
+                       connection = *opened;
+                       connection->setOnIdleClose([&] { isClosed = true; });
+                   });
     context.run();
     CHECK(isClosed);
     CHECK_FALSE(connection->isIdle());
