Failing tests: callers of daemons that lost contact to all endpoints are refused

Each daemon connects to each endpoint through a relay (testlinks.hpp) that can hang, reset, or refuse new connections; callers, the store and the daemons reach each other all the time. ConnectionPoolOptions::addressToConnect leads a daemon's connections through its relays; it is empty in the daemon program.

--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -23,6 +23,7 @@
     base::Duration connectTimeout = std::chrono::milliseconds(400); ///< short, since the system retransmits a lost SYN only after seconds
     base::Duration maxIdleTime = std::chrono::seconds(4); ///< upper bound; also stands in for the idle timeout of an endpoint that announces none
     double idleTimeoutShare = 0.6; ///< share of the endpoint's idle timeout in which a connection is reused; later its close may cross a request
+    std::function<base::Address(const base::Address &)> addressToConnect = {}; ///< where to connect to reach an endpoint's address, if through a relay
     base::Duration maxIdleTimeAtMostOnce = std::chrono::milliseconds(1500); ///< for calls that must not run twice: a reset leaves their outcome unknown
 };
 
--- a/include/turmericplank/gateway/gateway.hpp
+++ b/include/turmericplank/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "turmericplank/gateway/connectionpool.hpp"
 #include "turmericplank/gateway/interface.hpp"
 #include "turmericplank/gateway/settings.hpp"
 
@@ -18,8 +19,9 @@
     /// @param settings identity and addresses of the daemon
     /// @param wire message formats of callers and endpoints
     /// @param store the site's store
+    /// @param poolOptions of the connections to endpoints
     /// @throws boost::system::system_error if an address cannot be bound
-    Gateway(boost::asio::io_context &context, Settings settings, WireFormat wire, SiteStore store);
+    Gateway(boost::asio::io_context &context, Settings settings, WireFormat wire, SiteStore store, ConnectionPoolOptions poolOptions = {});
     ~Gateway();
 
     /// @brief Starts a graceful shutdown.
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -1,12 +1,13 @@
 #include "turmericplank/gateway/connectionpool.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericplank::gateway {
 
 ConnectionPool::ConnectionPool(boost::asio::io_context &context, ConnectionPoolOptions options)
     : m_context(context)
-    , m_options(options)
+    , m_options(std::move(options))
 {
 }
 
@@ -102,8 +103,9 @@
     ++endpoint.open;
     ++m_openedTotal;
     const auto incarnation = endpoint.incarnation;
+    const auto address = m_options.addressToConnect ? m_options.addressToConnect(endpoint.address) : endpoint.address;
     net::openConnection(
-        m_context, endpoint.address, now + m_options.connectTimeout,
+        m_context, address, now + m_options.connectTimeout,
         [this, isAlive = m_isAlive, id, incarnation, callback](const tl::expected<net::ClientConnectionPointer, net::ConnectionError> &connection) {
             if (!*isAlive) {
                 return;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -91,13 +91,13 @@
 
 struct Gateway::Impl
 {
-    Impl(boost::asio::io_context &ioContext, Settings gatewaySettings, WireFormat wireFormat, SiteStore siteStore)
+    Impl(boost::asio::io_context &ioContext, Settings gatewaySettings, WireFormat wireFormat, SiteStore siteStore, ConnectionPoolOptions poolOptions)
         : context(ioContext)
         , settings(std::move(gatewaySettings))
         , wire(std::move(wireFormat))
         , router(routerOptions(settings.zone))
         , siteState(router)
-        , pool(context, {})
+        , pool(context, std::move(poolOptions))
         , mesh(peer::openMesh(context, meshOptions(settings)))
         , forwarder(forwarderDependencies(), settings.bounds)
         , siteStateUpdater(context, siteStore, siteState, metrics, updaterCallbacks(), updaterOptions(settings.bounds))
@@ -429,8 +429,8 @@
     bool isDrained = false;
 };
 
-Gateway::Gateway(boost::asio::io_context &context, Settings settings, WireFormat wire, SiteStore store)
-    : m_impl(std::make_unique<Impl>(context, std::move(settings), std::move(wire), std::move(store)))
+Gateway::Gateway(boost::asio::io_context &context, Settings settings, WireFormat wire, SiteStore store, ConnectionPoolOptions poolOptions)
+    : m_impl(std::make_unique<Impl>(context, std::move(settings), std::move(wire), std::move(store), std::move(poolOptions)))
 {
     const auto &it = m_impl->settings;
     telemetry::log(LogLevel::Info, "daemon", "started",
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -2,18 +2,17 @@
 
 #include <algorithm>
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include "testfleetstore.hpp"
+#include "testlinks.hpp"
 #include "testsite.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/gateway/gateway.hpp"
@@ -21,157 +20,6 @@
 
 namespace turmericplank::gateway::testing {
 
-/// @brief The store of a site, in memory; it answers at once.
-class FleetStore
-{
-public:
-    /// @param self id of the daemon
-    /// @param context of the daemon, which runs the callbacks
-    /// @param isListed which other daemons this one finds in the list of daemons
-    SiteStore accessFrom(const std::string &self, boost::asio::io_context &context, std::function<bool(const std::string &)> isListed)
-    {
-        SiteStore it;
-        it.readConfiguration = [this, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
-            boost::asio::post(context, [this, callback] { callback(snapshot()); });
-        };
-        it.awaitConfiguration = [this, self, &context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
-            awaitChange(self, context, position, base::now() + WaitTime, callback);
-        };
-        it.readEndpoints = [this, self, &context](const ReadCallback<EndpointsSnapshot> &callback) {
-            boost::asio::post(context, [this, self, callback] {
-                if (!mayUseRows(self)) {
-                    callback(tl::unexpected(TableFailure::Unavailable));
-                    return;
-                }
-                EndpointsSnapshot snapshot;
-                for (const auto &[id, entry] : entries) {
-                    snapshot.entries.push_back(entry);
-                }
-                callback(snapshot);
-            });
-        };
-        it.parseConfiguration = [this](const std::string &text) {
-            return configurations.at(std::stoull(text));
-        };
-        it.observeEra = [this, self, &context](std::function<void(base::StoreEra)> observer) {
-            observer(base::StoreEra(m_era));
-            m_eraObservers[self] = [&context, observer = std::move(observer)](base::StoreEra era) {
-                boost::asio::post(context, [observer, era] { observer(era); });
-            };
-        };
-        it.table.transact = [this, self, &context](std::vector<store::RowWrite> writes, std::function<void(store::WriteResult)> callback) {
-            boost::asio::post(context, [this, self, writes = std::move(writes), callback = std::move(callback)] {
-                callback(mayUseRows(self) ? write(writes) : tl::unexpected(store::TableError()));
-            });
-        };
-        it.table.readPrefix = [this, self, &context, isListed = std::move(isListed)](std::string prefix, std::function<void(store::ReadResult)> callback) {
-            boost::asio::post(context, [this, self, isListed, prefix = std::move(prefix), callback = std::move(callback)] {
-                if (!mayUseRows(self)) {
-                    callback(tl::unexpected(store::TableError()));
-                    return;
-                }
-                std::vector<store::Row> found;
-                for (const auto &[key, row] : rows) {
-                    const bool isHidden = key.starts_with(DaemonPrefix) && !isListed(key.substr(DaemonPrefix.size()));
-                    if (key.starts_with(prefix) && !isHidden) {
-                        found.push_back(row);
-                    }
-                }
-                callback(found);
-            });
-        };
-        return it;
-    }
-
-    /// Puts a configuration in place of the one before; its revision is its position in the history.
-    void put(const std::shared_ptr<const routes::SiteConfiguration> &configuration)
-    {
-        configurations[configuration->revision.value()] = configuration;
-    }
-
-    /// Tells all daemons that the store came back from an older copy.
-    void beginEra()
-    {
-        ++m_era;
-        for (const auto &[self, observer] : m_eraObservers) {
-            observer(base::StoreEra(m_era));
-        }
-    }
-
-    /// Forgets a daemon that has ended.
-    void removeObserver(const std::string &self)
-    {
-        m_eraObservers.erase(self);
-    }
-
-    std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
-    std::set<std::string> hiddenRowsFor; ///< daemons whose calls about entries and rows are turned away
-    std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
-    std::map<base::EndpointId, discovery::EndpointEntry> entries;
-    std::map<std::string, store::Row> rows;
-
-private:
-    bool mayUseRows(const std::string &self) const
-    {
-        return !hiddenRowsFor.contains(self);
-    }
-
-    static constexpr auto WaitTime = std::chrono::seconds(1);
-    static constexpr auto ChangeCheckInterval = std::chrono::milliseconds(5);
-
-    ConfigurationSnapshot snapshot() const
-    {
-        const auto &[revision, configuration] = *configurations.rbegin();
-        return {configuration, revision, std::to_string(revision)};
-    }
-
-    void awaitChange(const std::string &self, boost::asio::io_context &context, std::uint64_t position, base::Time end,
-                     const ReadCallback<ConfigurationSnapshot> &callback)
-    {
-        if (silencedWaits.contains(self)) {
-            return;
-        }
-        if (configurations.rbegin()->first > position) {
-            callback(snapshot());
-        } else if (base::now() >= end) {
-            callback(ConfigurationSnapshot{nullptr, position, {}});
-        } else {
-            daemon::callAt(context, base::now() + ChangeCheckInterval,
-                           [this, self, &context, position, end, callback] { awaitChange(self, context, position, end, callback); });
-        }
-    }
-
-    static constexpr std::string_view DaemonPrefix = "daemons/";
-
-    store::WriteResult write(const std::vector<store::RowWrite> &writes)
-    {
-        store::TableError error{store::TableFailure::Conflict, {}};
-        for (const auto &it : writes) {
-            const auto row = rows.find(it.key);
-            const auto version = row == rows.end() ? base::RowVersion() : row->second.version;
-            if (it.expectedVersion && *it.expectedVersion != version) {
-                error.conflicts.push_back(row == rows.end() ? store::Row{it.key, {}, {}} : row->second);
-            }
-        }
-        if (!error.conflicts.empty()) {
-            return tl::unexpected(error);
-        }
-        ++m_version;
-        for (const auto &it : writes) {
-            if (it.value) {
-                rows[it.key] = {it.key, base::RowVersion(m_version), *it.value};
-            } else {
-                rows.erase(it.key);
-            }
-        }
-        return std::vector<base::RowVersion>(writes.size(), base::RowVersion(m_version));
-    }
-
-    std::uint64_t m_version = 0;
-    std::uint64_t m_era = 1;
-    std::map<std::string, std::function<void(base::StoreEra)>> m_eraObservers; ///< by daemon
-};
-
 /// @brief An endpoint of a service that crashes while it runs certain calls, and starts again after some time under another id.
 class CrashingEndpoint
 {
@@ -194,7 +42,13 @@
         if (!m_context && now >= m_startsAt) {
             start();
         }
-        return m_context && m_context->poll() > 0;
+        return m_context && now >= m_silentUntil && m_context->poll() > 0;
+    }
+
+    /// Stops handling anything until a point in time, as a process that is frozen does; the system still accepts connections.
+    void fallSilentUntil(base::Time end)
+    {
+        m_silentUntil = end;
     }
 
     /// Crashes as soon as it is polled again.
@@ -310,6 +164,7 @@
     std::vector<net::ExchangePointer> m_kept; ///< calls without a response
     std::optional<base::Time> m_crashAt;
     base::Time m_startsAt; ///< after a crash
+    base::Time m_silentUntil;
 };
 
 /// @brief Daemons and endpoints of a site in one process, connected over loopback.
@@ -328,6 +183,11 @@
             endpoints.push_back(std::make_unique<CrashingEndpoint>(store, "e" + std::to_string(n), port(n)));
         }
         m_daemons.resize(daemonCount);
+        for (std::size_t n = 0; n < daemonCount; ++n) {
+            for (std::size_t e = 0; e < endpointCount; ++e) {
+                m_daemons[n].links.push_back(std::make_unique<EndpointLink>(m_network, port(e)));
+            }
+        }
         for (std::size_t n = 0; n < daemonCount; ++n) {
             startDaemon(n);
         }
@@ -340,7 +200,7 @@
         }
     }
 
-    /// A configuration with a route of repeatable calls and one of streams.
+    /// A configuration with a route of repeatable calls, one of streams and one of calls that must not run twice.
     static std::shared_ptr<routes::SiteConfiguration> makeConfiguration(std::uint64_t revision, const std::string &prefix)
     {
         auto it = std::make_shared<routes::SiteConfiguration>();
@@ -364,6 +224,10 @@
         route.kind = {false, true, true};
         route.eventGapObjective = std::chrono::milliseconds(300);
         it->routes.push_back(route);
+        route.name = "o";
+        route.prefix = "/o/";
+        route.kind = {false, false, false};
+        it->routes.push_back(route);
         return it;
     }
 
@@ -381,10 +245,29 @@
         settings.peerAddress = {"127.0.0.1", port(first + 3)};
         settings.metricsAddress = {"127.0.0.1", port(first + 4)};
         settings.bounds.drainTime = m_drainTime;
+        ConnectionPoolOptions poolOptions;
+        poolOptions.addressToConnect = [this, n](const base::Address &address) {
+            return base::Address{address.host, m_daemons[n].links.at(address.port - port(0))->port()};
+        };
         const auto isListed = [this, n](const std::string &other) {
             return m_contacts(n, std::stoull(other));
         };
-        it.gateway = std::make_unique<Gateway>(*it.context, settings, testWireFormat(), store.accessFrom(std::to_string(n), *it.context, isListed));
+        it.gateway = std::make_unique<Gateway>(*it.context, settings, testWireFormat(), store.accessFrom(std::to_string(n), *it.context, isListed),
+                                               std::move(poolOptions));
+    }
+
+    /// Changes what becomes of the connections from a daemon to all endpoints.
+    void setLinks(std::size_t daemon, LinkState state)
+    {
+        for (std::size_t e = 0; e < endpoints.size(); ++e) {
+            setLink(daemon, e, state);
+        }
+    }
+
+    /// Changes what becomes of the connections from a daemon to one endpoint.
+    void setLink(std::size_t daemon, std::size_t endpoint, LinkState state)
+    {
+        m_daemons[daemon].links[endpoint]->setState(state);
     }
 
     /// Crashes all endpoints at the same time.
@@ -407,6 +290,7 @@
     {
         std::string id; ///< Request-Id
         int status = 0; ///< zero without a response
+        std::string body;
         bool isEnded = false;
     };
 
@@ -421,6 +305,7 @@
         options.request = {"POST", std::move(target), std::move(headers), std::move(body)};
         net::fetchResponse(m_callers, std::move(options), [result](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
             result->status = response ? response->status : 0;
+            result->body = response ? response->body : "";
             result->isEnded = true;
         });
         return result;
@@ -433,6 +318,8 @@
         while (base::now() < end) {
             bool isBusy = m_callers.poll() > 0;
             m_callers.restart();
+            isBusy = m_network.poll() > 0 || isBusy;
+            m_network.restart();
             for (auto &it : endpoints) {
                 isBusy = it->poll() || isBusy;
             }
@@ -468,6 +355,7 @@
 
     struct Daemon
     {
+        std::vector<std::unique_ptr<EndpointLink>> links; ///< to the endpoints, by their numbers
         std::unique_ptr<boost::asio::io_context> context;
         std::unique_ptr<Gateway> gateway;
     };
@@ -481,6 +369,7 @@
     std::function<bool(std::size_t, std::size_t)> m_contacts;
     base::Duration m_drainTime;
     boost::asio::io_context m_callers;
+    boost::asio::io_context m_network; ///< runs the links between daemons and endpoints
     std::vector<Daemon> m_daemons;
     std::uint64_t m_calls = 0;
 };
