Mesh: a call to another daemon can be cancelled

A call whose answer nobody waits for any more went on until its answer or its timeout. Calls of callers that are forwarded to a peer must end there when the caller leaves.

--- a/include/turmericplank/peer/mesh.hpp
+++ b/include/turmericplank/peer/mesh.hpp
@@ -37,7 +37,9 @@
     std::string body; ///< message encoded as MessagePack
     base::Duration timeout = std::chrono::seconds(2); ///< maximum time to the first chunk of the response and between chunks
     std::function<void(std::string_view chunk)> onChunk; ///< called with each chunk of the response
-    std::function<void(tl::expected<void, PeerFailure>)> onEnd; ///< called exactly once
+    std::function<void(tl::expected<void, PeerFailure>)> onEnd; ///< called exactly once, unless the call is cancelled first
+    /// If not null, gets the function that cancels the call: the other daemon is told, and no callback is called afterwards.
+    std::shared_ptr<std::function<void()>> cancel;
 };
 
 /// @brief Limits of the mesh.
--- a/src/turmericplank/peer/mesh_test.cpp
+++ b/src/turmericplank/peer/mesh_test.cpp
@@ -201,3 +201,58 @@
     CHECK(inProgress.end.has_value());
     CHECK(inProgress.body == "whole");
 }
+
+TEST_CASE("a cancelled call ends at the other daemon, and calls nothing back")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, firstAddress, "d-1");
+    const auto second = open(context, secondAddress, "d-2");
+    bool isCancelled = false;
+    PeerResponder held;
+    second->handle("x", [&](const base::DaemonId &, const std::string &, PeerResponder responder) {
+        held = std::move(responder);
+        *held.onCancelled = [&] {
+            isCancelled = true;
+            context.stop();
+        };
+        held.write("begun");
+    });
+    Result result;
+    auto call = makeCall(context, "x", "", result);
+    call.cancel = std::make_shared<std::function<void()>>();
+    const auto cancel = call.cancel;
+    call.onChunk = [&](std::string_view chunk) {
+        result.body += chunk;
+        (*cancel)();
+    };
+    first->call(secondAddress, std::move(call));
+    run(context);
+    CHECK(result.body == "begun");
+    CHECK(isCancelled);
+    CHECK(result.ends == 0);
+    (*cancel)();
+}
+
+TEST_CASE("a call that is cancelled before there is a connection is not sent")
+{
+    boost::asio::io_context context;
+    const auto first = open(context, firstAddress, "d-1");
+    const auto second = open(context, secondAddress, "d-2");
+    int received = 0;
+    second->handle("x", [&](const base::DaemonId &, const std::string &, const PeerResponder &responder) {
+        ++received;
+        responder.end();
+    });
+    Result cancelled;
+    auto call = makeCall(context, "x", "", cancelled);
+    call.cancel = std::make_shared<std::function<void()>>();
+    const auto cancel = call.cancel;
+    first->call(secondAddress, std::move(call));
+    (*cancel)();
+    Result result;
+    first->call(secondAddress, makeCall(context, "x", "", result));
+    run(context);
+    CHECK(result.end.has_value());
+    CHECK(received == 1);
+    CHECK(cancelled.ends == 0);
+}
--- a/src/turmericplank/peer/outgoingconnection.cpp
+++ b/src/turmericplank/peer/outgoingconnection.cpp
@@ -44,6 +44,13 @@
     const auto pending = std::make_shared<Pending>(m_context, std::move(call));
     pending->deadline = base::now() + pending->call.timeout;
     armTimer(pending);
+    if (pending->call.cancel) {
+        *pending->call.cancel = [self = Pointer(this), weak = std::weak_ptr<Pending>(pending)] {
+            if (const auto it = weak.lock()) {
+                self->cancel(it);
+            }
+        };
+    }
     if (m_session && m_session->isOpen()) {
         send(pending);
         return;
@@ -120,6 +127,19 @@
     m_streams.emplace(streamId, pending);
 }
 
+void OutgoingConnection::cancel(const PendingPointer &pending)
+{
+    if (pending->isFinished) {
+        return;
+    }
+    pending->call.onEnd = nullptr;
+    if (pending->streamId != 0 && m_session) {
+        m_session->reset(pending->streamId, NGHTTP2_CANCEL);
+    }
+    m_streams.erase(pending->streamId);
+    finish(pending, tl::make_unexpected(PeerFailure::OutcomeUnknown));
+}
+
 void OutgoingConnection::armTimer(const PendingPointer &pending)
 {
     pending->timer.expires_after(pending->deadline - base::now());
--- a/src/turmericplank/peer/outgoingconnection.hpp
+++ b/src/turmericplank/peer/outgoingconnection.hpp
@@ -32,6 +32,7 @@
     void connect();
     void onConnected(boost::asio::ip::tcp::socket socket);
     void send(const PendingPointer &pending);
+    void cancel(const PendingPointer &pending);
     void armTimer(const PendingPointer &pending);
     void finish(const PendingPointer &pending, tl::expected<void, PeerFailure> result);
     Http2Callbacks makeCallbacks(std::uint64_t generation);
