--- /dev/null
+++ b/include/turmericplank/forwarding/endpointcontact.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "turmericplank/base/identifier.hpp"
+#include "turmericplank/base/time.hpp"
+
+namespace turmericplank::forwarding {
+
+/// @brief How an attempt to open a connection failed.
+enum class ConnectFailure {
+    Rejected, ///< refused, or reset before any answer; other connections that are open may still work
+    TimedOut, ///< no answer; connections that are open may hang as well
+};
+
+/// @brief Limits of EndpointContact.
+struct EndpointContactOptions
+{
+    base::Duration silenceTime = std::chrono::milliseconds(600); ///< without a byte from any endpoint, while calls wait, before the contact is checked
+    base::Duration firstProbeDelay = std::chrono::milliseconds(100); ///< after a failure; doubles with each further one, since a lost packet is no cut
+    base::Duration maxProbeDelay = std::chrono::milliseconds(800); ///< contact must be regained well within the 3 s that a change of it may take
+    base::Duration maxTickGap = std::chrono::milliseconds(300); ///< after a longer gap between two ticks this process itself was paused
+    std::size_t maxProbes = 4; ///< started by one tick
+    std::size_t failuresOfAll = 2; ///< endpoints without an answer after which all count as unreachable, if none has been heard meanwhile
+};
+
+/// @brief Which endpoints this daemon can reach, by the connections that it opens and the bytes that it receives.
+///
+/// An endpoint is unreachable from a connection that could not be opened until one could. An endpoint that is silent is not: its
+/// host still accepts connections. Deterministic; time is passed in.
+class EndpointContact
+{
+public:
+    explicit EndpointContact(EndpointContactOptions options = {});
+
+    /// @brief Adds an endpoint, which counts as reachable until a connection fails.
+    void add(const base::EndpointId &id);
+    void remove(const base::EndpointId &id);
+
+    /// @brief Notes that a call was sent to an endpoint.
+    void noteSent(const base::EndpointId &id, base::Time now);
+    /// @brief Notes that bytes came from an endpoint.
+    void noteReceived(const base::EndpointId &id, base::Time now);
+    void noteConnected(const base::EndpointId &id, base::Time now);
+    void noteConnectFailed(const base::EndpointId &id, ConnectFailure failure, base::Time now);
+
+    /// @brief Endpoints to which a connection is to be opened now, in order to learn whether they can be reached.
+    ///
+    /// To be called regularly. Each of them is to be followed by noteConnected() or noteConnectFailed().
+    std::vector<base::EndpointId> dueProbes(base::Time now);
+
+    /// @brief Whether no connection can be opened.
+    bool isUnreachable(const base::EndpointId &id) const;
+
+    /// @brief Since when connections that were idle may hang; nothing if they may be used.
+    std::optional<base::Time> hangsSince(const base::EndpointId &id) const;
+
+    /// @brief Whether all endpoints are unreachable; false if there is none.
+    bool isCutOff() const;
+
+    /// @brief Number of endpoints that are unreachable.
+    std::size_t unreachableCount() const;
+
+private:
+    struct State
+    {
+        std::optional<base::Time> failedAt; ///< set while unreachable
+        bool isHanging = false;
+        bool isProbed = false; ///< a probe is in progress
+        unsigned failures = 0; ///< in a row
+        base::Time nextProbeAt;
+        std::optional<base::Time> waitsSince; ///< a call was sent, and no byte has come since
+    };
+
+    void fail(State &state, ConnectFailure failure, base::Time now) const;
+    void failAll(base::Time now);
+    void probeSilent(base::Time now, std::vector<base::EndpointId> &probes);
+
+    EndpointContactOptions m_options;
+    std::map<base::EndpointId, State> m_endpoints;
+    base::Time m_heardAt; ///< when any endpoint sent a byte or accepted a connection
+    base::Time m_lastTick;
+};
+
+} // namespace turmericplank::forwarding
--- /dev/null
+++ b/src/turmericplank/forwarding/endpointcontact_test.cpp
@@ -0,0 +1,136 @@
+#include "turmericplank/forwarding/endpointcontact.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace turmericplank;
+using namespace turmericplank::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Start = base::timeFromMilliseconds(1'000'000);
+const base::EndpointId a("a");
+const base::EndpointId b("b");
+const base::EndpointId c("c");
+using Probes = std::vector<base::EndpointId>;
+
+EndpointContact threeEndpoints()
+{
+    EndpointContact contact;
+    for (const auto &it : {a, b, c}) {
+        contact.add(it);
+        contact.noteConnected(it, Start);
+    }
+    contact.dueProbes(Start);
+    return contact;
+}
+
+/// Ticks until a time and returns all probes.
+Probes probesUntil(EndpointContact &contact, base::Time from, base::Time end)
+{
+    Probes probes;
+    for (auto now = from; now <= end; now += 100ms) {
+        for (const auto &it : contact.dueProbes(now)) {
+            probes.push_back(it);
+        }
+    }
+    return probes;
+}
+
+} // namespace
+
+TEST_CASE("an endpoint is unreachable from a connection that fails until one opens")
+{
+    auto contact = threeEndpoints();
+    contact.noteConnectFailed(a, ConnectFailure::Rejected, Start + 10ms);
+    CHECK(contact.isUnreachable(a));
+    CHECK_FALSE(contact.isUnreachable(b));
+    CHECK_FALSE(contact.hangsSince(a));
+    CHECK_FALSE(contact.isCutOff());
+    CHECK(contact.dueProbes(Start + 100ms).empty());
+    CHECK(contact.dueProbes(Start + 110ms) == Probes{a});
+    CHECK(contact.dueProbes(Start + 200ms).empty()); // in progress
+    contact.noteConnectFailed(a, ConnectFailure::TimedOut, Start + 210ms);
+    CHECK(contact.hangsSince(a) == Start + 10ms);
+    CHECK(contact.dueProbes(Start + 400ms).empty());
+    CHECK(contact.dueProbes(Start + 410ms) == Probes{a});
+    contact.noteConnected(a, Start + 420ms);
+    CHECK_FALSE(contact.isUnreachable(a));
+    CHECK_FALSE(contact.hangsSince(a));
+}
+
+TEST_CASE("a daemon whose connections hang finds out within about a second, before it has tried each endpoint")
+{
+    auto contact = threeEndpoints();
+    contact.noteSent(a, Start + 50ms);
+    contact.noteReceived(a, Start + 60ms);
+    contact.noteSent(a, Start + 100ms);
+    contact.noteSent(b, Start + 150ms);
+    CHECK(probesUntil(contact, Start + 100ms, Start + 600ms).empty());
+    CHECK(contact.dueProbes(Start + 700ms) == Probes{a, b});
+    contact.noteConnectFailed(a, ConnectFailure::TimedOut, Start + 1100ms);
+    CHECK_FALSE(contact.isCutOff());
+    contact.noteConnectFailed(b, ConnectFailure::TimedOut, Start + 1100ms);
+    CHECK(contact.isCutOff());
+    CHECK(contact.hangsSince(c) == Start + 1100ms);
+    contact.noteConnected(c, Start + 1500ms);
+    CHECK_FALSE(contact.isCutOff());
+    CHECK(contact.unreachableCount() == 2);
+}
+
+TEST_CASE("an endpoint that is silent for a second is no cut")
+{
+    auto contact = threeEndpoints();
+    contact.noteSent(a, Start);
+    // It still accepts connections, which is asked once in the time of silence.
+    CHECK(probesUntil(contact, Start + 100ms, Start + 600ms) == Probes{a, b});
+    contact.noteConnected(a, Start + 601ms);
+    contact.noteConnected(b, Start + 601ms);
+    CHECK(probesUntil(contact, Start + 700ms, Start + 1200ms).empty());
+    CHECK_FALSE(contact.isUnreachable(a));
+    contact.noteReceived(a, Start + 1250ms);
+    // While another endpoint is heard, nothing is asked.
+    contact.noteSent(a, Start + 1300ms);
+    for (auto now = Start + 1300ms; now < Start + 4s; now += 100ms) {
+        contact.noteReceived(b, now);
+        CHECK(contact.dueProbes(now).empty());
+    }
+}
+
+TEST_CASE("an endpoint that is lost while others answer does not make these unreachable")
+{
+    auto contact = threeEndpoints();
+    for (auto now = Start; now < Start + 3s; now += 100ms) {
+        contact.noteReceived(c, now);
+        for (const auto &it : contact.dueProbes(now)) {
+            contact.noteConnectFailed(it, ConnectFailure::TimedOut, now);
+        }
+        contact.noteConnectFailed(a, ConnectFailure::TimedOut, now);
+        contact.noteConnectFailed(b, ConnectFailure::TimedOut, now);
+    }
+    CHECK(contact.unreachableCount() == 2);
+}
+
+TEST_CASE("a process that was paused does not take its own pause for a cut")
+{
+    auto contact = threeEndpoints();
+    contact.noteSent(a, Start);
+    CHECK(contact.dueProbes(Start + 10s).empty());
+    contact.noteConnectFailed(a, ConnectFailure::TimedOut, Start + 10s);
+    contact.noteConnectFailed(b, ConnectFailure::TimedOut, Start + 10s);
+    CHECK_FALSE(contact.isUnreachable(c));
+}
+
+TEST_CASE("probes of many endpoints are spread over time")
+{
+    EndpointContact contact;
+    for (int n = 0; n < 20; ++n) {
+        contact.add(base::EndpointId(std::to_string(n)));
+    }
+    contact.dueProbes(Start);
+    for (int n = 0; n < 20; ++n) {
+        contact.noteConnectFailed(base::EndpointId(std::to_string(n)), ConnectFailure::TimedOut, Start);
+    }
+    CHECK(contact.dueProbes(Start + 100ms).size() == 4);
+    CHECK(contact.dueProbes(Start + 200ms).size() == 4);
+}
