Calls of a daemon that has lost contact to endpoints are forwarded to a peer

Four connections that fail, at once or after 0.4 s each, ended a call, and nothing looked for another way.

A daemon now knows which endpoints it reaches, also when connections hang and no byte comes, and does not use the others. A call without a reachable endpoint that serves it in time goes to a peer with contact, once, with the time and the sends that are left. The class of fault: a daemon decides alone about what it cannot reach, while others can.

An endpoint that is silent for a second still causes no refusal.

--- a/include/turmericplank/forwarding/attempts.hpp
+++ b/include/turmericplank/forwarding/attempts.hpp
@@ -68,6 +68,9 @@
     /// @brief Whether any send may have run the call.
     bool mayHaveRun() const;
 
+    /// @brief Number of endpoints to which the call may still be sent.
+    std::uint32_t sendsLeft() const;
+
     /// @brief Number of sends started so far.
     std::uint32_t sends() const;
 
--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -12,6 +12,7 @@
 #include "turmericplank/base/address.hpp"
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/number.hpp"
+#include "turmericplank/forwarding/endpointcontact.hpp"
 #include "turmericplank/gateway/connectionfailures.hpp"
 #include "turmericplank/net/clientconnection.hpp"
 
@@ -23,6 +24,7 @@
     base::Duration connectTimeout = std::chrono::milliseconds(400); ///< short, since the system retransmits a lost SYN only after seconds
     base::Duration maxIdleTime = std::chrono::seconds(4); ///< upper bound; also stands in for the idle timeout of an endpoint that announces none
     double idleTimeoutShare = 0.6; ///< share of the endpoint's idle timeout in which a connection is reused; later its close may cross a request
+    base::Duration settleTime = std::chrono::milliseconds(50); ///< in which a connection that is opened as a probe must not be reset; several round trips
     std::function<base::Address(const base::Address &)> addressToConnect = {}; ///< where to connect to reach an endpoint's address, if through a relay
     base::Duration maxIdleTimeAtMostOnce = std::chrono::milliseconds(1500); ///< for calls that must not run twice: a reset leaves their outcome unknown
 };
@@ -64,7 +66,7 @@
     /// @brief Removes an endpoint and closes its idle connections.
     void removeEndpoint(const base::EndpointId &id);
 
-    /// @brief Whether a connection is idle or may be opened within the limit.
+    /// @brief Whether a connection is idle or may be opened within the limit; false for an endpoint that cannot be reached.
     bool hasFreeConnection(const base::EndpointId &id) const;
 
     /// @brief Takes an idle connection or opens one; the callback may be called before the function returns.
@@ -75,6 +77,21 @@
     /// @param idleTimeout the endpoint's idle timeout, if it announced one
     void returnConnection(const PooledConnection &pooled, std::optional<base::Duration> idleTimeout, base::Time now);
 
+    /// @brief Notes that a call was sent to an endpoint, so that bytes are expected from it.
+    void noteSent(const base::EndpointId &id, base::Time now);
+
+    /// @brief Notes that bytes of a response came from an endpoint.
+    void noteReceived(const base::EndpointId &id, base::Time now);
+
+    /// @brief Notes that a connection ended before any byte of a response came, although the endpoint had accepted it.
+    void noteLostUnanswered(const base::EndpointId &id, base::Time now);
+
+    /// @brief Opens connections to endpoints whose contact is in doubt; to be called regularly.
+    void probeContact(base::Time now);
+
+    /// @brief Which endpoints can be reached.
+    const forwarding::EndpointContact &contact() const;
+
     /// @brief Closes connections that have been idle for too long.
     void closeExpired(base::Time now);
 
@@ -107,14 +124,18 @@
 
     net::ClientConnectionPointer takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now);
     void closeIdle(Endpoint &endpoint);
-    void open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, const AcquireCallback &callback);
+    void open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, bool isProbe, const AcquireCallback &callback);
     void removeIdle(const base::EndpointId &id, const net::ClientConnection *connection);
     void onConnectionClosed(const base::EndpointId &id);
+    void probe(const base::EndpointId &id, base::Time now);
+    void endProbe(const PooledConnection &pooled, base::Time now);
+    base::Time usableFrom(const base::EndpointId &id) const;
 
     boost::asio::io_context &m_context;
     ConnectionPoolOptions m_options;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     std::map<base::EndpointId, Endpoint> m_endpoints;
+    forwarding::EndpointContact m_contact;
     ConnectionFailures m_failures;
     std::uint64_t m_openedTotal = 0;
 };
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "turmericplank/forwarding/waiting.hpp"
 #include "turmericplank/gateway/connectionpool.hpp"
 #include "turmericplank/gateway/interface.hpp"
+#include "turmericplank/gateway/peerforward.hpp"
 #include "turmericplank/gateway/settings.hpp"
 #include "turmericplank/gateway/sitestate.hpp"
 #include "turmericplank/net/httpserver.hpp"
@@ -48,6 +49,15 @@
     forwarding::RetryDelayOptions retryDelay;
 };
 
+/// @brief Limits of a call that another daemon has forwarded to this one.
+struct CallLimits
+{
+    base::Time deadline; ///< for the final answer
+    std::uint32_t maxSends = 1; ///< endpoints to which the call may be sent
+
+    friend bool operator==(const CallLimits &, const CallLimits &) = default;
+};
+
 /// @brief Components of the daemon that the forwarder uses.
 struct ForwarderDependencies
 {
@@ -67,6 +77,8 @@
     std::function<void(requests::Fingerprint, const requests::EndpointLoss &)> onEndpointLost; ///< while it ran a content, or a part of one
     std::function<void(requests::Fingerprint)> onSharedAnswer; ///< a part of a prompt was answered without a crash
     std::function<bool()> mayTryRefused; ///< this daemon is the one that tries refused contents again
+    /// Forwards a call to a daemon that may have contact to endpoints; null if there is none.
+    std::function<std::shared_ptr<PeerForward>(const PeerForwardRequest &, PeerForwardCallbacks)> forwardToPeer;
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
@@ -79,8 +91,12 @@
     Forwarder(ForwarderDependencies dependencies, SiteBounds bounds, ForwarderOptions options = {});
     ~Forwarder();
 
-    /// @brief Handles a call from a caller.
-    void handleCall(const net::ExchangePointer &exchange);
+    /// @brief Handles a call from a caller, or one that another daemon has forwarded for its caller.
+    /// @param limits of a forwarded call, which is not forwarded again
+    void handleCall(const net::ExchangePointer &exchange, const std::optional<CallLimits> &limits = std::nullopt);
+
+    /// @brief Whether new calls are accepted.
+    bool acceptsCalls() const;
 
     /// @brief Rejects calls that arrive from now on; calls in progress continue.
     void rejectNewCalls();
@@ -110,6 +126,7 @@
     ForwarderOptions m_options;
     std::map<base::ServiceName, requests::RetryBudget> m_retryBudgets;
     telemetry::LogRateLimiter m_answeredLineBudget;
+    telemetry::LogRateLimiter m_peerLineBudget;
     placement::DemandCounters m_demand;
     placement::TokenCostEstimator m_tokenCosts;
     double m_uncountedMilliseconds = 0; ///< fraction carried over to the next call
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -47,6 +47,16 @@
 /// @return nothing if it is malformed
 std::optional<PeerRecord> decodePeerRecord(const std::string &text);
 
+/// @brief A daemon to which calls may be forwarded.
+struct ForwardTarget
+{
+    base::DaemonId id;
+    base::Address peerAddress;
+    bool isInZone = false; ///< in the zone of this daemon
+
+    friend bool operator==(const ForwardTarget &, const ForwardTarget &) = default;
+};
+
 /// @brief Finds the other daemons through rows of the store and exchanges status messages with them.
 class Peers
 {
@@ -117,6 +127,9 @@
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
 
+    /// @brief Daemons that may have contact to endpoints: those of the group that say so, or else those outside it, of which nothing is known.
+    std::vector<ForwardTarget> forwardTargets() const;
+
     /// @brief The daemon that claims the placement lease, if one is heard.
     std::optional<base::DaemonId> leaseHolder() const;
 
--- a/include/turmericplank/gateway/peerstatus.hpp
+++ b/include/turmericplank/gateway/peerstatus.hpp
@@ -48,6 +48,7 @@
     base::Incarnation incarnation;
     bool isReady = false;
     bool isDraining = false;
+    bool isCutOff = false; ///< the sender reaches no endpoint
     base::Term term; ///< of the placement lease; zero if the sender does not hold it
     base::Revision revision; ///< of the configuration in force at the sender
     base::StoreEra storeEra; ///< as reported by the store to the sender
--- a/src/turmericplank/forwarding/attempts.cpp
+++ b/src/turmericplank/forwarding/attempts.cpp
@@ -1,5 +1,7 @@
 #include "turmericplank/forwarding/attempts.hpp"
 
+#include <algorithm>
+
 namespace turmericplank::forwarding {
 
 namespace {
@@ -102,6 +104,11 @@
     return m_mayHaveRun;
 }
 
+std::uint32_t Attempts::sendsLeft() const
+{
+    return m_maxSends - std::min(m_maxSends, m_delivered);
+}
+
 std::uint32_t Attempts::sends() const
 {
     return m_sends;
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmericplank/daemon/timers.hpp"
+
 namespace turmericplank::gateway {
 
 ConnectionPool::ConnectionPool(boost::asio::io_context &context, ConnectionPoolOptions options)
@@ -29,6 +31,7 @@
     endpoint.incarnation = incarnation;
     endpoint.limit = limit;
     endpoint.wasRemoved = false;
+    m_contact.add(id);
     m_failures.addEndpoint(id);
 }
 
@@ -38,6 +41,7 @@
     if (it == m_endpoints.end()) {
         return;
     }
+    m_contact.remove(id);
     closeIdle(it->second);
     m_failures.removeEndpoint(id, base::now());
     it->second.wasRemoved = true;
@@ -49,7 +53,18 @@
 bool ConnectionPool::hasFreeConnection(const base::EndpointId &id) const
 {
     const auto it = m_endpoints.find(id);
-    return it != m_endpoints.end() && !it->second.wasRemoved && (!it->second.idle.empty() || it->second.open < it->second.limit);
+    if (it == m_endpoints.end() || it->second.wasRemoved) {
+        return false;
+    }
+    const auto &idle = it->second.idle;
+    const bool hasIdle = !idle.empty() && idle.back().idleSince >= usableFrom(id);
+    return hasIdle || (it->second.open < it->second.limit && !m_contact.isUnreachable(id));
+}
+
+/// From when on a connection must have become idle in order to be used: earlier ones may hang.
+base::Time ConnectionPool::usableFrom(const base::EndpointId &id) const
+{
+    return m_contact.hangsSince(id).value_or(base::Time());
 }
 
 void ConnectionPool::acquireConnection(const base::EndpointId &id, bool isAtMostOnce, base::Time now, const AcquireCallback &callback)
@@ -60,10 +75,15 @@
         return;
     }
     auto &endpoint = it->second;
-    if (const auto connection = takeIdle(endpoint, isAtMostOnce, now)) {
+    const bool mayHang = !endpoint.idle.empty() && endpoint.idle.back().idleSince < usableFrom(id);
+    if (const auto connection = mayHang ? nullptr : takeIdle(endpoint, isAtMostOnce, now)) {
         callback(PooledConnection{id, endpoint.incarnation, connection});
         return;
     }
+    if (m_contact.isUnreachable(id)) {
+        callback(tl::unexpected(AcquireError{AcquireFailure::ConnectFailed}));
+        return;
+    }
     if (endpoint.open >= endpoint.limit && !endpoint.idle.empty()) {
         // The idle connections are too old for this call; a new connection replaces the oldest.
         endpoint.idle.front().connection->close();
@@ -74,7 +94,7 @@
         callback(tl::unexpected(AcquireError{AcquireFailure::LimitReached}));
         return;
     }
-    open(id, endpoint, now, callback);
+    open(id, endpoint, now, false, callback);
 }
 
 net::ClientConnectionPointer ConnectionPool::takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now)
@@ -98,7 +118,7 @@
     return nullptr;
 }
 
-void ConnectionPool::open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, const AcquireCallback &callback)
+void ConnectionPool::open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, bool isProbe, const AcquireCallback &callback)
 {
     ++endpoint.open;
     ++m_openedTotal;
@@ -106,20 +126,85 @@
     const auto address = m_options.addressToConnect ? m_options.addressToConnect(endpoint.address) : endpoint.address;
     net::openConnection(
         m_context, address, now + m_options.connectTimeout,
-        [this, isAlive = m_isAlive, id, incarnation, callback](const tl::expected<net::ClientConnectionPointer, net::ConnectionError> &connection) {
+        [this, isAlive = m_isAlive, id, incarnation, isProbe, callback](const tl::expected<net::ClientConnectionPointer, net::ConnectionError> &connection) {
             if (!*isAlive) {
                 return;
             }
-            m_failures.noteResult(id, connection ? net::ConnectionError::None : connection.error(), base::now());
+            const auto openedAt = base::now();
+            m_failures.noteResult(id, connection ? net::ConnectionError::None : connection.error(), openedAt);
             if (connection) {
+                if (!isProbe) {
+                    m_contact.noteConnected(id, openedAt);
+                }
                 callback(PooledConnection{id, incarnation, *connection});
                 return;
             }
+            const bool isTimeout = connection.error() == net::ConnectionError::TimedOut;
+            m_contact.noteConnectFailed(id, isTimeout ? forwarding::ConnectFailure::TimedOut : forwarding::ConnectFailure::Rejected, openedAt);
             onConnectionClosed(id);
             callback(tl::unexpected(AcquireError{AcquireFailure::ConnectFailed, connection.error()}));
         });
 }
 
+void ConnectionPool::noteSent(const base::EndpointId &id, base::Time now)
+{
+    m_contact.noteSent(id, now);
+}
+
+void ConnectionPool::noteReceived(const base::EndpointId &id, base::Time now)
+{
+    m_contact.noteReceived(id, now);
+}
+
+void ConnectionPool::probeContact(base::Time now)
+{
+    for (const auto &it : m_contact.dueProbes(now)) {
+        probe(it, now);
+    }
+}
+
+void ConnectionPool::probe(const base::EndpointId &id, base::Time now)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    open(id, it->second, now, true, [this](const tl::expected<PooledConnection, AcquireError> &pooled) {
+        if (!pooled) {
+            return;
+        }
+        // A connection may be established and then reset on its way.
+        daemon::callAt(m_context, base::now() + m_options.settleTime, [this, isAlive = m_isAlive, pooled = *pooled] {
+            if (*isAlive) {
+                endProbe(pooled, base::now());
+            } else {
+                pooled.connection->close();
+            }
+        });
+    });
+}
+
+/// A connection that is still open is kept for the next call.
+void ConnectionPool::endProbe(const PooledConnection &pooled, base::Time now)
+{
+    if (pooled.connection->isIdle()) {
+        m_contact.noteConnected(pooled.endpoint, now);
+    } else {
+        m_contact.noteConnectFailed(pooled.endpoint, forwarding::ConnectFailure::Rejected, now);
+    }
+    returnConnection(pooled, std::nullopt, now);
+}
+
+void ConnectionPool::noteLostUnanswered(const base::EndpointId &id, base::Time now)
+{
+    m_contact.noteConnectFailed(id, forwarding::ConnectFailure::Rejected, now);
+}
+
+const forwarding::EndpointContact &ConnectionPool::contact() const
+{
+    return m_contact;
+}
+
 void ConnectionPool::returnConnection(const PooledConnection &pooled, std::optional<base::Duration> idleTimeout, base::Time now)
 {
     const auto it = m_endpoints.find(pooled.endpoint);
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -16,10 +16,17 @@
 constexpr int FirstFailureStatus = 500;
 constexpr auto MinDeferrableObjective = std::chrono::milliseconds(1000);
 
-base::Time finalDeadline(const routes::Route &route, const Call &call, base::Time now)
+base::Time finalDeadline(const routes::Route &route, const Call &call, const std::optional<CallLimits> &limits, base::Time now)
 {
     const auto timeout = route.timeout.count() > 0 ? route.timeout : base::Duration(std::chrono::minutes(1));
-    return now + std::min(timeout, call.callerTimeout.value_or(timeout));
+    const auto deadline = now + std::min(timeout, call.callerTimeout.value_or(timeout));
+    return limits ? std::min(deadline, limits->deadline) : deadline;
+}
+
+std::uint32_t maxSends(const routes::Route &route, const std::optional<CallLimits> &limits)
+{
+    const auto n = std::max(1U, route.sendLimit);
+    return limits ? std::min(n, limits->maxSends) : n;
 }
 
 } // namespace
@@ -30,7 +37,7 @@
 }
 
 ForwardedCall::ForwardedCall(Forwarder &forwarder, net::ExchangePointer exchange, Call call, std::shared_ptr<const routes::RouteTable> routes,
-                             const routes::Route &route, base::Time now)
+                             const routes::Route &route, const std::optional<CallLimits> &limits, base::Time now)
     : m_forwarder(forwarder)
     , m_callsInProgress(forwarder.m_callsInProgress)
     , m_exchange(std::move(exchange))
@@ -40,10 +47,11 @@
     , m_route(route)
     , m_service(routes::chooseService(route, m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall))
     , m_arrivedAt(now)
-    , m_attempts(route.kind, std::max(1U, route.sendLimit), finalDeadline(route, m_call, now))
+    , m_attempts(route.kind, maxSends(route, limits), finalDeadline(route, m_call, limits, now))
     , m_lastEvent(m_call.lastEventId)
     , m_deadlineTimer(forwarder.m_dependencies.context)
     , m_overlapTimer(forwarder.m_dependencies.context)
+    , m_isFromPeer(limits.has_value())
 {
     const auto &services = m_routes->configuration().services;
     const auto spec = services.find(m_service);
@@ -61,7 +69,9 @@
 void ForwardedCall::start()
 {
     m_exchange->setOnClosed([self = Pointer(this)] { self->handleCallerDisconnect(); });
-    m_forwarder.recordDemand(m_service, m_call);
+    if (!m_isFromPeer) {
+        m_forwarder.recordDemand(m_service, m_call);
+    }
     armDeadlineTimer();
     if (isResumption()) {
         findOrigin();
@@ -184,11 +194,16 @@
         return;
     }
     auto excluded = m_excludedEndpoints;
+    const auto &contact = m_forwarder.m_dependencies.pool.contact();
+    bool isAnyUnreachable = false; // an endpoint that another daemon may reach
     for (;;) {
         auto request = routeRequest();
         request.excluded = excluded;
         const auto choice = m_forwarder.m_dependencies.router.choose(request, now, m_forwarder.m_dependencies.random);
         if (!choice) {
+            if (isAnyUnreachable && forwardToPeer()) {
+                return;
+            }
             if (choice.error().reason == routing::NoRouteReason::Paused) {
                 waitForPauseEnd(choice.error().retryAt);
                 return;
@@ -198,6 +213,9 @@
             return;
         }
         if (wouldAnswerTooLate(*choice)) {
+            if (contact.unreachableCount() > 0 && forwardToPeer()) {
+                return;
+            }
             waitForEndpoint(forwarding::WaitCause::Full);
             return;
         }
@@ -207,6 +225,7 @@
             startAttempt(*choice);
             return;
         }
+        isAnyUnreachable = isAnyUnreachable || contact.isUnreachable(choice->endpoint);
         excluded.push_back(choice->endpoint);
     }
 }
@@ -433,6 +452,11 @@
         armDeadlineTimer();
         return;
     }
+    if (m_peerForward) {
+        m_attempts.recordEnd(SendResult::Silent);
+        reject(RejectionReason::TimedOut);
+        return;
+    }
     if (!m_attempt) {
         rejectAfter(m_attempts.finalStep(now));
         return;
@@ -467,6 +491,10 @@
     }
     m_silentAttempt.reset();
     m_attempt.reset();
+    if (m_peerForward) {
+        m_peerForward->cancel();
+    }
+    m_peerForward.reset();
     m_exchange.reset();
 }
 
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -43,7 +43,7 @@
 {
 public:
     ForwardedCall(Forwarder &forwarder, net::ExchangePointer exchange, Call call, std::shared_ptr<const routes::RouteTable> routes, const routes::Route &route,
-                  base::Time now);
+                  const std::optional<CallLimits> &limits, base::Time now);
     ~ForwardedCall();
 
     /// @brief Starts the first attempt, or waits for an endpoint.
@@ -104,6 +104,10 @@
     void respondToCaller(net::HttpResponse response);
     void reject(RejectionReason reason);
     void rejectAfter(forwarding::NextStep step);
+    bool forwardToPeer();
+    void handlePeerHead(PeerForwardHead head);
+    void handlePeerBody(std::string body);
+    void handlePeerEnd(PeerForwardEnd end);
     void handleCallerDisconnect();
     void handleDeadline();
     void armDeadlineTimer();
@@ -142,6 +146,11 @@
     std::vector<base::EndpointId> m_excludedEndpoints; ///< endpoints of earlier attempts
     RejectionReason m_pendingRejection = RejectionReason::NoEndpoint;
     std::uint64_t m_attemptNumber = 0;
+    std::shared_ptr<PeerForward> m_peerForward; ///< in progress
+    std::optional<PeerForwardHead> m_peerHead;
+    std::string m_peerBody; ///< of a response that is returned as a whole
+    bool m_isFromPeer = false; ///< forwarded by another daemon, and so not to be forwarded again
+    bool m_isForwarded = false; ///< has been forwarded to a peer
     bool m_isStreaming = false; ///< the response head has been sent to the caller
     bool m_isTrial = false; ///< of a content that is refused otherwise
     bool m_isFinished = false;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -75,6 +75,7 @@
     send.onEnd = [self, number](net::SendOutcome outcome) {
         self->handleAttemptEnd(number, outcome);
     };
+    m_forwarder.m_dependencies.pool.noteSent(pooled.endpoint, now);
     pooled.connection->send(std::move(send));
 }
 
@@ -204,6 +205,7 @@
     if (attempt == nullptr) {
         return net::HeaderAction::Accept;
     }
+    m_forwarder.m_dependencies.pool.noteReceived(attempt->choice.endpoint, base::now());
     auto head = m_forwarder.m_dependencies.wire.decodeResponseHead(status, headers);
     if (!head.callId.empty() && head.callId != m_call.id) {
         telemetry::log(LogLevel::Warning, "requests", "skipped a late answer to another request",
@@ -228,6 +230,7 @@
     if (attempt == nullptr) {
         return;
     }
+    m_forwarder.m_dependencies.pool.noteReceived(attempt->choice.endpoint, base::now());
     if (!attempt->isRelaying) {
         attempt->body.append(chunk);
         return;
@@ -329,6 +332,9 @@
     if (isBrokenOff || outcome == net::SendOutcome::ConnectionLost) {
         recordEndpointLoss(*attempt);
     }
+    if (outcome == net::SendOutcome::ConnectionLost && !attempt->head) {
+        m_forwarder.m_dependencies.pool.noteLostUnanswered(attempt->choice.endpoint, base::now());
+    }
     // A stream that ends with its connection may have been broken off between two events.
     if (!failure && (outcome == net::SendOutcome::Complete || !attempt->isRelaying)) {
         recordProof(*attempt);
@@ -416,6 +422,9 @@
         return;
     }
     m_pendingRejection = RejectionReason::RejectedByEndpoints;
+    if (end == SendResult::NotSent && step == NextStep::RejectNotRun && forwardToPeer()) {
+        return;
+    }
     rejectAfter(step);
 }
 
--- /dev/null
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -0,0 +1,117 @@
+#include "forwardedcall.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "turmericplank/telemetry/log.hpp"
+
+namespace turmericplank::gateway {
+
+namespace {
+
+using forwarding::SendResult;
+using telemetry::LogLevel;
+
+constexpr int FirstFailureStatus = 500;
+
+} // namespace
+
+/// Forwards the call to a daemon that may reach endpoints which this one does not reach.
+/// @return false if that is not possible
+bool ForwardedCall::forwardToPeer()
+{
+    const bool mayRunThere = !m_attempts.mayHaveRun() || m_route.kind.mayRunAgain();
+    const auto sendsLeft = m_attempts.sendsLeft();
+    if (m_isFromPeer || m_isForwarded || m_isStreaming || !mayRunThere || sendsLeft == 0) {
+        return false;
+    }
+    // The peer may be lost after this daemon, so the callbacks keep the call.
+    const auto guard = [self = Pointer(this), isAlive = m_forwarder.m_isAlive] {
+        return *isAlive && !self->m_isFinished;
+    };
+    PeerForwardCallbacks callbacks;
+    callbacks.onHead = [self = this, guard](PeerForwardHead head) {
+        if (guard()) {
+            self->handlePeerHead(std::move(head));
+        }
+    };
+    callbacks.onBody = [self = this, guard](std::string body) {
+        if (guard()) {
+            self->handlePeerBody(std::move(body));
+        }
+    };
+    callbacks.onEnd = [self = this, guard](PeerForwardEnd end) {
+        if (guard()) {
+            self->handlePeerEnd(end);
+        }
+    };
+    const auto &dependencies = m_forwarder.m_dependencies;
+    const PeerForwardRequest request{m_exchange->request(), m_routes->configuration().revision, m_attempts.deadline(), sendsLeft};
+    auto peerForward = dependencies.forwardToPeer(request, std::move(callbacks));
+    if (!peerForward) {
+        return false;
+    }
+    unlink();
+    m_attempt.reset();
+    m_isForwarded = true;
+    m_peerForward = std::move(peerForward);
+    if (m_forwarder.m_peerLineBudget.tryAcquire(base::now())) {
+        telemetry::log(LogLevel::Info, "requests", "forwards to a peer",
+                       {{"request", m_call.id},
+                        {"work", m_qualifiedModel.text()},
+                        {"unreachable", std::uint64_t(dependencies.pool.contact().unreachableCount())},
+                        {"endpoints", std::uint64_t(dependencies.siteState.endpoints().size())},
+                        {"sends", static_cast<int>(m_attempts.sends())},
+                        {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())}});
+    }
+    return true;
+}
+
+void ForwardedCall::handlePeerHead(PeerForwardHead head)
+{
+    if (!head.isStream) {
+        m_peerHead = std::move(head);
+        return;
+    }
+    m_isStreaming = true;
+    m_firstEventAt = base::now();
+    m_lastEventAt = m_firstEventAt;
+    m_exchange->startStream(head.status, std::move(head.headers));
+}
+
+void ForwardedCall::handlePeerBody(std::string body)
+{
+    if (!m_isStreaming) {
+        m_peerBody += body;
+        return;
+    }
+    const auto now = base::now();
+    m_maxEventGap = std::max(m_maxEventGap, now - std::exchange(m_lastEventAt, now));
+    m_exchange->writeChunk(std::move(body));
+}
+
+void ForwardedCall::handlePeerEnd(PeerForwardEnd end)
+{
+    m_peerForward.reset();
+    switch (end) {
+    case PeerForwardEnd::NotProcessed:
+        waitForEndpoint(forwarding::WaitCause::Full);
+        return;
+    case PeerForwardEnd::Unknown:
+        m_attempts.recordEnd(SendResult::Lost);
+        reject(RejectionReason::OutcomeUnknown);
+        return;
+    case PeerForwardEnd::Complete:
+        break;
+    }
+    if (m_isStreaming) {
+        m_exchange->endStream();
+        finish("answered_by_peer");
+        return;
+    }
+    const auto status = m_peerHead->status;
+    m_exchange->respond({status, std::move(m_peerHead->headers), std::move(m_peerBody)});
+    finish(status < FirstFailureStatus ? "answered_by_peer" : "failed_at_peer");
+}
+
+} // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -12,6 +12,7 @@
     , m_bounds(bounds)
     , m_options(options)
     , m_answeredLineBudget(options.maxAnsweredLinesPerSecond)
+    , m_peerLineBudget(options.maxAnsweredLinesPerSecond)
     , m_waitingCalls(std::make_unique<WaitingList>())
 {
 }
@@ -25,7 +26,7 @@
     }
 }
 
-void Forwarder::handleCall(const net::ExchangePointer &exchange)
+void Forwarder::handleCall(const net::ExchangePointer &exchange, const std::optional<CallLimits> &limits)
 {
     const auto &request = exchange->request();
     auto call = m_dependencies.wire.decodeCall(request);
@@ -44,10 +45,15 @@
         exchange->respond(m_dependencies.wire.makeRejection({reason, retryAfter}));
         return;
     }
-    const boost::intrusive_ptr<ForwardedCall> forwardedCall(new ForwardedCall(*this, exchange, std::move(call), routes, *route, base::now()));
+    const boost::intrusive_ptr<ForwardedCall> forwardedCall(new ForwardedCall(*this, exchange, std::move(call), routes, *route, limits, base::now()));
     forwardedCall->start();
 }
 
+bool Forwarder::acceptsCalls() const
+{
+    return !m_isRejectingNewCalls && m_dependencies.siteState.routes();
+}
+
 void Forwarder::rejectNewCalls()
 {
     m_isRejectingNewCalls = true;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "turmericplank/gateway/endpointsmessage.hpp"
 #include "turmericplank/gateway/entryselection.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
+#include "turmericplank/gateway/peerforwarder.hpp"
 #include "turmericplank/gateway/peers.hpp"
 #include "turmericplank/gateway/placementrunner.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
@@ -24,6 +25,7 @@
 constexpr const char *EndpointsKind = "gateway/endpoints";
 constexpr const char *ConfigurationKind = "gateway/configuration";
 constexpr const char *CrashesKind = "gateway/crashes";
+constexpr auto ContactInterval = std::chrono::milliseconds(100);
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr auto DirectoryTimeToLive = std::chrono::seconds(1); ///< some callers cache a response for three times as long
@@ -106,6 +108,7 @@
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
         , endpointRefresh(context, siteStore.readEndpoints, [this](const auto &entries) { originExchange.noteEndpoints(entries); })
         , originExchange(context, streamOrigins, *mesh, peers, siteStore.table)
+        , peerForwarder(*mesh, peers, forwarder, siteState, pool, metrics, random)
         , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
         callerServer = listen(
@@ -115,6 +118,7 @@
         directoryServer = listen(context, settings.directoryAddress, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
         metricsServer = listen(context, settings.metricsAddress, [this](const net::ExchangePointer &it) { answerMetrics(it); });
         daemon::callEvery(context, ForwarderOptions().waitingRetryInterval, [this] { forwarder.retryWaitingCalls(); });
+        daemon::callEvery(context, ContactInterval, [this] { checkContact(); });
         daemon::callEvery(context, ExpireInterval, [this] {
             router.expire(base::now());
             pool.closeExpired(base::now());
@@ -154,6 +158,7 @@
                 [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
                 [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
                 [this] { return peers.isLeaseHolder(); },
+                [this](const PeerForwardRequest &request, PeerForwardCallbacks callbacks) { return peerForwarder.forward(request, std::move(callbacks)); },
                 [this] { return daemonCount(); },
                 [this] {
                     placementRunner.updateEngines();
@@ -289,6 +294,19 @@
         return peers.otherDaemonCount() + 1;
     }
 
+    /// Peers are told at once, so that they neither forward calls to a daemon that is cut off nor spare one that no longer is.
+    void checkContact()
+    {
+        pool.probeContact(base::now());
+        const auto &contact = pool.contact();
+        if (contact.isCutOff() == std::exchange(isCutOff, contact.isCutOff())) {
+            return;
+        }
+        telemetry::log(isCutOff ? LogLevel::Warning : LogLevel::Info, "endpoints", isCutOff ? "all unreachable" : "some reachable again",
+                       {{"unreachable", std::uint64_t(contact.unreachableCount())}, {"endpoints", std::uint64_t(siteState.endpoints().size())}});
+        peers.sendStatus();
+    }
+
     bool isReady() const
     {
         return !isDraining && siteState.routes() && !siteState.endpoints().empty();
@@ -297,6 +315,7 @@
     void fillStatus(PeerStatus &status)
     {
         status.isReady = isReady();
+        status.isCutOff = isCutOff;
         status.revision = siteState.routes() ? siteState.routes()->configuration().revision : base::Revision();
         status.storeEra = storeEra;
         status.endpointWork = router.ownWork();
@@ -439,6 +458,7 @@
     Peers peers;
     EndpointRefresh endpointRefresh;
     StreamOriginExchange originExchange;
+    PeerForwarder peerForwarder;
     CrashExchange crashExchange;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> readinessServer;
@@ -446,6 +466,7 @@
     std::unique_ptr<net::HttpServer> metricsServer;
     base::StoreEra storeEra; ///< as reported by the store to this daemon
     base::StoreEra registrationEra; ///< latest era that this daemon or a peer has seen, in which its row has been or is being written
+    bool isCutOff = false; ///< this daemon reaches no endpoint, as peers were told
     bool isDraining = false;
     bool isDrained = false;
 };
--- /dev/null
+++ b/src/turmericplank/gateway/peerforwardexchange.cpp
@@ -0,0 +1,82 @@
+#include "peerforwardexchange.hpp"
+
+#include <utility>
+
+#include "turmericplank/gateway/peerforwardmessage.hpp"
+
+namespace turmericplank::gateway {
+
+PeerForwardExchange::PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder)
+    : m_request(std::move(request))
+    , m_responder(std::move(responder))
+{
+    *m_responder.onCancelled = [hasEnded = m_hasEnded] {
+        *hasEnded = true;
+    };
+}
+
+PeerForwardExchange::~PeerForwardExchange()
+{
+    *m_responder.onCancelled = nullptr;
+    abort();
+}
+
+const net::HttpRequest &PeerForwardExchange::request() const
+{
+    return m_request;
+}
+
+void PeerForwardExchange::respond(net::HttpResponse response)
+{
+    if (std::exchange(*m_hasEnded, true)) {
+        return;
+    }
+    m_responder.write(headFrame({response.status, std::move(response.headers), false}) + bodyFrame(response.body) + endFrame());
+    m_responder.end();
+}
+
+void PeerForwardExchange::startStream(int status, net::Headers headers)
+{
+    if (!*m_hasEnded) {
+        m_responder.write(headFrame({status, std::move(headers), true}));
+    }
+}
+
+void PeerForwardExchange::writeChunk(std::string chunk)
+{
+    if (!*m_hasEnded && !chunk.empty()) {
+        m_responder.write(bodyFrame(chunk));
+    }
+}
+
+void PeerForwardExchange::endStream()
+{
+    if (!std::exchange(*m_hasEnded, true)) {
+        m_responder.write(endFrame());
+        m_responder.end();
+    }
+}
+
+/// The call may have run, so the peer must not be told that it was not processed: the stream ends without the end of the response.
+void PeerForwardExchange::abort()
+{
+    if (!std::exchange(*m_hasEnded, true)) {
+        m_responder.end();
+    }
+}
+
+std::size_t PeerForwardExchange::queuedBytes() const
+{
+    return 0;
+}
+
+void PeerForwardExchange::setOnClosed(std::function<void()> onClosed)
+{
+    *m_responder.onCancelled = [hasEnded = m_hasEnded, onClosed = std::move(onClosed)] {
+        if (!std::exchange(*hasEnded, true)) {
+            onClosed();
+        }
+    };
+}
+
+} // namespace turmericplank::gateway
--- /dev/null
+++ b/src/turmericplank/gateway/peerforwardexchange.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "turmericplank/net/httpserver.hpp"
+#include "turmericplank/peer/mesh.hpp"
+
+namespace turmericplank::gateway {
+
+/// @brief A call that a peer has forwarded; the response goes back to that peer.
+class PeerForwardExchange final : public net::HttpExchange
+{
+public:
+    PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder);
+    ~PeerForwardExchange() override;
+
+    const net::HttpRequest &request() const override;
+    void respond(net::HttpResponse response) override;
+    void startStream(int status, net::Headers headers) override;
+    void writeChunk(std::string chunk) override;
+    void endStream() override;
+    void abort() override;
+    std::size_t queuedBytes() const override;
+    void setOnClosed(std::function<void()> onClosed) override;
+
+private:
+    net::HttpRequest m_request;
+    peer::PeerResponder m_responder;
+    std::shared_ptr<bool> m_hasEnded = std::make_shared<bool>(false); ///< or the peer has cancelled the call
+};
+
+} // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -419,6 +419,24 @@
     return found;
 }
 
+std::vector<ForwardTarget> Peers::forwardTargets() const
+{
+    std::vector<ForwardTarget> inGroup;
+    std::vector<ForwardTarget> others;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.record) {
+            continue;
+        }
+        const ForwardTarget target{id, peer.record->peerAddress, peer.record->zone == m_self.zone};
+        if (!peer.isInGroup) {
+            others.push_back(target);
+        } else if (!peer.isSilent && peer.status && peer.status->isReady && !peer.status->isDraining && !peer.status->isCutOff) {
+            inGroup.push_back(target);
+        }
+    }
+    return inGroup.empty() ? others : inGroup;
+}
+
 std::optional<base::DaemonId> Peers::leaseHolder() const
 {
     std::optional<base::DaemonId> found;
--- a/src/turmericplank/gateway/peerstatus.cpp
+++ b/src/turmericplank/gateway/peerstatus.cpp
@@ -42,6 +42,7 @@
     status.incarnation = base::Incarnation(json.at("inc").get<std::uint64_t>());
     status.isReady = json.at("ready").get<bool>();
     status.isDraining = json.at("leaving").get<bool>();
+    status.isCutOff = json.value("cut_off", false); // absent in messages of earlier builds
     status.term = base::Term(json.at("term").get<std::uint64_t>());
     status.revision = base::Revision(json.at("rev").get<std::uint64_t>());
     status.storeEra = base::StoreEra(json.value("era", std::uint64_t(0))); // absent in messages of earlier builds
@@ -76,6 +77,9 @@
     Json json{{"from", status.from.text()},  {"inc", status.incarnation.value()}, {"ready", status.isReady}, {"leaving", status.isDraining},
               {"term", status.term.value()}, {"rev", status.revision.value()},    {"work", Json::array()},   {"gone", Json::array()},
               {"engines", Json::array()}};
+    if (status.isCutOff) {
+        json["cut_off"] = true;
+    }
     json["era"] = status.storeEra.value();
     json["peers"] = toString(status.peerAddress);
     json["callers"] = toString(status.callerAddress);
--- a/src/turmericplank/gateway/peerstatus_test.cpp
+++ b/src/turmericplank/gateway/peerstatus_test.cpp
@@ -21,6 +21,8 @@
     status.drainingEndpoints = {{base::EndpointId("e2"), base::Incarnation(4)}};
     status.engines = {{base::EndpointId("e1"), base::Incarnation(5), 6, {{base::ModelName("m"), {"a1", "a2"}}, {base::ModelName("n"), {}}}}};
     CHECK(decodePeerStatus(encode(status)) == status);
+    status.isCutOff = true;
+    CHECK(decodePeerStatus(encode(status)) == status);
     status.demand.emplace();
     CHECK(decodePeerStatus(encode(status)) == status);
     status.demand->models = {{base::ModelName("m"), {10, 2000}}};
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -413,6 +413,7 @@
                 [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { crashHistory.recordLoss(content, loss, base::now()); },
                 [this](requests::Fingerprint content) { crashHistory.recordSharedAnswer(content, base::now()); },
                 [] { return true; },
+                [](const PeerForwardRequest &, const PeerForwardCallbacks &) { return std::shared_ptr<PeerForward>(); },
                 [] { return std::size_t(1); },
                 [] {},
                 [](const base::ServiceName &, const base::ModelName &) {
