A loss of contact to all endpoints does not count as crashes

A loss now counts 20 ms later, unless connections to nearly all endpoints were lost within 10 ms of it.

--- a/include/turmericplank/forwarding/endpointcontact.hpp
+++ b/include/turmericplank/forwarding/endpointcontact.hpp
@@ -2,6 +2,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "turmericplank/base/identifier.hpp"
@@ -23,6 +25,8 @@
     base::Duration maxProbeDelay = std::chrono::milliseconds(800); ///< contact must be regained well within the 3 s that a change of it may take
     base::Duration maxTickGap = std::chrono::milliseconds(300); ///< after a longer gap between two ticks this process itself was paused
     std::size_t maxProbes = 4; ///< started by one tick
+    base::Duration sameMoment = std::chrono::milliseconds(10); ///< between losses by one cause; crashes by one call that is sent again are further apart
+    base::Duration lossMemory = std::chrono::seconds(1); ///< how long losses of connections are remembered
     std::size_t failuresOfAll = 2; ///< endpoints without an answer after which all count as unreachable, if none has been heard meanwhile
 };
 
@@ -45,6 +49,8 @@
     void noteReceived(const base::EndpointId &id, base::Time now);
     void noteConnected(const base::EndpointId &id, base::Time now);
     void noteConnectFailed(const base::EndpointId &id, ConnectFailure failure, base::Time now);
+    /// @brief Notes that an open connection ended without having been closed by this daemon.
+    void noteConnectionLost(const base::EndpointId &id, base::Time now);
 
     /// @brief Endpoints to which a connection is to be opened now, in order to learn whether they can be reached.
     ///
@@ -60,6 +66,11 @@
     /// @brief Whether all endpoints are unreachable; false if there is none.
     bool isCutOff() const;
 
+    /// @brief Whether connections to nearly all endpoints were lost at the same moment, so that the contact was lost rather than an endpoint.
+    /// @param at when one of them was lost; to be asked a moment later, since the others may be noticed after it
+    /// @param connected endpoints to which connections are open when this is asked
+    bool isContactLoss(base::Time at, const std::set<base::EndpointId> &connected) const;
+
     /// @brief Number of endpoints that are unreachable.
     std::size_t unreachableCount() const;
 
@@ -80,6 +91,7 @@
 
     EndpointContactOptions m_options;
     std::map<base::EndpointId, State> m_endpoints;
+    std::vector<std::pair<base::Time, base::EndpointId>> m_losses; ///< of connections, within the memory
     base::Time m_heardAt; ///< when any endpoint sent a byte or accepted a connection
     base::Time m_lastTick;
 };
--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -83,8 +83,12 @@
     /// @brief Notes that bytes of a response came from an endpoint.
     void noteReceived(const base::EndpointId &id, base::Time now);
 
-    /// @brief Notes that a connection ended before any byte of a response came, although the endpoint had accepted it.
-    void noteLostUnanswered(const base::EndpointId &id, base::Time now);
+    /// @brief Notes that a connection ended while it carried a call.
+    /// @param isAnswered whether a response had begun; otherwise the endpoint counts as unreachable although it had accepted the connection
+    void noteConnectionLost(const base::EndpointId &id, bool isAnswered, base::Time now);
+
+    /// @brief Whether a connection that was lost some moments ago was lost with those to nearly all endpoints.
+    bool isContactLoss(base::Time lostAt) const;
 
     /// @brief Opens connections to endpoints whose contact is in doubt; to be called regularly.
     void probeContact(base::Time now);
--- a/src/turmericplank/forwarding/endpointcontact.cpp
+++ b/src/turmericplank/forwarding/endpointcontact.cpp
@@ -52,6 +52,7 @@
     if (it == m_endpoints.end()) {
         return;
     }
+    noteConnectionLost(id, now);
     fail(it->second, failure, now);
     const auto hanging = std::ranges::count_if(m_endpoints, [](const auto &state) { return state.second.failedAt && state.second.isHanging; });
     const auto needed = std::min(m_options.failuresOfAll, m_endpoints.size());
@@ -128,6 +129,26 @@
     }
 }
 
+void EndpointContact::noteConnectionLost(const base::EndpointId &id, base::Time now)
+{
+    std::erase_if(m_losses, [&](const auto &it) { return it.first + m_options.lossMemory < now; });
+    m_losses.emplace_back(now, id);
+}
+
+bool EndpointContact::isContactLoss(base::Time at, const std::set<base::EndpointId> &connected) const
+{
+    constexpr std::size_t MinLosses = 3; ///< two endpoints may crash at the same moment
+    constexpr std::size_t LossesPerConnected = 4;
+    std::set<base::EndpointId> lost;
+    for (const auto &[lostAt, id] : m_losses) {
+        if (lostAt + m_options.sameMoment >= at && lostAt <= at + m_options.sameMoment) {
+            lost.insert(id);
+        }
+    }
+    const auto others = static_cast<std::size_t>(std::ranges::count_if(connected, [&](const auto &it) { return !lost.contains(it); }));
+    return lost.size() >= MinLosses && lost.size() >= others * LossesPerConnected;
+}
+
 bool EndpointContact::isUnreachable(const base::EndpointId &id) const
 {
     const auto it = m_endpoints.find(id);
--- a/src/turmericplank/forwarding/endpointcontact_test.cpp
+++ b/src/turmericplank/forwarding/endpointcontact_test.cpp
@@ -134,3 +134,20 @@
     CHECK(contact.dueProbes(Start + 100ms).size() == 4);
     CHECK(contact.dueProbes(Start + 200ms).size() == 4);
 }
+
+TEST_CASE("connections to all endpoints that are lost at the same moment are a loss of contact, those to few or one after the other are not")
+{
+    auto contact = threeEndpoints();
+    contact.noteConnectionLost(a, Start + 100ms);
+    contact.noteConnectionLost(a, Start + 101ms);
+    contact.noteConnectionLost(b, Start + 102ms);
+    contact.noteConnectionLost(c, Start + 125ms);
+    CHECK_FALSE(contact.isContactLoss(Start + 100ms, {}));
+    CHECK_FALSE(contact.isContactLoss(Start + 125ms, {}));
+    contact.noteConnectionLost(a, Start + 120ms);
+    contact.noteConnectFailed(b, ConnectFailure::Rejected, Start + 133ms);
+    CHECK(contact.isContactLoss(Start + 125ms, {}));
+    CHECK(contact.isContactLoss(Start + 125ms, {a, b, c}));
+    CHECK_FALSE(contact.isContactLoss(Start + 125ms, {base::EndpointId("d")}));
+    CHECK_FALSE(contact.isContactLoss(Start + 102ms, {}));
+}
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/gateway/connectionpool.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "turmericplank/daemon/timers.hpp"
@@ -195,9 +196,24 @@
     returnConnection(pooled, std::nullopt, now);
 }
 
-void ConnectionPool::noteLostUnanswered(const base::EndpointId &id, base::Time now)
+void ConnectionPool::noteConnectionLost(const base::EndpointId &id, bool isAnswered, base::Time now)
 {
-    m_contact.noteConnectFailed(id, forwarding::ConnectFailure::Rejected, now);
+    if (isAnswered) {
+        m_contact.noteConnectionLost(id, now);
+    } else {
+        m_contact.noteConnectFailed(id, forwarding::ConnectFailure::Rejected, now);
+    }
+}
+
+bool ConnectionPool::isContactLoss(base::Time lostAt) const
+{
+    std::set<base::EndpointId> connected;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.open > 0) {
+            connected.insert(id);
+        }
+    }
+    return m_contact.isContactLoss(lostAt, connected);
 }
 
 const forwarding::EndpointContact &ConnectionPool::contact() const
@@ -231,6 +247,7 @@
     }
     const auto n = std::erase_if(it->second.idle, [connection](const auto &idle) { return idle.connection.get() == connection; });
     if (n > 0) {
+        m_contact.noteConnectionLost(id, base::now());
         onConnectionClosed(id);
     }
 }
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -332,8 +332,8 @@
     if (isBrokenOff || outcome == net::SendOutcome::ConnectionLost) {
         recordEndpointLoss(*attempt);
     }
-    if (outcome == net::SendOutcome::ConnectionLost && !attempt->head) {
-        m_forwarder.m_dependencies.pool.noteLostUnanswered(attempt->choice.endpoint, base::now());
+    if (outcome == net::SendOutcome::ConnectionLost) {
+        m_forwarder.m_dependencies.pool.noteConnectionLost(attempt->choice.endpoint, attempt->head.has_value(), base::now());
     }
     // A stream that ends with its connection may have been broken off between two events.
     if (!failure && (outcome == net::SendOutcome::Complete || !attempt->isRelaying)) {
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -25,6 +25,7 @@
 constexpr const char *EndpointsKind = "gateway/endpoints";
 constexpr const char *ConfigurationKind = "gateway/configuration";
 constexpr const char *CrashesKind = "gateway/crashes";
+constexpr auto LossDelay = std::chrono::milliseconds(20); ///< until losses of the same moment are noticed
 constexpr auto ContactInterval = std::chrono::milliseconds(100);
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
@@ -155,7 +156,7 @@
                 crashHistory,
                 [this](auto onDone) { refreshVersions(std::move(onDone)); },
                 [this](forwarding::CallDigest call, auto onDone) { originExchange.findRemote(call, std::move(onDone)); },
-                [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { recordEndpointLoss(content, loss); },
+                [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { noteEndpointLoss(content, loss); },
                 [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
                 [this] { return peers.isLeaseHolder(); },
                 [this](const PeerForwardRequest &request, PeerForwardCallbacks callbacks) { return peerForwarder.forward(request, std::move(callbacks)); },
@@ -267,6 +268,19 @@
         }
     }
 
+    /// A loss counts a moment later, unless connections to nearly all other endpoints were lost with it: then the contact was lost, and no call is to
+    /// blame for that here or at other daemons.
+    void noteEndpointLoss(requests::Fingerprint content, const requests::EndpointLoss &loss)
+    {
+        daemon::callAt(context, base::now() + LossDelay, [this, content, loss, lostAt = base::now()] {
+            if (pool.isContactLoss(lostAt)) {
+                metrics.count("losses_of_contact_total");
+            } else {
+                recordEndpointLoss(content, loss);
+            }
+        });
+    }
+
     /// Daemons that are not heard may have written rows.
     void recordEndpointLoss(requests::Fingerprint content, const requests::EndpointLoss &loss)
     {
