A resumable stream is sent only to the incarnation of an endpoint's entry

Callers may have got events of two software versions in one stream: an endpoint that starts again under its id with another version was taken for the old one until its new entry was read. Until then a stream of the old version was sent to the process that runs the new one, and a stream that began there was remembered for the old version.

Cause: the version of a call's endpoint is the one of the entry, and nothing ties the connection to the incarnation of that entry.

Change: while a service counts as mixed, and for calls that are bound to a version, a resumable stream goes to an engine only over a connection on which the engine has said that it is that incarnation (gateway/incarnationcheck, 200 ms). A connection is asked once, also if it was opened before the service was mixed. After another incarnation or no answer the connection is closed and the attempt ends as not sent. The pool remembers another incarnation until the next entry, so that the endpoint gets no further such calls; it is logged once and one read of the entries is requested. Calls that begin while one version serves are sent as before.

The port of the tests' sites stands in testsite.hpp, since two files use it now.

What remains: a stream that begins at such an endpoint while the service does not count as mixed yet is still remembered for the old version.

--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -31,6 +31,7 @@
     base::EndpointId endpoint;
     base::Incarnation incarnation;
     net::ClientConnectionPointer connection;
+    bool isVerified = false; ///< the endpoint has said over it that it is this incarnation
 };
 
 /// @brief Why the pool provides no connection.
@@ -66,6 +67,13 @@
     /// @param idleTimeout the endpoint's idle timeout, if it announced one
     void returnConnection(const PooledConnection &pooled, std::optional<base::Duration> idleTimeout, base::Time now);
 
+    /// @brief Applies that an endpoint has said over a connection that it is another incarnation than the one set.
+    /// @return whether this was not known
+    bool noteOtherIncarnation(const PooledConnection &pooled);
+
+    /// @brief Whether an endpoint is known to be another incarnation than the one set, until the next one is set.
+    bool isOtherIncarnation(const base::EndpointId &id) const;
+
     /// @brief Closes connections that have been idle for too long.
     void closeExpired(base::Time now);
 
@@ -81,6 +89,7 @@
         net::ClientConnectionPointer connection;
         base::Time idleSince;
         base::Time usableUntil;
+        bool isVerified = false;
     };
 
     struct Endpoint
@@ -90,10 +99,11 @@
         std::uint32_t limit = 1;
         std::uint32_t open = 0;
         bool wasRemoved = false;
+        bool isOtherIncarnation = false; ///< by its own statement
         std::vector<Idle> idle; ///< the most recently used one is last
     };
 
-    net::ClientConnectionPointer takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now);
+    std::optional<Idle> takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now);
     void closeIdle(Endpoint &endpoint);
     void open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, const AcquireCallback &callback);
     void removeIdle(const base::EndpointId &id, const net::ClientConnection *connection);
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -43,6 +43,7 @@
     double promptTokenMilliseconds = 0.034; ///< engine time, at about 30 prompt tokens per millisecond
     double answerTokenMilliseconds = 0.15; ///< engine time with a batch of about 40 requests
     base::Duration crashTime = std::chrono::milliseconds(500); ///< from a call's first event to a crash that the call itself may have caused
+    base::Duration incarnationTimeout = std::chrono::milliseconds(200); ///< of an engine's answer for its incarnation; its calls do not delay it
     base::Duration originMargin = std::chrono::seconds(5); ///< how long the origin of a stream is kept after its call's deadline
     std::uint32_t maxAnsweredLinesPerSecond = 100; ///< log lines for answered calls; lines for other calls are not limited here
     forwarding::RetryDelayOptions retryDelay;
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/gateway/connectionpool.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericplank::gateway {
 
@@ -23,6 +24,7 @@
     auto &endpoint = m_endpoints[id];
     if (endpoint.address != address || endpoint.incarnation != incarnation) {
         closeIdle(endpoint);
+        endpoint.isOtherIncarnation = false;
     }
     endpoint.address = address;
     endpoint.incarnation = incarnation;
@@ -57,8 +59,8 @@
         return;
     }
     auto &endpoint = it->second;
-    if (const auto connection = takeIdle(endpoint, isAtMostOnce, now)) {
-        callback(PooledConnection{id, endpoint.incarnation, connection});
+    if (const auto idle = takeIdle(endpoint, isAtMostOnce, now)) {
+        callback(PooledConnection{id, endpoint.incarnation, idle->connection, idle->isVerified});
         return;
     }
     if (endpoint.open >= endpoint.limit && !endpoint.idle.empty()) {
@@ -74,25 +76,24 @@
     open(id, endpoint, now, callback);
 }
 
-net::ClientConnectionPointer ConnectionPool::takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now)
+std::optional<ConnectionPool::Idle> ConnectionPool::takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now)
 {
     while (!endpoint.idle.empty()) {
-        const auto &latest = endpoint.idle.back();
+        const auto latest = endpoint.idle.back();
         const bool isTooOldForAtMostOnce = isAtMostOnce && now > latest.idleSince + m_options.maxIdleTimeAtMostOnce;
         if (isTooOldForAtMostOnce) {
-            return nullptr;
+            return std::nullopt;
         }
-        const auto connection = latest.connection;
-        const bool isUsable = now < latest.usableUntil && connection->isIdle();
+        const bool isUsable = now < latest.usableUntil && latest.connection->isIdle();
         endpoint.idle.pop_back();
-        connection->setOnIdleClose(nullptr);
+        latest.connection->setOnIdleClose(nullptr);
         if (isUsable) {
-            return connection;
+            return latest;
         }
-        connection->close();
+        latest.connection->close();
         --endpoint.open;
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 void ConnectionPool::open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, const AcquireCallback &callback)
@@ -124,7 +125,7 @@
         return;
     }
     const auto announced = std::chrono::duration_cast<base::Duration>(idleTimeout.value_or(m_options.maxIdleTime) * m_options.idleTimeoutShare);
-    it->second.idle.push_back({pooled.connection, now, now + std::min(announced, m_options.maxIdleTime)});
+    it->second.idle.push_back({pooled.connection, now, now + std::min(announced, m_options.maxIdleTime), pooled.isVerified});
     pooled.connection->setOnIdleClose([this, isAlive = m_isAlive, id = pooled.endpoint, connection = pooled.connection.get()] {
         if (*isAlive) {
             removeIdle(id, connection);
@@ -132,6 +133,19 @@
     });
 }
 
+bool ConnectionPool::noteOtherIncarnation(const PooledConnection &pooled)
+{
+    const auto it = m_endpoints.find(pooled.endpoint);
+    const bool isSet = it != m_endpoints.end() && it->second.incarnation == pooled.incarnation;
+    return isSet && !std::exchange(it->second.isOtherIncarnation, true);
+}
+
+bool ConnectionPool::isOtherIncarnation(const base::EndpointId &id) const
+{
+    const auto it = m_endpoints.find(id);
+    return it != m_endpoints.end() && it->second.isOtherIncarnation;
+}
+
 void ConnectionPool::removeIdle(const base::EndpointId &id, const net::ClientConnection *connection)
 {
     const auto it = m_endpoints.find(id);
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -207,7 +207,7 @@
             waitForEndpoint(forwarding::WaitCause::Full);
             return;
         }
-        if (m_forwarder.m_dependencies.pool.hasFreeConnection(choice->endpoint)) {
+        if (hasUsableConnection(choice->endpoint)) {
             unlink();
             m_forwarder.m_dependencies.router.noteSent(*choice, request, now);
             startAttempt(*choice);
@@ -338,6 +338,10 @@
         finishAttempt(SendResult::NotSent);
         return;
     }
+    if (dependsOnVersion() && !pooled->isVerified) {
+        verifyConnection(number, *std::move(pooled));
+        return;
+    }
     sendRequest(*pooled);
 }
 
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -11,6 +11,7 @@
 #include "turmericplank/forwarding/attempts.hpp"
 #include "turmericplank/forwarding/eventcursor.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
+#include "turmericplank/gateway/incarnationcheck.hpp"
 
 namespace turmericplank::gateway {
 
@@ -75,6 +76,10 @@
     void startAttempt(const routing::Choice &choice);
     void logResumption() const;
     void onConnection(std::uint64_t number, tl::expected<PooledConnection, AcquireFailure> pooled);
+    bool dependsOnVersion() const;
+    bool hasUsableConnection(const base::EndpointId &endpoint) const;
+    void verifyConnection(std::uint64_t number, PooledConnection pooled);
+    void handleVerification(std::uint64_t number, PooledConnection pooled, IncarnationCheck result);
     void sendRequest(const PooledConnection &pooled);
     AttemptHeaders attemptHeaders(base::Time now) const;
     base::Time silenceDeadline(const CallAttempt &attempt, base::Time now) const;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -119,8 +119,7 @@
     auto request = routeRequest();
     request.excluded.push_back(m_attempt->choice.endpoint);
     const auto choice = dependencies.router.choose(request, now, dependencies.random);
-    const bool isAvailable =
-        choice && dependencies.pool.hasFreeConnection(choice->endpoint) && choice->expectedFirstToken < m_forwarder.m_options.minEventTimeout;
+    const bool isAvailable = choice && hasUsableConnection(choice->endpoint) && choice->expectedFirstToken < m_forwarder.m_options.minEventTimeout;
     if (!isAvailable || !(isBudgetUsed || m_forwarder.consumeRetryBudget(m_service, now))) {
         return;
     }
--- a/src/turmericplank/gateway/forwarder_test.cpp
+++ b/src/turmericplank/gateway/forwarder_test.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include "testsite.hpp"
 
@@ -16,7 +15,6 @@
 
 namespace {
 
-const auto firstPort = static_cast<std::uint16_t>(28000 + 2 * (getpid() % 1000)); ///< keeps parallel runs apart
 constexpr std::uint16_t RawPortOffset = 2100; ///< beyond the ports of all runs
 // An endpoint counts as silent after 100 ms.
 constexpr auto ShortInterval = std::chrono::milliseconds(5);
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <unistd.h>
 
 #include "turmericplank/gateway/forwarder.hpp"
 #include "turmericplank/net/httpserver.hpp"
@@ -118,6 +119,9 @@
     return {{EngineStep::Kind::Noise, pause, std::move(bytes)}};
 }
 
+inline const auto firstPort = static_cast<std::uint16_t>(28000 + 2 * (getpid() % 1000)); ///< of a site; keeps parallel runs apart
+constexpr std::string_view StateTarget = "/state"; ///< of the request for an engine's state; the answer is its incarnation
+
 /// @brief An engine that plays a script for each call that it gets, one script after the other.
 class ScriptedEngine
 {
@@ -144,7 +148,7 @@
         it.zone = base::ZoneName(m_id);
         it.softwareVersion = softwareVersion;
         it.slots = 16;
-        it.incarnation = base::Incarnation(1);
+        it.incarnation = base::Incarnation(incarnation);
         it.models[base::ModelName("m")];
         return it;
     }
@@ -152,6 +156,9 @@
     std::vector<std::vector<EngineStep>> scripts; ///< of the next calls; without one, a call is rejected
     std::vector<std::string> received; ///< Last-Event-Id of each call, empty if it had none
     int abandoned = 0; ///< calls whose connection was closed before the end of their script
+    std::uint64_t incarnation = 1;
+    bool answersStateRequests = true;
+    int stateRequests = 0;
 
 private:
     struct Run
@@ -166,6 +173,10 @@
 
     void handleCall(const net::ExchangePointer &exchange)
     {
+        if (exchange->request().target == StateTarget) {
+            answerStateRequest(exchange);
+            return;
+        }
         const std::string last(header(exchange->request().headers, "Last-Event-Id"));
         const auto run = std::make_shared<Run>();
         run->exchange = exchange;
@@ -179,6 +190,16 @@
         play(run);
     }
 
+    void answerStateRequest(const net::ExchangePointer &exchange)
+    {
+        ++stateRequests;
+        if (answersStateRequests) {
+            exchange->respond({200, {}, std::to_string(incarnation)});
+        } else {
+            m_unanswered.push_back(exchange);
+        }
+    }
+
     net::Headers headers(const Run &run) const
     {
         return {{"Request-Id", std::string(header(run.exchange->request().headers, "Request-Id"))}, {"Server-Seal", m_id}};
@@ -245,6 +266,7 @@
     boost::asio::io_context &m_context;
     std::string m_id;
     std::uint16_t m_port;
+    std::vector<net::ExchangePointer> m_unanswered;
     std::unique_ptr<net::HttpServer> m_server;
 };
 
@@ -292,6 +314,14 @@
         const bool mayHaveRun = rejection.reason == RejectionReason::OutcomeUnknown || rejection.reason == RejectionReason::TimedOut;
         return net::HttpResponse{mayHaveRun ? 502 : 503, {}, std::string(toString(rejection.reason))};
     };
+    wire.makeStateRequest = [] {
+        return net::HttpRequest{"GET", std::string(StateTarget), {}, {}};
+    };
+    wire.decodeState = [](const net::HttpResponse &response) {
+        placement::EngineState state;
+        state.incarnation = base::Incarnation(response.status == 200 ? std::stoull(response.body) : 0);
+        return response.status == 200 ? std::optional(state) : std::nullopt;
+    };
     return wire;
 }
 
@@ -369,6 +399,11 @@
         return m_forwarder.callsInProgress();
     }
 
+    std::size_t openConnections() const
+    {
+        return m_pool.openConnectionCount();
+    }
+
 private:
     static std::shared_ptr<routes::SiteConfiguration> configuration(std::uint32_t sendLimit)
     {
@@ -405,7 +440,10 @@
                 m_random,
                 m_streamOrigins,
                 crashHistory,
-                [](const std::function<void(bool)> &callback) { callback(true); },
+                [this](const std::function<void(bool)> &callback) {
+                    ++refreshes;
+                    callback(true);
+                },
                 [this](forwarding::CallDigest call, const std::function<void(std::optional<std::string>)> &callback) {
                     const auto it = remoteOrigins.find(call);
                     callback(it == remoteOrigins.end() ? std::nullopt : std::optional(it->second));
@@ -450,6 +488,7 @@
     ScriptedEngine b;
     std::map<forwarding::CallDigest, std::string> remoteOrigins; ///< known to daemons that are asked
     requests::CrashHistory crashHistory{crashHistoryOptions()};
+    int refreshes = 0; ///< requests for a read of the entries
 
 private:
     WireFormat m_wire = testWireFormat();
