--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -219,7 +219,7 @@
             waitForEndpoint(forwarding::WaitCause::Full);
             return;
         }
-        if (m_forwarder.m_dependencies.pool.hasFreeConnection(choice->endpoint)) {
+        if (hasUsableConnection(choice->endpoint)) {
             unlink();
             m_forwarder.m_dependencies.router.noteSent(*choice, request, now);
             startAttempt(*choice);
@@ -351,6 +351,10 @@
         finishAttempt(SendResult::NotSent);
         return;
     }
+    if (dependsOnVersion() && !pooled->isVerified) {
+        verifyConnection(number, *std::move(pooled));
+        return;
+    }
     sendRequest(*pooled);
 }
 
