Losses of connections to endpoints that go on answering don't count as crashes

Cause: a lost connection counts as a crash of the endpoint. A daemon that was cut off from all endpoints blamed the contents and the parts of prompts that it had sent meanwhile, told its peers, and all daemons refused them for 4 s, although the endpoints ran on.

Change: a daemon that gets an answer of an endpoint which was said to be lost clears these losses, and tells the others as it does for an answered content. Only the same incarnation counts, on a connection from before the loss was known, and a call that was sent after it was known or bytes that come a second later. What a cut-off daemon says lasts only until a peer hears from the endpoints.

--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -31,6 +31,7 @@
     base::EndpointId endpoint;
     base::Incarnation incarnation;
     net::ClientConnectionPointer connection;
+    base::Time openedAt;
 };
 
 /// @brief Why the pool provides no connection.
@@ -79,6 +80,7 @@
     struct Idle
     {
         net::ClientConnectionPointer connection;
+        base::Time openedAt;
         base::Time idleSince;
         base::Time usableUntil;
     };
@@ -93,7 +95,7 @@
         std::vector<Idle> idle; ///< the most recently used one is last
     };
 
-    net::ClientConnectionPointer takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now);
+    std::optional<Idle> takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now);
     void closeIdle(Endpoint &endpoint);
     void open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, const AcquireCallback &callback);
     void removeIdle(const base::EndpointId &id, const net::ClientConnection *connection);
--- a/include/turmericplank/requests/crashhistory.hpp
+++ b/include/turmericplank/requests/crashhistory.hpp
@@ -26,6 +26,14 @@
     friend bool operator==(const ContentLosses &, const ContentLosses &) = default;
 };
 
+/// @brief An answer, or a part of one, that an endpoint has just sent.
+struct SignOfLife
+{
+    EndpointLoss endpoint; ///< and its incarnation
+    base::Time connectedAt; ///< when the connection was opened
+    base::Time sentAt; ///< when the call was sent
+};
+
 /// @brief Limits of CrashHistory.
 struct CrashHistoryOptions
 {
@@ -38,6 +46,7 @@
     base::Duration lifetime = std::chrono::minutes(10); ///< of what is known of a content, from its last change
     base::Duration trialDelay = std::chrono::seconds(4); ///< from the last loss until a refused content is tried again
     std::int64_t trialDelayFactor = 5; ///< by which the delay grows with each trial; two trials in the first minute
+    base::Duration inFlightTime = std::chrono::seconds(1); ///< in which bytes that an endpoint sent before it was lost may still arrive
     base::Duration repeatTime = std::chrono::seconds(5); ///< in which a change is sent again; a silent connection is noticed earlier
 };
 
@@ -59,6 +68,9 @@
     /// @brief Records that a content which many requests share was answered, and remembers it as proven.
     void recordSharedAnswer(Fingerprint content, base::Time now);
 
+    /// @brief Records that an endpoint answers: if it was thought lost before, only connections to it were, and its losses don't count.
+    void recordSignOfLife(const SignOfLife &sign, base::Time now);
+
     /// @brief Merges what another daemon or an earlier one knew.
     void merge(const std::vector<ContentLosses> &contents, base::Time now);
 
@@ -119,6 +131,7 @@
 
     Entry &touch(Fingerprint content, base::Time now);
     void mergeInto(const ContentLosses &content, base::Time now);
+    void noteNewLosses(const std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known, base::Time now);
     void limitLosses(std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known) const;
     static std::size_t countedLosses(const Entry &entry);
     base::Duration trialDelay(const Entry &entry) const;
@@ -129,6 +142,7 @@
     std::set<std::pair<base::Time, Fingerprint>> m_byExpiry;
     std::set<Fingerprint> m_changed;
     ProvenContents m_proven;
+    std::map<EndpointLoss, base::Time> m_lostEndpoints; ///< and when this daemon last learned of a loss; without those that have answered since
 };
 
 } // namespace turmericplank::requests
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -57,8 +57,8 @@
         return;
     }
     auto &endpoint = it->second;
-    if (const auto connection = takeIdle(endpoint, isAtMostOnce, now)) {
-        callback(PooledConnection{id, endpoint.incarnation, connection});
+    if (const auto idle = takeIdle(endpoint, isAtMostOnce, now)) {
+        callback(PooledConnection{id, endpoint.incarnation, idle->connection, idle->openedAt});
         return;
     }
     if (endpoint.open >= endpoint.limit && !endpoint.idle.empty()) {
@@ -74,25 +74,25 @@
     open(id, endpoint, now, callback);
 }
 
-net::ClientConnectionPointer ConnectionPool::takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now)
+std::optional<ConnectionPool::Idle> ConnectionPool::takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now)
 {
     while (!endpoint.idle.empty()) {
         const auto &latest = endpoint.idle.back();
         const bool isTooOldForAtMostOnce = isAtMostOnce && now > latest.idleSince + m_options.maxIdleTimeAtMostOnce;
         if (isTooOldForAtMostOnce) {
-            return nullptr;
+            return std::nullopt;
         }
-        const auto connection = latest.connection;
-        const bool isUsable = now < latest.usableUntil && connection->isIdle();
+        const auto idle = latest;
+        const bool isUsable = now < idle.usableUntil && idle.connection->isIdle();
         endpoint.idle.pop_back();
-        connection->setOnIdleClose(nullptr);
+        idle.connection->setOnIdleClose(nullptr);
         if (isUsable) {
-            return connection;
+            return idle;
         }
-        connection->close();
+        idle.connection->close();
         --endpoint.open;
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 void ConnectionPool::open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, const AcquireCallback &callback)
@@ -106,7 +106,7 @@
                                 return;
                             }
                             if (connection) {
-                                callback(PooledConnection{id, incarnation, connection});
+                                callback(PooledConnection{id, incarnation, connection, base::now()});
                                 return;
                             }
                             onConnectionClosed(id);
@@ -124,7 +124,7 @@
         return;
     }
     const auto announced = std::chrono::duration_cast<base::Duration>(idleTimeout.value_or(m_options.maxIdleTime) * m_options.idleTimeoutShare);
-    it->second.idle.push_back({pooled.connection, now, now + std::min(announced, m_options.maxIdleTime)});
+    it->second.idle.push_back({pooled.connection, pooled.openedAt, now, now + std::min(announced, m_options.maxIdleTime)});
     pooled.connection->setOnIdleClose([this, isAlive = m_isAlive, id = pooled.endpoint, connection = pooled.connection.get()] {
         if (*isAlive) {
             removeIdle(id, connection);
--- a/src/turmericplank/gateway/crashexchange_test.cpp
+++ b/src/turmericplank/gateway/crashexchange_test.cpp
@@ -109,3 +109,23 @@
     it.runFor(1500ms);
     CHECK(it.rows.empty());
 }
+
+TEST_CASE("a daemon that finds that the endpoints of a row were not lost removes the row")
+{
+    Daemon cutOff;
+    cutOff.crashThreeEndpoints();
+    cutOff.runFor(50ms);
+    REQUIRE(cutOff.rows.size() == 1);
+    Daemon other;
+    other.rows = cutOff.rows;
+    const auto connectedAt = base::now();
+    other.runFor(10ms);
+    other.exchange.readRows();
+    REQUIRE(other.history.isRefused(crashing, base::now()));
+    other.runFor(10ms);
+    other.history.recordSignOfLife({{base::EndpointId("a"), base::Incarnation(1)}, connectedAt, base::now()}, base::now());
+    CHECK_FALSE(other.history.isRefused(crashing, base::now()));
+    other.runFor(1500ms);
+    CHECK(other.rows.empty());
+    CHECK(other.sent.size() >= 2); // what the row says and what has changed since
+}
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -63,6 +63,7 @@
     bool isServing(const base::EndpointId &endpoint) const;
     std::vector<requests::Fingerprint> refusedContents() const;
     bool isRefusedForCrashes() const;
+    void recordSignOfLife(const CallAttempt &attempt) const;
     bool beginTrial();
     void selectEndpoint();
     void waitForEndpoint(forwarding::WaitCause cause);
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -182,6 +182,7 @@
     if (isOtherInstance || !attempt.pooled) {
         return;
     }
+    recordSignOfLife(attempt);
     const auto now = base::now();
     auto &dependencies = m_forwarder.m_dependencies;
     const DrainingEndpoint incarnation{endpoint, attempt.pooled->incarnation};
@@ -241,6 +242,7 @@
     if (events->empty()) {
         return;
     }
+    recordSignOfLife(*attempt);
     keepOnly(number);
     m_events += m_attempt->events.events() - known;
     m_lastEvent = m_attempt->events.lastEvent();
--- a/src/turmericplank/gateway/forwardedcallcrashes.cpp
+++ b/src/turmericplank/gateway/forwardedcallcrashes.cpp
@@ -67,6 +67,14 @@
     }
 }
 
+/// An endpoint that goes on answering has not crashed, whoever has lost connections to it.
+void ForwardedCall::recordSignOfLife(const CallAttempt &attempt) const
+{
+    const auto &pooled = *attempt.pooled;
+    const requests::SignOfLife sign{{pooled.endpoint, pooled.incarnation}, pooled.openedAt, attempt.sentAt};
+    m_forwarder.m_dependencies.crashHistory.recordSignOfLife(sign, base::now());
+}
+
 void ForwardedCall::recordProof(CallAttempt &attempt)
 {
     if (std::exchange(attempt.isProof, true)) {
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -225,6 +225,7 @@
     }
 
     std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
+    std::function<bool(const net::HttpRequest &)> isCut; ///< calls whose connection ends after their arrival, while the endpoint goes on
     std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
     std::size_t crashes = 0;
 
@@ -269,6 +270,10 @@
         if (onReceived) {
             onReceived(exchange->request(), crashes);
         }
+        if (isCut && isCut(exchange->request())) {
+            exchange->abort();
+            return;
+        }
         const bool isStream = net::path(exchange->request().target).starts_with("/s/");
         if (isStream) {
             exchange->startStream(200, responseHeaders(*exchange));
--- a/src/turmericplank/requests/crashhistory.cpp
+++ b/src/turmericplank/requests/crashhistory.cpp
@@ -45,6 +45,28 @@
     }
 }
 
+/// A call that was sent after the loss was known cannot have been answered before it. Neither can bytes that arrive long after.
+void CrashHistory::recordSignOfLife(const SignOfLife &sign, base::Time now)
+{
+    const auto lost = m_lostEndpoints.find(sign.endpoint);
+    if (lost == m_lostEndpoints.end() || sign.connectedAt >= lost->second) {
+        return; // a later connection may lead to the endpoint's next incarnation
+    }
+    if (sign.sentAt <= lost->second && now < lost->second + m_options.inFlightTime) {
+        return;
+    }
+    m_lostEndpoints.erase(lost);
+    std::vector<Fingerprint> contents;
+    for (const auto &[content, entry] : m_entries) {
+        if (const auto it = entry.losses.find(sign.endpoint); it != entry.losses.end() && it->second) {
+            contents.push_back(content);
+        }
+    }
+    for (const auto it : contents) {
+        mergeInto({it, {}, {sign.endpoint}, false, 0}, now);
+    }
+}
+
 void CrashHistory::merge(const std::vector<ContentLosses> &contents, base::Time now)
 {
     for (const auto &it : contents) {
@@ -128,6 +150,7 @@
         m_entries.erase(m_byExpiry.begin()->second);
         m_byExpiry.erase(m_byExpiry.begin());
     }
+    std::erase_if(m_lostEndpoints, [&](const auto &it) { return it.second + m_options.lifetime <= now; });
 }
 
 std::size_t CrashHistory::countedLosses(const Entry &entry)
@@ -182,11 +205,23 @@
     entry.trials = std::max(content.trials, trialsBefore);
     entry.firstLossAt = countedBefore == 0 ? now : entry.firstLossAt;
     entry.lastLossAt = countedLosses(entry) > countedBefore ? now : entry.lastLossAt;
-    entry.nextTrialAt = now + trialDelay(entry);
+    const bool hasFewerLosses = countedLosses(entry) < countedBefore && entry.trials == trialsBefore;
+    entry.nextTrialAt = hasFewerLosses ? entry.nextTrialAt : now + trialDelay(entry);
+    noteNewLosses(entry.losses, before, now);
     m_changed.insert(content.content);
     expire(now);
 }
 
+/// An endpoint without an incarnation cannot be told from the one that has taken its place.
+void CrashHistory::noteNewLosses(const std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known, base::Time now)
+{
+    for (const auto &[loss, isCounted] : losses) {
+        if (isCounted && loss.incarnation != base::Incarnation() && !known.contains(loss)) {
+            m_lostEndpoints[loss] = now;
+        }
+    }
+}
+
 /// Losses that count matter more than cleared ones, and known ones more than new ones: these would otherwise change places for ever
 /// between two daemons.
 void CrashHistory::limitLosses(std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known) const
--- a/src/turmericplank/requests/crashhistory_test.cpp
+++ b/src/turmericplank/requests/crashhistory_test.cpp
@@ -158,6 +158,66 @@
     CHECK_FALSE(one.isRefused(sound, Now));
 }
 
+TEST_CASE("losses with an endpoint that answers a call sent later, on a connection opened earlier, don't count, also at other daemons")
+{
+    CrashHistory one;
+    CrashHistory other;
+    for (const auto *endpoint : {"a", "b", "c"}) {
+        one.recordLoss(sound, loss(endpoint), Now);
+        one.recordLoss(crashing, loss(endpoint), Now);
+    }
+    other.merge(one.takeChanged(), Now + 10ms);
+    other.recordSignOfLife({loss("d"), Now - 1s, Now + 20ms}, Now + 30ms);
+    CHECK(other.isRefused(sound, Now + 30ms));
+    other.recordSignOfLife({loss("a"), Now - 1s, Now + 20ms}, Now + 30ms);
+    CHECK(other.lossCount(sound, Now + 30ms) == 2);
+    CHECK(other.lossCount(crashing, Now + 30ms) == 2);
+    one.merge(other.takeChanged(), Now + 40ms);
+    CHECK_FALSE(one.isRefused(sound, Now + 40ms));
+}
+
+TEST_CASE("answers that may come from before the crash or from the next incarnation don't show that an endpoint was not lost")
+{
+    CrashHistoryOptions options;
+    options.inFlightTime = 1s;
+    CrashHistory history(options);
+    history.recordLoss(crashing, loss("a"), Now);
+    history.recordSignOfLife({loss("a"), Now - 1s, Now - 10ms}, Now + 999ms);
+    CHECK(history.lossCount(crashing, Now + 999ms) == 1);
+    history.recordSignOfLife({loss("a"), Now + 10ms, Now + 20ms}, Now + 2s);
+    CHECK(history.lossCount(crashing, Now + 2s) == 1);
+    history.recordSignOfLife({loss("a", 2), Now - 1s, Now + 20ms}, Now + 2s);
+    CHECK(history.lossCount(crashing, Now + 2s) == 1);
+    // The endpoint answered after one loss and crashed after that.
+    history.recordLoss(sound, loss("a"), Now + 3s);
+    history.recordSignOfLife({loss("a"), Now - 1s, Now + 2500ms}, Now + 3001ms);
+    CHECK(history.lossCount(sound, Now + 3001ms) == 1);
+    history.recordSignOfLife({loss("a"), Now - 1s, Now - 10ms}, Now + 4s);
+    CHECK(history.lossCount(sound, Now + 4s) == 0);
+    CHECK(history.lossCount(crashing, Now + 4s) == 0);
+}
+
+TEST_CASE("an endpoint that reports no incarnation may have been replaced when it answers")
+{
+    CrashHistory history;
+    history.recordLoss(crashing, loss("a", 0), Now);
+    history.recordSignOfLife({loss("a", 0), Now - 1s, Now + 10ms}, Now + 2s);
+    CHECK(history.lossCount(crashing, Now + 2s) == 1);
+}
+
+TEST_CASE("losses that turn out not to count don't delay the next trial")
+{
+    CrashHistoryOptions options;
+    options.trialDelay = 4s;
+    CrashHistory history(options);
+    for (const auto *endpoint : {"a", "b", "c", "d"}) {
+        history.recordLoss(crashing, loss(endpoint), Now);
+    }
+    history.recordSignOfLife({loss("a"), Now - 1s, Now + 10ms}, Now + 3s);
+    CHECK(history.isRefused(crashing, Now + 3s));
+    CHECK(history.beginTrial(crashing, Now + 4s));
+}
+
 TEST_CASE("what was answered long ago is not proven any longer")
 {
     CrashHistoryOptions options;
