A change that comes late from a wait that was replaced is applied

Cause: a wait for changes that has not ended after 1.5 s is replaced, and its result was ignored from then on. If the store's answers come more than a second late to both daemons that wait for a group, a change that their first waits were told of was learned of only by the next ones, another delay later: more than the 2 s in which it must be in force. The other daemons relied on the relayed entries, which came regularly.

Change: a change from a replaced wait is applied, unless the store came back from an older copy since.

--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -70,6 +70,7 @@
     void readConfiguration();
     void awaitConfiguration();
     void replaceAwait(base::Time now);
+    void applyLateWait(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result);
     void rereadConfiguration();
     void handleWaitEnd(const ConfigurationSnapshot &result);
     void sendToPeerBehind(const base::DaemonId &peer, base::Revision revision, base::Time now);
@@ -93,7 +94,8 @@
     /// Position after the last wait that ended without a change. The store may have recorded a change before it that the wait
     /// was not told of, so the next wait still starts at m_position.
     std::uint64_t m_unconfirmedPosition = 0;
-    std::uint64_t m_awaitNumber = 0; ///< of the current wait, or of the read in its place; results of earlier ones are ignored
+    std::uint64_t m_awaitNumber = 0; ///< of the current wait, or of the read in its place; of earlier ones, only changes are used
+    std::uint64_t m_firstWaitOfEra = 0; ///< earlier waits began before the store came back from an older copy
     std::size_t m_unreadableCount = 0;
     base::Time m_lastRequestAt; ///< when a read of the entries was last started
     base::Time m_lastUpdateAt; ///< when entries were last read or relayed
--- a/src/turmericplank/gateway/configurationchange_test.cpp
+++ b/src/turmericplank/gateway/configurationchange_test.cpp
@@ -35,6 +35,26 @@
     return behind;
 }
 
+/// Puts configurations at several moments of the waits for them, and checks that daemons have each one in time.
+void checkChangesInTime(TestFleet &fleet, const std::vector<std::size_t> &daemons)
+{
+    constexpr auto InForceTime = 2s; ///< from the acknowledgement of a change until it must be in force
+    constexpr std::uint64_t Changes = 6;
+    for (std::uint64_t revision = 2; revision < 2 + Changes; ++revision) {
+        const auto prefix = "/r" + std::to_string(revision) + '/';
+        fleet.store.put(TestFleet::makeConfiguration(revision, prefix));
+        fleet.runFor(InForceTime);
+        std::vector<std::shared_ptr<TestFleet::Result>> results;
+        for (const auto n : daemons) {
+            results.push_back(fleet.call(n, {}, "sound", prefix + "x"));
+        }
+        fleet.runFor(300ms);
+        for (const auto &it : results) {
+            CHECK(it->status == 200);
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("a change takes effect at all daemons although the wait for it of the one that reads the store for the others is silent")
@@ -68,3 +88,24 @@
     fleet.startDaemon(3);
     CHECK(changeRoute(fleet, 2).empty());
 }
+
+TEST_CASE("changes are in force in time at all daemons although the store answers both daemons that wait for them late")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.store.answerDelays = {{"0", 1100ms}, {"1", 1100ms}};
+    fleet.runFor(3s);
+    checkChangesInTime(fleet, {0, 1, 2, 3});
+}
+
+TEST_CASE("changes are in force in time at the other daemons although both daemons that wait for them run slowly")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.slowDown(0, 700ms);
+    fleet.slowDown(1, 700ms);
+    fleet.runFor(3s);
+    checkChangesInTime(fleet, {2, 3});
+}
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -89,6 +89,7 @@
     m_metrics.count("store_calls_total{call=\"await_configuration\"}");
     m_siteStore.awaitConfiguration(m_position, [this, number = ++m_awaitNumber](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
         if (number != m_awaitNumber) {
+            applyLateWait(number, result);
             return;
         }
         if (result) {
@@ -118,6 +119,15 @@
     awaitConfiguration();
 }
 
+/// The answer to a wait that another one has replaced may only have been late, and the other one is late as well then.
+void SiteStateUpdater::applyLateWait(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result)
+{
+    const bool isChange = result && !result->text.empty();
+    if (isChange && number >= m_firstWaitOfEra) {
+        applyConfiguration(result, ByWait);
+    }
+}
+
 void SiteStateUpdater::rereadConfiguration()
 {
     m_awaitDeadline = base::now() + m_options.awaitTimeout;
@@ -146,7 +156,7 @@
 
 void SiteStateUpdater::noteStoreRestored()
 {
-    ++m_awaitNumber;
+    m_firstWaitOfEra = ++m_awaitNumber;
     m_position = 0;
     m_unconfirmedPosition = 0;
     m_siteState.noteStoreRestored(base::now());
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -31,14 +31,15 @@
     SiteStore accessFrom(const std::string &self, boost::asio::io_context &context, std::function<bool(const std::string &)> isListed)
     {
         SiteStore it;
-        it.readConfiguration = [this, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
-            boost::asio::post(context, [this, callback] { callback(snapshot()); });
+        it.readConfiguration = [this, self, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
+            answerLate(self, context, [this, callback] { callback(snapshot()); });
         };
         it.awaitConfiguration = [this, self, &context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
-            awaitChange(self, context, position, base::now() + WaitTime, callback);
+            awaitChange(self, context, position, base::now() + WaitTime,
+                        [this, self, &context, callback](const auto &result) { answerLate(self, context, [callback, result] { callback(result); }); });
         };
         it.readEndpoints = [this, self, &context](const ReadCallback<EndpointsSnapshot> &callback) {
-            boost::asio::post(context, [this, self, callback] {
+            answerLate(self, context, [this, self, callback] {
                 if (!mayUseRows(self)) {
                     callback(tl::unexpected(TableFailure::Unavailable));
                     return;
@@ -107,6 +108,7 @@
     std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
     std::set<std::string> hiddenRowsFor; ///< daemons whose calls about entries and rows are turned away
     std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
+    std::map<std::string, base::Duration> answerDelays; ///< of daemons that get the answers to reads and waits late
     std::map<base::EndpointId, discovery::EndpointEntry> entries;
     std::map<std::string, store::Row> rows;
 
@@ -119,6 +121,16 @@
     static constexpr auto WaitTime = std::chrono::seconds(1);
     static constexpr auto ChangeCheckInterval = std::chrono::milliseconds(5);
 
+    void answerLate(const std::string &self, boost::asio::io_context &context, std::function<void()> answer) const
+    {
+        const auto it = answerDelays.find(self);
+        if (it == answerDelays.end()) {
+            boost::asio::post(context, std::move(answer));
+        } else {
+            daemon::callAt(context, base::now() + it->second, std::move(answer));
+        }
+    }
+
     ConfigurationSnapshot snapshot() const
     {
         const auto &[revision, configuration] = *configurations.rbegin();
@@ -408,6 +420,12 @@
         m_daemons[n].context.reset();
     }
 
+    /// Lets a daemon run only once in each interval, as on a VM that is short of processor time.
+    void slowDown(std::size_t n, base::Duration interval)
+    {
+        m_daemons[n].pause = interval;
+    }
+
     struct Result
     {
         std::string id; ///< Request-Id
@@ -442,7 +460,11 @@
                 isBusy = it->poll() || isBusy;
             }
             for (auto &it : m_daemons) {
-                isBusy = (it.context && it.context->poll() > 0) || isBusy;
+                const bool isDue = it.context && base::now() >= it.nextPoll;
+                if (isDue) {
+                    isBusy = it.context->poll() > 0 || isBusy;
+                    it.nextPoll = base::now() + it.pause;
+                }
             }
             if (!isBusy) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -475,6 +497,8 @@
     {
         std::unique_ptr<boost::asio::io_context> context;
         std::unique_ptr<Gateway> gateway;
+        base::Duration pause{}; ///< between two runs
+        base::Time nextPoll;
     };
 
     /// Keeps parallel runs apart.
