Parts of prompts that are refused together are tried again as well

Cause: only a call with one refused part was a trial. If all endpoints are lost at once before daemons have seen any part answered, for example after all daemons have restarted, every part that the streams had is refused, so that each later call has two refused parts and none is tried: they stay refused for ten minutes.

Change: a call with several refused parts is tried once a trial of each has been due for a second. Until then a call with one refused part goes first, since it shows more. A trial counts for each part, so a part that crashes endpoints is tried no more often than before.

Where some calls have one refused part, they are refused for 4 s as before.

--- a/include/turmericplank/requests/crashhistory.hpp
+++ b/include/turmericplank/requests/crashhistory.hpp
@@ -34,6 +34,12 @@
     base::Time sentAt; ///< when the call was sent
 };
 
+/// @brief What a trial of refused contents can show.
+enum class TrialKind {
+    Single, ///< whether one content or one part crashes endpoints
+    Combined, ///< whether one of several parts does, which may be lost together
+};
+
 /// @brief Limits of CrashHistory.
 struct CrashHistoryOptions
 {
@@ -46,6 +52,7 @@
     base::Duration lifetime = std::chrono::minutes(10); ///< of what is known of a content, from its last change
     base::Duration trialDelay = std::chrono::seconds(4); ///< from the last loss until a refused content is tried again
     std::int64_t trialDelayFactor = 5; ///< by which the delay grows with each trial; two trials in the first minute
+    base::Duration combinedTrialDelay = std::chrono::seconds(1); ///< after a single trial would have been due
     base::Duration inFlightTime = std::chrono::seconds(1); ///< in which bytes that an endpoint sent before it was lost may still arrive
     base::Duration repeatTime = std::chrono::seconds(5); ///< in which a change is sent again; a silent connection is noticed earlier
 };
@@ -77,9 +84,9 @@
     /// @brief Whether a content has been lost with so many endpoints that it is refused.
     bool isRefused(Fingerprint content, base::Time now) const;
 
-    /// @brief Starts a trial of a refused content if one is due, since the endpoints may have been lost for another reason.
-    /// @return whether one call with it may run
-    bool beginTrial(Fingerprint content, base::Time now);
+    /// @brief Starts a trial of refused contents if one is due for each of them, since the endpoints may have been lost for another reason.
+    /// @return whether one call with all of them may run
+    bool beginTrial(const std::vector<Fingerprint> &contents, TrialKind kind, base::Time now);
 
     /// @brief Number of losses that count against a content.
     std::size_t lossCount(Fingerprint content, base::Time now) const;
@@ -129,6 +136,7 @@
         base::Time m_validUntil;
     };
 
+    bool isTrialDue(Fingerprint content, TrialKind kind, base::Time now) const;
     Entry &touch(Fingerprint content, base::Time now);
     void mergeInto(const ContentLosses &content, base::Time now);
     void noteNewLosses(const std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known, base::Time now);
--- a/src/turmericplank/gateway/crashingprompts_test.cpp
+++ b/src/turmericplank/gateway/crashingprompts_test.cpp
@@ -12,6 +12,7 @@
 constexpr auto StreamTime = 800ms; ///< of a sound stream, with a margin
 constexpr std::size_t ToleratedCrashes = 5;
 constexpr std::size_t ToleratedSends = 3; ///< after these crashes and the contact time, over all daemons
+constexpr auto RefusalTime = 6s; ///< until sound parts have been tried again and answered
 constexpr int CrashingPart = 666;
 constexpr int Subjects = 5; ///< second parts of sound prompts
 constexpr int CommonPart = 1;
@@ -44,6 +45,14 @@
         sound.push_back(send(daemon, 100 + static_cast<int>(m_next % Subjects)));
     }
 
+    /// Sends sound streams to all daemons in turn, at the same moment.
+    void sendSoundAtOnce(int count)
+    {
+        for (int n = 0; n < count; ++n) {
+            sendSound(m_next++ % m_fleet.daemonCount());
+        }
+    }
+
     /// Sends sound streams only.
     void runSound(base::Duration time)
     {
@@ -165,3 +174,20 @@
     fleet.runFor(StreamTime);
     CHECK(answered(callers.sound) == callers.sound.size());
 }
+
+TEST_CASE("parts of prompts that were never answered are not refused for long after all endpoints were lost at once")
+{
+    // All streams are too young to show that their parts don't crash endpoints, and each of them has two parts that are refused then.
+    TestFleet fleet(3, 6, allInContact);
+    fleet.runFor(StartTime);
+    Callers callers(fleet);
+    callers.sendSoundAtOnce(60);
+    fleet.runFor(300ms);
+    fleet.crashEndpoints();
+    fleet.runFor(1s);
+    callers.runSound(RefusalTime);
+    callers.sound.clear();
+    callers.runSound(1s);
+    fleet.runFor(StreamTime);
+    CHECK(answered(callers.sound) == callers.sound.size());
+}
--- a/src/turmericplank/gateway/forwardedcallcrashes.cpp
+++ b/src/turmericplank/gateway/forwardedcallcrashes.cpp
@@ -30,16 +30,17 @@
     return !m_isTrial && !refusedContents().empty();
 }
 
-/// Only a call that has not been sent before is a trial, of its content or of one part of its prompt, and only at one daemon, so that few
-/// endpoints are lost if it crashes them.
+/// Only a call that has not been sent before is a trial, and only at one daemon, so that few endpoints are lost if it crashes them. A call
+/// with several refused parts comes last: it may have a crashing one among sound ones. But after a loss of many endpoints at once there may
+/// be no other calls.
 bool ForwardedCall::beginTrial()
 {
     auto &dependencies = m_forwarder.m_dependencies;
     const auto now = base::now();
     const auto refused = refusedContents();
     const bool isOfContent = std::ranges::all_of(refused, [this](auto it) { return std::ranges::find(m_contents, it) != m_contents.end(); });
-    const bool mayBeTrial = m_attempts.sends() == 0 && (isOfContent || refused.size() == 1) && dependencies.mayTryRefused();
-    m_isTrial = mayBeTrial && std::ranges::all_of(refused, [&](auto it) { return dependencies.crashHistory.beginTrial(it, now); });
+    const auto kind = isOfContent || refused.size() == 1 ? requests::TrialKind::Single : requests::TrialKind::Combined;
+    m_isTrial = m_attempts.sends() == 0 && dependencies.mayTryRefused() && dependencies.crashHistory.beginTrial(refused, kind, now);
     if (m_isTrial) {
         telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(refused.front())}});
     }
--- a/src/turmericplank/requests/crashhistory.cpp
+++ b/src/turmericplank/requests/crashhistory.cpp
@@ -84,18 +84,26 @@
     return !entry.isProven || (losses >= m_options.provenLossLimit && entry.lastLossAt >= entry.firstLossAt + m_options.provenLossTime);
 }
 
-bool CrashHistory::beginTrial(Fingerprint content, base::Time now)
+bool CrashHistory::beginTrial(const std::vector<Fingerprint> &contents, TrialKind kind, base::Time now)
 {
-    const auto it = m_entries.find(content);
-    if (!isRefused(content, now) || now < it->second.nextTrialAt) {
+    const bool isDue = !contents.empty() && std::ranges::all_of(contents, [&](Fingerprint it) { return isTrialDue(it, kind, now); });
+    if (!isDue) {
         return false;
     }
-    auto message = find(content);
-    ++message.trials;
-    mergeInto(message, now);
+    for (const auto it : contents) {
+        auto message = find(it);
+        ++message.trials;
+        mergeInto(message, now);
+    }
     return true;
 }
 
+bool CrashHistory::isTrialDue(Fingerprint content, TrialKind kind, base::Time now) const
+{
+    const auto delay = kind == TrialKind::Combined ? m_options.combinedTrialDelay : base::Duration(0);
+    return isRefused(content, now) && now >= m_entries.at(content).nextTrialAt + delay;
+}
+
 std::size_t CrashHistory::lossCount(Fingerprint content, base::Time now) const
 {
     const auto it = m_entries.find(content);
--- a/src/turmericplank/requests/crashhistory_test.cpp
+++ b/src/turmericplank/requests/crashhistory_test.cpp
@@ -108,24 +108,44 @@
     options.trialDelayFactor = 5;
     CrashHistory history(options);
     CrashHistory next(options);
-    CHECK_FALSE(history.beginTrial(crashing, Now));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now));
     for (const auto *endpoint : {"a", "b", "c"}) {
         history.recordLoss(crashing, loss(endpoint), Now);
     }
-    CHECK_FALSE(history.beginTrial(crashing, Now + 3s));
-    CHECK(history.beginTrial(crashing, Now + 4s));
-    CHECK_FALSE(history.beginTrial(crashing, Now + 5s));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now + 3s));
+    CHECK(history.beginTrial({crashing}, TrialKind::Single, Now + 4s));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now + 5s));
     history.recordLoss(crashing, loss("d"), Now + 5s);
     next.merge(history.takeChanged(), Now + 5s);
-    CHECK_FALSE(next.beginTrial(crashing, Now + 24s));
-    CHECK(next.beginTrial(crashing, Now + 25s));
-    CHECK_FALSE(next.beginTrial(crashing, Now + 124s));
-    CHECK(next.beginTrial(crashing, Now + 125s));
+    CHECK_FALSE(next.beginTrial({crashing}, TrialKind::Single, Now + 24s));
+    CHECK(next.beginTrial({crashing}, TrialKind::Single, Now + 25s));
+    CHECK_FALSE(next.beginTrial({crashing}, TrialKind::Single, Now + 124s));
+    CHECK(next.beginTrial({crashing}, TrialKind::Single, Now + 125s));
     CHECK(next.isRefused(crashing, Now + 125s));
     next.recordAnswer(crashing, Now + 126s);
     CHECK_FALSE(next.isRefused(crashing, Now + 126s));
 }
 
+TEST_CASE("several refused contents are tried together some time after a trial was due for each of them")
+{
+    CrashHistoryOptions options;
+    options.trialDelay = 4s;
+    options.trialDelayFactor = 5;
+    CrashHistory history(options);
+    for (const auto *endpoint : {"a", "b", "c"}) {
+        history.recordLoss(crashing, loss(endpoint), Now);
+        history.recordLoss(sound, loss(endpoint), Now + 1s);
+    }
+    CHECK_FALSE(history.beginTrial({}, TrialKind::Combined, Now + 9s));
+    CHECK_FALSE(history.beginTrial({crashing, sound}, TrialKind::Single, Now + 4s));
+    CHECK_FALSE(history.beginTrial({crashing, sound}, TrialKind::Combined, Now + 5999ms));
+    CHECK(history.find(crashing).trials == 0);
+    CHECK(history.beginTrial({crashing, sound}, TrialKind::Combined, Now + 6s));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now + 25s));
+    CHECK_FALSE(history.beginTrial({sound}, TrialKind::Single, Now + 25s));
+    CHECK(history.beginTrial({crashing}, TrialKind::Single, Now + 26s));
+}
+
 TEST_CASE("a shared content that was answered lately is not refused for endpoints that are lost at once, only if the losses go on")
 {
     CrashHistoryOptions options;
@@ -215,7 +235,7 @@
     }
     history.recordSignOfLife({loss("a"), Now - 1s, Now + 10ms}, Now + 3s);
     CHECK(history.isRefused(crashing, Now + 3s));
-    CHECK(history.beginTrial(crashing, Now + 4s));
+    CHECK(history.beginTrial({crashing}, TrialKind::Single, Now + 4s));
 }
 
 TEST_CASE("what was answered long ago is not proven any longer")
