Refused contents are kept although many others change later

Cause: of the 4,096 contents and parts that are kept, those whose last change was the oldest were dropped, so a refused content was sent to endpoints again once as many others had changed.

Change: the oldest content that is not refused is dropped first, as long as no more than 64 refused ones are older.

--- a/include/turmericplank/requests/crashhistory.hpp
+++ b/include/turmericplank/requests/crashhistory.hpp
@@ -48,7 +48,8 @@
     base::Duration provenLossTime = std::chrono::seconds(10); ///< from the first to the last of those losses; endpoints that fail together are lost at once
     std::size_t maxProven = 4096; ///< proven contents to remember
     std::size_t maxLosses = 16; ///< to remember of one content
-    std::size_t maxContents = 4096; ///< those whose last change is the oldest go first
+    std::size_t maxContents = 4096; ///< those whose last change is the oldest go first, except for some refused ones
+    std::size_t maxKeptRefused = 64; ///< refused contents to keep although others have changed later
     base::Duration lifetime = std::chrono::minutes(10); ///< of what is known of a content, from its last change
     base::Duration trialDelay = std::chrono::seconds(4); ///< from the last loss until a refused content is tried again
     std::int64_t trialDelayFactor = 5; ///< by which the delay grows with each trial; two trials in the first minute
@@ -122,6 +123,8 @@
         base::Time expiresAt;
     };
 
+    using ExpiryIndex = std::set<std::pair<base::Time, Fingerprint>>;
+
     /// Proven contents of the last one or two periods of half a lifetime.
     class ProvenContents
     {
@@ -137,6 +140,7 @@
     };
 
     bool isTrialDue(Fingerprint content, TrialKind kind, base::Time now) const;
+    ExpiryIndex::const_iterator findLeastNeeded(base::Time now) const;
     Entry &touch(Fingerprint content, base::Time now);
     void mergeInto(const ContentLosses &content, base::Time now);
     void noteNewLosses(const std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known, base::Time now);
@@ -147,7 +151,7 @@
 
     CrashHistoryOptions m_options;
     std::map<Fingerprint, Entry> m_entries;
-    std::set<std::pair<base::Time, Fingerprint>> m_byExpiry;
+    ExpiryIndex m_byExpiry;
     std::set<Fingerprint> m_changed;
     ProvenContents m_proven;
     std::map<EndpointLoss, base::Time> m_lostEndpoints; ///< and when this daemon last learned of a loss; without those that have answered since
--- a/src/turmericplank/requests/crashhistory.cpp
+++ b/src/turmericplank/requests/crashhistory.cpp
@@ -154,13 +154,31 @@
 
 void CrashHistory::expire(base::Time now)
 {
-    while (!m_byExpiry.empty() && (m_byExpiry.begin()->first <= now || m_entries.size() > m_options.maxContents)) {
-        m_entries.erase(m_byExpiry.begin()->second);
-        m_byExpiry.erase(m_byExpiry.begin());
+    const auto remove = [this](auto it) {
+        m_entries.erase(it->second);
+        m_byExpiry.erase(it);
+    };
+    while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= now) {
+        remove(m_byExpiry.begin());
+    }
+    while (m_entries.size() > m_options.maxContents) {
+        remove(findLeastNeeded(now));
     }
     std::erase_if(m_lostEndpoints, [&](const auto &it) { return it.second + m_options.lifetime <= now; });
 }
 
+/// @return the oldest entry that is not refused, or the oldest one if there are too many refused ones before it
+CrashHistory::ExpiryIndex::const_iterator CrashHistory::findLeastNeeded(base::Time now) const
+{
+    auto it = m_byExpiry.begin();
+    for (std::size_t n = 0; n <= m_options.maxKeptRefused && it != m_byExpiry.end(); ++n, ++it) {
+        if (!isRefused(it->second, now)) {
+            return it;
+        }
+    }
+    return m_byExpiry.begin();
+}
+
 std::size_t CrashHistory::countedLosses(const Entry &entry)
 {
     return static_cast<std::size_t>(std::ranges::count_if(entry.losses, [](const auto &loss) { return loss.second; }));
--- a/src/turmericplank/requests/crashhistory_test.cpp
+++ b/src/turmericplank/requests/crashhistory_test.cpp
@@ -268,6 +268,36 @@
     CHECK(history.isRefused(crashing, Now + 50ms));
 }
 
+TEST_CASE("refused contents are kept although many others change later")
+{
+    CrashHistoryOptions options;
+    options.maxContents = 100;
+    options.maxKeptRefused = 2;
+    CrashHistory history(options);
+    const auto refuse = [&](Fingerprint content, base::Time now) {
+        for (const auto *endpoint : {"a", "b", "c"}) {
+            history.recordLoss(content, loss(endpoint), now);
+        }
+    };
+    refuse(crashing, Now);
+    refuse(Fingerprint(10), Now + 1ms);
+    for (std::uint64_t n = 1000; n < 1500; ++n) {
+        history.recordLoss(Fingerprint(n), loss("d"), Now + 2ms);
+    }
+    CHECK(history.all().size() == 100);
+    CHECK(history.isRefused(crashing, Now + 2ms));
+    CHECK(history.isRefused(Fingerprint(10), Now + 2ms));
+    // Their number is limited; the oldest goes first.
+    refuse(Fingerprint(11), Now + 3ms);
+    for (std::uint64_t n = 2000; n < 2500; ++n) {
+        history.recordLoss(Fingerprint(n), loss("d"), Now + 4ms);
+    }
+    CHECK(history.all().size() == 100);
+    CHECK_FALSE(history.isRefused(crashing, Now + 4ms));
+    CHECK(history.isRefused(Fingerprint(10), Now + 4ms));
+    CHECK(history.isRefused(Fingerprint(11), Now + 4ms));
+}
+
 TEST_CASE("a content whose losses were all cleared can be refused later")
 {
     CrashHistoryOptions options;
