Failing test: a part of prompts that was answered lately and begins to crash endpoints

Parts that were answered lately are refused only if they are lost six times over ten seconds, since a sound part that many streams share is lost in each crash as well. A shorter time would refuse sound parts while endpoints fail for other reasons.

--- a/src/turmericplank/gateway/crashingprompts_test.cpp
+++ b/src/turmericplank/gateway/crashingprompts_test.cpp
@@ -191,3 +191,19 @@
     fleet.runFor(StreamTime);
     CHECK(answered(callers.sound) == callers.sound.size());
 }
+
+TEST_CASE("a part of prompts that endpoints answered lately and that begins to crash them is refused after few crashes")
+{
+    TestFleet fleet(3, 6, allInContact);
+    fleet.runFor(StartTime);
+    Callers callers(fleet);
+    for (auto &it : fleet.endpoints) {
+        it->isCrashing = nullptr;
+    }
+    callers.runFor(1500ms);
+    for (auto &it : fleet.endpoints) {
+        it->isCrashing = isCrashing;
+    }
+    callers.runFor(3s);
+    checkCrashesEnd(fleet, callers);
+}
