--- a/include/turmericplank/requests/crashhistory.hpp
+++ b/include/turmericplank/requests/crashhistory.hpp
@@ -77,7 +77,8 @@
     void recordSharedAnswer(Fingerprint content, base::Time now);
 
     /// @brief Records that an endpoint answers: if it was thought lost before, only connections to it were, and its losses don't count.
-    void recordSignOfLife(const SignOfLife &sign, base::Time now);
+    /// @return number of contents of which a loss no longer counts
+    std::size_t recordSignOfLife(const SignOfLife &sign, base::Time now);
 
     /// @brief Merges what another daemon or an earlier one knew.
     void merge(const std::vector<ContentLosses> &contents, base::Time now);
--- a/src/turmericplank/gateway/forwardedcallcrashes.cpp
+++ b/src/turmericplank/gateway/forwardedcallcrashes.cpp
@@ -73,7 +73,12 @@
 {
     const auto &pooled = *attempt.pooled;
     const requests::SignOfLife sign{{pooled.endpoint, pooled.incarnation}, pooled.openedAt, attempt.sentAt};
-    m_forwarder.m_dependencies.crashHistory.recordSignOfLife(sign, base::now());
+    const auto cleared = m_forwarder.m_dependencies.crashHistory.recordSignOfLife(sign, base::now());
+    if (cleared > 0) {
+        telemetry::log(
+            LogLevel::Info, "requests", "an endpoint that was said to be lost goes on answering",
+            {{"request", m_call.id}, {"endpoint", pooled.endpoint.text()}, {"incarnation", pooled.incarnation.value()}, {"contents", std::uint64_t(cleared)}});
+    }
 }
 
 void ForwardedCall::recordProof(CallAttempt &attempt)
--- a/src/turmericplank/requests/crashhistory.cpp
+++ b/src/turmericplank/requests/crashhistory.cpp
@@ -46,14 +46,14 @@
 }
 
 /// A call that was sent after the loss was known cannot have been answered before it. Neither can bytes that arrive long after.
-void CrashHistory::recordSignOfLife(const SignOfLife &sign, base::Time now)
+std::size_t CrashHistory::recordSignOfLife(const SignOfLife &sign, base::Time now)
 {
     const auto lost = m_lostEndpoints.find(sign.endpoint);
     if (lost == m_lostEndpoints.end() || sign.connectedAt >= lost->second) {
-        return; // a later connection may lead to the endpoint's next incarnation
+        return 0; // a later connection may lead to the endpoint's next incarnation
     }
     if (sign.sentAt <= lost->second && now < lost->second + m_options.inFlightTime) {
-        return;
+        return 0;
     }
     m_lostEndpoints.erase(lost);
     std::vector<Fingerprint> contents;
@@ -65,6 +65,7 @@
     for (const auto it : contents) {
         mergeInto({it, {}, {sign.endpoint}, false, 0}, now);
     }
+    return contents.size();
 }
 
 void CrashHistory::merge(const std::vector<ContentLosses> &contents, base::Time now)
