--- a/src/turmericplank/placement/controller_fuzz_test.cpp
+++ b/src/turmericplank/placement/controller_fuzz_test.cpp
@@ -4,7 +4,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
-#include "testsimulation.hpp"
+#include "testcommands.hpp"
 
 using namespace turmericplank::placement;
 using namespace turmericplank::placement::test;
