--- a/bench/routingengine.cpp
+++ b/bench/routingengine.cpp
@@ -1,18 +1,11 @@
 #include "routingengine.hpp"
 
+#include "milliseconds.hpp"
+
 #include <algorithm>
 
 namespace turmericplank::bench {
 
-namespace {
-
-base::Duration milliseconds(double value)
-{
-    return base::Duration(static_cast<std::int64_t>(value * 1000));
-}
-
-} // namespace
-
 FakeEngine::FakeEngine(FakeEngineOptions options, std::vector<base::ModelName> models, Hooks hooks)
     : m_options(options)
     , m_models(std::move(models))
