--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -35,6 +35,7 @@
     base::EndpointId endpoint;
     base::Incarnation incarnation;
     net::ClientConnectionPointer connection;
+    base::Time openedAt;
     bool isVerified = false; ///< the endpoint has said over it that it is this incarnation
 };
 
@@ -120,6 +121,7 @@
     struct Idle
     {
         net::ClientConnectionPointer connection;
+        base::Time openedAt;
         base::Time idleSince;
         base::Time usableUntil;
         bool isVerified = false;
--- a/include/turmericplank/requests/crashhistory.hpp
+++ b/include/turmericplank/requests/crashhistory.hpp
@@ -26,6 +26,20 @@
     friend bool operator==(const ContentLosses &, const ContentLosses &) = default;
 };
 
+/// @brief An answer, or a part of one, that an endpoint has just sent.
+struct SignOfLife
+{
+    EndpointLoss endpoint; ///< and its incarnation
+    base::Time connectedAt; ///< when the connection was opened
+    base::Time sentAt; ///< when the call was sent
+};
+
+/// @brief What a trial of refused contents can show.
+enum class TrialKind {
+    Single, ///< whether one content or one part crashes endpoints
+    Combined, ///< whether one of several parts does, which may be lost together
+};
+
 /// @brief Limits of CrashHistory.
 struct CrashHistoryOptions
 {
@@ -34,10 +48,13 @@
     base::Duration provenLossTime = std::chrono::seconds(10); ///< from the first to the last of those losses; endpoints that fail together are lost at once
     std::size_t maxProven = 4096; ///< proven contents to remember
     std::size_t maxLosses = 16; ///< to remember of one content
-    std::size_t maxContents = 4096; ///< those whose last change is the oldest go first
+    std::size_t maxContents = 4096; ///< those whose last change is the oldest go first, except for some refused ones
+    std::size_t maxKeptRefused = 64; ///< refused contents to keep although others have changed later
     base::Duration lifetime = std::chrono::minutes(10); ///< of what is known of a content, from its last change
     base::Duration trialDelay = std::chrono::seconds(4); ///< from the last loss until a refused content is tried again
     std::int64_t trialDelayFactor = 5; ///< by which the delay grows with each trial; two trials in the first minute
+    base::Duration combinedTrialDelay = std::chrono::seconds(1); ///< after a single trial would have been due
+    base::Duration inFlightTime = std::chrono::seconds(1); ///< in which bytes that an endpoint sent before it was lost may still arrive
     base::Duration repeatTime = std::chrono::seconds(5); ///< in which a change is sent again; a silent connection is noticed earlier
 };
 
@@ -59,15 +76,19 @@
     /// @brief Records that a content which many requests share was answered, and remembers it as proven.
     void recordSharedAnswer(Fingerprint content, base::Time now);
 
+    /// @brief Records that an endpoint answers: if it was thought lost before, only connections to it were, and its losses don't count.
+    /// @return number of contents of which a loss no longer counts
+    std::size_t recordSignOfLife(const SignOfLife &sign, base::Time now);
+
     /// @brief Merges what another daemon or an earlier one knew.
     void merge(const std::vector<ContentLosses> &contents, base::Time now);
 
     /// @brief Whether a content has been lost with so many endpoints that it is refused.
     bool isRefused(Fingerprint content, base::Time now) const;
 
-    /// @brief Starts a trial of a refused content if one is due, since the endpoints may have been lost for another reason.
-    /// @return whether one call with it may run
-    bool beginTrial(Fingerprint content, base::Time now);
+    /// @brief Starts a trial of refused contents if one is due for each of them, since the endpoints may have been lost for another reason.
+    /// @return whether one call with all of them may run
+    bool beginTrial(const std::vector<Fingerprint> &contents, TrialKind kind, base::Time now);
 
     /// @brief Number of losses that count against a content.
     std::size_t lossCount(Fingerprint content, base::Time now) const;
@@ -103,6 +124,8 @@
         base::Time expiresAt;
     };
 
+    using ExpiryIndex = std::set<std::pair<base::Time, Fingerprint>>;
+
     /// Proven contents of the last one or two periods of half a lifetime.
     class ProvenContents
     {
@@ -117,8 +140,11 @@
         base::Time m_validUntil;
     };
 
+    bool isTrialDue(Fingerprint content, TrialKind kind, base::Time now) const;
+    ExpiryIndex::const_iterator findLeastNeeded(base::Time now) const;
     Entry &touch(Fingerprint content, base::Time now);
     void mergeInto(const ContentLosses &content, base::Time now);
+    void noteNewLosses(const std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known, base::Time now);
     void limitLosses(std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known) const;
     static std::size_t countedLosses(const Entry &entry);
     base::Duration trialDelay(const Entry &entry) const;
@@ -126,9 +152,10 @@
 
     CrashHistoryOptions m_options;
     std::map<Fingerprint, Entry> m_entries;
-    std::set<std::pair<base::Time, Fingerprint>> m_byExpiry;
+    ExpiryIndex m_byExpiry;
     std::set<Fingerprint> m_changed;
     ProvenContents m_proven;
+    std::map<EndpointLoss, base::Time> m_lostEndpoints; ///< and when this daemon last learned of a loss; without those that have answered since
 };
 
 } // namespace turmericplank::requests
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -79,7 +79,7 @@
     auto &endpoint = it->second;
     const bool mayHang = !endpoint.idle.empty() && endpoint.idle.back().idleSince < usableFrom(id);
     if (const auto idle = mayHang ? std::nullopt : takeIdle(endpoint, isAtMostOnce, now)) {
-        callback(PooledConnection{id, endpoint.incarnation, idle->connection, idle->isVerified});
+        callback(PooledConnection{id, endpoint.incarnation, idle->connection, idle->openedAt, idle->isVerified});
         return;
     }
     if (m_contact.isUnreachable(id)) {
@@ -137,7 +137,7 @@
                 if (!isProbe) {
                     m_contact.noteConnected(id, openedAt);
                 }
-                callback(PooledConnection{id, incarnation, *connection});
+                callback(PooledConnection{id, incarnation, *connection, openedAt});
                 return;
             }
             const bool isTimeout = connection.error() == net::ConnectionError::TimedOut;
@@ -231,7 +231,7 @@
         return;
     }
     const auto announced = std::chrono::duration_cast<base::Duration>(idleTimeout.value_or(m_options.maxIdleTime) * m_options.idleTimeoutShare);
-    it->second.idle.push_back({pooled.connection, now, now + std::min(announced, m_options.maxIdleTime), pooled.isVerified});
+    it->second.idle.push_back({pooled.connection, pooled.openedAt, now, now + std::min(announced, m_options.maxIdleTime), pooled.isVerified});
     pooled.connection->setOnIdleClose([this, isAlive = m_isAlive, id = pooled.endpoint, connection = pooled.connection.get()] {
         if (*isAlive) {
             removeIdle(id, connection);
--- a/src/turmericplank/gateway/forwardedcallcrashes.cpp
+++ b/src/turmericplank/gateway/forwardedcallcrashes.cpp
@@ -30,16 +30,17 @@
     return !m_isTrial && !refusedContents().empty();
 }
 
-/// Only a call that has not been sent before is a trial, of its content or of one part of its prompt, and only at one daemon, so that few
-/// endpoints are lost if it crashes them.
+/// Only a call that has not been sent before is a trial, and only at one daemon, so that few endpoints are lost if it crashes them. A call
+/// with several refused parts comes last: it may have a crashing one among sound ones. But after a loss of many endpoints at once there may
+/// be no other calls.
 bool ForwardedCall::beginTrial()
 {
     auto &dependencies = m_forwarder.m_dependencies;
     const auto now = base::now();
     const auto refused = refusedContents();
     const bool isOfContent = std::ranges::all_of(refused, [this](auto it) { return std::ranges::find(m_contents, it) != m_contents.end(); });
-    const bool mayBeTrial = m_attempts.sends() == 0 && (isOfContent || refused.size() == 1) && dependencies.mayTryRefused();
-    m_isTrial = mayBeTrial && std::ranges::all_of(refused, [&](auto it) { return dependencies.crashHistory.beginTrial(it, now); });
+    const auto kind = isOfContent || refused.size() == 1 ? requests::TrialKind::Single : requests::TrialKind::Combined;
+    m_isTrial = m_attempts.sends() == 0 && dependencies.mayTryRefused() && dependencies.crashHistory.beginTrial(refused, kind, now);
     if (m_isTrial) {
         telemetry::log(LogLevel::Info, "requests", "tries a refused content again", {{"request", m_call.id}, {"content", toString(refused.front())}});
     }
@@ -67,6 +68,19 @@
     }
 }
 
+/// An endpoint that goes on answering has not crashed, whoever has lost connections to it.
+void ForwardedCall::recordSignOfLife(const CallAttempt &attempt) const
+{
+    const auto &pooled = *attempt.pooled;
+    const requests::SignOfLife sign{{pooled.endpoint, pooled.incarnation}, pooled.openedAt, attempt.sentAt};
+    const auto cleared = m_forwarder.m_dependencies.crashHistory.recordSignOfLife(sign, base::now());
+    if (cleared > 0) {
+        telemetry::log(
+            LogLevel::Info, "requests", "an endpoint that was said to be lost goes on answering",
+            {{"request", m_call.id}, {"endpoint", pooled.endpoint.text()}, {"incarnation", pooled.incarnation.value()}, {"contents", std::uint64_t(cleared)}});
+    }
+}
+
 void ForwardedCall::recordProof(CallAttempt &attempt)
 {
     if (std::exchange(attempt.isProof, true)) {
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -79,6 +79,7 @@
     }
 
     std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
+    std::function<bool(const net::HttpRequest &)> isCut; ///< calls whose connection ends after their arrival, while the endpoint goes on
     std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
     std::size_t crashes = 0;
 
@@ -123,6 +124,10 @@
         if (onReceived) {
             onReceived(exchange->request(), crashes);
         }
+        if (isCut && isCut(exchange->request())) {
+            exchange->abort();
+            return;
+        }
         const bool isStream = net::path(exchange->request().target).starts_with("/s/");
         if (isStream) {
             exchange->startStream(200, responseHeaders(*exchange));
@@ -286,6 +291,12 @@
         m_daemons[n].context.reset();
     }
 
+    /// Lets a daemon run only once in each interval, as on a VM that is short of processor time.
+    void slowDown(std::size_t n, base::Duration interval)
+    {
+        m_daemons[n].pause = interval;
+    }
+
     struct Result
     {
         std::string id; ///< Request-Id
@@ -324,7 +335,11 @@
                 isBusy = it->poll() || isBusy;
             }
             for (auto &it : m_daemons) {
-                isBusy = (it.context && it.context->poll() > 0) || isBusy;
+                const bool isDue = it.context && base::now() >= it.nextPoll;
+                if (isDue) {
+                    isBusy = it.context->poll() > 0 || isBusy;
+                    it.nextPoll = base::now() + it.pause;
+                }
             }
             if (!isBusy) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -358,6 +373,8 @@
         std::vector<std::unique_ptr<EndpointLink>> links; ///< to the endpoints, by their numbers
         std::unique_ptr<boost::asio::io_context> context;
         std::unique_ptr<Gateway> gateway;
+        base::Duration pause{}; ///< between two runs
+        base::Time nextPoll;
     };
 
     /// Keeps parallel runs apart, also from the tests of whole programs, which use ports from 10000 on.
--- a/src/turmericplank/gateway/testfleetstore.hpp
+++ b/src/turmericplank/gateway/testfleetstore.hpp
@@ -25,14 +25,15 @@
     SiteStore accessFrom(const std::string &self, boost::asio::io_context &context, std::function<bool(const std::string &)> isListed)
     {
         SiteStore it;
-        it.readConfiguration = [this, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
-            boost::asio::post(context, [this, callback] { callback(snapshot()); });
+        it.readConfiguration = [this, self, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
+            answerLate(self, context, [this, callback] { callback(snapshot()); });
         };
         it.awaitConfiguration = [this, self, &context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
-            awaitChange(self, context, position, base::now() + WaitTime, callback);
+            awaitChange(self, context, position, base::now() + WaitTime,
+                        [this, self, &context, callback](const auto &result) { answerLate(self, context, [callback, result] { callback(result); }); });
         };
         it.readEndpoints = [this, self, &context](const ReadCallback<EndpointsSnapshot> &callback) {
-            boost::asio::post(context, [this, self, callback] {
+            answerLate(self, context, [this, self, callback] {
                 if (!mayUseRows(self)) {
                     callback(tl::unexpected(TableFailure::Unavailable));
                     return;
@@ -101,6 +102,7 @@
     std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
     std::set<std::string> hiddenRowsFor; ///< daemons whose calls about entries and rows are turned away
     std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
+    std::map<std::string, base::Duration> answerDelays; ///< of daemons that get the answers to reads and waits late
     std::map<base::EndpointId, discovery::EndpointEntry> entries;
     std::map<std::string, store::Row> rows;
 
@@ -113,6 +115,16 @@
     static constexpr auto WaitTime = std::chrono::seconds(1);
     static constexpr auto ChangeCheckInterval = std::chrono::milliseconds(5);
 
+    void answerLate(const std::string &self, boost::asio::io_context &context, std::function<void()> answer) const
+    {
+        const auto it = answerDelays.find(self);
+        if (it == answerDelays.end()) {
+            boost::asio::post(context, std::move(answer));
+        } else {
+            daemon::callAt(context, base::now() + it->second, std::move(answer));
+        }
+    }
+
     ConfigurationSnapshot snapshot() const
     {
         const auto &[revision, configuration] = *configurations.rbegin();
--- a/src/turmericplank/requests/crashhistory.cpp
+++ b/src/turmericplank/requests/crashhistory.cpp
@@ -45,6 +45,29 @@
     }
 }
 
+/// A call that was sent after the loss was known cannot have been answered before it. Neither can bytes that arrive long after.
+std::size_t CrashHistory::recordSignOfLife(const SignOfLife &sign, base::Time now)
+{
+    const auto lost = m_lostEndpoints.find(sign.endpoint);
+    if (lost == m_lostEndpoints.end() || sign.connectedAt >= lost->second) {
+        return 0; // a later connection may lead to the endpoint's next incarnation
+    }
+    if (sign.sentAt <= lost->second && now < lost->second + m_options.inFlightTime) {
+        return 0;
+    }
+    m_lostEndpoints.erase(lost);
+    std::vector<Fingerprint> contents;
+    for (const auto &[content, entry] : m_entries) {
+        if (const auto it = entry.losses.find(sign.endpoint); it != entry.losses.end() && it->second) {
+            contents.push_back(content);
+        }
+    }
+    for (const auto it : contents) {
+        mergeInto({it, {}, {sign.endpoint}, false, 0}, now);
+    }
+    return contents.size();
+}
+
 void CrashHistory::merge(const std::vector<ContentLosses> &contents, base::Time now)
 {
     for (const auto &it : contents) {
@@ -62,18 +85,26 @@
     return !entry.isProven || (losses >= m_options.provenLossLimit && entry.lastLossAt >= entry.firstLossAt + m_options.provenLossTime);
 }
 
-bool CrashHistory::beginTrial(Fingerprint content, base::Time now)
+bool CrashHistory::beginTrial(const std::vector<Fingerprint> &contents, TrialKind kind, base::Time now)
 {
-    const auto it = m_entries.find(content);
-    if (!isRefused(content, now) || now < it->second.nextTrialAt) {
+    const bool isDue = !contents.empty() && std::ranges::all_of(contents, [&](Fingerprint it) { return isTrialDue(it, kind, now); });
+    if (!isDue) {
         return false;
     }
-    auto message = find(content);
-    ++message.trials;
-    mergeInto(message, now);
+    for (const auto it : contents) {
+        auto message = find(it);
+        ++message.trials;
+        mergeInto(message, now);
+    }
     return true;
 }
 
+bool CrashHistory::isTrialDue(Fingerprint content, TrialKind kind, base::Time now) const
+{
+    const auto delay = kind == TrialKind::Combined ? m_options.combinedTrialDelay : base::Duration(0);
+    return isRefused(content, now) && now >= m_entries.at(content).nextTrialAt + delay;
+}
+
 std::size_t CrashHistory::lossCount(Fingerprint content, base::Time now) const
 {
     const auto it = m_entries.find(content);
@@ -124,10 +155,29 @@
 
 void CrashHistory::expire(base::Time now)
 {
-    while (!m_byExpiry.empty() && (m_byExpiry.begin()->first <= now || m_entries.size() > m_options.maxContents)) {
-        m_entries.erase(m_byExpiry.begin()->second);
-        m_byExpiry.erase(m_byExpiry.begin());
+    const auto remove = [this](auto it) {
+        m_entries.erase(it->second);
+        m_byExpiry.erase(it);
+    };
+    while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= now) {
+        remove(m_byExpiry.begin());
     }
+    while (m_entries.size() > m_options.maxContents) {
+        remove(findLeastNeeded(now));
+    }
+    std::erase_if(m_lostEndpoints, [&](const auto &it) { return it.second + m_options.lifetime <= now; });
+}
+
+/// @return the oldest entry that is not refused, or the oldest one if there are too many refused ones before it
+CrashHistory::ExpiryIndex::const_iterator CrashHistory::findLeastNeeded(base::Time now) const
+{
+    auto it = m_byExpiry.begin();
+    for (std::size_t n = 0; n <= m_options.maxKeptRefused && it != m_byExpiry.end(); ++n, ++it) {
+        if (!isRefused(it->second, now)) {
+            return it;
+        }
+    }
+    return m_byExpiry.begin();
 }
 
 std::size_t CrashHistory::countedLosses(const Entry &entry)
@@ -182,11 +232,23 @@
     entry.trials = std::max(content.trials, trialsBefore);
     entry.firstLossAt = countedBefore == 0 ? now : entry.firstLossAt;
     entry.lastLossAt = countedLosses(entry) > countedBefore ? now : entry.lastLossAt;
-    entry.nextTrialAt = now + trialDelay(entry);
+    const bool hasFewerLosses = countedLosses(entry) < countedBefore && entry.trials == trialsBefore;
+    entry.nextTrialAt = hasFewerLosses ? entry.nextTrialAt : now + trialDelay(entry);
+    noteNewLosses(entry.losses, before, now);
     m_changed.insert(content.content);
     expire(now);
 }
 
+/// An endpoint without an incarnation cannot be told from the one that has taken its place.
+void CrashHistory::noteNewLosses(const std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known, base::Time now)
+{
+    for (const auto &[loss, isCounted] : losses) {
+        if (isCounted && loss.incarnation != base::Incarnation() && !known.contains(loss)) {
+            m_lostEndpoints[loss] = now;
+        }
+    }
+}
+
 /// Losses that count matter more than cleared ones, and known ones more than new ones: these would otherwise change places for ever
 /// between two daemons.
 void CrashHistory::limitLosses(std::map<EndpointLoss, bool> &losses, const std::map<EndpointLoss, bool> &known) const
--- a/src/turmericplank/requests/crashhistory_test.cpp
+++ b/src/turmericplank/requests/crashhistory_test.cpp
@@ -108,24 +108,44 @@
     options.trialDelayFactor = 5;
     CrashHistory history(options);
     CrashHistory next(options);
-    CHECK_FALSE(history.beginTrial(crashing, Now));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now));
     for (const auto *endpoint : {"a", "b", "c"}) {
         history.recordLoss(crashing, loss(endpoint), Now);
     }
-    CHECK_FALSE(history.beginTrial(crashing, Now + 3s));
-    CHECK(history.beginTrial(crashing, Now + 4s));
-    CHECK_FALSE(history.beginTrial(crashing, Now + 5s));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now + 3s));
+    CHECK(history.beginTrial({crashing}, TrialKind::Single, Now + 4s));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now + 5s));
     history.recordLoss(crashing, loss("d"), Now + 5s);
     next.merge(history.takeChanged(), Now + 5s);
-    CHECK_FALSE(next.beginTrial(crashing, Now + 24s));
-    CHECK(next.beginTrial(crashing, Now + 25s));
-    CHECK_FALSE(next.beginTrial(crashing, Now + 124s));
-    CHECK(next.beginTrial(crashing, Now + 125s));
+    CHECK_FALSE(next.beginTrial({crashing}, TrialKind::Single, Now + 24s));
+    CHECK(next.beginTrial({crashing}, TrialKind::Single, Now + 25s));
+    CHECK_FALSE(next.beginTrial({crashing}, TrialKind::Single, Now + 124s));
+    CHECK(next.beginTrial({crashing}, TrialKind::Single, Now + 125s));
     CHECK(next.isRefused(crashing, Now + 125s));
     next.recordAnswer(crashing, Now + 126s);
     CHECK_FALSE(next.isRefused(crashing, Now + 126s));
 }
 
+TEST_CASE("several refused contents are tried together some time after a trial was due for each of them")
+{
+    CrashHistoryOptions options;
+    options.trialDelay = 4s;
+    options.trialDelayFactor = 5;
+    CrashHistory history(options);
+    for (const auto *endpoint : {"a", "b", "c"}) {
+        history.recordLoss(crashing, loss(endpoint), Now);
+        history.recordLoss(sound, loss(endpoint), Now + 1s);
+    }
+    CHECK_FALSE(history.beginTrial({}, TrialKind::Combined, Now + 9s));
+    CHECK_FALSE(history.beginTrial({crashing, sound}, TrialKind::Single, Now + 4s));
+    CHECK_FALSE(history.beginTrial({crashing, sound}, TrialKind::Combined, Now + 5999ms));
+    CHECK(history.find(crashing).trials == 0);
+    CHECK(history.beginTrial({crashing, sound}, TrialKind::Combined, Now + 6s));
+    CHECK_FALSE(history.beginTrial({crashing}, TrialKind::Single, Now + 25s));
+    CHECK_FALSE(history.beginTrial({sound}, TrialKind::Single, Now + 25s));
+    CHECK(history.beginTrial({crashing}, TrialKind::Single, Now + 26s));
+}
+
 TEST_CASE("a shared content that was answered lately is not refused for endpoints that are lost at once, only if the losses go on")
 {
     CrashHistoryOptions options;
@@ -158,6 +178,66 @@
     CHECK_FALSE(one.isRefused(sound, Now));
 }
 
+TEST_CASE("losses with an endpoint that answers a call sent later, on a connection opened earlier, don't count, also at other daemons")
+{
+    CrashHistory one;
+    CrashHistory other;
+    for (const auto *endpoint : {"a", "b", "c"}) {
+        one.recordLoss(sound, loss(endpoint), Now);
+        one.recordLoss(crashing, loss(endpoint), Now);
+    }
+    other.merge(one.takeChanged(), Now + 10ms);
+    other.recordSignOfLife({loss("d"), Now - 1s, Now + 20ms}, Now + 30ms);
+    CHECK(other.isRefused(sound, Now + 30ms));
+    other.recordSignOfLife({loss("a"), Now - 1s, Now + 20ms}, Now + 30ms);
+    CHECK(other.lossCount(sound, Now + 30ms) == 2);
+    CHECK(other.lossCount(crashing, Now + 30ms) == 2);
+    one.merge(other.takeChanged(), Now + 40ms);
+    CHECK_FALSE(one.isRefused(sound, Now + 40ms));
+}
+
+TEST_CASE("answers that may come from before the crash or from the next incarnation don't show that an endpoint was not lost")
+{
+    CrashHistoryOptions options;
+    options.inFlightTime = 1s;
+    CrashHistory history(options);
+    history.recordLoss(crashing, loss("a"), Now);
+    history.recordSignOfLife({loss("a"), Now - 1s, Now - 10ms}, Now + 999ms);
+    CHECK(history.lossCount(crashing, Now + 999ms) == 1);
+    history.recordSignOfLife({loss("a"), Now + 10ms, Now + 20ms}, Now + 2s);
+    CHECK(history.lossCount(crashing, Now + 2s) == 1);
+    history.recordSignOfLife({loss("a", 2), Now - 1s, Now + 20ms}, Now + 2s);
+    CHECK(history.lossCount(crashing, Now + 2s) == 1);
+    // The endpoint answered after one loss and crashed after that.
+    history.recordLoss(sound, loss("a"), Now + 3s);
+    history.recordSignOfLife({loss("a"), Now - 1s, Now + 2500ms}, Now + 3001ms);
+    CHECK(history.lossCount(sound, Now + 3001ms) == 1);
+    history.recordSignOfLife({loss("a"), Now - 1s, Now - 10ms}, Now + 4s);
+    CHECK(history.lossCount(sound, Now + 4s) == 0);
+    CHECK(history.lossCount(crashing, Now + 4s) == 0);
+}
+
+TEST_CASE("an endpoint that reports no incarnation may have been replaced when it answers")
+{
+    CrashHistory history;
+    history.recordLoss(crashing, loss("a", 0), Now);
+    history.recordSignOfLife({loss("a", 0), Now - 1s, Now + 10ms}, Now + 2s);
+    CHECK(history.lossCount(crashing, Now + 2s) == 1);
+}
+
+TEST_CASE("losses that turn out not to count don't delay the next trial")
+{
+    CrashHistoryOptions options;
+    options.trialDelay = 4s;
+    CrashHistory history(options);
+    for (const auto *endpoint : {"a", "b", "c", "d"}) {
+        history.recordLoss(crashing, loss(endpoint), Now);
+    }
+    history.recordSignOfLife({loss("a"), Now - 1s, Now + 10ms}, Now + 3s);
+    CHECK(history.isRefused(crashing, Now + 3s));
+    CHECK(history.beginTrial({crashing}, TrialKind::Single, Now + 4s));
+}
+
 TEST_CASE("what was answered long ago is not proven any longer")
 {
     CrashHistoryOptions options;
@@ -188,6 +268,36 @@
     CHECK(history.isRefused(crashing, Now + 50ms));
 }
 
+TEST_CASE("refused contents are kept although many others change later")
+{
+    CrashHistoryOptions options;
+    options.maxContents = 100;
+    options.maxKeptRefused = 2;
+    CrashHistory history(options);
+    const auto refuse = [&](Fingerprint content, base::Time now) {
+        for (const auto *endpoint : {"a", "b", "c"}) {
+            history.recordLoss(content, loss(endpoint), now);
+        }
+    };
+    refuse(crashing, Now);
+    refuse(Fingerprint(10), Now + 1ms);
+    for (std::uint64_t n = 1000; n < 1500; ++n) {
+        history.recordLoss(Fingerprint(n), loss("d"), Now + 2ms);
+    }
+    CHECK(history.all().size() == 100);
+    CHECK(history.isRefused(crashing, Now + 2ms));
+    CHECK(history.isRefused(Fingerprint(10), Now + 2ms));
+    // Their number is limited; the oldest goes first.
+    refuse(Fingerprint(11), Now + 3ms);
+    for (std::uint64_t n = 2000; n < 2500; ++n) {
+        history.recordLoss(Fingerprint(n), loss("d"), Now + 4ms);
+    }
+    CHECK(history.all().size() == 100);
+    CHECK_FALSE(history.isRefused(crashing, Now + 4ms));
+    CHECK(history.isRefused(Fingerprint(10), Now + 4ms));
+    CHECK(history.isRefused(Fingerprint(11), Now + 4ms));
+}
+
 TEST_CASE("a content whose losses were all cleared can be refused later")
 {
     CrashHistoryOptions options;
