--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -70,6 +70,7 @@
     bool isMisdirected = false; ///< another instance responded, or the requested weights are not resident
     bool isLeaving = false; ///< the instance that responded is shutting down and wants no more calls
     std::optional<base::Duration> idleTimeout; ///< after which the endpoint closes an idle connection
+    std::optional<std::uint32_t> rejectionTolerance; ///< calls per second that the endpoint can reject for lack of room without failing
     std::optional<base::Duration> pause; ///< for how long the endpoint wants no more calls from this daemon
 
     friend bool operator==(const ResponseHead &, const ResponseHead &) = default;
