Routing: daemons share out the slots of endpoints that survive few rejections

Cause: each daemon fills an endpoint by its own estimate, which is up to 400 ms old for the work of others, and relies on the endpoint's queue and rejections. Endpoints that fail after N rejections within a second fail again and again under overload.

RejectionAllowance deals the slots of each limited endpoint to the daemons that are known, in the order of ids.

--- a/include/turmericplank/routing/loadestimate.hpp
+++ b/include/turmericplank/routing/loadestimate.hpp
@@ -70,6 +70,9 @@
     /// @brief This daemon's own work on the endpoint, for the heartbeat.
     Work ownWork() const;
 
+    /// @brief Work that other daemons reported for this endpoint.
+    const std::map<base::DaemonId, EndpointWork> &peers() const;
+
     /// @brief Drops attempts that have expired without a recorded end.
     void expire(base::Time now);
 
--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -16,6 +16,7 @@
 #include "turmericplank/routing/loadestimate.hpp"
 #include "turmericplank/routing/loadreport.hpp"
 #include "turmericplank/routing/prefixindex.hpp"
+#include "turmericplank/routing/rejectionallowance.hpp"
 #include "turmericplank/routing/routetypes.hpp"
 
 namespace turmericplank::routing {
@@ -28,6 +29,7 @@
     base::ZoneName zone;
     std::uint32_t concurrency = 16; ///< streams that fit into its batch at full speed
     std::string softwareVersion; ///< of its program; versions have no order
+    base::ServiceName service; ///< empty if limits of rejections are not used
 
     friend auto operator<=>(const RoutableEndpoint &, const RoutableEndpoint &) = default;
     friend bool operator==(const RoutableEndpoint &, const RoutableEndpoint &) = default;
@@ -106,6 +108,14 @@
     /// @param factor number of all daemons divided by the number of daemons whose work is known, this one included
     void setUnreportedWorkFactor(double factor);
 
+    /// @brief Limits the rejections of endpoints while their services state that they fail if they reject too many requests.
+    /// @param limits rejections per second that each endpoint of a service survives
+    /// @param self this daemon
+    /// @param others the daemons that share the limits with it
+    /// @param now current time
+    void setRejectionLimits(const std::map<base::ServiceName, std::uint32_t> &limits, const base::DaemonId &self, const std::vector<base::DaemonId> &others,
+                            base::Time now);
+
     /// @brief Removes the work of a daemon that is gone.
     void forgetPeer(const base::DaemonId &from);
 
@@ -212,6 +222,9 @@
         int healthClass = 0; ///< 0 healthy, 1 due for a probe, 2 suspect or blocked
     };
 
+    void updateAllowance();
+    bool maySend(const EndpointState &state, const RouteRequest &request, base::Time now);
+    static EndpointWork workOf(const EndpointState &state);
     static bool isUsable(const EndpointState &state);
     static bool isBetter(const ScoredCandidate &a, const ScoredCandidate &b);
     const std::vector<EndpointIndex> &residentsFor(const base::ModelName &model, const RouteRequest &request);
@@ -238,6 +251,8 @@
     std::unordered_map<Ticket, Attempt> m_attempts;
     std::map<base::DaemonId, Peer> m_peers;
     double m_unreportedWorkFactor = 1;
+    std::map<base::ServiceName, std::uint32_t> m_rejectionLimits; ///< per second and endpoint
+    RejectionAllowance m_allowance;
     Ticket m_lastTicket = 0;
     std::vector<EndpointIndex> m_candidates; ///< scratch space of choose()
     std::vector<EndpointIndex> m_residentsOfVersion; ///< scratch space of choose()
--- a/include/turmericplank/routing/routetypes.hpp
+++ b/include/turmericplank/routing/routetypes.hpp
@@ -25,6 +25,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0; ///< max tokens of the answer, zero if unknown
     std::vector<base::EndpointId> excluded; ///< endpoints that must not get the request
+    bool isRetry = false; ///< has been sent to another endpoint before
     std::optional<std::string> softwareVersion; ///< only endpoints of this version may get the request
 
     friend bool operator==(const RouteRequest &, const RouteRequest &) = default;
@@ -83,6 +84,7 @@
     Excluded, ///< the request excludes every endpoint that holds the model
     Unavailable, ///< every endpoint that holds the model is leaving or gone
     Paused, ///< every other endpoint that holds the model has asked for a pause; NoRoute::retryAt is the end of the first pause
+    AllowanceUsed, ///< other endpoints that hold the model would reject too many requests if this daemon sent them more
 };
 
 /// @brief Name of a reason in the log.
--- a/src/turmericplank/gateway/sitestate.cpp
+++ b/src/turmericplank/gateway/sitestate.cpp
@@ -137,7 +137,7 @@
 {
     std::vector<routing::RoutableEndpoint> routable;
     for (const auto &[id, entry] : m_catalog.entries()) {
-        routable.push_back({id, entry.address, entry.zone, std::max(1U, entry.slots), entry.softwareVersion});
+        routable.push_back({id, entry.address, entry.zone, std::max(1U, entry.slots), entry.softwareVersion, entry.service});
     }
     m_router.setEndpoints(routable);
     for (const auto &[id, entry] : m_catalog.entries()) {
--- a/src/turmericplank/routing/loadestimate.cpp
+++ b/src/turmericplank/routing/loadestimate.cpp
@@ -136,6 +136,11 @@
     return m_own;
 }
 
+const std::map<base::DaemonId, EndpointWork> &LoadEstimate::peers() const
+{
+    return m_peers;
+}
+
 void LoadEstimate::expire(base::Time now)
 {
     for (auto it = m_attempts.begin(); it != m_attempts.end();) {
--- a/src/turmericplank/routing/router.cpp
+++ b/src/turmericplank/routing/router.cpp
@@ -52,6 +52,7 @@
         state.isConfigured = true;
         state.distanceMilliseconds = base::inMilliseconds(m_options.zoneDistance(it.zone));
     }
+    updateAllowance();
 }
 
 void Router::setModels(const std::vector<base::ModelName> &models, const std::map<base::AdapterName, base::ModelName> &adapters)
@@ -182,15 +183,52 @@
 {
     std::vector<EndpointWork> all;
     for (const auto &it : m_endpoints) {
-        const auto own = it.load.ownWork();
+        const auto own = workOf(it);
         if (it.isConfigured && own.streams > 0) {
-            all.push_back({it.endpoint.id, rounded(own.streams), rounded(own.urgentWaiting), rounded(own.otherWaiting), rounded(own.urgentTokens),
-                           rounded(own.otherTokens)});
+            all.push_back(own);
         }
     }
     return all;
 }
 
+EndpointWork Router::workOf(const EndpointState &state)
+{
+    const auto own = state.load.ownWork();
+    return {state.endpoint.id,         rounded(own.streams),      rounded(own.urgentWaiting),
+            rounded(own.otherWaiting), rounded(own.urgentTokens), rounded(own.otherTokens)};
+}
+
+void Router::setRejectionLimits(const std::map<base::ServiceName, std::uint32_t> &limits, const base::DaemonId &self, const std::vector<base::DaemonId> &others,
+                                base::Time now)
+{
+    for (const auto &[service, limit] : m_rejectionLimits) {
+        if (!limits.contains(service)) {
+            m_allowance.removeService(service);
+        }
+    }
+    m_rejectionLimits = limits;
+    m_allowance.setDaemons(self, others, now);
+    updateAllowance();
+}
+
+void Router::updateAllowance()
+{
+    for (const auto &[service, limit] : m_rejectionLimits) {
+        std::vector<LimitedEndpoint> endpoints;
+        for (const auto &it : m_endpoints) {
+            if (it.isConfigured && it.endpoint.service == service) {
+                endpoints.push_back({it.endpoint.id, it.endpoint.concurrency});
+            }
+        }
+        m_allowance.setEndpoints(service, std::move(endpoints), limit);
+    }
+}
+
+bool Router::maySend(const EndpointState &state, const RouteRequest &request, base::Time now)
+{
+    return !m_allowance.isLimited(state.endpoint.id) || m_allowance.maySend(state.endpoint.id, workOf(state), state.load.peers(), request.isRetry, now);
+}
+
 bool Router::isPeerWorkComplete(base::Time now) const
 {
     const auto isFresh = [&](const auto &it) {
@@ -253,6 +291,9 @@
     auto &state = m_endpoints[index];
     state.load.noteEnded(ticket, now);
     state.health.noteEnd(end, now, m_options.health);
+    if (end == AttemptOutcome::Overloaded) {
+        m_allowance.noteRejected(state.endpoint.id, workOf(state).streams, now);
+    }
     if (end == AttemptOutcome::Leaving) {
         state.isLeavingByReport = true;
     }
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -232,6 +232,7 @@
     std::optional<ScoredCandidate> best;
     std::optional<ScoredCandidate> runnerUp;
     std::optional<base::Time> firstPauseEnd;
+    bool isAllowanceUsed = false;
     for (const auto index : m_candidates) {
         const auto &state = m_endpoints[index];
         if (!isUsable(state)) {
@@ -241,6 +242,10 @@
             firstPauseEnd = std::min(firstPauseEnd.value_or(state.pausedUntil), state.pausedUntil);
             continue;
         }
+        if (!maySend(state, request, now)) {
+            isAllowanceUsed = true;
+            continue;
+        }
         auto candidate = score(index, *resolved, request, context);
         if (!best || isBetter(candidate, *best)) {
             runnerUp = best;
@@ -249,6 +254,9 @@
             runnerUp = candidate;
         }
     }
+    if (!best && isAllowanceUsed) {
+        return tl::unexpected(NoRoute{NoRouteReason::AllowanceUsed, retryAt});
+    }
     if (!best && firstPauseEnd) {
         return tl::unexpected(NoRoute{NoRouteReason::Paused, *firstPauseEnd});
     }
--- a/src/turmericplank/routing/routetypes.cpp
+++ b/src/turmericplank/routing/routetypes.cpp
@@ -40,6 +40,8 @@
         return "unavailable";
     case NoRouteReason::Paused:
         return "paused";
+    case NoRouteReason::AllowanceUsed:
+        return "allowance_used";
     }
     return "unknown";
 }
