Gateway: limits rejections of endpoints while their service states that it survives few

Cause: the answers' statement was not evaluated. Callers saw 503 and 502 while endpoints that had rejected too many calls failed.

Change: RejectionLimits applies each answer's statement, tells it to the other daemons in the status message ("tolerances", absent in messages of earlier builds) and passes limits and daemons to the router.

--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -68,6 +68,8 @@
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
+    /// Called for each answer with the rejections per second that the endpoint survives, or nothing if it states none.
+    std::function<void(const base::EndpointId &, std::optional<std::uint32_t>)> onRejectionTolerance;
 };
 
 /// @brief Forwards callers' calls to endpoints and returns the responses.
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -112,6 +112,9 @@
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
 
+    /// @brief The daemons that otherDaemonCount() counts.
+    std::vector<base::DaemonId> otherDaemons() const;
+
     /// @brief The daemon that claims the placement lease, if one is heard.
     std::optional<base::DaemonId> leaseHolder() const;
 
--- a/include/turmericplank/gateway/peerstatus.hpp
+++ b/include/turmericplank/gateway/peerstatus.hpp
@@ -11,6 +11,7 @@
 #include "turmericplank/base/address.hpp"
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/number.hpp"
+#include "turmericplank/base/time.hpp"
 #include "turmericplank/placement/conditionalorder.hpp"
 #include "turmericplank/placement/demand.hpp"
 #include "turmericplank/routing/loadreport.hpp"
@@ -38,6 +39,17 @@
     friend bool operator==(const DrainingEndpoint &, const DrainingEndpoint &) = default;
 };
 
+/// @brief Rejections per second that each endpoint of a service survives, as stated in answers to the sender.
+struct ReportedTolerance
+{
+    base::ServiceName service;
+    std::uint32_t rejectionsPerSecond = 0;
+    base::Duration age{0}; ///< since the last such answer, when the status was sent; clocks of VMs differ
+
+    friend auto operator<=>(const ReportedTolerance &, const ReportedTolerance &) = default;
+    friend bool operator==(const ReportedTolerance &, const ReportedTolerance &) = default;
+};
+
 /// @brief State that a gateway daemon sends periodically to its peers. Always complete, so that losing one is harmless.
 struct PeerStatus
 {
@@ -53,6 +65,7 @@
     base::StoreEra storeEra; ///< as reported by the store to the sender
     std::vector<routing::EndpointWork> endpointWork;
     std::vector<DrainingEndpoint> drainingEndpoints; ///< draining or recently removed, as read by the sender
+    std::vector<ReportedTolerance> rejectionTolerances;
     std::vector<EngineUpdate> engines; ///< sent by the holder of the lease
     std::optional<placement::DemandCounters> demand; ///< sent to the holder of the lease, and to all peers while no holder is heard
 
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -154,6 +154,7 @@
     request.promptTokens = m_call.promptTokens;
     request.answerTokens = m_call.maxAnswerTokens;
     request.excluded = m_excludedEndpoints;
+    request.isRetry = m_attempts.sends() > 0;
     request.softwareVersion = m_softwareVersion;
     return request;
 }
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -190,6 +190,7 @@
                        {{"endpoint", endpoint.text()}, {"incarnation", incarnation.incarnation.value()}, {"request", m_call.id}});
         dependencies.onEndpointLeaving();
     }
+    dependencies.onRejectionTolerance(endpoint, head.rejectionTolerance);
     if (head.pause) {
         dependencies.router.notePause(endpoint, now + *head.pause);
         dependencies.metrics.count("endpoint_pauses_total");
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "turmericplank/gateway/forwarder.hpp"
 #include "turmericplank/gateway/peers.hpp"
 #include "turmericplank/gateway/placementrunner.hpp"
+#include "turmericplank/gateway/rejectionlimits.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
 #include "turmericplank/gateway/streamoriginexchange.hpp"
 #include "turmericplank/telemetry/log.hpp"
@@ -97,6 +98,7 @@
         , wire(std::move(wireFormat))
         , router(routerOptions(settings.zone))
         , siteState(router)
+        , rejectionLimits(settings.id, siteState, router, [this] { return peers.otherDaemons(); })
         , pool(context, {})
         , mesh(peer::openMesh(context, meshOptions(settings)))
         , forwarder(forwarderDependencies(), settings.bounds)
@@ -115,6 +117,7 @@
         daemon::callEvery(context, ForwarderOptions().waitingRetryInterval, [this] { forwarder.retryWaitingCalls(); });
         daemon::callEvery(context, ExpireInterval, [this] {
             router.expire(base::now());
+            rejectionLimits.update(base::now());
             pool.closeExpired(base::now());
             streamOrigins.expire(base::now());
             forwarder.logOmittedLines();
@@ -156,8 +159,9 @@
                     placementRunner.updateEngines();
                     peers.sendStatus();
                 },
-                [this](const base::ServiceName &, const base::ModelName &) {
-                    peers.sendStatus();
+                [this](const base::ServiceName &, const base::ModelName &) { peers.sendStatus(); },
+                [this](const base::EndpointId &endpoint, std::optional<std::uint32_t> tolerance) {
+                    rejectionLimits.noteAnswer(endpoint, tolerance, base::now());
                 }};
     }
 
@@ -244,6 +248,7 @@
         };
         callbacks.onPeerSilent = [this](const base::DaemonId &id) {
             router.forgetPeer(id);
+            rejectionLimits.update(base::now());
             setConnectionLimits();
         };
         return callbacks;
@@ -285,6 +290,7 @@
         status.storeEra = storeEra;
         status.endpointWork = router.ownWork();
         status.drainingEndpoints = siteState.drainingEndpoints(base::now());
+        rejectionLimits.fillStatus(status, base::now());
         placementRunner.fillStatus(status);
     }
 
@@ -293,6 +299,7 @@
         const auto now = base::now();
         router.notePeerWork(status.from, allEndpointsWork(status), now);
         router.setUnreportedWorkFactor(static_cast<double>(daemonCount()) / static_cast<double>(peers.groupPeerCount() + 1));
+        rejectionLimits.notePeerStatus(status, now);
         siteState.applyDraining(status.drainingEndpoints, now);
         siteStateUpdater.notePeerRevision(status.from, status.revision);
         notePeerStoreEra(status.storeEra);
@@ -408,6 +415,7 @@
     std::mt19937_64 random{std::random_device()()};
     routing::Router router;
     SiteState siteState;
+    RejectionLimits rejectionLimits;
     ConnectionPool pool;
     forwarding::StreamOrigins streamOrigins;
     requests::CrashHistory crashHistory;
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -345,6 +345,17 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_peers, [](const auto &it) { return !it.second.isSilent || !it.second.isInGroup; }));
 }
 
+std::vector<base::DaemonId> Peers::otherDaemons() const
+{
+    std::vector<base::DaemonId> found;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.isSilent || !peer.isInGroup) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 std::size_t Peers::groupPeerCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_peers, [](const auto &it) { return !it.second.isSilent && it.second.isInGroup; }));
--- a/src/turmericplank/gateway/peerstatus.cpp
+++ b/src/turmericplank/gateway/peerstatus.cpp
@@ -56,6 +56,10 @@
         status.engines.push_back({base::EndpointId(it.at(0).get<std::string>()), base::Incarnation(it.at(1).get<std::uint64_t>()),
                                   it.at(2).get<std::uint64_t>(), modelsFromJson(it.at(3))});
     }
+    for (const auto &it : json.value("tolerances", Json::array())) { // absent in messages of earlier builds
+        status.rejectionTolerances.push_back(
+            {base::ServiceName(it.at(0).get<std::string>()), it.at(1).get<std::uint32_t>(), std::chrono::milliseconds(it.at(2).get<std::uint32_t>())});
+    }
     if (!json.contains("models")) {
         return status;
     }
@@ -86,6 +90,10 @@
     for (const auto &it : status.drainingEndpoints) {
         json["gone"].push_back({it.endpoint.text(), it.incarnation.value()});
     }
+    for (const auto &it : status.rejectionTolerances) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count();
+        json["tolerances"].push_back({it.service.text(), it.rejectionsPerSecond, age});
+    }
     for (const auto &it : status.engines) {
         json["engines"].push_back({it.endpoint.text(), it.incarnation.value(), it.acceptedOrders, modelsToJson(it.models)});
     }
--- a/src/turmericplank/gateway/peerstatus_test.cpp
+++ b/src/turmericplank/gateway/peerstatus_test.cpp
@@ -19,6 +19,8 @@
     status.storeEra = base::StoreEra(2);
     status.endpointWork = {{base::EndpointId("e1"), 4, 1, 2, 300, 400}};
     status.drainingEndpoints = {{base::EndpointId("e2"), base::Incarnation(4)}};
+    CHECK(decodePeerStatus(encode(status)) == status);
+    status.rejectionTolerances = {{base::ServiceName("s"), 4, std::chrono::milliseconds(1500)}, {base::ServiceName("t"), 0, {}}};
     status.engines = {{base::EndpointId("e1"), base::Incarnation(5), 6, {{base::ModelName("m"), {"a1", "a2"}}, {base::ModelName("n"), {}}}}};
     CHECK(decodePeerStatus(encode(status)) == status);
     status.demand.emplace();
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -226,6 +226,7 @@
 
     std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
     std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
+    std::function<void(const net::ExchangePointer &)> handleInstead; ///< answers all calls if set; must drop them before a crash
     std::size_t crashes = 0;
 
 private:
@@ -269,6 +270,10 @@
         if (onReceived) {
             onReceived(exchange->request(), crashes);
         }
+        if (handleInstead) {
+            handleInstead(exchange);
+            return;
+        }
         const bool isStream = net::path(exchange->request().target).starts_with("/s/");
         if (isStream) {
             exchange->startStream(200, responseHeaders(*exchange));
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -283,6 +283,8 @@
         head.callId = std::string(header(headers, "Request-Id"));
         head.isAuthentic = !header(headers, "Server-Seal").empty();
         head.isNotRun = !header(headers, "Not-Executed").empty();
+        const std::string tolerance(header(headers, "Tolerance"));
+        head.rejectionTolerance = tolerance.empty() ? std::nullopt : std::optional(static_cast<std::uint32_t>(std::stoul(tolerance)));
         return head;
     };
     wire.forwardedHeaders = [](const net::Headers &headers) {
@@ -409,7 +411,8 @@
                 [] { return true; },
                 [] { return std::size_t(1); },
                 [] {},
-                [](const base::ServiceName &, const base::ModelName &) {
+                [](const base::ServiceName &, const base::ModelName &) {},
+                [](const base::EndpointId &, std::optional<std::uint32_t>) {
                 }};
     }
 
