--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -52,7 +52,7 @@
 endfunction()
 
 if(NOT TURMERICPLANK_SANITIZE OR TURMERICPLANK_SANITIZE_SHELLS)
-  turmericplank_program_tests(standins standins/common standins/engine standins/platform standins/sitestore)
+  turmericplank_program_tests(standins standins/common standins/engine standins/platform standins/siteendpoint standins/sitestore)
   turmericplank_program_tests(cli daemons/turmericplank)
 endif()
 
--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -1,4 +1,5 @@
 #include <cstdio>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -8,6 +9,7 @@
 #include <openssl/evp.h>
 
 #include "common/program.hpp"
+#include "limitedroom.hpp"
 #include "turmericplank/net/httpclient.hpp"
 #include "unframedlistener.hpp"
 
@@ -51,7 +53,10 @@
 /// that it is draining, POST /leave makes it say so in its answers only. POST /shed?seconds=N makes it reject calls and ask for a
 /// pause; GET /shed returns how many came. POST /pause?ms=N makes the streams in progress send nothing for this long, and then go on.
 /// POST /crash-part?id=ID makes an engine crash when it has begun to answer a prompt that has this part before its last one. POST
-/// /break?after=N makes it break off streams inside the event after the Nth one, or before the first one with N=head.
+/// /break?after=N makes it break off streams inside the event after the Nth one, or before the first one with N=head. POST
+/// /limit?tolerance=N&slots=S&work=MS&notice=MS&stated=0|1 makes a plain service run S calls at a time for MS each and fail for some
+/// time when it rejects more than N in a second, and state N in its answers; from the end of the notice, no calls wait for a slot.
+/// GET /limit returns the numbers of answered and rejected calls and of failures.
 class Endpoint
 {
 public:
@@ -70,7 +75,7 @@
                    {"address", m_options.address},
                    {"zone", m_options.zone},
                    {"version", m_options.version},
-                   {"slots", 16},
+                   {"slots", m_slots},
                    {"state", m_isDraining ? "draining" : "ready"},
                    {"coldLeftMs", 0},
                    {"seq", ++m_heartbeatSequence},
@@ -108,6 +113,10 @@
             handleShed(exchange);
             return;
         }
+        if (path == "/limit") {
+            handleLimit(exchange);
+            return;
+        }
         if (path == "/crash-part") {
             m_crashingPart = net::queryParameter(request.target, "id");
             exchange->respond({204, {}, {}});
@@ -166,6 +175,74 @@
         exchange->respond({204, {}, {}});
     }
 
+    void handleLimit(const net::ExchangePointer &exchange)
+    {
+        const auto &target = exchange->request().target;
+        if (exchange->request().method == "GET") {
+            exchange->respond(
+                jsonResponse(200, {{"answered", m_answered}, {"rejected", m_room ? m_room->rejected : 0}, {"failures", m_room ? m_room->failures : 0}}));
+            return;
+        }
+        const auto number = [&target](const char *name) {
+            return std::stoul('0' + net::queryParameter(target, name));
+        };
+        LimitedRoomOptions options;
+        options.tolerance = static_cast<std::uint32_t>(number("tolerance"));
+        options.slots = static_cast<std::uint32_t>(number("slots"));
+        options.limitedFrom = base::now() + std::chrono::milliseconds(number("notice"));
+        m_workTime = std::chrono::milliseconds(number("work"));
+        m_statedTolerance = number("stated") == 1 ? std::to_string(options.tolerance) : "";
+        m_answered = 0;
+        m_room.emplace(options);
+        m_slots = options.slots;
+        ++m_incarnation;
+        m_waiting.clear();
+        exchange->respond({204, {}, {}});
+    }
+
+    void handleLimitedCall(const net::ExchangePointer &exchange, const net::Headers &headers)
+    {
+        const auto admission = m_room->admit(base::now());
+        switch (admission) {
+        case Admission::Run:
+            runLimited(exchange, headers);
+            break;
+        case Admission::Wait:
+            m_waiting.push_back({exchange, headers});
+            break;
+        case Admission::Reject: {
+            auto rejection = headers;
+            rejection.push_back({"Not-Executed", "1"});
+            exchange->respond({503, rejection, {}});
+            break;
+        }
+        default:
+            exchange->abort();
+            break;
+        }
+        if (admission == Admission::Fail) {
+            ++m_incarnation;
+            m_waiting.clear();
+        }
+    }
+
+    void runLimited(const net::ExchangePointer &exchange, const net::Headers &headers)
+    {
+        callAfter(m_program.context(), m_workTime, [this, exchange, headers, incarnation = m_incarnation] {
+            if (incarnation != m_incarnation) {
+                exchange->abort();
+                return;
+            }
+            ++m_answered;
+            exchange->respond({200, headers, "run by " + m_options.id + '\n'});
+            if (m_room->finish()) {
+                const auto next = m_waiting.front();
+                m_waiting.pop_front();
+                runLimited(next.exchange, next.headers);
+            }
+        });
+    }
+
     void handleOrder(const net::ExchangePointer &exchange)
     {
         const auto json = Json::parse(exchange->request().body, nullptr, false);
@@ -230,6 +307,13 @@
         if (m_isLeaving || m_isDraining) {
             headers.push_back({"Server-Leaving", "1"});
         }
+        if (!m_statedTolerance.empty()) {
+            headers.push_back({"Server-Brittle", m_statedTolerance});
+        }
+        if (!isEngine() && m_room) {
+            handleLimitedCall(exchange, headers);
+            return;
+        }
         if (!isEngine()) {
             exchange->respond({200, headers, "run by " + m_options.id + '\n'});
             return;
@@ -275,6 +359,12 @@
                   [this, exchange, number] { streamEvents(exchange, number + 1); });
     }
 
+    struct WaitingCall
+    {
+        net::ExchangePointer exchange;
+        net::Headers headers;
+    };
+
     Program &m_program;
     Options m_options;
     std::map<std::string, std::set<std::string>> m_models;
@@ -292,6 +382,13 @@
     std::uint64_t m_breakAfter = 0; ///< events of a stream; zero for not at all
     std::string m_retryAfter; ///< seconds; while not empty, calls are rejected with this pause
     std::uint64_t m_shedCalls = 0;
+    std::optional<LimitedRoom> m_room; ///< of a plain service; nothing for unlimited room
+    std::uint32_t m_slots = 16; ///< as reported to the store
+    std::chrono::milliseconds m_workTime{0}; ///< of a call, with limited room
+    std::string m_statedTolerance; ///< empty if answers state none
+    std::deque<WaitingCall> m_waiting; ///< for a slot
+    std::uint64_t m_incarnation = 0; ///< increased by a failure, which loses all calls
+    std::uint64_t m_answered = 0;
 };
 
 } // namespace
