--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -1,4 +1,5 @@
-# The *_test.cpp files of a slice form one test program. Each *_fuzz_test.cpp is a program of its own that uses rapidcheck:
+# The *_test.cpp files of a slice form one test program, except those that run whole fleets of daemons (testfleet.hpp) for several seconds,
+# each of which is a program of its own. Each *_fuzz_test.cpp is a program of its own that uses rapidcheck:
 # TURMERICPLANK_RC_PARAMS pins its seed and number of sequences, and the environment variable RC_PARAMS can override them.
 enable_testing()
 set(TURMERICPLANK_RC_PARAMS "seed=20261203 max_success=2000" CACHE STRING "Seed and number of sequences for the rapidcheck tests")
@@ -8,6 +9,16 @@
   set(fuzz_sources ${sources})
   list(FILTER sources EXCLUDE REGEX "_fuzz_test\\.cpp$")
   list(FILTER fuzz_sources INCLUDE REGEX "_fuzz_test\\.cpp$")
+  foreach(source IN LISTS sources)
+    file(STRINGS "${source}" fleet REGEX "#include \"testfleet.hpp\"")
+    if(fleet)
+      list(REMOVE_ITEM sources "${source}")
+      get_filename_component(name "${source}" NAME_WE)
+      turmericplank_test_program(${slice}_${name} ${library} ${source})
+      add_test(NAME ${slice}.${name} COMMAND ${slice}_${name} WORKING_DIRECTORY "${PROJECT_SOURCE_DIR}")
+      set_tests_properties(${slice}.${name} PROPERTIES TIMEOUT 300)
+    endif()
+  endforeach()
   if(sources)
     turmericplank_test_program(${slice}_test ${library} ${sources})
     add_test(NAME ${slice} COMMAND ${slice}_test WORKING_DIRECTORY "${PROJECT_SOURCE_DIR}")
@@ -52,7 +63,7 @@
 endfunction()
 
 if(NOT TURMERICPLANK_SANITIZE OR TURMERICPLANK_SANITIZE_SHELLS)
-  turmericplank_program_tests(standins standins/common standins/engine standins/platform standins/sitestore)
+  turmericplank_program_tests(standins standins/common standins/engine standins/platform standins/siteendpoint standins/sitestore)
   turmericplank_program_tests(cli daemons/turmericplank)
 endif()
 
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -130,6 +130,9 @@
     /// @brief Daemons that may have contact to endpoints: those of the group that say so, or else those outside it, of which nothing is known.
     std::vector<ForwardTarget> forwardTargets() const;
 
+    /// @brief The daemons that otherDaemonCount() counts, except those that reach no endpoint.
+    std::vector<base::DaemonId> otherDaemons() const;
+
     /// @brief The daemon that claims the placement lease, if one is heard.
     std::optional<base::DaemonId> leaseHolder() const;
 
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "turmericplank/gateway/peerforwarder.hpp"
 #include "turmericplank/gateway/peers.hpp"
 #include "turmericplank/gateway/placementrunner.hpp"
+#include "turmericplank/gateway/rejectionlimits.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
 #include "turmericplank/gateway/streamoriginexchange.hpp"
 #include "turmericplank/telemetry/log.hpp"
@@ -101,6 +102,7 @@
         , wire(std::move(wireFormat))
         , router(routerOptions(settings.zone))
         , siteState(router)
+        , rejectionLimits(settings.id, siteState, router, [this] { return peers.otherDaemons(); })
         , pool(context, std::move(poolOptions))
         , mesh(peer::openMesh(context, meshOptions(settings)))
         , forwarder(forwarderDependencies(), settings.bounds)
@@ -122,6 +124,7 @@
         daemon::callEvery(context, ContactInterval, [this] { checkContact(); });
         daemon::callEvery(context, ExpireInterval, [this] {
             router.expire(base::now());
+            rejectionLimits.update(base::now());
             pool.closeExpired(base::now());
             streamOrigins.expire(base::now());
             forwarder.logOmittedLines();
@@ -165,8 +168,9 @@
                     placementRunner.updateEngines();
                     peers.sendStatus();
                 },
-                [this](const base::ServiceName &, const base::ModelName &) {
-                    peers.sendStatus();
+                [this](const base::ServiceName &, const base::ModelName &) { peers.sendStatus(); },
+                [this](const base::EndpointId &endpoint, std::optional<std::uint32_t> tolerance) {
+                    rejectionLimits.noteAnswer(endpoint, tolerance, base::now());
                 }};
     }
 
@@ -253,6 +257,7 @@
         };
         callbacks.onPeerSilent = [this](const base::DaemonId &id) {
             router.forgetPeer(id);
+            rejectionLimits.update(base::now());
             setConnectionLimits();
         };
         return callbacks;
@@ -334,6 +339,7 @@
         status.storeEra = storeEra;
         status.endpointWork = router.ownWork();
         status.drainingEndpoints = siteState.drainingEndpoints(base::now());
+        rejectionLimits.fillStatus(status, base::now());
         placementRunner.fillStatus(status);
     }
 
@@ -342,6 +348,7 @@
         const auto now = base::now();
         router.notePeerWork(status.from, allEndpointsWork(status), now);
         router.setUnreportedWorkFactor(static_cast<double>(daemonCount()) / static_cast<double>(peers.groupPeerCount() + 1));
+        rejectionLimits.notePeerStatus(status, now);
         siteState.applyDraining(status.drainingEndpoints, now);
         siteStateUpdater.notePeerRevision(status.from, status.revision);
         notePeerStoreEra(status.storeEra);
@@ -462,6 +469,7 @@
     std::mt19937_64 random{std::random_device()()};
     routing::Router router;
     SiteState siteState;
+    RejectionLimits rejectionLimits;
     ConnectionPool pool;
     forwarding::StreamOrigins streamOrigins;
     requests::CrashHistory crashHistory;
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -81,6 +81,7 @@
     std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
     std::function<bool(const net::HttpRequest &)> isCut; ///< calls whose connection ends after their arrival, while the endpoint goes on
     std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
+    std::function<void(const net::ExchangePointer &)> handleInstead; ///< answers all calls if set; must drop them before a crash
     std::size_t crashes = 0;
 
 private:
@@ -128,6 +129,10 @@
             exchange->abort();
             return;
         }
+        if (handleInstead) {
+            handleInstead(exchange);
+            return;
+        }
         const bool isStream = net::path(exchange->request().target).starts_with("/s/");
         if (isStream) {
             exchange->startStream(200, responseHeaders(*exchange));
