--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "gatewayoptions.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/gateway/crashexchange.hpp"
 #include "turmericplank/gateway/endpointrefresh.hpp"
@@ -37,31 +38,6 @@
 constexpr std::size_t MinZoneEntries = 2; ///< so that one may be lost
 constexpr double ConnectionShare = 0.9; ///< of an endpoint's connections; the rest is reserved for daemons that are not heard
 constexpr std::uint32_t MinConnections = 4; ///< from one daemon to one endpoint
-constexpr double StreamPenaltyMilliseconds = 2; ///< for each stream; without it near ties send all prompts with the same first part to one engine
-constexpr auto CrossZoneLatency = std::chrono::microseconds(1250); ///< one way, between zones of one region
-
-/// Initial estimates for engines of this kind, used until measurements are available.
-routing::EngineSpeed engineSpeed()
-{
-    routing::EngineSpeed speed;
-    speed.promptMillisecondsPerToken = 0.03; // about 30 prompt tokens per millisecond
-    speed.stepMilliseconds = 5;
-    speed.stepMillisecondsPerStream = 0.1;
-    speed.averageAnswerTokens = 250;
-    return speed;
-}
-
-routing::RouterOptions routerOptions(const base::ZoneName &own)
-{
-    routing::RouterOptions options;
-    options.zoneDistance = [own](const base::ZoneName &zone) {
-        return zone == own ? base::Duration(0) : base::Duration(CrossZoneLatency);
-    };
-    options.speed = engineSpeed();
-    options.streamPenaltyMilliseconds = StreamPenaltyMilliseconds;
-    options.health.failuresToBlock = 4; // a healthy plain service may fail a seventh of its calls
-    return options;
-}
 
 std::unique_ptr<net::HttpServer> listen(boost::asio::io_context &context, const base::Address &address, std::function<void(net::ExchangePointer)> onRequest,
                                         std::function<void(net::UnansweredCause)> onUnanswered = {})
@@ -73,25 +49,6 @@
     return net::listenHttp(context, options);
 }
 
-SiteStateUpdaterOptions updaterOptions(const SiteBounds &bounds)
-{
-    // A daemon to which nothing is relayed learns of endpoints and of changes of the configuration by itself.
-    const auto shortest = std::min(bounds.drainTime, bounds.configurationTime);
-    SiteStateUpdaterOptions options;
-    options.endpointsInterval = shortest / 2;
-    options.relayTimeout = shortest * 72 / 100;
-    options.awaitTimeout = bounds.configurationTime * 75 / 100;
-    return options;
-}
-
-peer::MeshOptions meshOptions(const Settings &settings)
-{
-    peer::MeshOptions options;
-    options.listen = settings.peerAddress;
-    options.self = settings.id;
-    return options;
-}
-
 } // namespace
 
 struct Gateway::Impl
--- /dev/null
+++ b/src/turmericplank/gateway/gatewayoptions.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "turmericplank/gateway/settings.hpp"
+#include "turmericplank/gateway/sitestateupdater.hpp"
+#include "turmericplank/peer/mesh.hpp"
+#include "turmericplank/routing/router.hpp"
+
+namespace turmericplank::gateway {
+
+/// @brief Options of the router of a daemon in a zone.
+routing::RouterOptions routerOptions(const base::ZoneName &own);
+
+/// @brief Intervals of reads of the store, from the times in which changes must be in force.
+SiteStateUpdaterOptions updaterOptions(const SiteBounds &bounds);
+
+/// @brief Options of the connections to the other daemons.
+peer::MeshOptions meshOptions(const Settings &settings);
+
+} // namespace turmericplank::gateway
