Tests of calls that are forwarded to a peer: one hop, at most once, "not run", time and sends

Cause: lostcontact_test counts what is served; nothing checked what a forwarded call must not do.

Test endpoints have a work time and tell when a connection closes; the test wire format passes on the caller's time-out and the time that is left; callers of a test fleet can leave.

--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -80,12 +80,13 @@
 
     std::function<bool(const net::HttpRequest &)> isCrashing; ///< calls that crash this endpoint
     std::function<void(const net::HttpRequest &, std::size_t crashes)> onReceived; ///< called with each call and the number of crashes so far
+    std::function<void()> onCallerLeft; ///< called if the connection of a call closes before its response is complete
+    base::Duration workTime = std::chrono::milliseconds(10); ///< of a call that is not a stream
     std::size_t crashes = 0;
 
 private:
     static constexpr int EventCount = 20; ///< of a stream
     static constexpr auto EventInterval = std::chrono::milliseconds(30);
-    static constexpr auto WorkTime = std::chrono::milliseconds(10);
     static constexpr auto CrashDelay = std::chrono::milliseconds(25); ///< from the arrival of a call to the crash
     static constexpr auto RestartTime = std::chrono::milliseconds(300);
 
@@ -123,6 +124,11 @@
         if (onReceived) {
             onReceived(exchange->request(), crashes);
         }
+        exchange->setOnClosed([this] {
+            if (onCallerLeft) {
+                onCallerLeft();
+            }
+        });
         const bool isStream = net::path(exchange->request().target).starts_with("/s/");
         if (isStream) {
             exchange->startStream(200, responseHeaders(*exchange));
@@ -136,7 +142,7 @@
             sendEvent(exchange, 1);
             return;
         }
-        daemon::callAt(*m_context, base::now() + WorkTime, [this, exchange] { exchange->respond({200, responseHeaders(*exchange), "done"}); });
+        daemon::callAt(*m_context, base::now() + workTime, [this, exchange] { exchange->respond({200, responseHeaders(*exchange), "done"}); });
     }
 
     net::Headers responseHeaders(const net::HttpExchange &exchange) const
@@ -286,12 +292,31 @@
         m_daemons[n].context.reset();
     }
 
+    /// Where a daemon listens for calls of other daemons.
+    static base::Address peerAddress(std::size_t daemon)
+    {
+        return {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon + 3)};
+    }
+
+    /// Where a daemon serves its metrics.
+    static base::Address metricsAddress(std::size_t daemon)
+    {
+        return {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon + 4)};
+    }
+
+    /// Runs the callers, and whatever else a test adds.
+    boost::asio::io_context &callers()
+    {
+        return m_callers;
+    }
+
     struct Result
     {
         std::string id; ///< Request-Id
         int status = 0; ///< zero without a response
         std::string body;
         bool isEnded = false;
+        net::CallPointer call; ///< to be cancelled if the caller leaves
     };
 
     /// Sends a call to a daemon; the result is filled in later.
@@ -303,10 +328,11 @@
         result->id = "c" + std::to_string(++m_calls);
         headers.push_back({"Request-Id", result->id});
         options.request = {"POST", std::move(target), std::move(headers), std::move(body)};
-        net::fetchResponse(m_callers, std::move(options), [result](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
+        result->call = net::fetchResponse(m_callers, std::move(options), [result](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
             result->status = response ? response->status : 0;
             result->body = response ? response->body : "";
             result->isEnded = true;
+            result->call.reset();
         });
         return result;
     }
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -248,7 +248,8 @@
     std::unique_ptr<net::HttpServer> m_server;
 };
 
-/// @brief Wire format with as few headers as the tests need. Prompt has the ids of the prompt's parts, separated by blanks.
+/// @brief Wire format with as few headers as the tests need. Prompt has the ids of the prompt's parts, separated by blanks. Timeout-Ms is the time
+/// after which the caller leaves, Remaining-Ms what is left of it when the call is sent to an endpoint.
 inline WireFormat testWireFormat()
 {
     WireFormat wire;
@@ -260,6 +261,8 @@
         const std::string last(header(request.headers, "Last-Event-Id"));
         call.lastEventId = last.empty() ? std::optional<std::uint64_t>() : std::stoull(last);
         call.resumedCall = std::string(header(request.headers, "Resumes"));
+        const std::string timeout(header(request.headers, "Timeout-Ms"));
+        call.callerTimeout = timeout.empty() ? std::optional<base::Duration>() : std::chrono::milliseconds(std::stoll(timeout));
         std::istringstream parts{std::string(header(request.headers, "Prompt"))};
         for (std::uint64_t id = 0; parts >> id;) {
             call.prompt.push_back({id, 10});
@@ -272,6 +275,9 @@
             request.target,
             {{"Request-Id", std::string(header(request.headers, "Request-Id"))}, {"Prompt", std::string(header(request.headers, "Prompt"))}},
             request.body};
+        if (head.remainingTime) {
+            attempt.headers.push_back({"Remaining-Ms", std::to_string(base::inMilliseconds(*head.remainingTime))});
+        }
         if (head.lastEventId) {
             attempt.headers.push_back({"Last-Event-Id", std::to_string(*head.lastEventId)});
         }
