A peer's refusal as not run is not passed on for a call that was sent before

Cause: a repeatable call that was lost at an endpoint is forwarded to a peer. If the peer refuses it, its 503 was returned as it is, although the endpoint may have run the call. The peer knows of its own sends only.

Change: if a send of this daemon may have run the call, a status that means "not run" becomes an unknown outcome.

--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -19,6 +19,9 @@
 /// @brief Whether calls of a route tolerate delay, since their latency objective is long.
 bool isDeferrable(const routes::Route &route);
 
+/// @brief Whether a caller concludes from the status that its call has not run.
+bool impliesNotRun(int status);
+
 /// @brief State of one attempt: a call sent to one endpoint.
 struct CallAttempt
 {
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -20,15 +20,14 @@
 constexpr std::uint32_t MaxUrgency = 9;
 constexpr std::uint32_t DeferrableUrgencyPenalty = 3; ///< added to the rank of deferrable routes; calls with higher numbers are admitted later
 
-/// Whether a caller concludes from the status that its call has not run. Such a status is not relayed from an endpoint that
-/// does not state this itself.
+} // namespace
+
+/// Such a status is not relayed from an endpoint that does not state itself that the call has not run.
 bool impliesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-} // namespace
-
 AttemptHeaders ForwardedCall::attemptHeaders(base::Time now) const
 {
     AttemptHeaders head;
--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -110,6 +110,11 @@
         return;
     }
     const auto status = m_peerHead->status;
+    // The peer does not know of the sends of this daemon.
+    if (m_attempts.mayHaveRun() && impliesNotRun(status)) {
+        reject(RejectionReason::OutcomeUnknown);
+        return;
+    }
     m_exchange->respond({status, std::move(m_peerHead->headers), std::move(m_peerBody)});
     finish(status < FirstFailureStatus ? "answered_by_peer" : "failed_at_peer");
 }
