The call by which a daemon notices that it has lost contact is forwarded with few endpoints, too

Cause: an endpoint to which a call could not be sent is excluded from its next choice. If no endpoint remains before four sends have failed, the daemon did not regard the excluded ones as unreachable, and refused the call.

Change: endpoints of earlier attempts that are unreachable count when it is decided whether a peer may serve the call.

--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -195,7 +195,8 @@
     }
     auto excluded = m_excludedEndpoints;
     const auto &contact = m_forwarder.m_dependencies.pool.contact();
-    bool isAnyUnreachable = false; // an endpoint that another daemon may reach
+    // Another daemon may reach an endpoint that this one does not reach, also one at which an earlier attempt has failed.
+    bool isAnyUnreachable = std::ranges::any_of(m_excludedEndpoints, [&contact](const auto &it) { return contact.isUnreachable(it); });
     for (;;) {
         auto request = routeRequest();
         request.excluded = excluded;
