Each peer that is asked is told of the time that is left then

Cause: the request was encoded once, so that a second peer got the time that was left before the first one had been tried, which takes up to 500 ms if its connection cannot be opened.

Change: PeerForward encodes the request for each peer. The test passes the request instead of its encoding; its check is the same.

--- a/include/turmericplank/gateway/peerforward.hpp
+++ b/include/turmericplank/gateway/peerforward.hpp
@@ -31,9 +31,9 @@
 {
 public:
     /// @param targets in the order in which they are tried
-    /// @param body encoded request
+    /// @param request its deadline is the one that the target is told
     /// @param deadline for the whole response
-    PeerForward(peer::Mesh &mesh, std::vector<ForwardTarget> targets, std::string body, base::Time deadline, PeerForwardCallbacks callbacks);
+    PeerForward(peer::Mesh &mesh, std::vector<ForwardTarget> targets, PeerForwardRequest request, base::Time deadline, PeerForwardCallbacks callbacks);
 
     /// @brief Sends the call to the first target.
     void start();
@@ -54,7 +54,7 @@
     peer::Mesh &m_mesh;
     std::vector<ForwardTarget> m_targets;
     std::size_t m_next = 0;
-    std::string m_body;
+    PeerForwardRequest m_request;
     base::Time m_deadline;
     PeerForwardCallbacks m_callbacks;
     PeerForwardReader m_reader;
--- a/src/turmericplank/gateway/peerforward.cpp
+++ b/src/turmericplank/gateway/peerforward.cpp
@@ -11,10 +11,10 @@
 
 } // namespace
 
-PeerForward::PeerForward(peer::Mesh &mesh, std::vector<ForwardTarget> targets, std::string body, base::Time deadline, PeerForwardCallbacks callbacks)
+PeerForward::PeerForward(peer::Mesh &mesh, std::vector<ForwardTarget> targets, PeerForwardRequest request, base::Time deadline, PeerForwardCallbacks callbacks)
     : m_mesh(mesh)
     , m_targets(std::move(targets))
-    , m_body(std::move(body))
+    , m_request(std::move(request))
     , m_deadline(deadline)
     , m_callbacks(std::move(callbacks))
 {
@@ -43,8 +43,9 @@
     onTargetBegin(target.id);
     peer::PeerCall call;
     call.kind = ForwardKind;
-    call.body = m_body;
-    call.timeout = m_deadline - base::now();
+    const auto now = base::now();
+    call.body = encode(m_request, now); // for each target, since the time that is left shrinks
+    call.timeout = m_deadline - now;
     call.cancel = std::make_shared<std::function<void()>>();
     m_cancel = call.cancel;
     const auto self = shared_from_this();
--- a/src/turmericplank/gateway/peerforward_test.cpp
+++ b/src/turmericplank/gateway/peerforward_test.cpp
@@ -166,7 +166,7 @@
         for (const auto &it : to) {
             targets.push_back({base::DaemonId(toString(it)), it, true});
         }
-        const auto call = std::make_shared<PeerForward>(*mesh, targets, encode(request, base::now()), request.deadline, callbacksInto(result));
+        const auto call = std::make_shared<PeerForward>(*mesh, targets, request, request.deadline, callbacksInto(result));
         call->onTargetBegin = [](const base::DaemonId &) {
         };
         call->onTargetEnd = [](const base::DaemonId &) {
--- a/src/turmericplank/gateway/peerforwarder.cpp
+++ b/src/turmericplank/gateway/peerforwarder.cpp
@@ -54,7 +54,7 @@
     }
     auto sent = request;
     sent.deadline -= ReturnTime;
-    const auto call = std::make_shared<PeerForward>(m_mesh, std::move(found), encode(sent, now), request.deadline, std::move(callbacks));
+    const auto call = std::make_shared<PeerForward>(m_mesh, std::move(found), std::move(sent), request.deadline, std::move(callbacks));
     call->onTargetBegin = [counts = m_inProgress](const base::DaemonId &id) {
         ++(*counts)[id];
     };
