--- a/src/turmericplank/gateway/streamoriginsmessage_test.cpp
+++ b/src/turmericplank/gateway/streamoriginsmessage_test.cpp
@@ -107,7 +107,7 @@
 
 TEST_CASE("an encoded history of versions decodes to the same history, with times that count from the receiver's now")
 {
-    constexpr auto now = base::timeFromMilliseconds(1'000'000);
+    const auto now = base::timeFromMilliseconds(1'000'000);
     const forwarding::VersionHistory history{{base::ServiceName("s"), {{"v1", now + 5s}, {"v2", now + 60s}}}, {base::ServiceName("t"), {}}};
     CHECK(decodeVersionHistory(encode(history, now), now) == history);
     const auto later = decodeVersionHistory(encode(history, now + 2s), now + 1h);
