A forwarded call that its peer cancels ends safely while its daemon stops

The callback of a cancelled call released the call that owns it while it ran, and the mesh, which ends last, could call a forwarder that had ended.

--- a/include/turmericplank/gateway/peerforwarder.hpp
+++ b/include/turmericplank/gateway/peerforwarder.hpp
@@ -20,6 +20,7 @@
     /// @param forwarder sends the calls of peers to endpoints
     PeerForwarder(peer::Mesh &mesh, Peers &peers, Forwarder &forwarder, const SiteState &siteState, const ConnectionPool &pool, telemetry::Metrics &metrics,
                   std::mt19937_64 &random);
+    ~PeerForwarder();
 
     /// @brief Forwards a call.
     /// @return null if no peer may have contact to endpoints; no callback is called then
@@ -38,6 +39,7 @@
     const ConnectionPool &m_pool;
     telemetry::Metrics &m_metrics;
     std::mt19937_64 &m_random;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< shared with calls of peers, which the mesh may end later
     std::shared_ptr<CallCounts> m_inProgress = std::make_shared<CallCounts>(); ///< calls forwarded to each peer; shared with the calls
 };
 
--- a/src/turmericplank/gateway/peerforwarder.cpp
+++ b/src/turmericplank/gateway/peerforwarder.cpp
@@ -33,6 +33,11 @@
                   [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &responder) { handleRequest(from, body, responder); });
 }
 
+PeerForwarder::~PeerForwarder()
+{
+    *m_isAlive = false;
+}
+
 /// Peers with few calls of this daemon come first, so that none takes all of them.
 std::vector<ForwardTarget> PeerForwarder::targets()
 {
@@ -84,7 +89,7 @@
         responder.reject();
         return;
     }
-    const net::ExchangePointer exchange(new PeerForwardExchange(std::move(request->request), responder));
+    const net::ExchangePointer exchange(new PeerForwardExchange(std::move(request->request), responder, m_isAlive));
     m_forwarder.handleCall(exchange, CallLimits{request->deadline, request->maxSends});
 }
 
--- a/src/turmericplank/gateway/peerforwardexchange.cpp
+++ b/src/turmericplank/gateway/peerforwardexchange.cpp
@@ -6,9 +6,10 @@
 
 namespace turmericplank::gateway {
 
-PeerForwardExchange::PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder)
+PeerForwardExchange::PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder, std::shared_ptr<const bool> isAlive)
     : m_request(std::move(request))
     , m_responder(std::move(responder))
+    , m_isAlive(std::move(isAlive))
 {
     *m_responder.onCancelled = [hasEnded = m_hasEnded] {
         *hasEnded = true;
@@ -72,8 +73,8 @@
 
 void PeerForwardExchange::setOnClosed(std::function<void()> onClosed)
 {
-    *m_responder.onCancelled = [hasEnded = m_hasEnded, onClosed = std::move(onClosed)] {
-        if (!std::exchange(*hasEnded, true)) {
+    *m_responder.onCancelled = [hasEnded = m_hasEnded, isAlive = m_isAlive, onClosed = std::move(onClosed)] {
+        if (!std::exchange(*hasEnded, true) && *isAlive) {
             onClosed();
         }
     };
--- a/src/turmericplank/gateway/peerforwardexchange.hpp
+++ b/src/turmericplank/gateway/peerforwardexchange.hpp
@@ -9,7 +9,8 @@
 class PeerForwardExchange final : public net::HttpExchange
 {
 public:
-    PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder);
+    /// @param isAlive whether the forwarder that has the call still exists
+    PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder, std::shared_ptr<const bool> isAlive);
     ~PeerForwardExchange() override;
 
     const net::HttpRequest &request() const override;
@@ -24,6 +25,7 @@
 private:
     net::HttpRequest m_request;
     peer::PeerResponder m_responder;
+    std::shared_ptr<const bool> m_isAlive;
     std::shared_ptr<bool> m_hasEnded = std::make_shared<bool>(false); ///< or the peer has cancelled the call
 };
 
--- a/src/turmericplank/peer/incomingconnection.cpp
+++ b/src/turmericplank/peer/incomingconnection.cpp
@@ -92,7 +92,9 @@
     const auto stream = std::move(it->second);
     connection->streams.erase(it);
     if (errorCode != NGHTTP2_NO_ERROR && stream.onCancelled && *stream.onCancelled) {
-        (*stream.onCancelled)();
+        // The callback may release what it belongs to.
+        const auto onCancelled = std::exchange(*stream.onCancelled, nullptr);
+        onCancelled();
     }
 }
 
