--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -59,6 +59,7 @@
     void handleOrigins(const base::DaemonId &from, const std::string &body);
     void answerQuery(const std::string &body, const peer::PeerResponder &answer) const;
     void sendUnsent();
+    std::optional<std::string> completeHistory() const;
     void handleHistory(const base::DaemonId &from, const std::string &body);
     void maintainHistory();
     void readHistory();
--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -25,7 +25,7 @@
     if (m_isFromPeer || m_isForwarded || m_isStreaming || !mayRunThere || sendsLeft == 0) {
         return false;
     }
-    // The peer may be lost after this daemon, so the callbacks keep the call.
+    // The mesh, which ends after the forwarder, may call back once the forwarder has ended.
     const auto guard = [self = Pointer(this), isAlive = m_forwarder.m_isAlive] {
         return *isAlive && !self->m_isFinished;
     };
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -17,7 +17,7 @@
 constexpr const char *OriginsKind = "gateway/origins";
 constexpr const char *QueryKind = "gateway/origin"; ///< body: digest of a call as decimal text; response: its version, or nothing
 constexpr const char *HistoryKind = "gateway/versions"; ///< body: encode(VersionHistory)
-constexpr const char *HistoryQueryKind = "gateway/versions_query"; ///< no body; response: encode(VersionHistory)
+constexpr const char *HistoryQueryKind = "gateway/versions_query"; ///< no body; response: encode(VersionHistory), or nothing
 constexpr const char *HistoryRow = "versions/recent";
 
 std::string joined(const std::set<std::string> &texts)
@@ -47,8 +47,9 @@
         handleHistory(from, body);
     });
     mesh.handle(HistoryQueryKind, [this](const base::DaemonId &, const std::string &, const peer::PeerResponder &answer) {
-        const auto now = base::now();
-        answer.write(encode(m_origins.history(now), now));
+        if (const auto history = completeHistory()) {
+            answer.write(*history);
+        }
         answer.end();
     });
     daemon::callEvery(context, m_options.sendInterval, [this] { sendUnsent(); });
@@ -79,12 +80,18 @@
     if (!mixed.empty() || !origins.empty()) {
         m_peers.sendTo(id, OriginsKind, encode(StreamOriginsMessage{origins, mixed}, now));
     }
-    // A daemon that has just started itself may have missed a version.
+    if (const auto history = completeHistory()) {
+        m_peers.sendTo(id, HistoryKind, *history);
+    }
+}
+
+/// @return the encoded history; nothing if this daemon has just started itself and may have missed a version
+std::optional<std::string> StreamOriginExchange::completeHistory() const
+{
+    const auto now = base::now();
     const auto history = m_origins.history(now);
     const bool isComplete = !history.empty() && std::ranges::all_of(history, [&](const auto &it) { return m_origins.isHistoryKnown(it.first, now); });
-    if (isComplete) {
-        m_peers.sendTo(id, HistoryKind, encode(history, now));
-    }
+    return isComplete ? std::optional(encode(history, now)) : std::nullopt;
 }
 
 void StreamOriginExchange::handleHistory(const base::DaemonId &from, const std::string &body)
