Calls that are sent although their callers have left are logged and counted

Cause: logs said when the end of a caller's connection was handled, but not what had been sent since it reached the host, nor what the call was waiting for. Change: an exchange can say whether its caller is still connected, by a peek at the socket. A call that is sent without its caller is logged and counted; 'caller disconnected' names the stage of the call; the delay of the event loop is measured. Calls are handled as before.

--- a/src/turmericplank/daemon/operatorapi_test.cpp
+++ b/src/turmericplank/daemon/operatorapi_test.cpp
@@ -102,6 +102,10 @@
     {
         return 0;
     }
+    bool isCallerConnected() override
+    {
+        return true;
+    }
     void setOnClosed(std::function<void()>) override
     {
     }
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -330,15 +330,46 @@
     finish(toString(reason));
 }
 
+/// Shows calls that are sent on although their callers have left.
+void ForwardedCall::noteSendWithoutCaller(std::string_view to) const
+{
+    m_forwarder.m_dependencies.metrics.count("sends_without_caller_total");
+    telemetry::log(LogLevel::Warning, "requests", "is sent although its caller has left",
+                   {{"request", m_call.id},
+                    {"to", to},
+                    {"from_peer", m_isFromPeer ? "yes" : "no"},
+                    {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())},
+                    {"waited_ms", m_waitingSince ? base::millisecondsBetween(*m_waitingSince, base::now()) : -1}});
+}
+
+/// What the call is waiting for, for the log.
+std::string_view ForwardedCall::stage() const
+{
+    if (m_peerForward) {
+        return "at_peer";
+    }
+    if (!m_attempt) {
+        return "waiting";
+    }
+    if (!m_attempt->pooled) {
+        return "connecting";
+    }
+    return m_isStreaming ? "streaming" : "sent";
+}
+
 void ForwardedCall::handleCallerDisconnect()
 {
     if (m_isFinished) {
         return;
     }
+    const auto lastStage = stage();
     abandonAttempts(routing::AttemptOutcome::Cancelled);
+    m_forwarder.m_dependencies.metrics.count("callers_left_total{stage=\"" + std::string(lastStage) + "\"}");
     telemetry::log(LogLevel::Info, "requests", "caller disconnected",
                    {{"request", m_call.id},
                     {"route", m_route.name},
+                    {"stage", lastStage},
+                    {"from_peer", m_isFromPeer ? "yes" : "no"},
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())},
                     {"endpoint", m_attempt ? m_attempt->choice.endpoint.text() : "none"}});
     finish("caller_left");
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -117,6 +117,8 @@
     void handlePeerHead(PeerForwardHead head);
     void handlePeerBody(std::string body);
     void handlePeerEnd(PeerForwardEnd end);
+    void noteSendWithoutCaller(std::string_view to) const;
+    std::string_view stage() const;
     void handleCallerDisconnect();
     void handleDeadline();
     void armDeadlineTimer();
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -55,6 +55,9 @@
 void ForwardedCall::sendRequest(const PooledConnection &pooled)
 {
     m_attempt->pooled = pooled;
+    if (!m_exchange->isCallerConnected()) {
+        noteSendWithoutCaller(pooled.endpoint.text());
+    }
     const auto now = base::now();
     net::ClientRequest send;
     send.request = m_forwarder.m_dependencies.wire.makeAttemptRequest(m_exchange->request(), attemptHeaders(now));
--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -51,6 +51,9 @@
     if (!peerForward) {
         return false;
     }
+    if (!m_exchange->isCallerConnected()) {
+        noteSendWithoutCaller("peer");
+    }
     unlink();
     m_attempt.reset();
     m_isForwarded = true;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "turmericplank/gateway/endpointsmessage.hpp"
 #include "turmericplank/gateway/entryselection.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
+#include "turmericplank/gateway/loopdelay.hpp"
 #include "turmericplank/gateway/peerforwarder.hpp"
 #include "turmericplank/gateway/peers.hpp"
 #include "turmericplank/gateway/placementrunner.hpp"
@@ -78,6 +79,7 @@
         directoryServer = listen(context, settings.directoryAddress, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
         metricsServer = listen(context, settings.metricsAddress, [this](const net::ExchangePointer &it) { answerMetrics(it); });
         daemon::callEvery(context, ForwarderOptions().waitingRetryInterval, [this] { forwarder.retryWaitingCalls(); });
+        observeLoopDelay(context, metrics);
         daemon::callEvery(context, ContactInterval, [this] { checkContact(); });
         daemon::callEvery(context, ExpireInterval, [this] {
             router.expire(base::now());
--- a/src/turmericplank/gateway/peerforwardexchange.cpp
+++ b/src/turmericplank/gateway/peerforwardexchange.cpp
@@ -71,6 +71,11 @@
     return 0;
 }
 
+bool PeerForwardExchange::isCallerConnected()
+{
+    return !*m_hasEnded;
+}
+
 void PeerForwardExchange::setOnClosed(std::function<void()> onClosed)
 {
     *m_responder.onCancelled = [hasEnded = m_hasEnded, isAlive = m_isAlive, onClosed = std::move(onClosed)] {
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -56,6 +56,10 @@
     {
         return 0;
     }
+    bool isCallerConnected() override
+    {
+        return !hasCallerLeft;
+    }
     void setOnClosed(std::function<void()> callback) override
     {
         onClosed = std::move(callback);
@@ -69,6 +73,7 @@
     std::string body;
     bool isComplete = false;
     bool isCutOff = false; ///< the connection was closed before the response was complete
+    bool hasCallerLeft = false; ///< and the forwarder has not been told yet
     std::function<void()> onClosed;
 
 private:
@@ -197,6 +202,11 @@
         m_context.run_for(time);
     }
 
+    void retryWaitingCalls()
+    {
+        m_forwarder.retryWaitingCalls();
+    }
+
     boost::asio::io_context &context()
     {
         return m_context;
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -134,6 +134,15 @@
         return m_queuedBytes;
     }
 
+    bool isCallerConnected() override
+    {
+        std::array<char, 1> buf{};
+        beast::error_code ec;
+        m_stream.socket().non_blocking(true, ec);
+        const auto n = m_stream.socket().receive(asio::buffer(buf), tcp::socket::message_peek, ec);
+        return !m_isClosed && (ec ? ec == asio::error::would_block : n > 0);
+    }
+
     void adjustExchangeCount(int change) override
     {
         m_serverState->exchangesInProgress += static_cast<std::size_t>(change);
@@ -253,11 +262,7 @@
 
     void checkForDisconnect()
     {
-        std::array<char, 1> buf{};
-        beast::error_code ec;
-        m_stream.socket().non_blocking(true, ec);
-        const auto n = m_stream.socket().receive(asio::buffer(buf), tcp::socket::message_peek, ec);
-        if ((ec && ec != asio::error::would_block) || (!ec && n == 0)) {
+        if (!isCallerConnected()) {
             close();
         }
     }
--- a/src/turmericplank/net/serverexchange.cpp
+++ b/src/turmericplank/net/serverexchange.cpp
@@ -108,6 +108,11 @@
     return m_sink->queuedBytes();
 }
 
+bool ServerExchange::isCallerConnected()
+{
+    return m_phase != Phase::Ended && m_sink->isCallerConnected();
+}
+
 void ServerExchange::finish(bool keepsAlive)
 {
     m_phase = Phase::Ended;
--- a/src/turmericplank/net/serverexchange.hpp
+++ b/src/turmericplank/net/serverexchange.hpp
@@ -25,6 +25,8 @@
     virtual bool isHttp10() const = 0;
     /// @brief Whether the connection can be reused for another request.
     virtual bool wantsKeepAlive() const = 0;
+    /// @brief Whether the caller is still connected, by what has reached this host.
+    virtual bool isCallerConnected() = 0;
     /// @brief Adds to the number of exchanges in progress.
     virtual void adjustExchangeCount(int change) = 0;
 };
@@ -48,6 +50,7 @@
     void endStream() override;
     void abort() override;
     std::size_t queuedBytes() const override;
+    bool isCallerConnected() override;
     void setOnClosed(std::function<void()> onClosed) override
     {
         m_onClosed = std::move(onClosed);
--- a/standins/common/faultyexchange.cpp
+++ b/standins/common/faultyexchange.cpp
@@ -97,6 +97,11 @@
     return m_inner->queuedBytes();
 }
 
+bool FaultyExchange::isCallerConnected()
+{
+    return m_inner->isCallerConnected();
+}
+
 void FaultyExchange::setOnClosed(std::function<void()> onClosed)
 {
     // A silent connection simulates a network path that has lost its state, so its closing is not reported either.
--- a/standins/common/faultyexchange.hpp
+++ b/standins/common/faultyexchange.hpp
@@ -35,6 +35,7 @@
     void endStream() override;
     void abort() override;
     std::size_t queuedBytes() const override;
+    bool isCallerConnected() override;
     void setOnClosed(std::function<void()> onClosed) override;
 
 private:
