Failing tests: endpoints get calls of callers that have left

Callers leave, and their calls reach an endpoint long after the end of their connections has reached the host. 'requests that arrive during a response are answered after it' passes.

--- a/src/turmericplank/net/http_test.cpp
+++ b/src/turmericplank/net/http_test.cpp
@@ -151,6 +151,55 @@
     heldExchange.reset();
 }
 
+TEST_CASE("a handler is notified when its caller disconnects after it has sent its next request")
+{
+    std::vector<ExchangePointer> exchanges;
+    int closed = 0;
+    TestServer testServer([&](const ExchangePointer &exchange) {
+        exchange->setOnClosed([&] { ++closed; });
+        exchanges.push_back(exchange);
+    });
+    boost::asio::ip::tcp::socket socket(testServer.context);
+    socket.connect({boost::asio::ip::make_address(testAddress.host), testAddress.port});
+    const std::string request = "GET /first HTTP/1.1\r\n\r\n";
+    for (int n = 0; n < 3; ++n) {
+        boost::asio::write(socket, boost::asio::buffer(request));
+        testServer.context.restart();
+        testServer.context.run_for(std::chrono::milliseconds(20));
+    }
+    CHECK(closed == 0);
+    socket.close();
+    testServer.context.restart();
+    testServer.context.run_for(std::chrono::milliseconds(50));
+    CHECK(closed == 1);
+    CHECK(exchanges.size() == 1);
+}
+
+TEST_CASE("requests that arrive during a response are answered after it")
+{
+    std::vector<ExchangePointer> exchanges;
+    TestServer testServer([&](const ExchangePointer &exchange) { exchanges.push_back(exchange); });
+    boost::asio::ip::tcp::socket socket(testServer.context);
+    socket.connect({boost::asio::ip::make_address(testAddress.host), testAddress.port});
+    const std::size_t requestCount = 40;
+    const std::string body(2000, 'x');
+    for (std::size_t n = 0; n < requestCount; ++n) {
+        const auto request = "POST /" + std::to_string(n) + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        boost::asio::write(socket, boost::asio::buffer(request));
+        testServer.context.restart();
+        testServer.context.run_for(std::chrono::milliseconds(2));
+    }
+    REQUIRE(exchanges.size() == 1);
+    for (std::size_t n = 0; n < requestCount; ++n) {
+        REQUIRE(exchanges.size() == n + 1);
+        CHECK(exchanges[n]->request().target == "/" + std::to_string(n));
+        CHECK(exchanges[n]->request().body == body);
+        exchanges[n]->respond({200, {}, "done"});
+        testServer.context.restart();
+        testServer.context.run_for(std::chrono::milliseconds(5));
+    }
+}
+
 TEST_CASE("oversized, slow and malformed requests are rejected with an HTTP status and the server keeps serving")
 {
     TestServer testServer(echo);
