The end of a caller is noticed after it has sent its next request

Callers saw nothing of it, but endpoints worked on for a caller that had left if it had sent bytes during the response. Cause: the connection waited once for the socket to become readable. If bytes were there, or nothing to read, it did not wait again, and a peek does not see the end of the connection behind unread bytes. Change: what arrives of later requests is read during the response, up to 64 KB, and the wait is repeated.

--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -1,6 +1,5 @@
 #include "turmericplank/net/serverconnection.hpp"
 
-#include <array>
 #include <deque>
 #include <optional>
 #include <sstream>
@@ -134,13 +133,22 @@
         return m_queuedBytes;
     }
 
+    /// Reads what has arrived of later requests, since the end of the connection comes after it.
     bool isCallerConnected() override
     {
-        std::array<char, 1> buf{};
+        if (m_isClosed) {
+            return false;
+        }
+        auto &socket = m_stream.socket();
         beast::error_code ec;
-        m_stream.socket().non_blocking(true, ec);
-        const auto n = m_stream.socket().receive(asio::buffer(buf), tcp::socket::message_peek, ec);
-        return !m_isClosed && (ec ? ec == asio::error::would_block : n > 0);
+        if (!socket.non_blocking()) {
+            socket.non_blocking(true, ec);
+        }
+        while (!ec && m_buffer.size() < MaxReadAhead) {
+            const auto n = socket.read_some(m_buffer.prepare(ReadSize), ec);
+            m_buffer.commit(n);
+        }
+        return !ec || ec == asio::error::would_block;
     }
 
     void adjustExchangeCount(int change) override
@@ -160,6 +168,8 @@
 
 private:
     static constexpr std::size_t ReadSize = 8 * 1024; ///< bytes
+    /// Bytes of later requests that are read during a response. The end of a caller that sends more is noticed after the response.
+    static constexpr std::size_t MaxReadAhead = 64 * 1024;
 
     /// The timeout is looked up again when it has passed, since it may have been raised meanwhile. Cancelling the read, rather than
     /// closing the socket, keeps a request that has just been received.
@@ -248,7 +258,7 @@
         write(buf.str());
     }
 
-    /// While a response is in progress, the socket becomes readable only when the caller disconnects or sends its next request.
+    /// While a response is in progress, the socket becomes readable when the caller disconnects or sends its next request.
     void watchForDisconnect()
     {
         m_stream.expires_never();
@@ -264,6 +274,8 @@
     {
         if (!isCallerConnected()) {
             close();
+        } else if (m_buffer.size() < MaxReadAhead) {
+            watchForDisconnect();
         }
     }
 
