A call is sent only while its caller is connected

Callers left, and their calls reached an endpoint afterwards, or were worked on there. Cause: a request was handed on without a look at whether its caller is still there, and each continuation of a waiting call asked only whether the end of the caller's connection had been handled. A daemon that reads late finds request and end in the socket together. Change: before a call is handled, and before each send to an endpoint or a peer, the daemon asks the connection. A connection that was opened for such a call goes to the pool unused. The line and counter for sends without a caller become calls_not_sent_without_caller_total.

--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -69,6 +69,9 @@
 void ForwardedCall::start()
 {
     m_exchange->setOnClosed([self = Pointer(this)] { self->handleCallerDisconnect(); });
+    if (endIfCallerLeft()) {
+        return;
+    }
     if (!m_isFromPeer) {
         m_forwarder.recordDemand(m_service, m_call);
     }
@@ -330,16 +333,16 @@
     finish(toString(reason));
 }
 
-/// Shows calls that are sent on although their callers have left.
-void ForwardedCall::noteSendWithoutCaller(std::string_view to) const
+/// Ends the call if its caller has left, also if the end of the connection has not been handled yet. A daemon that is short of processor time would
+/// otherwise send calls that nobody waits for.
+bool ForwardedCall::endIfCallerLeft()
 {
-    m_forwarder.m_dependencies.metrics.count("sends_without_caller_total");
-    telemetry::log(LogLevel::Warning, "requests", "is sent although its caller has left",
-                   {{"request", m_call.id},
-                    {"to", to},
-                    {"from_peer", m_isFromPeer ? "yes" : "no"},
-                    {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())},
-                    {"waited_ms", m_waitingSince ? base::millisecondsBetween(*m_waitingSince, base::now()) : -1}});
+    if (m_exchange->isCallerConnected()) {
+        return false;
+    }
+    m_forwarder.m_dependencies.metrics.count("calls_not_sent_without_caller_total");
+    handleCallerDisconnect();
+    return true;
 }
 
 /// What the call is waiting for, for the log.
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -117,7 +117,7 @@
     void handlePeerHead(PeerForwardHead head);
     void handlePeerBody(std::string body);
     void handlePeerEnd(PeerForwardEnd end);
-    void noteSendWithoutCaller(std::string_view to) const;
+    bool endIfCallerLeft();
     std::string_view stage() const;
     void handleCallerDisconnect();
     void handleDeadline();
--- a/src/turmericplank/gateway/forwardedcall_test.cpp
+++ b/src/turmericplank/gateway/forwardedcall_test.cpp
@@ -7,6 +7,17 @@
 using namespace turmericplank::gateway::testing;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// The callback of an exchange holds its call, and a connection releases the callback with the exchange.
+bool hasEndedWithoutAnswer(const TestSite &site, FakeExchange &exchange)
+{
+    exchange.onClosed = nullptr;
+    return !exchange.hasEnded() && site.callsInProgress() == 0;
+}
+
+} // namespace
+
 TEST_CASE("a call that waited for an endpoint is not sent if its caller has left meanwhile")
 {
     TestSite site(firstPort);
@@ -19,7 +30,7 @@
     site.retryWaitingCalls();
     site.runFor(100ms);
     CHECK(site.a.received.empty());
-    CHECK(site.callsInProgress() == 0);
+    CHECK(hasEndedWithoutAnswer(site, *exchange));
 }
 
 TEST_CASE("a call is not sent if its caller has left while the connection to the endpoint was opened, and the connection is kept")
@@ -30,14 +41,14 @@
     exchange->hasCallerLeft = true;
     site.runFor(100ms);
     CHECK(site.a.received.empty());
-    CHECK(site.callsInProgress() == 0);
+    CHECK(hasEndedWithoutAnswer(site, *exchange));
     CHECK(site.openConnections() == 1);
 }
 
 TEST_CASE("a call whose endpoint failed is not sent to another one if its caller has left meanwhile")
 {
     TestSite site(firstPort);
-    site.a.scripts = {step(EngineStep::Kind::Reject)};
+    site.a.scripts = {pause(50ms) + step(EngineStep::Kind::Reject)};
     site.b.scripts = {events(2) + step(EngineStep::Kind::End)};
     const auto exchange = site.begin({{"Request-Id", "c1"}});
     while (site.a.received.empty()) {
@@ -46,5 +57,5 @@
     exchange->hasCallerLeft = true;
     site.runFor(100ms);
     CHECK(site.b.received.empty());
-    CHECK(site.callsInProgress() == 0);
+    CHECK(hasEndedWithoutAnswer(site, *exchange));
 }
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -54,11 +54,12 @@
 
 void ForwardedCall::sendRequest(const PooledConnection &pooled)
 {
-    m_attempt->pooled = pooled;
-    if (!m_exchange->isCallerConnected()) {
-        noteSendWithoutCaller(pooled.endpoint.text());
-    }
     const auto now = base::now();
+    if (endIfCallerLeft()) {
+        m_forwarder.m_dependencies.pool.returnConnection(pooled, std::nullopt, now);
+        return;
+    }
+    m_attempt->pooled = pooled;
     net::ClientRequest send;
     send.request = m_forwarder.m_dependencies.wire.makeAttemptRequest(m_exchange->request(), attemptHeaders(now));
     send.deadline = silenceDeadline(*m_attempt, now);
--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 /// Forwards the call to a daemon that may reach endpoints which this one does not reach.
-/// @return false if that is not possible
+/// @return false if that is not possible; true also if the call has ended, since its caller has left
 bool ForwardedCall::forwardToPeer()
 {
     const bool mayRunThere = !m_attempts.mayHaveRun() || m_route.kind.mayRunAgain();
@@ -25,6 +25,9 @@
     if (m_isFromPeer || m_isForwarded || m_isStreaming || !mayRunThere || sendsLeft == 0) {
         return false;
     }
+    if (endIfCallerLeft()) {
+        return true;
+    }
     // The mesh, which ends after the forwarder, may call back once the forwarder has ended.
     const auto guard = [self = Pointer(this), isAlive = m_forwarder.m_isAlive] {
         return *isAlive && !self->m_isFinished;
@@ -51,9 +54,6 @@
     if (!peerForward) {
         return false;
     }
-    if (!m_exchange->isCallerConnected()) {
-        noteSendWithoutCaller("peer");
-    }
     unlink();
     m_attempt.reset();
     m_isForwarded = true;
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -123,7 +123,7 @@
     {
         m_current = nullptr;
         if (!m_isClosed) {
-            reportUnanswered(UnansweredCause::Aborted);
+            reportUnanswered(m_hasCallerLeft ? UnansweredCause::CallerDisconnected : UnansweredCause::Aborted);
         }
         close();
     }
@@ -148,7 +148,8 @@
             const auto n = socket.read_some(m_buffer.prepare(ReadSize), ec);
             m_buffer.commit(n);
         }
-        return !ec || ec == asio::error::would_block;
+        m_hasCallerLeft = ec && ec != asio::error::would_block;
+        return !m_hasCallerLeft;
     }
 
     void adjustExchangeCount(int change) override
@@ -391,6 +392,7 @@
     bool m_closesAfterWrite = false;
     bool m_wantsKeepAlive = true;
     bool m_isHttp10 = false;
+    bool m_hasCallerLeft = false;
     bool m_isRequestRejected = false;
     bool m_isUnansweredReported = false;
 };
