Calls of peers are handled after their cancellations are read

Callers of another daemon left, and their forwarded calls reached an endpoint afterwards. Cause: a call from a peer was handled while its last frame was decoded, before the cancellation that had arrived with it. Change: calls are handled once everything that has arrived is decoded, at the latest after 16 reads of 32 KB.

--- a/src/turmericplank/peer/http2session.cpp
+++ b/src/turmericplank/peer/http2session.cpp
@@ -235,6 +235,11 @@
             self->close();
             return;
         }
+        if (!self->m_isClosed && self->m_callbacks.onRead) {
+            boost::system::error_code ignored;
+            const bool isFull = n == self->m_readBuffer.size();
+            self->m_callbacks.onRead(isFull && self->m_socket.available(ignored) > 0);
+        }
         if (!self->m_isClosed) {
             self->flush();
             self->read();
--- a/src/turmericplank/peer/http2session.hpp
+++ b/src/turmericplank/peer/http2session.hpp
@@ -25,6 +25,8 @@
     std::function<void(std::int32_t streamId, std::string_view chunk)> onData;
     std::function<void(std::int32_t streamId)> onEndStream; ///< the remote side has sent END_STREAM
     std::function<void(std::int32_t streamId, std::uint32_t errorCode)> onStreamClosed;
+    /// Called after each read, once all frames in it are decoded, with whether more bytes have arrived.
+    std::function<void(bool hasMore)> onRead;
     std::function<void()> onClosed; ///< called once, when the connection has closed; streams still open get no onStreamClosed
 };
 
--- a/src/turmericplank/peer/incomingconnection.cpp
+++ b/src/turmericplank/peer/incomingconnection.cpp
@@ -1,12 +1,14 @@
 #include "turmericplank/peer/incomingconnection.hpp"
 
 #include <utility>
+#include <vector>
 
 namespace turmericplank::peer {
 
 namespace {
 
 constexpr std::string_view PathPrefix = "/peer/";
+constexpr int MaxDeferringReads = 16; ///< reads in a row, of 32 KB each, after which calls are handled although more bytes have arrived
 
 struct IncomingStream
 {
@@ -23,6 +25,8 @@
     boost::intrusive_ptr<IncomingContext> context;
     Http2Session *session = nullptr; ///< null once the connection has closed
     std::map<std::int32_t, IncomingStream> streams;
+    std::vector<std::int32_t> receivedCalls; ///< streams whose calls are complete and not handled yet
+    int deferringReads = 0;
 };
 
 using IncomingConnectionPointer = std::shared_ptr<IncomingConnection>;
@@ -83,6 +87,20 @@
     callback(stream.from, std::move(stream.body), std::move(responder));
 }
 
+/// Calls are handled once everything that has arrived is decoded, since their cancellation may be part of it.
+void dispatchReceived(const IncomingConnectionPointer &connection, bool hasMore)
+{
+    if (hasMore && ++connection->deferringReads < MaxDeferringReads) {
+        return;
+    }
+    connection->deferringReads = 0;
+    for (const auto streamId : std::exchange(connection->receivedCalls, {})) {
+        if (connection->session && connection->streams.contains(streamId)) {
+            dispatch(connection, streamId);
+        }
+    }
+}
+
 void closeStream(const IncomingConnectionPointer &connection, std::int32_t streamId, std::uint32_t errorCode)
 {
     const auto it = connection->streams.find(streamId);
@@ -113,7 +131,10 @@
         }
     };
     callbacks.onEndStream = [connection](std::int32_t streamId) {
-        dispatch(connection, streamId);
+        connection->receivedCalls.push_back(streamId);
+    };
+    callbacks.onRead = [connection](bool hasMore) {
+        dispatchReceived(connection, hasMore);
     };
     callbacks.onStreamClosed = [connection](std::int32_t streamId, std::uint32_t errorCode) {
         closeStream(connection, streamId, errorCode);
