demand_test builds where the test framework's headers declare daemon()

Cause: on aarch64 <signal.h> includes <unistd.h>, whose daemon() is ambiguous with the test's constant, so the whole build fails there. Change: the constant is called reportingDaemon. The checks are the same.

--- a/src/turmericplank/placement/demand_test.cpp
+++ b/src/turmericplank/placement/demand_test.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 const base::ModelName model("m");
-const base::DaemonId daemon("d");
+const base::DaemonId reportingDaemon("d");
 constexpr std::uint64_t RequestMilliseconds = 100;
 constexpr std::uint64_t RequestsPerSecond = 50;
 
@@ -29,7 +29,7 @@
         estimator.advance(now);
         if (n % 2 == 1) {
             requests += RequestsPerSecond * 2 / 5;
-            estimator.report(daemon, countersFor(requests), now);
+            estimator.report(reportingDaemon, countersFor(requests), now);
         }
     }
     return now;
@@ -41,7 +41,7 @@
 {
     DemandEstimator estimator({std::chrono::milliseconds(1500), std::chrono::seconds(4), std::chrono::seconds(4), std::chrono::seconds(2), 0.05});
     std::uint64_t requests = 0;
-    estimator.report(daemon, countersFor(0), base::timeFromMilliseconds(1000));
+    estimator.report(reportingDaemon, countersFor(0), base::timeFromMilliseconds(1000));
     reportConstantRate(estimator, base::timeFromMilliseconds(1000), std::chrono::seconds(30), requests);
     const auto demand = estimator.estimate().models.at(model);
     CHECK(demand.requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
@@ -55,13 +55,13 @@
     DemandEstimator estimator({std::chrono::milliseconds(1500), std::chrono::seconds(4), std::chrono::seconds(4), std::chrono::seconds(2), 0.05});
     const auto start = base::timeFromMilliseconds(1000);
     const auto end = start + std::chrono::seconds(16);
-    estimator.report(daemon, countersFor(0), start);
+    estimator.report(reportingDaemon, countersFor(0), start);
     for (auto now = start; now < end; now += std::chrono::milliseconds(250)) {
         estimator.advance(now);
     }
     std::uint64_t requests = RequestsPerSecond * 16;
     estimator.advance(end);
-    estimator.report(daemon, countersFor(requests), end);
+    estimator.report(reportingDaemon, countersFor(requests), end);
     CHECK(estimator.estimate().models.at(model).requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
     reportConstantRate(estimator, end, std::chrono::seconds(2), requests);
     CHECK(estimator.estimate().models.at(model).requestsPerSecond == doctest::Approx(RequestsPerSecond).epsilon(0.1));
