--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -71,6 +71,7 @@
     bool isLeaving = false; ///< the instance that responded is shutting down and wants no more calls
     std::optional<base::Duration> idleTimeout; ///< after which the endpoint closes an idle connection
     std::optional<std::uint32_t> rejectionTolerance; ///< calls per second that the endpoint can reject for lack of room without failing
+    std::optional<double> callsPerSecond; ///< that the endpoint takes from all daemons together, as long as its responses say so
     std::optional<base::Duration> pause; ///< for how long the endpoint wants no more calls from this daemon
 
     friend bool operator==(const ResponseHead &, const ResponseHead &) = default;
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -85,6 +85,8 @@
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
     /// Called for each answer with the rejections per second that the endpoint survives, or nothing if it states none.
     std::function<void(const base::EndpointId &, std::optional<std::uint32_t>)> onRejectionTolerance;
+    /// Called for each answer with the calls per second that the endpoint takes, or nothing if it states no limit.
+    std::function<void(const base::EndpointId &, std::optional<double>)> onRateLimit;
 };
 
 /// @brief Forwards callers' calls to endpoints and returns the responses.
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -116,6 +116,7 @@
         dependencies.onEndpointLeaving();
     }
     dependencies.onRejectionTolerance(endpoint, head.rejectionTolerance);
+    dependencies.onRateLimit(endpoint, head.callsPerSecond);
     if (head.pause) {
         dependencies.router.notePause(endpoint, now + *head.pause);
         dependencies.metrics.count("endpoint_pauses_total");
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "turmericplank/gateway/peerforwarder.hpp"
 #include "turmericplank/gateway/peers.hpp"
 #include "turmericplank/gateway/placementrunner.hpp"
+#include "turmericplank/gateway/ratelimits.hpp"
 #include "turmericplank/gateway/rejectionlimits.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
 #include "turmericplank/gateway/streamoriginexchange.hpp"
@@ -130,6 +131,9 @@
                 [this](const base::ServiceName &, const base::ModelName &) { peers.sendStatus(); },
                 [this](const base::EndpointId &endpoint, std::optional<std::uint32_t> tolerance) {
                     rejectionLimits.noteAnswer(endpoint, tolerance, base::now());
+                },
+                [this](const base::EndpointId &endpoint, std::optional<double> callsPerSecond) {
+                    rateLimits.noteAnswer(endpoint, callsPerSecond, base::now());
                 }};
     }
 
@@ -429,6 +433,7 @@
     routing::Router router;
     SiteState siteState;
     RejectionLimits rejectionLimits;
+    RateLimits rateLimits;
     ConnectionPool pool;
     forwarding::StreamOrigins streamOrigins;
     requests::CrashHistory crashHistory;
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -123,6 +123,8 @@
         head.isNotRun = !header(headers, "Not-Executed").empty();
         const std::string tolerance(header(headers, "Tolerance"));
         head.rejectionTolerance = tolerance.empty() ? std::nullopt : std::optional(static_cast<std::uint32_t>(std::stoul(tolerance)));
+        const std::string limit(header(headers, "Calls-Per-Second"));
+        head.callsPerSecond = limit.empty() ? std::nullopt : std::optional(std::stod(limit));
         return head;
     };
     wire.forwardedHeaders = [](const net::Headers &headers) {
@@ -279,6 +281,8 @@
                 [] {},
                 [](const base::ServiceName &, const base::ModelName &) {},
                 [](const base::EndpointId &, std::optional<std::uint32_t>) {
+                },
+                [](const base::EndpointId &, std::optional<double>) {
                 }};
     }
 
