--- a/src/turmericplank/gateway/peerstatus_test.cpp
+++ b/src/turmericplank/gateway/peerstatus_test.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/gateway/peerstatus.hpp"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace turmericplank;
 using namespace turmericplank::gateway;
@@ -33,6 +34,17 @@
     CHECK(decodePeerStatus(encode(status)) == status);
 }
 
+TEST_CASE("a status of an earlier build, without members that were added since, is decoded")
+{
+    auto json = nlohmann::json::from_msgpack(encode(PeerStatus()));
+    for (const auto *member : {"era", "cut_off", "tolerances", "rates"}) {
+        json.erase(member);
+    }
+    json["added_later"] = {{"x", 1}};
+    const auto bytes = nlohmann::json::to_msgpack(json);
+    CHECK(decodePeerStatus({reinterpret_cast<const char *>(bytes.data()), bytes.size()}) == PeerStatus());
+}
+
 TEST_CASE("malformed or truncated statuses are rejected")
 {
     CHECK(decodePeerStatus("").error() == MessageDecodeFailure::Malformed);
--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -10,6 +10,7 @@
 
 #include "common/program.hpp"
 #include "limitedroom.hpp"
+#include "statedrate.hpp"
 #include "turmericplank/net/httpclient.hpp"
 #include "unframedlistener.hpp"
 
@@ -56,7 +57,8 @@
 /// /break?after=N makes it break off streams inside the event after the Nth one, or before the first one with N=head. POST
 /// /limit?tolerance=N&slots=S&work=MS&notice=MS&stated=0|1 makes a plain service run S calls at a time for MS each and fail for some
 /// time when it rejects more than N in a second, and state N in its answers; from the end of the notice, no calls wait for a slot.
-/// GET /limit returns the numbers of answered and rejected calls and of failures.
+/// GET /limit returns the numbers of answered and rejected calls and of failures. POST /rate?per_second=R makes it state R in its answers, or nothing
+/// without R; GET /rate returns how many calls came since, and how many more than it tolerates.
 class Endpoint
 {
 public:
@@ -117,6 +119,10 @@
             handleLimit(exchange);
             return;
         }
+        if (path == "/rate") {
+            handleRate(exchange);
+            return;
+        }
         if (path == "/crash-part") {
             m_crashingPart = net::queryParameter(request.target, "id");
             exchange->respond({204, {}, {}});
@@ -175,6 +181,18 @@
         exchange->respond({204, {}, {}});
     }
 
+    void handleRate(const net::ExchangePointer &exchange)
+    {
+        const auto &request = exchange->request();
+        if (request.method == "GET") {
+            exchange->respond(jsonResponse(200, {{"arrivals", m_rate.arrivals()}, {"excess", m_rate.excess()}}));
+            return;
+        }
+        m_statedRate = net::queryParameter(request.target, "per_second");
+        m_rate.set(m_statedRate.empty() ? std::nullopt : std::optional(std::stod(m_statedRate)), base::now());
+        exchange->respond({204, {}, {}});
+    }
+
     void handleLimit(const net::ExchangePointer &exchange)
     {
         const auto &target = exchange->request().target;
@@ -290,6 +308,7 @@
     {
         const auto &request = exchange->request();
         const std::string id(header(request.headers, "Request-Id"));
+        m_rate.noteArrival(base::now());
         if (!m_retryAfter.empty()) {
             ++m_shedCalls;
             exchange->respond({503, {{"Request-Id", id}, {"Not-Executed", "1"}, {"Retry-After", m_retryAfter}}, {}});
@@ -310,6 +329,9 @@
         if (!m_statedTolerance.empty()) {
             headers.push_back({"Server-Brittle", m_statedTolerance});
         }
+        if (!m_statedRate.empty()) {
+            headers.push_back({"Server-Limit", m_statedRate});
+        }
         if (!isEngine() && m_room) {
             handleLimitedCall(exchange, headers);
             return;
@@ -385,6 +407,8 @@
     std::optional<LimitedRoom> m_room; ///< of a plain service; nothing for unlimited room
     std::uint32_t m_slots = 16; ///< as reported to the store
     std::chrono::milliseconds m_workTime{0}; ///< of a call, with limited room
+    StatedRate m_rate;
+    std::string m_statedRate; ///< as written in answers; empty if they state none
     std::string m_statedTolerance; ///< empty if answers state none
     std::deque<WaitingCall> m_waiting; ///< for a slot
     std::uint64_t m_incarnation = 0; ///< increased by a failure, which loses all calls
