Failing tests: streams are resumed at another version after all daemons ended

Callers would get a text joined from two software versions, with status 200. Seen: a stream that began at a version which appeared less than a second before all daemons ended is resumed at the other version; so is any stream of an unknown version if the row of versions is missing although the system starts again.

--- a/src/turmericplank/gateway/streamversions_test.cpp
+++ b/src/turmericplank/gateway/streamversions_test.cpp
@@ -38,7 +38,11 @@
             resumedAtOld += header(request.headers, "Last-Event-Id").empty() ? 0 : 1;
         };
         newEndpoint().onReceived = [this](const net::HttpRequest &request, std::size_t) {
-            resumedAtNew += header(request.headers, "Last-Event-Id").empty() ? 0 : 1;
+            const bool isNew = header(request.headers, "Last-Event-Id").empty();
+            resumedAtNew += isNew ? 0 : 1;
+            if (isNew) {
+                begunAtNew = header(request.headers, "Request-Id");
+            }
         };
         fleet.runFor(StartTime);
     }
@@ -50,6 +54,17 @@
         fleet.runFor(150ms);
     }
 
+    /// Begins streams until one is sent to the endpoint of v2, and keeps that one.
+    void beginStreamAtNew(std::size_t daemon)
+    {
+        for (const auto end = base::now() + StartTime; begunAtNew.empty() && base::now() < end;) {
+            fleet.call(daemon, {}, "question", "/s/x");
+            fleet.runFor(10ms);
+        }
+        REQUIRE_FALSE(begunAtNew.empty());
+        m_stream = begunAtNew;
+    }
+
     std::shared_ptr<TestFleet::Result> resumeStream(std::size_t daemon)
     {
         return fleet.call(daemon, {{"Last-Event-Id", "2"}, {"Resumes", m_stream}}, "question", "/s/x");
@@ -82,6 +97,7 @@
     TestFleet fleet;
     int resumedAtOld = 0; ///< resumptions that reached the endpoint of v1
     int resumedAtNew = 0; ///< resumptions that reached the endpoint of v2
+    std::string begunAtNew; ///< last call that began a stream at the endpoint of v2
 
 private:
     std::string m_stream;
@@ -104,6 +120,46 @@
     CHECK(rollout.resumedAtNew == 0);
 }
 
+TEST_CASE("daemons that all end right after a version appeared don't resume its streams at the other version")
+{
+    Rollout rollout(2);
+    rollout.newEndpoint().list("v2");
+    rollout.beginStreamAtNew(1);
+    rollout.stopDaemons();
+    rollout.newEndpoint().unlist();
+    rollout.startDaemons();
+    rollout.fleet.runFor(ReadTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtOld == 0);
+}
+
+TEST_CASE("daemons that start again and find no row of versions don't resume streams of an unknown version")
+{
+    Rollout rollout(2);
+    rollout.newEndpoint().list("v2");
+    rollout.beginStreamAtNew(1);
+    rollout.stopDaemons();
+    rollout.newEndpoint().unlist();
+    rollout.fleet.store.rows.erase("versions/recent");
+    rollout.fleet.isFirstStart = false;
+    rollout.startDaemons();
+    rollout.fleet.runFor(ReadTime);
+    const auto resumption = rollout.resumeStream(1);
+    rollout.fleet.runFor(StreamTime);
+    CHECK(resumption->status == 503);
+    CHECK(rollout.resumedAtOld == 0);
+}
+
+TEST_CASE("endpoints of a version that the store cannot take a row for are used all the same")
+{
+    Rollout rollout(2);
+    rollout.fleet.store.refusesWrites = true;
+    rollout.newEndpoint().list("v2");
+    rollout.beginStreamAtNew(1);
+}
+
 TEST_CASE("daemons that all start while the entries of one of two versions are missing don't resume its streams at the other version")
 {
     Rollout rollout(2);
--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -261,6 +261,7 @@
         settings.peerAddress = {"127.0.0.1", port(first + 3)};
         settings.metricsAddress = {"127.0.0.1", port(first + 4)};
         settings.bounds.drainTime = m_drainTime;
+        settings.isFirstStart = isFirstStart;
         ConnectionPoolOptions poolOptions;
         poolOptions.addressToConnect = [this, n](const base::Address &address) {
             return base::Address{address.host, m_daemons[n].links.at(address.port - port(0))->port()};
@@ -393,6 +394,7 @@
     }
 
     FleetStore store;
+    bool isFirstStart = true; ///< of daemons that are started from now on
     std::vector<std::unique_ptr<CrashingEndpoint>> endpoints;
 
 private:
--- a/src/turmericplank/gateway/testfleetstore.hpp
+++ b/src/turmericplank/gateway/testfleetstore.hpp
@@ -101,6 +101,7 @@
 
     std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
     std::set<std::string> hiddenRowsFor; ///< daemons whose calls about entries and rows are turned away
+    bool refusesWrites = false;
     std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
     std::map<std::string, base::Duration> answerDelays; ///< of daemons that get the answers to reads and waits late
     std::map<base::EndpointId, discovery::EndpointEntry> entries;
@@ -151,6 +152,9 @@
 
     store::WriteResult write(const std::vector<store::RowWrite> &writes)
     {
+        if (refusesWrites) {
+            return tl::unexpected(store::TableError());
+        }
         store::TableError error{store::TableFailure::Conflict, {}};
         for (const auto &it : writes) {
             const auto row = rows.find(it.key);
