An absent row of versions says nothing where the system starts again

Callers got a text joined from two software versions. Cause: an absent row counted as a history without other versions at every start. If it was lost, for example with an older copy of the store, daemons that all started again took the version that was listed for the only one that had served. Change: an absent row counts so only where the whole system starts for the first time, as for the placement lease. Otherwise streams of an unknown version are refused until a peer tells or the memory of 60 s has passed, and until then no daemon writes a row that others would take for complete.

--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -36,7 +36,9 @@
     /// @param mesh gets the handlers of the messages
     /// @param peers sends the messages
     /// @param table the store's rows of this product
-    StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers, store::Table table);
+    /// @param mayTakeAbsentRow whether an absent row means that no other version has served, since the whole system starts for the first time
+    StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers, store::Table table,
+                         bool mayTakeAbsentRow);
 
     /// @brief Notes the software versions of the endpoints that are listed now.
     void noteEndpoints(const std::vector<discovery::EndpointEntry> &endpoints);
@@ -64,6 +66,7 @@
     void maintainHistory();
     void readHistory();
     void applyRow(const std::vector<store::Row> &rows);
+    bool isHistoryComplete(const forwarding::VersionHistory &history, base::Time now) const;
     void writeHistory(const forwarding::VersionHistory &history, base::Time now);
     bool isRowOutdated(const forwarding::VersionHistory &history, base::Time now) const;
 
@@ -71,6 +74,7 @@
     forwarding::StreamOrigins &m_origins;
     Peers &m_peers;
     store::Table m_table;
+    bool m_mayTakeAbsentRow;
     forwarding::VersionHistory m_stored; ///< as last read or written
     base::Time m_storedAt; ///< when that was; the row has the times that were left then
     base::RowVersion m_storedRow; ///< zero if the row is absent
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -70,7 +70,7 @@
         , placementRunner(placementDependencies(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
         , endpointRefresh(context, siteStore.readEndpoints, [this](const auto &entries) { originExchange.noteEndpoints(entries); })
-        , originExchange(context, streamOrigins, *mesh, peers, siteStore.table)
+        , originExchange(context, streamOrigins, *mesh, peers, siteStore.table, settings.isFirstStart)
         , peerForwarder(*mesh, peers, forwarder, siteState, pool, metrics, random)
         , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -32,10 +32,11 @@
 } // namespace
 
 StreamOriginExchange::StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers,
-                                           store::Table table)
+                                           store::Table table, bool mayTakeAbsentRow)
     : m_origins(origins)
     , m_peers(peers)
     , m_table(std::move(table))
+    , m_mayTakeAbsentRow(mayTakeAbsentRow)
 {
     mesh.handle(OriginsKind, [this](const base::DaemonId &from, const std::string &body, const peer::PeerResponder &answer) {
         answer.end();
@@ -90,8 +91,12 @@
 {
     const auto now = base::now();
     const auto history = m_origins.history(now);
-    const bool isComplete = !history.empty() && std::ranges::all_of(history, [&](const auto &it) { return m_origins.isHistoryKnown(it.first, now); });
-    return isComplete ? std::optional(encode(history, now)) : std::nullopt;
+    return isHistoryComplete(history, now) ? std::optional(encode(history, now)) : std::nullopt;
+}
+
+bool StreamOriginExchange::isHistoryComplete(const forwarding::VersionHistory &history, base::Time now) const
+{
+    return !history.empty() && std::ranges::all_of(history, [&](const auto &it) { return m_origins.isHistoryKnown(it.first, now); });
 }
 
 void StreamOriginExchange::handleHistory(const base::DaemonId &from, const std::string &body)
@@ -142,10 +147,13 @@
             telemetry::log(LogLevel::Warning, "store", "cannot decode a row of software versions", {{"key", rows.front().key}});
         }
     }
-    m_origins.noteHistory(m_stored, now);
+    // A row that is lost may have named a version that is no longer listed.
+    if (!rows.empty() || m_mayTakeAbsentRow) {
+        m_origins.noteHistory(m_stored, now);
+    }
 }
 
-/// One daemon of each group writes the row; a conflict with that of another group is settled by reading the row again.
+/// One daemon of each group writes the row, once it knows what served before its start; a conflict with that of another group is settled by reading the row again.
 void StreamOriginExchange::maintainHistory()
 {
     if (m_mustRead) {
@@ -154,7 +162,7 @@
     }
     const auto now = base::now();
     const auto history = m_origins.history(now);
-    if (!m_isCallInProgress && m_peers.isStoreReader() && isRowOutdated(history, now)) {
+    if (!m_isCallInProgress && m_peers.isStoreReader() && isHistoryComplete(history, now) && isRowOutdated(history, now)) {
         writeHistory(history, now);
     }
 }
