A software version is recorded in the store before its endpoints are used

Callers got a text joined from two software versions. Cause: the row of the versions that served lately was written within a second of their first read, by the reader of a group. Streams began at a new version before, and if all daemons ended within that time, and the version's endpoints too, the daemons that started again took the other version for the only one. Change: whoever reads an endpoint of a version that the row does not name writes the row first, and uses and relays the entry then, after 300 ms at the latest if the store does not take it. Known endpoints, and those of recorded versions, are used at once.

--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -42,6 +42,12 @@
         std::function<void(const std::vector<discovery::EndpointEntry> &)> onEntriesRead; ///< entries to relay to the group
         std::function<void(const std::string &)> onConfigurationText; ///< a configuration to relay, as written by operators
         std::function<void(const base::DaemonId &, const std::string &)> onPeerBehind; ///< a daemon that needs the configuration in force, and its text
+        /// Whether the software version of an endpoint is recorded; one of another version is used after recordVersions() has called back.
+        std::function<bool(const discovery::EndpointEntry &)> isVersionRecorded = [](const discovery::EndpointEntry &) {
+            return true;
+        };
+        /// Records the software versions of endpoints; calls back once, also if that fails.
+        std::function<void(const std::vector<discovery::EndpointEntry> &, std::function<void()>)> recordVersions;
     };
 
     SiteStateUpdater(boost::asio::io_context &context, SiteStore store, SiteState &siteState, telemetry::Metrics &metrics, Callbacks callbacks,
@@ -80,6 +86,9 @@
     void tick();
     bool isEndpointsReadDue(base::Time now) const;
     base::Duration retryPause(bool isForGroup, unsigned failures) const;
+    void useEntries(const std::vector<discovery::EndpointEntry> &entries);
+    bool isKnown(const discovery::EndpointEntry &entry) const;
+    void applyAndRelay(const std::vector<discovery::EndpointEntry> &entries);
     void applyEntries(const std::vector<discovery::EndpointEntry> &entries);
     bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text, std::string_view source);
     void setStoreAvailable(bool isAvailable);
@@ -96,6 +105,7 @@
     std::uint64_t m_unconfirmedPosition = 0;
     std::uint64_t m_awaitNumber = 0; ///< of the current wait, or of the read in its place; of earlier ones, only changes are used
     std::uint64_t m_firstWaitOfEra = 0; ///< earlier waits began before the store came back from an older copy
+    std::uint64_t m_readNumber = 0; ///< of the latest read of the entries
     std::size_t m_unreadableCount = 0;
     base::Time m_lastRequestAt; ///< when a read of the entries was last started
     base::Time m_lastUpdateAt; ///< when entries were last read or relayed
--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -22,9 +24,14 @@
     base::Duration sendInterval = std::chrono::milliseconds(100); ///< a daemon that ends without notice takes the origins of this time with it
     base::Duration historyInterval = std::chrono::seconds(1); ///< between comparisons of the stored versions with the listed ones
     base::Duration historyPrecision = std::chrono::seconds(15); ///< by which times in the stored versions may be wrong
+    base::Duration recordedTime = std::chrono::seconds(60); ///< that is left for a version that is about to be used, as for a listed one
+    base::Duration recordTimeout = std::chrono::milliseconds(300); ///< for the row to name a version; its endpoints are used afterwards in any case
     base::Duration queryTimeout = std::chrono::milliseconds(150); ///< several round trips within a region; the caller waits meanwhile
 };
 
+/// @brief Software versions of endpoints, by service.
+forwarding::ListedVersions listedVersions(const std::vector<discovery::EndpointEntry> &endpoints);
+
 /// @brief Tells other daemons at which software versions streams began, and asks them.
 ///
 /// The versions that were listed lately are kept in a row of the store, for daemons that start after one of them was replaced.
@@ -40,6 +47,13 @@
     StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers, store::Table table,
                          bool mayTakeAbsentRow);
 
+    /// @brief Whether the row of the store names a software version.
+    bool isRecorded(const base::ServiceName &service, const std::string &softwareVersion) const;
+
+    /// @brief Writes software versions that are about to be used to the row of the store, so that they are remembered if all daemons end.
+    /// @param onDone called once, also if the store does not take the row in time
+    void recordVersions(const forwarding::ListedVersions &versions, std::function<void()> onDone);
+
     /// @brief Notes the software versions of the endpoints that are listed now.
     void noteEndpoints(const std::vector<discovery::EndpointEntry> &endpoints);
 
@@ -58,6 +72,16 @@
     void refreshHistory(std::function<void()> onDone);
 
 private:
+    struct Recording
+    {
+        forwarding::ListedVersions versions;
+        std::function<void()> onDone; ///< null once it was called
+    };
+    using RecordingPointer = std::shared_ptr<Recording>;
+
+    bool isRecorded(const forwarding::ListedVersions &versions) const;
+    void continueRecording();
+    static void end(const RecordingPointer &recording);
     void handleOrigins(const base::DaemonId &from, const std::string &body);
     void answerQuery(const std::string &body, const peer::PeerResponder &answer) const;
     void sendUnsent();
@@ -70,6 +94,7 @@
     void writeHistory(const forwarding::VersionHistory &history, base::Time now);
     bool isRowOutdated(const forwarding::VersionHistory &history, base::Time now) const;
 
+    boost::asio::io_context &m_context;
     StreamOriginExchangeOptions m_options;
     forwarding::StreamOrigins &m_origins;
     Peers &m_peers;
@@ -80,6 +105,7 @@
     base::RowVersion m_storedRow; ///< zero if the row is absent
     bool m_mustRead = true;
     bool m_isCallInProgress = false;
+    std::vector<RecordingPointer> m_recordings;
     forwarding::ListedVersions m_listed; ///< versions of the endpoints that were listed last, for the log
 };
 
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -149,8 +149,10 @@
                     peers.sendToAll(ConfigurationKind, text);
                     peers.sendStatusToAll();
                 },
-                [this](const auto &peer, const auto &text) {
-                    peers.sendTo(peer, ConfigurationKind, text);
+                [this](const auto &peer, const auto &text) { peers.sendTo(peer, ConfigurationKind, text); },
+                [this](const auto &entry) { return originExchange.isRecorded(entry.service, entry.softwareVersion); },
+                [this](const auto &entries, auto onDone) {
+                    originExchange.recordVersions(listedVersions(entries), std::move(onDone));
                 }};
     }
 
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/gateway/sitestateupdater.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/telemetry/log.hpp"
@@ -267,9 +268,36 @@
         telemetry::log(LogLevel::Warning, "endpoints", "skipping malformed entries",
                        {{"entries", std::uint64_t(m_unreadableCount)}, {"first", result->unreadable.empty() ? "" : result->unreadable.front()}});
     }
-    applyEntries(result->entries);
+    useEntries(result->entries);
+}
+
+/// Endpoints of a version that the store does not name yet are used a moment later: if all daemons ended, nobody would know that streams began there.
+void SiteStateUpdater::useEntries(const std::vector<discovery::EndpointEntry> &entries)
+{
+    std::vector<discovery::EndpointEntry> usable;
+    std::ranges::copy_if(entries, std::back_inserter(usable), [this](const auto &it) { return isKnown(it) || m_callbacks.isVersionRecorded(it); });
+    ++m_readNumber;
+    applyAndRelay(usable);
+    if (usable.size() < entries.size()) {
+        m_callbacks.recordVersions(entries, [this, entries, number = m_readNumber] {
+            if (number == m_readNumber) {
+                applyAndRelay(entries);
+            }
+        });
+    }
+}
+
+bool SiteStateUpdater::isKnown(const discovery::EndpointEntry &entry) const
+{
+    const auto it = m_siteState.endpoints().find(entry.id);
+    return it != m_siteState.endpoints().end() && it->second.incarnation == entry.incarnation && it->second.softwareVersion == entry.softwareVersion;
+}
+
+void SiteStateUpdater::applyAndRelay(const std::vector<discovery::EndpointEntry> &entries)
+{
+    applyEntries(entries);
     if (m_callbacks.isStoreReader()) {
-        m_callbacks.onEntriesRead(result->entries);
+        m_callbacks.onEntriesRead(entries);
     }
 }
 
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -31,9 +31,19 @@
 
 } // namespace
 
+forwarding::ListedVersions listedVersions(const std::vector<discovery::EndpointEntry> &endpoints)
+{
+    forwarding::ListedVersions versions;
+    for (const auto &it : endpoints) {
+        versions[it.service].insert(it.softwareVersion);
+    }
+    return versions;
+}
+
 StreamOriginExchange::StreamOriginExchange(boost::asio::io_context &context, forwarding::StreamOrigins &origins, peer::Mesh &mesh, Peers &peers,
                                            store::Table table, bool mayTakeAbsentRow)
-    : m_origins(origins)
+    : m_context(context)
+    , m_origins(origins)
     , m_peers(peers)
     , m_table(std::move(table))
     , m_mayTakeAbsentRow(mayTakeAbsentRow)
@@ -60,10 +70,7 @@
 
 void StreamOriginExchange::noteEndpoints(const std::vector<discovery::EndpointEntry> &endpoints)
 {
-    forwarding::ListedVersions versions;
-    for (const auto &it : endpoints) {
-        versions[it.service].insert(it.softwareVersion);
-    }
+    const auto versions = listedVersions(endpoints);
     for (const auto &[service, listed] : versions) {
         if (listed != m_listed[service]) {
             telemetry::log(LogLevel::Info, "endpoints", "software versions", {{"service", service.text()}, {"versions", joined(listed)}});
@@ -127,6 +134,7 @@
         m_isCallInProgress = false;
         if (rows) {
             applyRow(*rows);
+            continueRecording();
         } else {
             m_mustRead = true;
         }
@@ -153,7 +161,68 @@
     }
 }
 
-/// One daemon of each group writes the row, once it knows what served before its start; a conflict with that of another group is settled by reading the row again.
+bool StreamOriginExchange::isRecorded(const base::ServiceName &service, const std::string &softwareVersion) const
+{
+    const auto it = m_stored.find(service);
+    return it != m_stored.end() && it->second.contains(softwareVersion);
+}
+
+bool StreamOriginExchange::isRecorded(const forwarding::ListedVersions &versions) const
+{
+    return std::ranges::all_of(
+        versions, [this](const auto &service) { return std::ranges::all_of(service.second, [&](const auto &it) { return isRecorded(service.first, it); }); });
+}
+
+void StreamOriginExchange::recordVersions(const forwarding::ListedVersions &versions, std::function<void()> onDone)
+{
+    const auto recording = std::make_shared<Recording>(Recording{versions, std::move(onDone)});
+    m_recordings.push_back(recording);
+    daemon::callAt(m_context, base::now() + m_options.recordTimeout, [recording] { end(recording); });
+    if (m_mustRead) {
+        readHistory();
+    } else {
+        continueRecording();
+    }
+}
+
+void StreamOriginExchange::end(const RecordingPointer &recording)
+{
+    if (const auto onDone = std::exchange(recording->onDone, nullptr)) {
+        onDone();
+    }
+}
+
+/// Without knowledge of what served before its start, a daemon writes no row that others would take for complete. Streams of an unknown version
+/// are refused then.
+void StreamOriginExchange::continueRecording()
+{
+    std::erase_if(m_recordings, [](const auto &it) { return it->onDone == nullptr; });
+    if (m_recordings.empty() || m_isCallInProgress || m_mustRead) {
+        return;
+    }
+    const auto now = base::now();
+    auto history = m_origins.history(now);
+    const bool mayWrite = history.empty() ? m_origins.isHistoryKnown({}, now) : isHistoryComplete(history, now);
+    bool isMissing = false;
+    for (const auto &recording : std::vector(m_recordings)) {
+        if (!mayWrite || isRecorded(recording->versions)) {
+            end(recording);
+            continue;
+        }
+        isMissing = true;
+        for (const auto &[service, versions] : recording->versions) {
+            for (const auto &it : versions) {
+                history[service].try_emplace(it, now + m_options.recordedTime);
+            }
+        }
+    }
+    if (isMissing) {
+        writeHistory(history, now);
+    }
+}
+
+/// One daemon of each group writes the row, once it knows what served before its start; a conflict with that of another group is settled by reading the row
+/// again.
 void StreamOriginExchange::maintainHistory()
 {
     if (m_mustRead) {
@@ -189,8 +258,14 @@
             m_storedRow = result->front();
             m_stored = history;
             m_storedAt = now;
+            continueRecording();
         } else {
+            const bool isConflict = !result && result.error().failure == store::TableFailure::Conflict;
             m_mustRead = true;
+            // After another failure the store is left alone until the next regular comparison.
+            if (isConflict && !m_recordings.empty()) {
+                readHistory();
+            }
         }
     });
 }
