A call that a peer refuses is logged where its caller was refused

Operators found no line of a refused call at the daemon that had answered its caller. Cause: a call that is forwarded to a peer and refused there was logged as refused by the peer only. In platform_test the log file of that daemon is replaced when it starts again, so the line was gone: daemon 1 had 'forwards to a peer request=s7' and 'ended ... failed_at_peer' in a kept copy of its log, and daemon 2 had served before its restart. So the failure was neither chance nor load. Change: the daemon that answers the caller logs 'requests: refused ... reason=refused_by_peer has_run=no' with the status.

--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -118,6 +118,18 @@
         reject(RejectionReason::OutcomeUnknown);
         return;
     }
+    if (impliesNotRun(status)) {
+        // The peer logs why, but its log may be lost with it.
+        telemetry::log(LogLevel::Warning, "requests", "refused",
+                       {{"request", m_call.id},
+                        {"route", m_route.name},
+                        {"work", m_qualifiedModel.text()},
+                        {"reason", "refused_by_peer"},
+                        {"has_run", "no"},
+                        {"sends", static_cast<int>(m_attempts.sends())},
+                        {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())},
+                        {"status", status}});
+    }
     m_exchange->respond({status, std::move(m_peerHead->headers), std::move(m_peerBody)});
     finish(status < FirstFailureStatus ? "answered_by_peer" : "failed_at_peer");
 }
