--- a/include/turmericplank/net/httpserver.hpp
+++ b/include/turmericplank/net/httpserver.hpp
@@ -37,8 +37,8 @@
     virtual void abort() = 0;
     /// @brief Bytes that are queued and not yet written to the connection.
     virtual std::size_t queuedBytes() const = 0;
-    /// @brief Whether the caller is still connected, by what has reached this host. Finds out before onClosed is called, which comes only once the end
-    /// of the connection is handled.
+    /// @brief Whether the caller is still connected, by what has reached this host. Returns false before onClosed is called if the end of the
+    /// connection has arrived and has not been handled yet.
     virtual bool isCallerConnected() = 0;
     /// @brief Sets the callback that is called once if the caller disconnects before the end of the response.
     virtual void setOnClosed(std::function<void()> onClosed) = 0;
