--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -24,10 +24,11 @@
 class CrashingEndpoint
 {
 public:
-    CrashingEndpoint(FleetStore &store, std::string name, std::uint16_t port)
+    CrashingEndpoint(FleetStore &store, std::string name, std::uint16_t port, std::string service = "s")
         : m_store(store)
         , m_name(std::move(name))
         , m_port(port)
+        , m_service(std::move(service))
     {
         start();
     }
@@ -63,7 +64,7 @@
         m_softwareVersion = softwareVersion;
         discovery::EndpointEntry entry;
         entry.id = id();
-        entry.service = base::ServiceName("s");
+        entry.service = base::ServiceName(m_service);
         entry.address = {"127.0.0.1", m_port};
         entry.zone = base::ZoneName("z");
         entry.softwareVersion = softwareVersion;
@@ -173,6 +174,7 @@
     FleetStore &m_store;
     std::string m_name;
     std::uint16_t m_port;
+    std::string m_service;
     std::string m_softwareVersion;
     std::uint64_t m_incarnation = 0;
     std::unique_ptr<boost::asio::io_context> m_context; ///< its end closes all connections
@@ -183,6 +185,17 @@
     base::Time m_silentUntil;
 };
 
+/// @brief Zones of daemons and services of endpoints, by their numbers.
+struct FleetLayout
+{
+    std::function<std::string(std::size_t)> zoneOf = [](std::size_t) {
+        return "z";
+    };
+    std::function<std::string(std::size_t)> serviceOf = [](std::size_t) {
+        return "s";
+    };
+};
+
 /// @brief Daemons and endpoints of a site in one process, connected over loopback.
 class TestFleet
 {
@@ -190,13 +203,14 @@
     /// @param contacts whether two daemons, by their numbers, find each other
     /// @param drainTime twice the interval between two reads of the endpoints' entries
     TestFleet(std::size_t daemonCount, std::size_t endpointCount, std::function<bool(std::size_t, std::size_t)> contacts,
-              base::Duration drainTime = std::chrono::milliseconds(200))
+              base::Duration drainTime = std::chrono::milliseconds(200), FleetLayout layout = {})
         : m_contacts(std::move(contacts))
         , m_drainTime(drainTime)
+        , m_layout(std::move(layout))
     {
         store.put(makeConfiguration(1, "/r/"));
         for (std::size_t n = 0; n < endpointCount; ++n) {
-            endpoints.push_back(std::make_unique<CrashingEndpoint>(store, "e" + std::to_string(n), port(n)));
+            endpoints.push_back(std::make_unique<CrashingEndpoint>(store, "e" + std::to_string(n), port(n), m_layout.serviceOf(n)));
         }
         m_daemons.resize(daemonCount);
         for (std::size_t n = 0; n < daemonCount; ++n) {
@@ -216,7 +230,8 @@
         }
     }
 
-    /// A configuration with a route of repeatable calls, one of streams and one of calls that must not run twice.
+    /// A configuration with a route of repeatable calls, one of streams and one of calls that must not run twice, and one of repeatable calls
+    /// to a second service.
     static std::shared_ptr<routes::SiteConfiguration> makeConfiguration(std::uint64_t revision, const std::string &prefix)
     {
         auto it = std::make_shared<routes::SiteConfiguration>();
@@ -244,6 +259,13 @@
         route.prefix = "/o/";
         route.kind = {false, false, false};
         it->routes.push_back(route);
+        service.name = base::ServiceName("t");
+        it->services.emplace(service.name, service);
+        route.name = "t";
+        route.prefix = "/t/";
+        route.kind = {true, false, false};
+        route.services = {{service.name, 1}};
+        it->routes.push_back(route);
         return it;
     }
 
@@ -253,13 +275,12 @@
         it.context = std::make_unique<boost::asio::io_context>();
         Settings settings;
         settings.id = base::DaemonId(std::to_string(n));
-        settings.zone = base::ZoneName("z");
-        const auto first = EndpointPorts + PortsPerDaemon * n;
-        settings.callerAddress = {"127.0.0.1", port(first)};
-        settings.readinessAddress = {"127.0.0.1", port(first + 1)};
-        settings.directoryAddress = {"127.0.0.1", port(first + 2)};
-        settings.peerAddress = {"127.0.0.1", port(first + 3)};
-        settings.metricsAddress = {"127.0.0.1", port(first + 4)};
+        settings.zone = base::ZoneName(m_layout.zoneOf(n));
+        settings.callerAddress = address(n, 0);
+        settings.readinessAddress = address(n, 1);
+        settings.directoryAddress = address(n, 2);
+        settings.peerAddress = peerAddress(n);
+        settings.metricsAddress = metricsAddress(n);
         settings.bounds.drainTime = m_drainTime;
         settings.isFirstStart = isFirstStart;
         ConnectionPoolOptions poolOptions;
@@ -312,13 +333,13 @@
     /// Where a daemon listens for calls of other daemons.
     static base::Address peerAddress(std::size_t daemon)
     {
-        return {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon + 3)};
+        return address(daemon, 3);
     }
 
     /// Where a daemon serves its metrics.
     static base::Address metricsAddress(std::size_t daemon)
     {
-        return {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon + 4)};
+        return address(daemon, 4);
     }
 
     /// Runs the callers, and whatever else a test adds.
@@ -341,7 +362,7 @@
     {
         const auto result = std::make_shared<Result>();
         net::HttpCallOptions options;
-        options.to = {"127.0.0.1", port(EndpointPorts + PortsPerDaemon * daemon)};
+        options.to = address(daemon, 0);
         result->id = "c" + std::to_string(++m_calls);
         headers.push_back({"Request-Id", result->id});
         options.request = {"POST", std::move(target), std::move(headers), std::move(body)};
@@ -399,7 +420,14 @@
 
 private:
     static constexpr std::size_t EndpointPorts = 10;
-    static constexpr std::size_t PortsPerDaemon = 5;
+    static constexpr std::size_t DaemonsPerNetwork = 250;
+
+    /// Each daemon has a loopback address of its own, so that all of them use the same few ports.
+    static base::Address address(std::size_t daemon, std::size_t portNumber)
+    {
+        const auto network = std::to_string(1 + daemon / DaemonsPerNetwork);
+        return {"127.0." + network + '.' + std::to_string(1 + daemon % DaemonsPerNetwork), port(EndpointPorts + portNumber)};
+    }
 
     struct Daemon
     {
@@ -418,6 +446,7 @@
 
     std::function<bool(std::size_t, std::size_t)> m_contacts;
     base::Duration m_drainTime;
+    FleetLayout m_layout;
     boost::asio::io_context m_callers;
     boost::asio::io_context m_network; ///< runs the links between daemons and endpoints
     std::vector<Daemon> m_daemons;
