Logs tell why a call at a daemon without contact was refused

A refusal at such a daemon looked the same whether no peer took the call, no peer was asked or an endpoint was full.

--- a/include/turmericplank/gateway/peerforward.hpp
+++ b/include/turmericplank/gateway/peerforward.hpp
@@ -41,6 +41,9 @@
     /// @brief Ends the call; the peer is told.
     void cancel();
 
+    /// @brief Number of peers that the call was sent to so far.
+    std::size_t askedPeers() const;
+
     std::function<void(const base::DaemonId &)> onTargetBegin; ///< the call is sent to a peer
     std::function<void(const base::DaemonId &)> onTargetEnd; ///< the call has ended at that peer
 
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -320,6 +320,8 @@
                     {"after_ms", base::millisecondsBetween(m_arrivedAt, now)},
                     {"events", m_events},
                     {"response", m_isStreaming ? "cut_off" : "rejection"},
+                    {"forwarded", m_isForwarded ? "yes" : "no"},
+                    {"unreachable", std::uint64_t(m_forwarder.m_dependencies.pool.contact().unreachableCount())},
                     {"revision", m_routes->configuration().revision.value()},
                     {"revision_in_force_ms", base::millisecondsBetween(siteState.routesSince(), now)},
                     {"endpoints_age_ms", lastRead ? base::millisecondsBetween(*lastRead, now) : -1},
--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -95,9 +95,14 @@
 
 void ForwardedCall::handlePeerEnd(PeerForwardEnd end)
 {
-    m_peerForward.reset();
+    const auto peerForward = std::exchange(m_peerForward, nullptr);
     switch (end) {
     case PeerForwardEnd::NotProcessed:
+        telemetry::log(LogLevel::Warning, "requests", "no peer took the call",
+                       {{"request", m_call.id},
+                        {"work", m_qualifiedModel.text()},
+                        {"asked", std::uint64_t(peerForward->askedPeers())},
+                        {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())}});
         waitForEndpoint(forwarding::WaitCause::Full);
         return;
     case PeerForwardEnd::Unknown:
--- a/src/turmericplank/gateway/peerforward.cpp
+++ b/src/turmericplank/gateway/peerforward.cpp
@@ -96,6 +96,11 @@
     }
 }
 
+std::size_t PeerForward::askedPeers() const
+{
+    return m_next;
+}
+
 void PeerForward::endTarget()
 {
     if (std::exchange(m_isAtTarget, false)) {
