Contact to endpoints is known for each service

Callers were refused by daemons that reached endpoints of one service but none of another: contact was one fact for all endpoints, so that such a daemon told its peers that it was in contact, got their calls for the service that it did not reach, and its refusal was final.

EndpointContact keeps each service apart; a status names the services that its sender does not reach (the former member stays for daemons of earlier builds), and a forwarded call is not taken by a daemon that does not reach its service. Three endpoints of a service that reject connections while none is heard are enough to know that none is reached: with 60 endpoints, calls would otherwise fail at one after the other.

--- a/include/turmericplank/forwarding/endpointcontact.hpp
+++ b/include/turmericplank/forwarding/endpointcontact.hpp
@@ -20,27 +20,29 @@
 /// @brief Limits of EndpointContact.
 struct EndpointContactOptions
 {
-    base::Duration silenceTime = std::chrono::milliseconds(600); ///< without a byte from any endpoint, while calls wait, before the contact is checked
+    base::Duration silenceTime = std::chrono::milliseconds(600); ///< without a byte of a service, while calls wait, before the contact is checked
     base::Duration firstProbeDelay = std::chrono::milliseconds(100); ///< after a failure; doubles with each further one, since a lost packet is no cut
     base::Duration maxProbeDelay = std::chrono::milliseconds(800); ///< contact must be regained well within the 3 s that a change of it may take
     base::Duration maxTickGap = std::chrono::milliseconds(300); ///< after a longer gap between two ticks this process itself was paused
     std::size_t maxProbes = 4; ///< started by one tick
     base::Duration sameMoment = std::chrono::milliseconds(10); ///< between losses by one cause; crashes by one call that is sent again are further apart
     base::Duration lossMemory = std::chrono::seconds(1); ///< how long losses of connections are remembered
-    std::size_t failuresOfAll = 2; ///< endpoints without an answer after which all count as unreachable, if none has been heard meanwhile
+    std::size_t failuresOfAll = 2; ///< endpoints of a service without an answer after which all count as unreachable, if none has been heard meanwhile
+    std::size_t rejectionsOfAll = 3; ///< the same for endpoints that reject connections; two may crash at the same moment
 };
 
 /// @brief Which endpoints this daemon can reach, by the connections that it opens and the bytes that it receives.
 ///
-/// An endpoint is unreachable from a connection that could not be opened until one could. An endpoint that is silent is not: its
-/// host still accepts connections. Deterministic; time is passed in.
+/// The contact to the endpoints of one service says nothing of another service, whose endpoints may be reached over other paths. An endpoint is unreachable
+/// from a connection that could not be opened until one could. An endpoint that is silent is not: its host still accepts connections. Deterministic; time is
+/// passed in.
 class EndpointContact
 {
 public:
     explicit EndpointContact(EndpointContactOptions options = {});
 
-    /// @brief Adds an endpoint, which counts as reachable until a connection fails.
-    void add(const base::EndpointId &id);
+    /// @brief Adds an endpoint of a service, which counts as reachable until a connection fails.
+    void add(const base::EndpointId &id, const base::ServiceName &service);
     void remove(const base::EndpointId &id);
 
     /// @brief Notes that a call was sent to an endpoint.
@@ -63,8 +65,11 @@
     /// @brief Since when connections that were idle may hang; nothing if they may be used.
     std::optional<base::Time> hangsSince(const base::EndpointId &id) const;
 
-    /// @brief Whether all endpoints are unreachable; false if there is none.
-    bool isCutOff() const;
+    /// @brief Whether all endpoints of a service are unreachable; false if it has none.
+    bool isCutOff(const base::ServiceName &service) const;
+
+    /// @brief The services of which all endpoints are unreachable.
+    std::set<base::ServiceName> cutOffServices() const;
 
     /// @brief Whether connections to nearly all endpoints were lost at the same moment, so that the contact was lost rather than an endpoint.
     /// @param at when one of them was lost; to be asked a moment later, since the others may be noticed after it
@@ -74,11 +79,19 @@
     /// @brief Number of endpoints that are unreachable.
     std::size_t unreachableCount() const;
 
+    /// @brief Number of endpoints of a service.
+    std::size_t endpointCount(const base::ServiceName &service) const;
+
+    /// @brief Number of endpoints of a service that are unreachable.
+    std::size_t unreachableCount(const base::ServiceName &service) const;
+
 private:
     struct State
     {
+        base::ServiceName service;
         std::optional<base::Time> failedAt; ///< set while unreachable
         bool isHanging = false;
+        bool isAssumed = false; ///< unreachable by what was seen of other endpoints of the service
         bool isProbed = false; ///< a probe is in progress
         unsigned failures = 0; ///< in a row
         base::Time nextProbeAt;
@@ -86,13 +99,15 @@
     };
 
     void fail(State &state, ConnectFailure failure, base::Time now) const;
-    void failAll(base::Time now);
-    void probeSilent(base::Time now, std::vector<base::EndpointId> &probes);
+    bool haveAllFailed(const base::ServiceName &service, ConnectFailure failure, base::Time now) const;
+    void failAll(const base::ServiceName &service, ConnectFailure failure, base::Time now);
+    void clearAssumed(const base::ServiceName &service);
+    void probeSilent(const base::ServiceName &service, base::Time now, std::vector<base::EndpointId> &probes);
 
     EndpointContactOptions m_options;
     std::map<base::EndpointId, State> m_endpoints;
     std::vector<std::pair<base::Time, base::EndpointId>> m_losses; ///< of connections, within the memory
-    base::Time m_heardAt; ///< when any endpoint sent a byte or accepted a connection
+    std::map<base::ServiceName, base::Time> m_heardAt; ///< when any endpoint of a service sent a byte or accepted a connection
     base::Time m_lastTick;
 };
 
--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -63,7 +63,8 @@
 
     /// @brief Adds or updates an endpoint; idle connections to an earlier address or incarnation are closed.
     /// @param limit maximum number of connections that this daemon may have open
-    void setEndpoint(const base::EndpointId &id, const base::Address &address, base::Incarnation incarnation, std::uint32_t limit);
+    void setEndpoint(const base::EndpointId &id, const base::ServiceName &service, const base::Address &address, base::Incarnation incarnation,
+                     std::uint32_t limit);
 
     /// @brief Removes an endpoint and closes its idle connections.
     void removeEndpoint(const base::EndpointId &id);
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -78,8 +78,8 @@
     std::function<void(requests::Fingerprint, const requests::EndpointLoss &)> onEndpointLost; ///< while it ran a content, or a part of one
     std::function<void(requests::Fingerprint)> onSharedAnswer; ///< a part of a prompt was answered without a crash
     std::function<bool()> mayTryRefused; ///< this daemon is the one that tries refused contents again
-    /// Forwards a call to a daemon that may have contact to endpoints; null if there is none.
-    std::function<std::shared_ptr<PeerForward>(const PeerForwardRequest &, PeerForwardCallbacks)> forwardToPeer;
+    /// Forwards a call to a daemon that may have contact to endpoints of its service; null if there is none.
+    std::function<std::shared_ptr<PeerForward>(const base::ServiceName &, const PeerForwardRequest &, PeerForwardCallbacks)> forwardToPeer;
     std::function<std::size_t()> daemonCount; ///< daemons that share the retry budget and the connections, including this one
     std::function<void()> onEndpointLeaving; ///< an endpoint has said in an answer that it is leaving; peers are to be told
     std::function<void(const base::ServiceName &, const base::ModelName &)> onNotResident; ///< a call waits for a model or adapter that is not resident
@@ -103,6 +103,9 @@
     /// @brief Whether new calls are accepted.
     bool acceptsCalls() const;
 
+    /// @brief The service that a call goes to; nothing without a route.
+    std::optional<base::ServiceName> serviceOf(const net::HttpRequest &request) const;
+
     /// @brief Rejects calls that arrive from now on; calls in progress continue.
     void rejectNewCalls();
 
--- a/include/turmericplank/gateway/peerforwarder.hpp
+++ b/include/turmericplank/gateway/peerforwarder.hpp
@@ -22,14 +22,15 @@
                   std::mt19937_64 &random);
     ~PeerForwarder();
 
-    /// @brief Forwards a call.
-    /// @return null if no peer may have contact to endpoints; no callback is called then
-    std::shared_ptr<PeerForward> forward(const PeerForwardRequest &request, PeerForwardCallbacks callbacks);
+    /// @brief Forwards a call of a service.
+    /// @return null if no peer may have contact to endpoints of the service; no callback is called then
+    std::shared_ptr<PeerForward> forward(const base::ServiceName &service, const PeerForwardRequest &request, PeerForwardCallbacks callbacks);
 
 private:
     using CallCounts = std::map<base::DaemonId, std::size_t>;
 
-    std::vector<ForwardTarget> targets();
+    std::vector<ForwardTarget> targets(const base::ServiceName &service);
+    bool mayServe(const PeerForwardRequest &request, base::Time now) const;
     void handleRequest(const base::DaemonId &from, const std::string &body, const peer::PeerResponder &responder);
 
     peer::Mesh &m_mesh;
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -127,8 +127,8 @@
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
 
-    /// @brief Daemons that may have contact to endpoints: those of the group that say so, or else those outside it, of which nothing is known.
-    std::vector<ForwardTarget> forwardTargets() const;
+    /// @brief Daemons that may have contact to endpoints of a service: those of the group that say so, or else those outside it.
+    std::vector<ForwardTarget> forwardTargets(const base::ServiceName &service) const;
 
     /// @brief The daemons that otherDaemonCount() counts, except those that reach no endpoint.
     std::vector<base::DaemonId> otherDaemons() const;
--- a/include/turmericplank/gateway/peerstatus.hpp
+++ b/include/turmericplank/gateway/peerstatus.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -72,7 +73,8 @@
     base::Incarnation incarnation;
     bool isReady = false;
     bool isDraining = false;
-    bool isCutOff = false; ///< the sender reaches no endpoint
+    bool isCutOff = false; ///< the sender reaches no endpoint; earlier builds say no more than this
+    std::set<base::ServiceName> unreachableServices; ///< of which the sender reaches no endpoint
     base::Term term; ///< of the placement lease; zero if the sender does not hold it
     base::Revision revision; ///< of the configuration in force at the sender
     base::StoreEra storeEra; ///< as reported by the store to the sender
@@ -86,6 +88,9 @@
     friend bool operator==(const PeerStatus &, const PeerStatus &) = default;
 };
 
+/// @brief Whether a daemon reaches endpoints of a service, by its status.
+bool reaches(const PeerStatus &status, const base::ServiceName &service);
+
 /// @brief Why a message cannot be decoded.
 enum class MessageDecodeFailure { Malformed };
 
--- a/src/turmericplank/forwarding/endpointcontact.cpp
+++ b/src/turmericplank/forwarding/endpointcontact.cpp
@@ -9,9 +9,10 @@
 {
 }
 
-void EndpointContact::add(const base::EndpointId &id)
+void EndpointContact::add(const base::EndpointId &id, const base::ServiceName &service)
 {
-    m_endpoints.try_emplace(id);
+    m_endpoints[id].service = service;
+    m_heardAt.try_emplace(service);
 }
 
 void EndpointContact::remove(const base::EndpointId &id)
@@ -29,8 +30,8 @@
 
 void EndpointContact::noteReceived(const base::EndpointId &id, base::Time now)
 {
-    m_heardAt = now;
     if (const auto it = m_endpoints.find(id); it != m_endpoints.end()) {
+        m_heardAt[it->second.service] = now;
         it->second.waitsSince.reset();
         it->second.isHanging = false;
     }
@@ -38,11 +39,29 @@
 
 void EndpointContact::noteConnected(const base::EndpointId &id, base::Time now)
 {
-    m_heardAt = now;
-    if (const auto it = m_endpoints.find(id); it != m_endpoints.end()) {
-        const auto waitsSince = it->second.waitsSince;
-        it->second = {};
-        it->second.waitsSince = waitsSince;
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return;
+    }
+    auto &state = it->second;
+    m_heardAt[state.service] = now;
+    State connected;
+    connected.service = state.service;
+    connected.waitsSince = state.waitsSince;
+    state = connected;
+    clearAssumed(state.service);
+}
+
+/// What was assumed of the other endpoints does not hold if one of the service can be reached.
+void EndpointContact::clearAssumed(const base::ServiceName &service)
+{
+    for (auto &[id, state] : m_endpoints) {
+        if (state.service == service && state.isAssumed) {
+            state.failedAt.reset();
+            state.isHanging = false;
+            state.isAssumed = false;
+            state.failures = 0;
+        }
     }
 }
 
@@ -54,29 +73,47 @@
     }
     noteConnectionLost(id, now);
     fail(it->second, failure, now);
-    const auto hanging = std::ranges::count_if(m_endpoints, [](const auto &state) { return state.second.failedAt && state.second.isHanging; });
-    const auto needed = std::min(m_options.failuresOfAll, m_endpoints.size());
-    if (static_cast<std::size_t>(hanging) >= needed && now >= m_heardAt + m_options.silenceTime) {
-        failAll(now);
+    if (haveAllFailed(it->second.service, failure, now)) {
+        failAll(it->second.service, failure, now);
     }
 }
 
+/// Whether enough endpoints of the service have failed since one was heard to conclude that none of them can be reached.
+bool EndpointContact::haveAllFailed(const base::ServiceName &service, ConnectFailure failure, base::Time now) const
+{
+    const auto heardAt = m_heardAt.at(service);
+    const bool isTimeout = failure == ConnectFailure::TimedOut;
+    if (isTimeout && now < heardAt + m_options.silenceTime) {
+        return false;
+    }
+    std::size_t known = 0;
+    std::size_t failed = 0;
+    for (const auto &[id, state] : m_endpoints) {
+        const bool isFailed = state.failedAt && !state.isAssumed && (isTimeout ? state.isHanging : *state.failedAt > heardAt);
+        known += state.service == service ? 1 : 0;
+        failed += state.service == service && isFailed ? 1 : 0;
+    }
+    return failed >= std::min(isTimeout ? m_options.failuresOfAll : m_options.rejectionsOfAll, known);
+}
+
 void EndpointContact::fail(State &state, ConnectFailure failure, base::Time now) const
 {
     constexpr unsigned MaxDoublings = 8;
     state.failedAt = state.failedAt.value_or(now);
     state.isHanging = failure == ConnectFailure::TimedOut;
+    state.isAssumed = false;
     state.isProbed = false;
     state.nextProbeAt = now + std::min(m_options.firstProbeDelay * (1U << std::min(state.failures, MaxDoublings)), m_options.maxProbeDelay);
     ++state.failures;
 }
 
-/// Calls that are sent on idle connections would hang as well, before a connection to each endpoint has failed.
-void EndpointContact::failAll(base::Time now)
+/// Calls to the other endpoints would fail one after the other, and after a timeout hang on idle connections, before a connection to each has failed.
+void EndpointContact::failAll(const base::ServiceName &service, ConnectFailure failure, base::Time now)
 {
     for (auto &[id, state] : m_endpoints) {
-        if (!state.failedAt) {
-            fail(state, ConnectFailure::TimedOut, now);
+        if (state.service == service && !state.failedAt) {
+            fail(state, failure, now);
+            state.isAssumed = true;
         }
     }
 }
@@ -86,7 +123,9 @@
     const bool wasPaused = now > m_lastTick + m_options.maxTickGap;
     m_lastTick = now;
     if (wasPaused) {
-        m_heardAt = now;
+        for (auto &[service, heardAt] : m_heardAt) {
+            heardAt = now;
+        }
     }
     std::vector<std::pair<base::Time, base::EndpointId>> due;
     for (const auto &[id, state] : m_endpoints) {
@@ -101,26 +140,29 @@
         m_endpoints.at(id).isProbed = true;
         probes.push_back(id);
     }
-    probeSilent(now, probes);
+    for (const auto &[service, heardAt] : m_heardAt) {
+        probeSilent(service, now, probes);
+    }
     return probes;
 }
 
-/// If nothing has come from any endpoint although calls wait, either all of them work on long calls or the contact is lost.
-void EndpointContact::probeSilent(base::Time now, std::vector<base::EndpointId> &probes)
+/// If nothing has come from any endpoint of a service although calls wait, either all of them work on long calls or the contact is lost.
+void EndpointContact::probeSilent(const base::ServiceName &service, base::Time now, std::vector<base::EndpointId> &probes)
 {
-    if (now < m_heardAt + m_options.silenceTime) {
+    if (now < m_heardAt.at(service) + m_options.silenceTime) {
         return;
     }
     const auto waits = [&](const State &state) {
         return state.waitsSince && now >= *state.waitsSince + m_options.silenceTime;
     };
-    if (std::ranges::none_of(m_endpoints, [&](const auto &it) { return waits(it.second); })) {
+    if (std::ranges::none_of(m_endpoints, [&](const auto &it) { return it.second.service == service && waits(it.second); })) {
         return;
     }
     std::size_t probed = 0;
     for (const bool isWaiting : {true, false}) {
         for (auto &[id, state] : m_endpoints) {
-            if (probed < m_options.failuresOfAll && !state.failedAt && !state.isProbed && waits(state) == isWaiting) {
+            const bool isCandidate = state.service == service && !state.failedAt && !state.isProbed && waits(state) == isWaiting;
+            if (probed < m_options.failuresOfAll && isCandidate) {
                 state.isProbed = true;
                 probes.push_back(id);
                 ++probed;
@@ -161,9 +203,30 @@
     return it != m_endpoints.end() && it->second.isHanging ? it->second.failedAt : std::nullopt;
 }
 
-bool EndpointContact::isCutOff() const
+bool EndpointContact::isCutOff(const base::ServiceName &service) const
 {
-    return !m_endpoints.empty() && unreachableCount() == m_endpoints.size();
+    std::size_t known = 0;
+    for (const auto &[id, state] : m_endpoints) {
+        if (state.service == service && !state.failedAt) {
+            return false;
+        }
+        known += state.service == service ? 1 : 0;
+    }
+    return known > 0;
+}
+
+std::set<base::ServiceName> EndpointContact::cutOffServices() const
+{
+    std::set<base::ServiceName> found;
+    for (const auto &[id, state] : m_endpoints) {
+        found.insert(state.service);
+    }
+    for (const auto &[id, state] : m_endpoints) {
+        if (!state.failedAt) {
+            found.erase(state.service);
+        }
+    }
+    return found;
 }
 
 std::size_t EndpointContact::unreachableCount() const
@@ -171,4 +234,15 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [](const auto &it) { return it.second.failedAt.has_value(); }));
 }
 
+std::size_t EndpointContact::endpointCount(const base::ServiceName &service) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [&](const auto &it) { return it.second.service == service; }));
+}
+
+std::size_t EndpointContact::unreachableCount(const base::ServiceName &service) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_endpoints, [&](const auto &it) { return it.second.service == service && it.second.failedAt.has_value(); }));
+}
+
 } // namespace turmericplank::forwarding
--- a/src/turmericplank/forwarding/endpointcontact_test.cpp
+++ b/src/turmericplank/forwarding/endpointcontact_test.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr auto Start = base::timeFromMilliseconds(1'000'000);
+const base::ServiceName service("s");
+const base::ServiceName otherService("t");
 const base::EndpointId a("a");
 const base::EndpointId b("b");
 const base::EndpointId c("c");
@@ -18,7 +20,7 @@
 {
     EndpointContact contact;
     for (const auto &it : {a, b, c}) {
-        contact.add(it);
+        contact.add(it, service);
         contact.noteConnected(it, Start);
     }
     contact.dueProbes(Start);
@@ -46,7 +48,7 @@
     CHECK(contact.isUnreachable(a));
     CHECK_FALSE(contact.isUnreachable(b));
     CHECK_FALSE(contact.hangsSince(a));
-    CHECK_FALSE(contact.isCutOff());
+    CHECK_FALSE(contact.isCutOff(service));
     CHECK(contact.dueProbes(Start + 100ms).empty());
     CHECK(contact.dueProbes(Start + 110ms) == Probes{a});
     CHECK(contact.dueProbes(Start + 200ms).empty()); // in progress
@@ -69,12 +71,12 @@
     CHECK(probesUntil(contact, Start + 100ms, Start + 600ms).empty());
     CHECK(contact.dueProbes(Start + 700ms) == Probes{a, b});
     contact.noteConnectFailed(a, ConnectFailure::TimedOut, Start + 1100ms);
-    CHECK_FALSE(contact.isCutOff());
+    CHECK_FALSE(contact.isCutOff(service));
     contact.noteConnectFailed(b, ConnectFailure::TimedOut, Start + 1100ms);
-    CHECK(contact.isCutOff());
+    CHECK(contact.isCutOff(service));
     CHECK(contact.hangsSince(c) == Start + 1100ms);
     contact.noteConnected(c, Start + 1500ms);
-    CHECK_FALSE(contact.isCutOff());
+    CHECK_FALSE(contact.isCutOff(service));
     CHECK(contact.unreachableCount() == 2);
 }
 
@@ -111,6 +113,52 @@
     CHECK(contact.unreachableCount() == 2);
 }
 
+TEST_CASE("the contact to one service is lost although endpoints of another one answer, and says nothing of those")
+{
+    const base::EndpointId d("d");
+    for (const auto failure : {ConnectFailure::TimedOut, ConnectFailure::Rejected}) {
+        auto contact = threeEndpoints();
+        contact.add(d, otherService);
+        contact.noteConnected(d, Start);
+        for (auto now = Start + 100ms; now <= Start + 1s; now += 100ms) {
+            contact.noteReceived(d, now);
+        }
+        for (const auto &it : {a, b, c}) {
+            contact.noteConnectFailed(it, failure, Start + 1s);
+        }
+        CHECK(contact.isCutOff(service));
+        CHECK(contact.cutOffServices() == std::set{service});
+        CHECK_FALSE(contact.isUnreachable(d));
+        CHECK(contact.unreachableCount(service) == 3);
+        CHECK(contact.unreachableCount(otherService) == 0);
+        CHECK_FALSE(contact.isCutOff(base::ServiceName("without endpoints")));
+    }
+}
+
+TEST_CASE("a daemon that is rejected by three endpoints and hears none concludes that it reaches none, until one connection opens")
+{
+    constexpr int EndpointCount = 20;
+    EndpointContact contact;
+    const auto endpoint = [](int n) {
+        return base::EndpointId(std::to_string(n));
+    };
+    for (int n = 0; n < EndpointCount; ++n) {
+        contact.add(endpoint(n), service);
+        contact.noteConnected(endpoint(n), Start);
+    }
+    contact.noteConnectFailed(endpoint(0), ConnectFailure::Rejected, Start + 10ms);
+    contact.noteConnectFailed(endpoint(1), ConnectFailure::Rejected, Start + 20ms);
+    contact.noteReceived(endpoint(2), Start + 30ms); // two endpoints have crashed
+    contact.noteConnectFailed(endpoint(3), ConnectFailure::Rejected, Start + 40ms);
+    contact.noteConnectFailed(endpoint(4), ConnectFailure::Rejected, Start + 50ms);
+    CHECK(contact.unreachableCount() == 4);
+    contact.noteConnectFailed(endpoint(5), ConnectFailure::Rejected, Start + 60ms);
+    CHECK(contact.isCutOff(service));
+    CHECK_FALSE(contact.hangsSince(endpoint(9)));
+    contact.noteConnected(endpoint(9), Start + 200ms);
+    CHECK(contact.unreachableCount() == 5);
+}
+
 TEST_CASE("a process that was paused does not take its own pause for a cut")
 {
     auto contact = threeEndpoints();
@@ -125,7 +173,7 @@
 {
     EndpointContact contact;
     for (int n = 0; n < 20; ++n) {
-        contact.add(base::EndpointId(std::to_string(n)));
+        contact.add(base::EndpointId(std::to_string(n)), service);
     }
     contact.dueProbes(Start);
     for (int n = 0; n < 20; ++n) {
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -22,7 +22,8 @@
     }
 }
 
-void ConnectionPool::setEndpoint(const base::EndpointId &id, const base::Address &address, base::Incarnation incarnation, std::uint32_t limit)
+void ConnectionPool::setEndpoint(const base::EndpointId &id, const base::ServiceName &service, const base::Address &address, base::Incarnation incarnation,
+                                 std::uint32_t limit)
 {
     auto &endpoint = m_endpoints[id];
     if (endpoint.address != address || endpoint.incarnation != incarnation) {
@@ -33,7 +34,7 @@
     endpoint.incarnation = incarnation;
     endpoint.limit = limit;
     endpoint.wasRemoved = false;
-    m_contact.add(id);
+    m_contact.add(id, service);
     m_failures.addEndpoint(id);
 }
 
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -36,6 +36,12 @@
     return route.objective > MinDeferrableObjective;
 }
 
+/// A stream that is resumed goes on at the service at which it began.
+base::ServiceName chosenService(const routes::Route &route, const Call &call)
+{
+    return routes::chooseService(route, call.resumedCall.empty() ? call.id : call.resumedCall);
+}
+
 ForwardedCall::ForwardedCall(Forwarder &forwarder, net::ExchangePointer exchange, Call call, std::shared_ptr<const routes::RouteTable> routes,
                              const routes::Route &route, const std::optional<CallLimits> &limits, base::Time now)
     : m_forwarder(forwarder)
@@ -45,7 +51,7 @@
     , m_contents(contentFingerprints(m_call, m_exchange->request()))
     , m_routes(std::move(routes))
     , m_route(route)
-    , m_service(routes::chooseService(route, m_call.resumedCall.empty() ? m_call.id : m_call.resumedCall))
+    , m_service(chosenService(route, m_call))
     , m_arrivedAt(now)
     , m_attempts(route.kind, maxSends(route, limits), finalDeadline(route, m_call, limits, now))
     , m_lastEvent(m_call.lastEventId)
@@ -144,7 +150,7 @@
             return;
         }
         if (wouldAnswerTooLate(*choice)) {
-            if (contact.unreachableCount() > 0 && forwardToPeer()) {
+            if (contact.unreachableCount(m_service) > 0 && forwardToPeer()) {
                 return;
             }
             waitForEndpoint(forwarding::WaitCause::Full);
@@ -321,7 +327,7 @@
                     {"events", m_events},
                     {"response", m_isStreaming ? "cut_off" : "rejection"},
                     {"forwarded", m_isForwarded ? "yes" : "no"},
-                    {"unreachable", std::uint64_t(m_forwarder.m_dependencies.pool.contact().unreachableCount())},
+                    {"unreachable", std::uint64_t(m_forwarder.m_dependencies.pool.contact().unreachableCount(m_service))},
                     {"revision", m_routes->configuration().revision.value()},
                     {"revision_in_force_ms", base::millisecondsBetween(siteState.routesSince(), now)},
                     {"endpoints_age_ms", lastRead ? base::millisecondsBetween(*lastRead, now) : -1},
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -20,6 +20,9 @@
 /// @brief Whether calls of a route tolerate delay, since their latency objective is long.
 bool isDeferrable(const routes::Route &route);
 
+/// @brief The service of a route that a call goes to.
+base::ServiceName chosenService(const routes::Route &route, const Call &call);
+
 /// @brief Whether a caller concludes from the status that its call has not run.
 bool impliesNotRun(int status);
 
--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -50,7 +50,7 @@
     };
     const auto &dependencies = m_forwarder.m_dependencies;
     const PeerForwardRequest request{m_exchange->request(), m_routes->configuration().revision, m_attempts.deadline(), sendsLeft};
-    auto peerForward = dependencies.forwardToPeer(request, std::move(callbacks));
+    auto peerForward = dependencies.forwardToPeer(m_service, request, std::move(callbacks));
     if (!peerForward) {
         return false;
     }
@@ -62,8 +62,8 @@
         telemetry::log(LogLevel::Info, "requests", "forwards to a peer",
                        {{"request", m_call.id},
                         {"work", m_qualifiedModel.text()},
-                        {"unreachable", std::uint64_t(dependencies.pool.contact().unreachableCount())},
-                        {"endpoints", std::uint64_t(dependencies.siteState.endpoints().size())},
+                        {"unreachable", std::uint64_t(dependencies.pool.contact().unreachableCount(m_service))},
+                        {"endpoints", std::uint64_t(dependencies.pool.contact().endpointCount(m_service))},
                         {"sends", static_cast<int>(m_attempts.sends())},
                         {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())}});
     }
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -49,6 +49,14 @@
     forwardedCall->start();
 }
 
+std::optional<base::ServiceName> Forwarder::serviceOf(const net::HttpRequest &request) const
+{
+    const auto call = m_dependencies.wire.decodeCall(request);
+    const auto &routes = m_dependencies.siteState.routes();
+    const auto *route = routes ? routes->find(call.host, net::path(request.target)) : nullptr;
+    return route == nullptr ? std::nullopt : std::optional(chosenService(*route, call));
+}
+
 bool Forwarder::acceptsCalls() const
 {
     return !m_isRejectingNewCalls && m_dependencies.siteState.routes();
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -125,7 +125,9 @@
             [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { noteEndpointLoss(content, loss); },
             [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
             [this] { return peers.isLeaseHolder(); },
-            [this](const PeerForwardRequest &request, PeerForwardCallbacks callbacks) { return peerForwarder.forward(request, std::move(callbacks)); },
+            [this](const base::ServiceName &service, const PeerForwardRequest &request, PeerForwardCallbacks callbacks) {
+                return peerForwarder.forward(service, request, std::move(callbacks));
+            },
             [this] { return daemonCount(); },
             [this] {
                 placementRunner.updateEngines();
@@ -284,14 +286,37 @@
     {
         pool.probeContact(base::now());
         const auto &contact = pool.contact();
-        if (contact.isCutOff() == std::exchange(isCutOff, contact.isCutOff())) {
+        const auto before = std::exchange(unreachableServices, contact.cutOffServices());
+        if (unreachableServices == before) {
             return;
         }
-        telemetry::log(isCutOff ? LogLevel::Warning : LogLevel::Info, "endpoints", isCutOff ? "all unreachable" : "some reachable again",
-                       {{"unreachable", std::uint64_t(contact.unreachableCount())}, {"endpoints", std::uint64_t(siteState.endpoints().size())}});
+        const auto logChange = [&](LogLevel level, std::string_view text, const base::ServiceName &service) {
+            const auto unreachable = std::uint64_t(contact.unreachableCount(service));
+            telemetry::log(level, "endpoints", text, {{"service", service.text()}, {"unreachable", unreachable}});
+        };
+        for (const auto &it : unreachableServices) {
+            if (!before.contains(it)) {
+                logChange(LogLevel::Warning, "all of a service unreachable", it);
+            }
+        }
+        for (const auto &it : before) {
+            if (!unreachableServices.contains(it)) {
+                logChange(LogLevel::Info, "some of a service reachable again", it);
+            }
+        }
         peers.sendStatus();
     }
 
+    /// Services that have endpoints.
+    std::set<base::ServiceName> endpointServices() const
+    {
+        std::set<base::ServiceName> found;
+        for (const auto &[id, entry] : siteState.endpoints()) {
+            found.insert(entry.service);
+        }
+        return found;
+    }
+
     bool isReady() const
     {
         return !isDraining && siteState.routes() && !siteState.endpoints().empty();
@@ -300,7 +325,8 @@
     void fillStatus(PeerStatus &status)
     {
         status.isReady = isReady();
-        status.isCutOff = isCutOff;
+        status.unreachableServices = unreachableServices;
+        status.isCutOff = !unreachableServices.empty() && unreachableServices == endpointServices();
         status.revision = siteState.routes() ? siteState.routes()->configuration().revision : base::Revision();
         status.storeEra = storeEra;
         status.endpointWork = router.ownWork();
@@ -383,7 +409,7 @@
             const auto spec = services.find(entry.service);
             const double serviceLimit = spec == services.end() ? 1 : spec->second.connectionLimit;
             const auto daemonShare = static_cast<std::uint32_t>(serviceLimit * ConnectionShare / static_cast<double>(daemonCount()));
-            pool.setEndpoint(id, entry.address, entry.incarnation, std::max(MinConnections, daemonShare));
+            pool.setEndpoint(id, entry.service, entry.address, entry.incarnation, std::max(MinConnections, daemonShare));
         }
     }
 
@@ -457,7 +483,7 @@
     std::unique_ptr<net::HttpServer> metricsServer;
     base::StoreEra storeEra; ///< as reported by the store to this daemon
     base::StoreEra registrationEra; ///< latest era that this daemon or a peer has seen, in which its row has been or is being written
-    bool isCutOff = false; ///< this daemon reaches no endpoint, as peers were told
+    std::set<base::ServiceName> unreachableServices; ///< of which this daemon reaches no endpoint, as peers were told
     bool isDraining = false;
     bool isDrained = false;
 };
--- a/src/turmericplank/gateway/peerforwarder.cpp
+++ b/src/turmericplank/gateway/peerforwarder.cpp
@@ -39,9 +39,9 @@
 }
 
 /// Peers with few calls of this daemon come first, so that none takes all of them.
-std::vector<ForwardTarget> PeerForwarder::targets()
+std::vector<ForwardTarget> PeerForwarder::targets(const base::ServiceName &service)
 {
-    auto found = m_peers.forwardTargets();
+    auto found = m_peers.forwardTargets(service);
     std::ranges::shuffle(found, m_random);
     std::ranges::stable_sort(found, {}, [this](const ForwardTarget &it) {
         const auto calls = m_inProgress->find(it.id);
@@ -50,9 +50,9 @@
     return found;
 }
 
-std::shared_ptr<PeerForward> PeerForwarder::forward(const PeerForwardRequest &request, PeerForwardCallbacks callbacks)
+std::shared_ptr<PeerForward> PeerForwarder::forward(const base::ServiceName &service, const PeerForwardRequest &request, PeerForwardCallbacks callbacks)
 {
-    auto found = targets();
+    auto found = targets(service);
     const auto now = base::now();
     if (found.empty() || now + ReturnTime >= request.deadline) {
         return nullptr;
@@ -82,10 +82,9 @@
         responder.reject();
         return;
     }
-    const bool mayServe = m_forwarder.acceptsCalls() && !m_pool.contact().isCutOff() && now < request->deadline
-        && m_siteState.routes()->configuration().revision >= request->revision;
-    m_metrics.count(mayServe ? "calls_from_peers_total{taken=\"yes\"}" : "calls_from_peers_total{taken=\"no\"}");
-    if (!mayServe) {
+    const bool isTaken = mayServe(*request, now);
+    m_metrics.count(isTaken ? "calls_from_peers_total{taken=\"yes\"}" : "calls_from_peers_total{taken=\"no\"}");
+    if (!isTaken) {
         responder.reject();
         return;
     }
@@ -93,4 +92,15 @@
     m_forwarder.handleCall(exchange, CallLimits{request->deadline, request->maxSends});
 }
 
+/// A call that is not taken can still be sent to another peer.
+bool PeerForwarder::mayServe(const PeerForwardRequest &request, base::Time now) const
+{
+    const bool isInForce = m_forwarder.acceptsCalls() && m_siteState.routes()->configuration().revision >= request.revision;
+    if (!isInForce || now >= request.deadline) {
+        return false;
+    }
+    const auto service = m_forwarder.serviceOf(request.request);
+    return !service || !m_pool.contact().isCutOff(*service);
+}
+
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -408,7 +408,7 @@
     return found;
 }
 
-std::vector<ForwardTarget> Peers::forwardTargets() const
+std::vector<ForwardTarget> Peers::forwardTargets(const base::ServiceName &service) const
 {
     std::vector<ForwardTarget> inGroup;
     std::vector<ForwardTarget> others;
@@ -419,7 +419,7 @@
         const ForwardTarget target{id, peer.record->peerAddress, peer.record->zone == m_self.zone};
         if (!peer.isInGroup) {
             others.push_back(target);
-        } else if (!peer.isSilent && peer.status && peer.status->isReady && !peer.status->isDraining && !peer.status->isCutOff) {
+        } else if (!peer.isSilent && peer.status && peer.status->isReady && !peer.status->isDraining && reaches(*peer.status, service)) {
             inGroup.push_back(target);
         }
     }
--- a/src/turmericplank/gateway/peerstatus.cpp
+++ b/src/turmericplank/gateway/peerstatus.cpp
@@ -43,6 +43,9 @@
     status.isReady = json.at("ready").get<bool>();
     status.isDraining = json.at("leaving").get<bool>();
     status.isCutOff = json.value("cut_off", false); // absent in messages of earlier builds
+    for (const auto &it : json.value("unreachable", Json::array())) { // absent in messages of earlier builds
+        status.unreachableServices.insert(base::ServiceName(it.get<std::string>()));
+    }
     status.term = base::Term(json.at("term").get<std::uint64_t>());
     status.revision = base::Revision(json.at("rev").get<std::uint64_t>());
     status.storeEra = base::StoreEra(json.value("era", std::uint64_t(0))); // absent in messages of earlier builds
@@ -89,6 +92,9 @@
     if (status.isCutOff) {
         json["cut_off"] = true;
     }
+    for (const auto &it : status.unreachableServices) {
+        json["unreachable"].push_back(it.text());
+    }
     json["era"] = status.storeEra.value();
     json["peers"] = toString(status.peerAddress);
     json["callers"] = toString(status.callerAddress);
@@ -124,6 +130,11 @@
     return {bytes.begin(), bytes.end()};
 }
 
+bool reaches(const PeerStatus &status, const base::ServiceName &service)
+{
+    return !status.isCutOff && !status.unreachableServices.contains(service);
+}
+
 tl::expected<PeerStatus, MessageDecodeFailure> decodePeerStatus(std::string_view bytes)
 {
     const auto json = Json::from_msgpack(bytes, true, false);
--- a/src/turmericplank/gateway/peerstatus_test.cpp
+++ b/src/turmericplank/gateway/peerstatus_test.cpp
@@ -25,6 +25,8 @@
     status.rateLimits = {{base::EndpointId("e1"), 1.5, std::chrono::milliseconds(20), 0.75}, {base::EndpointId("e2"), std::nullopt, {}, 0}};
     status.engines = {{base::EndpointId("e1"), base::Incarnation(5), 6, {{base::ModelName("m"), {"a1", "a2"}}, {base::ModelName("n"), {}}}}};
     CHECK(decodePeerStatus(encode(status)) == status);
+    status.unreachableServices = {base::ServiceName("s"), base::ServiceName("t")};
+    CHECK(decodePeerStatus(encode(status)) == status);
     status.isCutOff = true;
     CHECK(decodePeerStatus(encode(status)) == status);
     status.demand.emplace();
@@ -37,7 +39,7 @@
 TEST_CASE("a status of an earlier build, without members that were added since, is decoded")
 {
     auto json = nlohmann::json::from_msgpack(encode(PeerStatus()));
-    for (const auto *member : {"era", "cut_off", "tolerances", "rates"}) {
+    for (const auto *member : {"era", "cut_off", "unreachable", "tolerances", "rates"}) {
         json.erase(member);
     }
     json["added_later"] = {{"x", 1}};
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -167,7 +167,7 @@
     {
         m_siteState.applyEntries(entries, base::now());
         for (const auto &it : entries) {
-            m_pool.setEndpoint(it.id, it.address, it.incarnation, 10);
+            m_pool.setEndpoint(it.id, it.service, it.address, it.incarnation, 10);
         }
         std::map<base::ServiceName, std::set<std::string>> versions;
         for (const auto &[id, it] : m_siteState.endpoints()) {
@@ -276,7 +276,7 @@
                 [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { crashHistory.recordLoss(content, loss, base::now()); },
                 [this](requests::Fingerprint content) { crashHistory.recordSharedAnswer(content, base::now()); },
                 [] { return true; },
-                [](const PeerForwardRequest &, const PeerForwardCallbacks &) { return std::shared_ptr<PeerForward>(); },
+                [](const base::ServiceName &, const PeerForwardRequest &, const PeerForwardCallbacks &) { return std::shared_ptr<PeerForward>(); },
                 [] { return std::size_t(1); },
                 [] {},
                 [](const base::ServiceName &, const base::ModelName &) {},
