Calls of daemons without contact go to any daemon of the site that has some

Callers of a zone whose daemons all lose contact were refused: a daemon knew the state of its own group only, tried three others without knowing anything of them, those of its own zone first, and gave up. Where one daemon of a group had contact, it alone got the calls of all others.

The lease holder hears each daemon each second already. While some daemon does not reach a service, it tells all how many do not, and those that do not up to eight that do, others for each of them, so that load spreads (peercontact, contactexchange). Forwarded calls go to these and to those of the group, least loaded first; the own zone is preferred only while most of the group have contact; a daemon that did not take a call gets none of that service for a second; until the holder has told, up to three others are asked. Connections between daemons that carry no call for 10 s are closed: their pings would cost bytes for good at daemons outside the group.

--- a/include/turmericplank/gateway/peerforward.hpp
+++ b/include/turmericplank/gateway/peerforward.hpp
@@ -46,6 +46,7 @@
 
     std::function<void(const base::DaemonId &)> onTargetBegin; ///< the call is sent to a peer
     std::function<void(const base::DaemonId &)> onTargetEnd; ///< the call has ended at that peer
+    std::function<void(const base::DaemonId &)> onTargetRefused; ///< that peer has not taken the call; may be empty
 
 private:
     void tryNext();
--- a/include/turmericplank/gateway/peerforwarder.hpp
+++ b/include/turmericplank/gateway/peerforwarder.hpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "turmericplank/gateway/forwarder.hpp"
+#include "turmericplank/gateway/peercontact.hpp"
 #include "turmericplank/gateway/peerforward.hpp"
 
 namespace turmericplank::gateway {
@@ -18,8 +19,9 @@
 public:
     /// @param mesh gets the handler of the calls of peers; must outlive this object and the calls
     /// @param forwarder sends the calls of peers to endpoints
-    PeerForwarder(peer::Mesh &mesh, Peers &peers, Forwarder &forwarder, const SiteState &siteState, const ConnectionPool &pool, telemetry::Metrics &metrics,
-                  std::mt19937_64 &random);
+    /// @param contact of daemons outside the group
+    PeerForwarder(peer::Mesh &mesh, Peers &peers, PeerContact &contact, Forwarder &forwarder, const SiteState &siteState, const ConnectionPool &pool,
+                  telemetry::Metrics &metrics, std::mt19937_64 &random);
     ~PeerForwarder();
 
     /// @brief Forwards a call of a service.
@@ -29,12 +31,14 @@
 private:
     using CallCounts = std::map<base::DaemonId, std::size_t>;
 
-    std::vector<ForwardTarget> targets(const base::ServiceName &service);
+    std::vector<ForwardTarget> targets(const base::ServiceName &service, base::Time now);
+    void sortByLoad(std::vector<ForwardTarget> &targets, bool isZonePreferred);
     bool mayServe(const PeerForwardRequest &request, base::Time now) const;
     void handleRequest(const base::DaemonId &from, const std::string &body, const peer::PeerResponder &responder);
 
     peer::Mesh &m_mesh;
     Peers &m_peers;
+    PeerContact &m_contact;
     Forwarder &m_forwarder;
     const SiteState &m_siteState;
     const ConnectionPool &m_pool;
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -57,6 +58,16 @@
     friend bool operator==(const ForwardTarget &, const ForwardTarget &) = default;
 };
 
+/// @brief Daemons to which calls of a service may be forwarded.
+struct ForwardTargets
+{
+    std::vector<ForwardTarget> inGroup; ///< say that they reach the service
+    std::vector<ForwardTarget> outside; ///< of the group, so that their state is not known
+    bool isGroupShort = false; ///< fewer daemons of the group reach the service than don't
+
+    friend bool operator==(const ForwardTargets &, const ForwardTargets &) = default;
+};
+
 /// @brief Finds the other daemons through rows of the store and exchanges status messages with them.
 class Peers
 {
@@ -65,7 +76,8 @@
     {
         std::function<void(PeerStatus &)> fillStatus; ///< fills in this daemon's state
         std::function<placement::DemandCounters()> demand; ///< this daemon's demand, for the holder of the placement lease
-        std::function<void(const PeerStatus &)> onPeerStatus;
+        /// Called with each status, and the services that the peer did not reach by its status before.
+        std::function<void(const std::set<base::ServiceName> &before, const PeerStatus &)> onPeerStatus;
         std::function<void(const base::DaemonId &)> onPeerHeard; ///< first message of a daemon of the group, also after a silence or a restart
         std::function<void(const base::DaemonId &)> onPeerSilent; ///< no message from a daemon within the timeout
     };
@@ -127,8 +139,11 @@
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
 
-    /// @brief Daemons that may have contact to endpoints of a service: those of the group that say so, or else those outside it.
-    std::vector<ForwardTarget> forwardTargets(const base::ServiceName &service) const;
+    /// @brief Daemons to which calls of a service may be forwarded.
+    ForwardTargets forwardTargets(const base::ServiceName &service) const;
+
+    /// @brief The last status of this daemon, and then that of each peer that is heard; of all daemons of the site if this one holds the lease.
+    std::vector<PeerStatus> heardStatuses() const;
 
     /// @brief The daemons that otherDaemonCount() counts, except those that reach no endpoint.
     std::vector<base::DaemonId> otherDaemons() const;
@@ -168,6 +183,7 @@
     base::Time m_nextListRead;
     std::map<base::DaemonId, Peer> m_peers;
     base::Time m_nextRemoteStatus;
+    PeerStatus m_ownStatus; ///< as last sent
     bool m_isHolder = false;
     bool m_isDraining = false;
     bool m_isRegistered = false;
--- a/include/turmericplank/peer/mesh.hpp
+++ b/include/turmericplank/peer/mesh.hpp
@@ -49,6 +49,7 @@
     base::DaemonId self;
     base::Duration pingInterval = std::chrono::seconds(1); ///< a ping is sent when nothing was received for this long
     base::Duration pingTimeout = std::chrono::seconds(3); ///< the connection is closed when nothing was received for this long
+    base::Duration maxIdleTime = std::chrono::seconds(10); ///< an outgoing connection without calls for longer is closed, which ends its pings
     std::size_t maxBodyBytes = 4 * 1024 * 1024; ///< of an incoming call; a larger call is rejected as not processed
 };
 
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "gatewayoptions.hpp"
 #include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/gateway/contactexchange.hpp"
 #include "turmericplank/gateway/crashexchange.hpp"
 #include "turmericplank/gateway/endpointrefresh.hpp"
 #include "turmericplank/gateway/endpointsmessage.hpp"
@@ -71,7 +72,8 @@
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
         , endpointRefresh(context, siteStore.readEndpoints, [this](const auto &entries) { originExchange.noteEndpoints(entries); })
         , originExchange(context, streamOrigins, *mesh, peers, siteStore.table, settings.isFirstStart)
-        , peerForwarder(*mesh, peers, forwarder, siteState, pool, metrics, random)
+        , peerForwarder(*mesh, peers, peerContact, forwarder, siteState, pool, metrics, random)
+        , contactExchange(context, *mesh, peers, peerContact)
         , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
         callerServer = listen(
@@ -214,7 +216,8 @@
         callbacks.demand = [this] {
             return forwarder.demand();
         };
-        callbacks.onPeerStatus = [this](const PeerStatus &status) {
+        callbacks.onPeerStatus = [this](const std::set<base::ServiceName> &before, const PeerStatus &status) {
+            contactExchange.notePeerStatus(before, status);
             handlePeerStatus(status);
         };
         callbacks.onPeerHeard = [this](const base::DaemonId &id) {
@@ -304,7 +307,7 @@
                 logChange(LogLevel::Info, "some of a service reachable again", it);
             }
         }
-        peers.sendStatus();
+        peers.sendStatusToAll();
     }
 
     /// Services that have endpoints.
@@ -475,7 +478,9 @@
     Peers peers;
     EndpointRefresh endpointRefresh;
     StreamOriginExchange originExchange;
+    PeerContact peerContact;
     PeerForwarder peerForwarder;
+    ContactExchange contactExchange;
     CrashExchange crashExchange;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> readinessServer;
--- a/src/turmericplank/gateway/peerforward.cpp
+++ b/src/turmericplank/gateway/peerforward.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr const char *ForwardKind = "gateway/forward";
-constexpr std::size_t MaxTargets = 3; ///< peers that are asked one after the other
 
 } // namespace
 
@@ -18,7 +17,6 @@
     , m_deadline(deadline)
     , m_callbacks(std::move(callbacks))
 {
-    m_targets.resize(std::min(m_targets.size(), MaxTargets));
     m_reader.onHead = [this](PeerForwardHead head) {
         if (!m_isFinished) {
             m_callbacks.onHead(std::move(head));
@@ -75,9 +73,16 @@
     }
     if (result) {
         finish(m_reader.isComplete() ? PeerForwardEnd::Complete : PeerForwardEnd::Unknown);
-    } else if (result.error() == peer::PeerFailure::OutcomeUnknown) {
+        return;
+    }
+    if (result.error() == peer::PeerFailure::OutcomeUnknown) {
         finish(PeerForwardEnd::Unknown);
-    } else if (m_next < m_targets.size() && base::now() < m_deadline) {
+        return;
+    }
+    if (onTargetRefused) {
+        onTargetRefused(m_targets[m_next - 1].id);
+    }
+    if (m_next < m_targets.size() && base::now() < m_deadline) {
         endTarget();
         tryNext();
     } else {
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -150,6 +150,7 @@
     status.isDraining = m_isDraining;
     m_callbacks.fillStatus(status);
     m_isHolder = status.term != base::Term();
+    m_ownStatus = status;
     const auto body = encode(status);
     std::string bodyWithDemand;
     // While no holder is heard, every peer gets the demand, so that the next holder can plan at once.
@@ -291,12 +292,13 @@
         telemetry::log(LogLevel::Info, "peers", status->isDraining ? "leaves" : "serves", {{"daemon", status->from.text()}});
     }
     peer.heardAt = base::now();
+    const auto before = peer.status ? peer.status->unreachableServices : std::set<base::ServiceName>();
     peer.status = *status;
     if (isNewlyHeard && peer.isInGroup && m_callbacks.onPeerHeard) {
         m_callbacks.onPeerHeard(status->from);
     }
     if (m_callbacks.onPeerStatus) {
-        m_callbacks.onPeerStatus(*status);
+        m_callbacks.onPeerStatus(before, *status);
     }
 }
 
@@ -408,22 +410,37 @@
     return found;
 }
 
-std::vector<ForwardTarget> Peers::forwardTargets(const base::ServiceName &service) const
+ForwardTargets Peers::forwardTargets(const base::ServiceName &service) const
 {
-    std::vector<ForwardTarget> inGroup;
-    std::vector<ForwardTarget> others;
+    ForwardTargets found;
+    std::size_t unreaching = 1;
     for (const auto &[id, peer] : m_peers) {
         if (!peer.record) {
             continue;
         }
         const ForwardTarget target{id, peer.record->peerAddress, peer.record->zone == m_self.zone};
+        const bool isServing = !peer.isSilent && peer.status && peer.status->isReady && !peer.status->isDraining;
         if (!peer.isInGroup) {
-            others.push_back(target);
-        } else if (!peer.isSilent && peer.status && peer.status->isReady && !peer.status->isDraining && reaches(*peer.status, service)) {
-            inGroup.push_back(target);
+            found.outside.push_back(target);
+        } else if (isServing && reaches(*peer.status, service)) {
+            found.inGroup.push_back(target);
+        } else {
+            unreaching += isServing ? 1 : 0;
         }
     }
-    return inGroup.empty() ? others : inGroup;
+    found.isGroupShort = found.inGroup.size() < unreaching;
+    return found;
+}
+
+std::vector<PeerStatus> Peers::heardStatuses() const
+{
+    std::vector<PeerStatus> found{m_ownStatus};
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.isSilent && peer.status) {
+            found.push_back(*peer.status);
+        }
+    }
+    return found;
 }
 
 std::optional<base::DaemonId> Peers::leaseHolder() const
--- a/src/turmericplank/peer/mesh_test.cpp
+++ b/src/turmericplank/peer/mesh_test.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/peer/mesh.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 using namespace turmericplank;
@@ -177,6 +178,38 @@
     CHECK(connections == 2);
 }
 
+TEST_CASE("a connection without calls is closed after the idle time, and the next call opens another one")
+{
+    boost::asio::io_context context;
+    MeshOptions options;
+    options.listen = firstAddress;
+    options.self = base::DaemonId("d-1");
+    options.pingInterval = std::chrono::milliseconds(20);
+    options.maxIdleTime = std::chrono::milliseconds(100);
+    const auto first = openMesh(context, options);
+    const auto second = open(context, secondAddress, "d-2");
+    second->handle("test/echo", [&context](const base::DaemonId &, const std::string &, const PeerResponder &responder) {
+        // The response takes longer than the idle time.
+        const auto timer = std::make_shared<boost::asio::steady_timer>(context, std::chrono::milliseconds(250));
+        timer->async_wait([timer, responder](boost::system::error_code) { responder.end(); });
+    });
+    const auto bytesIn = [&](std::chrono::milliseconds time) {
+        const auto before = first->bytesTransferred();
+        context.restart();
+        context.run_for(time);
+        return first->bytesTransferred() - before;
+    };
+    for (int n = 0; n < 2; ++n) {
+        Result result;
+        first->call(secondAddress, makeCall(context, "test/echo", "", result));
+        run(context);
+        CHECK(result.end.has_value());
+        CHECK(bytesIn(std::chrono::milliseconds(70)) > 0); // pings
+        bytesIn(std::chrono::milliseconds(200));
+        CHECK(bytesIn(std::chrono::milliseconds(200)) == 0);
+    }
+}
+
 TEST_CASE("a daemon that shuts down rejects new streams and completes those in progress")
 {
     boost::asio::io_context context;
--- a/src/turmericplank/peer/outgoingconnection.cpp
+++ b/src/turmericplank/peer/outgoingconnection.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace turmericplank::peer {
 
 namespace {
@@ -36,13 +34,15 @@
     , m_to(std::move(to))
     , m_options(options)
     , m_byteCounter(byteCounter)
+    , m_idleTimer(context)
 {
 }
 
 void OutgoingConnection::call(PeerCall call)
 {
     const auto pending = std::make_shared<Pending>(m_context, std::move(call));
-    pending->deadline = base::now() + pending->call.timeout;
+    m_lastCallAt = base::now();
+    pending->deadline = m_lastCallAt + pending->call.timeout;
     armTimer(pending);
     if (pending->call.cancel) {
         *pending->call.cancel = [self = Pointer(this), weak = std::weak_ptr<Pending>(pending)] {
@@ -63,6 +63,7 @@
 
 void OutgoingConnection::close()
 {
+    m_idleTimer.cancel();
     if (m_session) {
         m_session->close();
     }
@@ -106,6 +107,7 @@
     const Http2Options options{false, m_options.pingInterval, m_options.pingTimeout};
     m_session.reset(new Http2Session(std::move(socket), options, makeCallbacks(m_generation), m_byteCounter));
     m_session->start();
+    armIdleTimer();
     for (const auto &it : std::exchange(m_queuedCalls, {})) {
         send(it);
     }
@@ -159,6 +161,22 @@
     });
 }
 
+/// Ends with the session.
+void OutgoingConnection::armIdleTimer()
+{
+    m_idleTimer.expires_after(m_options.maxIdleTime);
+    m_idleTimer.async_wait([self = Pointer(this)](boost::system::error_code ec) {
+        if (ec || !self->m_session) {
+            return;
+        }
+        if (self->m_streams.empty() && base::now() >= self->m_lastCallAt + self->m_options.maxIdleTime) {
+            self->close();
+        } else {
+            self->armIdleTimer();
+        }
+    });
+}
+
 void OutgoingConnection::finish(const PendingPointer &pending, tl::expected<void, PeerFailure> result)
 {
     if (std::exchange(pending->isFinished, true)) {
--- a/src/turmericplank/peer/outgoingconnection.hpp
+++ b/src/turmericplank/peer/outgoingconnection.hpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "turmericplank/peer/http2session.hpp"
 #include "turmericplank/peer/mesh.hpp"
 
@@ -34,6 +36,7 @@
     void send(const PendingPointer &pending);
     void cancel(const PendingPointer &pending);
     void armTimer(const PendingPointer &pending);
+    void armIdleTimer();
     void finish(const PendingPointer &pending, tl::expected<void, PeerFailure> result);
     Http2Callbacks makeCallbacks(std::uint64_t generation);
     void onStreamClosed(std::int32_t streamId, std::uint32_t errorCode);
@@ -44,6 +47,8 @@
     MeshOptions m_options;
     std::uint64_t &m_byteCounter;
     boost::intrusive_ptr<Http2Session> m_session;
+    boost::asio::steady_timer m_idleTimer;
+    base::Time m_lastCallAt;
     std::uint64_t m_generation = 0; ///< incremented when a connection opens or closes, to ignore events of earlier ones
     bool m_isConnecting = false;
     std::vector<PendingPointer> m_queuedCalls; ///< calls waiting for the connection
