Losses of connections count as crashes only if the endpoints have crashed

When the connections of many daemons were reset, contents that crash nothing were refused on the whole site, at daemons in contact too. A loss counted as one of contact only if connections to nearly all endpoints were lost within 10 ms of it. With many endpoints and little processor time losses are noticed over a longer time, and a daemon has connections to few of them.

LossReview holds a loss back for 150 ms. It is confirmed if another endpoint of the service has been heard since, and fewer than three were lost within 100 ms of it. If nothing else was heard, two other endpoints are probed. If contact was lost, the loss counts only if the endpoint is listed as gone or as started again within 4 s, so that endpoints that do crash together are still noticed.

--- a/include/turmericplank/forwarding/endpointcontact.hpp
+++ b/include/turmericplank/forwarding/endpointcontact.hpp
@@ -8,6 +8,7 @@
 
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/time.hpp"
+#include "turmericplank/requests/lossreview.hpp"
 
 namespace turmericplank::forwarding {
 
@@ -25,8 +26,8 @@
     base::Duration maxProbeDelay = std::chrono::milliseconds(800); ///< contact must be regained well within the 3 s that a change of it may take
     base::Duration maxTickGap = std::chrono::milliseconds(300); ///< after a longer gap between two ticks this process itself was paused
     std::size_t maxProbes = 4; ///< started by one tick
-    base::Duration sameMoment = std::chrono::milliseconds(10); ///< between losses by one cause; crashes by one call that is sent again are further apart
-    base::Duration lossMemory = std::chrono::seconds(1); ///< how long losses of connections are remembered
+    base::Duration sameMoment = std::chrono::milliseconds(100); ///< between losses by one cause, as noticed by a process short of processor time
+    base::Duration lossMemory = std::chrono::seconds(2); ///< how long losses of connections are remembered
     std::size_t failuresOfAll = 2; ///< endpoints of a service without an answer after which all count as unreachable, if none has been heard meanwhile
     std::size_t rejectionsOfAll = 3; ///< the same for endpoints that reject connections; two may crash at the same moment
 };
@@ -71,10 +72,12 @@
     /// @brief The services of which all endpoints are unreachable.
     std::set<base::ServiceName> cutOffServices() const;
 
-    /// @brief Whether connections to nearly all endpoints were lost at the same moment, so that the contact was lost rather than an endpoint.
-    /// @param at when one of them was lost; to be asked a moment later, since the others may be noticed after it
-    /// @param connected endpoints to which connections are open when this is asked
-    bool isContactLoss(base::Time at, const std::set<base::EndpointId> &connected) const;
+    /// @brief Why connections to an endpoint were lost.
+    /// @param at when they were lost; to be asked a moment later, since other losses by the same cause may be noticed after it
+    requests::LossCause lossCause(const base::EndpointId &id, base::Time at) const;
+
+    /// @brief Lets the next probes find out whether other endpoints of the service of an endpoint are reached.
+    void noteDoubt(const base::EndpointId &id);
 
     /// @brief Number of endpoints that are unreachable.
     std::size_t unreachableCount() const;
@@ -90,6 +93,7 @@
     {
         base::ServiceName service;
         std::optional<base::Time> failedAt; ///< set while unreachable
+        base::Time heardAt; ///< last bytes or accepted connection, unless a connection was lost since
         bool isHanging = false;
         bool isAssumed = false; ///< unreachable by what was seen of other endpoints of the service
         bool isProbed = false; ///< a probe is in progress
@@ -102,12 +106,14 @@
     bool haveAllFailed(const base::ServiceName &service, ConnectFailure failure, base::Time now) const;
     void failAll(const base::ServiceName &service, ConnectFailure failure, base::Time now);
     void clearAssumed(const base::ServiceName &service);
+    void probeDoubted(std::vector<base::EndpointId> &probes);
     void probeSilent(const base::ServiceName &service, base::Time now, std::vector<base::EndpointId> &probes);
 
     EndpointContactOptions m_options;
     std::map<base::EndpointId, State> m_endpoints;
     std::vector<std::pair<base::Time, base::EndpointId>> m_losses; ///< of connections, within the memory
     std::map<base::ServiceName, base::Time> m_heardAt; ///< when any endpoint of a service sent a byte or accepted a connection
+    std::map<base::ServiceName, base::EndpointId> m_doubted; ///< services of which others than this endpoint are to be probed
     base::Time m_lastTick;
 };
 
--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -90,8 +90,8 @@
     /// @param isAnswered whether a response had begun; otherwise the endpoint counts as unreachable although it had accepted the connection
     void noteConnectionLost(const base::EndpointId &id, bool isAnswered, base::Time now);
 
-    /// @brief Whether a connection that was lost some moments ago was lost with those to nearly all endpoints.
-    bool isContactLoss(base::Time lostAt) const;
+    /// @brief Finds out whether other endpoints of the service of an endpoint are reached.
+    void noteDoubt(const base::EndpointId &id);
 
     /// @brief Opens connections to endpoints whose contact is in doubt; to be called regularly.
     void probeContact(base::Time now);
--- a/src/turmericplank/forwarding/endpointcontact.cpp
+++ b/src/turmericplank/forwarding/endpointcontact.cpp
@@ -1,9 +1,12 @@
 #include "turmericplank/forwarding/endpointcontact.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericplank::forwarding {
 
+using requests::LossCause;
+
 EndpointContact::EndpointContact(EndpointContactOptions options)
     : m_options(options)
 {
@@ -32,6 +35,7 @@
 {
     if (const auto it = m_endpoints.find(id); it != m_endpoints.end()) {
         m_heardAt[it->second.service] = now;
+        it->second.heardAt = now;
         it->second.waitsSince.reset();
         it->second.isHanging = false;
     }
@@ -47,6 +51,7 @@
     m_heardAt[state.service] = now;
     State connected;
     connected.service = state.service;
+    connected.heardAt = now;
     connected.waitsSince = state.waitsSince;
     state = connected;
     clearAssumed(state.service);
@@ -71,7 +76,10 @@
     if (it == m_endpoints.end()) {
         return;
     }
-    noteConnectionLost(id, now);
+    // Further probes of an endpoint that has failed are no new losses.
+    if (!it->second.failedAt || it->second.isAssumed) {
+        noteConnectionLost(id, now);
+    }
     fail(it->second, failure, now);
     if (haveAllFailed(it->second.service, failure, now)) {
         failAll(it->second.service, failure, now);
@@ -140,6 +148,7 @@
         m_endpoints.at(id).isProbed = true;
         probes.push_back(id);
     }
+    probeDoubted(probes);
     for (const auto &[service, heardAt] : m_heardAt) {
         probeSilent(service, now, probes);
     }
@@ -175,20 +184,55 @@
 {
     std::erase_if(m_losses, [&](const auto &it) { return it.first + m_options.lossMemory < now; });
     m_losses.emplace_back(now, id);
+    if (const auto it = m_endpoints.find(id); it != m_endpoints.end()) {
+        it->second.heardAt = base::Time(); // what was read lately may have been sent before the loss
+    }
 }
 
-bool EndpointContact::isContactLoss(base::Time at, const std::set<base::EndpointId> &connected) const
+LossCause EndpointContact::lossCause(const base::EndpointId &id, base::Time at) const
 {
     constexpr std::size_t MinLosses = 3; ///< two endpoints may crash at the same moment
-    constexpr std::size_t LossesPerConnected = 4;
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end()) {
+        return LossCause::Endpoint;
+    }
+    const auto &service = it->second.service;
     std::set<base::EndpointId> lost;
-    for (const auto &[lostAt, id] : m_losses) {
-        if (lostAt + m_options.sameMoment >= at && lostAt <= at + m_options.sameMoment) {
-            lost.insert(id);
+    for (const auto &[lostAt, other] : m_losses) {
+        const auto state = m_endpoints.find(other);
+        const bool isOfService = state != m_endpoints.end() && state->second.service == service;
+        if (isOfService && lostAt + m_options.sameMoment >= at && lostAt <= at + m_options.sameMoment) {
+            lost.insert(other);
+        }
+    }
+    if (isCutOff(service) || lost.size() >= MinLosses) {
+        return LossCause::Contact;
+    }
+    const bool isOtherHeard =
+        std::ranges::any_of(m_endpoints, [&](const auto &other) { return other.first != id && other.second.service == service && other.second.heardAt > at; });
+    return isOtherHeard ? LossCause::Endpoint : LossCause::Undecided;
+}
+
+void EndpointContact::noteDoubt(const base::EndpointId &id)
+{
+    if (const auto it = m_endpoints.find(id); it != m_endpoints.end()) {
+        m_doubted.insert_or_assign(it->second.service, id);
+    }
+}
+
+void EndpointContact::probeDoubted(std::vector<base::EndpointId> &probes)
+{
+    for (const auto &[service, doubted] : std::exchange(m_doubted, {})) {
+        std::size_t probed = 0;
+        for (auto &[id, state] : m_endpoints) {
+            if (probed < m_options.failuresOfAll && state.service == service && id != doubted && !state.failedAt) {
+                ++probed;
+                if (!std::exchange(state.isProbed, true)) {
+                    probes.push_back(id);
+                }
+            }
         }
     }
-    const auto others = static_cast<std::size_t>(std::ranges::count_if(connected, [&](const auto &it) { return !lost.contains(it); }));
-    return lost.size() >= MinLosses && lost.size() >= others * LossesPerConnected;
 }
 
 bool EndpointContact::isUnreachable(const base::EndpointId &id) const
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -1,7 +1,6 @@
 #include "turmericplank/gateway/connectionpool.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "turmericplank/daemon/timers.hpp"
@@ -206,15 +205,9 @@
     }
 }
 
-bool ConnectionPool::isContactLoss(base::Time lostAt) const
+void ConnectionPool::noteDoubt(const base::EndpointId &id)
 {
-    std::set<base::EndpointId> connected;
-    for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.open > 0) {
-            connected.insert(id);
-        }
-    }
-    return m_contact.isContactLoss(lostAt, connected);
+    m_contact.noteDoubt(id);
 }
 
 const forwarding::EndpointContact &ConnectionPool::contact() const
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 #include "turmericplank/gateway/rejectionlimits.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
 #include "turmericplank/gateway/streamoriginexchange.hpp"
+#include "turmericplank/requests/lossreview.hpp"
 #include "turmericplank/telemetry/log.hpp"
 #include "turmericplank/telemetry/process.hpp"
 
@@ -30,7 +31,7 @@
 constexpr const char *EndpointsKind = "gateway/endpoints";
 constexpr const char *ConfigurationKind = "gateway/configuration";
 constexpr const char *CrashesKind = "gateway/crashes";
-constexpr auto LossDelay = std::chrono::milliseconds(20); ///< until losses of the same moment are noticed
+constexpr auto LossReviewInterval = std::chrono::milliseconds(50);
 constexpr auto ContactInterval = std::chrono::milliseconds(100);
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
@@ -85,6 +86,7 @@
         daemon::callEvery(context, ForwarderOptions().waitingRetryInterval, [this] { forwarder.retryWaitingCalls(); });
         observeLoopDelay(context, metrics);
         daemon::callEvery(context, ContactInterval, [this] { checkContact(); });
+        daemon::callEvery(context, LossReviewInterval, [this] { reviewLosses(); });
         daemon::callEvery(context, ExpireInterval, [this] {
             router.expire(base::now());
             rejectionLimits.update(base::now());
@@ -124,7 +126,9 @@
             crashHistory,
             [this](auto onDone) { refreshVersions(std::move(onDone)); },
             [this](forwarding::CallDigest call, auto onDone) { originExchange.findRemote(call, std::move(onDone)); },
-            [this](requests::Fingerprint content, const requests::EndpointLoss &loss) { noteEndpointLoss(content, loss); },
+            [this](requests::Fingerprint content, const requests::EndpointLoss &loss) {
+                lossReview.add({content, loss}, base::now());
+            },
             [this](requests::Fingerprint content) { crashExchange.recordSharedAnswer(content); },
             [this] { return peers.isLeaseHolder(); },
             [this](const base::ServiceName &service, const PeerForwardRequest &request, PeerForwardCallbacks callbacks) {
@@ -244,17 +248,32 @@
         }
     }
 
-    /// A loss counts a moment later, unless connections to nearly all other endpoints were lost with it: then the contact was lost, and no call is to
-    /// blame for that here or at other daemons.
-    void noteEndpointLoss(requests::Fingerprint content, const requests::EndpointLoss &loss)
+    requests::LossReviewSources lossReviewSources()
     {
-        daemon::callAt(context, base::now() + LossDelay, [this, content, loss, lostAt = base::now()] {
-            if (pool.isContactLoss(lostAt)) {
-                metrics.count("losses_of_contact_total");
-            } else {
-                recordEndpointLoss(content, loss);
-            }
-        });
+        requests::LossReviewSources sources;
+        sources.cause = [this](const base::EndpointId &endpoint, base::Time lostAt) {
+            return pool.contact().lossCause(endpoint, lostAt);
+        };
+        sources.hasEnded = [this](const requests::EndpointLoss &loss) {
+            const auto it = siteState.endpoints().find(loss.endpoint);
+            return it == siteState.endpoints().end() || it->second.incarnation != loss.incarnation;
+        };
+        sources.resolveDoubt = [this](const base::EndpointId &endpoint) {
+            pool.noteDoubt(endpoint);
+        };
+        return sources;
+    }
+
+    /// A daemon that has lost its contact must blame no call for that, here or at other daemons.
+    void reviewLosses()
+    {
+        for (const auto &it : lossReview.takeConfirmed(base::now())) {
+            recordEndpointLoss(it.content, it.loss);
+        }
+        if (const auto n = lossReview.takeDismissedCount()) {
+            telemetry::log(LogLevel::Info, "endpoints", "losses with the contact to a service count for no content", {{"losses", std::uint64_t(n)}});
+            metrics.count("losses_of_contact_total", n);
+        }
     }
 
     /// Daemons that are not heard may have written rows.
@@ -471,6 +490,7 @@
     ConnectionPool pool;
     forwarding::StreamOrigins streamOrigins;
     requests::CrashHistory crashHistory;
+    requests::LossReview lossReview{lossReviewSources()};
     std::unique_ptr<peer::Mesh> mesh;
     Forwarder forwarder;
     SiteStateUpdater siteStateUpdater;
