Daemons in contact get the connections of those without, and estimate work from daemons in contact only

Where few daemons have contact, their callers were refused too: connections to an endpoint and the work that was estimated for daemons outside the group were divided by all daemons, also by those that reach no endpoint.

Daemons that do not reach a service, and for 3 s those that have just regained it, keep four connections to each of its endpoints; the others share the rest, and close idle connections when their share shrinks. Together they stay within the limit (contactshares_test). Work that is not reported is estimated by the ratio of the daemons that reach the service.

--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -62,7 +62,7 @@
     ~ConnectionPool();
 
     /// @brief Adds or updates an endpoint; idle connections to an earlier address or incarnation are closed.
-    /// @param limit maximum number of connections that this daemon may have open
+    /// @param limit maximum number of connections that this daemon may have open; idle ones beyond it are closed
     void setEndpoint(const base::EndpointId &id, const base::ServiceName &service, const base::Address &address, base::Incarnation incarnation,
                      std::uint32_t limit);
 
@@ -140,6 +140,7 @@
     };
 
     std::optional<Idle> takeIdle(Endpoint &endpoint, bool isAtMostOnce, base::Time now);
+    void closeOldestIdle(Endpoint &endpoint);
     void closeIdle(Endpoint &endpoint);
     void open(const base::EndpointId &id, Endpoint &endpoint, base::Time now, bool isProbe, const AcquireCallback &callback);
     void removeIdle(const base::EndpointId &id, const net::ClientConnection *connection);
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -139,6 +140,9 @@
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
 
+    /// @brief Number of other daemons in the group that are heard and reach a service, and of those that don't reach it.
+    std::pair<std::size_t, std::size_t> groupContact(const base::ServiceName &service) const;
+
     /// @brief Daemons to which calls of a service may be forwarded.
     ForwardTargets forwardTargets(const base::ServiceName &service) const;
 
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -32,6 +32,9 @@
     endpoint.address = address;
     endpoint.incarnation = incarnation;
     endpoint.limit = limit;
+    while (endpoint.open > limit && !endpoint.idle.empty()) {
+        closeOldestIdle(endpoint);
+    }
     endpoint.wasRemoved = false;
     m_contact.add(id, service);
     m_failures.addEndpoint(id);
@@ -88,9 +91,7 @@
     }
     if (endpoint.open >= endpoint.limit && !endpoint.idle.empty()) {
         // The idle connections are too old for this call; a new connection replaces the oldest.
-        endpoint.idle.front().connection->close();
-        endpoint.idle.erase(endpoint.idle.begin());
-        --endpoint.open;
+        closeOldestIdle(endpoint);
     }
     if (endpoint.open >= endpoint.limit) {
         callback(tl::unexpected(AcquireError{AcquireFailure::LimitReached}));
@@ -218,7 +219,8 @@
 void ConnectionPool::returnConnection(const PooledConnection &pooled, std::optional<base::Duration> idleTimeout, base::Time now)
 {
     const auto it = m_endpoints.find(pooled.endpoint);
-    const bool isKept = it != m_endpoints.end() && !it->second.wasRemoved && it->second.incarnation == pooled.incarnation && pooled.connection->isIdle();
+    const bool isListed = it != m_endpoints.end() && !it->second.wasRemoved && it->second.incarnation == pooled.incarnation;
+    const bool isKept = isListed && it->second.open <= it->second.limit && pooled.connection->isIdle();
     if (!isKept) {
         pooled.connection->close();
         onConnectionClosed(pooled.endpoint);
@@ -271,6 +273,15 @@
     }
 }
 
+void ConnectionPool::closeOldestIdle(Endpoint &endpoint)
+{
+    const auto oldest = endpoint.idle.front().connection;
+    oldest->setOnIdleClose(nullptr);
+    oldest->close();
+    endpoint.idle.erase(endpoint.idle.begin());
+    endpoint.open -= std::min(endpoint.open, 1U);
+}
+
 void ConnectionPool::closeIdle(Endpoint &endpoint)
 {
     for (const auto &it : endpoint.idle) {
@@ -286,10 +297,7 @@
     for (auto &[id, endpoint] : m_endpoints) {
         auto &idle = endpoint.idle;
         while (!idle.empty() && idle.front().usableUntil <= now) {
-            idle.front().connection->setOnIdleClose(nullptr);
-            idle.front().connection->close();
-            idle.erase(idle.begin());
-            endpoint.open -= std::min(endpoint.open, 1U);
+            closeOldestIdle(endpoint);
         }
     }
 }
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gatewayoptions.hpp"
 #include "turmericplank/daemon/timers.hpp"
 #include "turmericplank/gateway/contactexchange.hpp"
+#include "turmericplank/gateway/contactshares.hpp"
 #include "turmericplank/gateway/crashexchange.hpp"
 #include "turmericplank/gateway/endpointrefresh.hpp"
 #include "turmericplank/gateway/endpointsmessage.hpp"
@@ -40,8 +41,7 @@
 constexpr auto RejectionTime = std::chrono::milliseconds(500); ///< that follows the cache time; new calls in it are rejected rather than reset
 constexpr auto ShutdownReserve = std::chrono::milliseconds(500); ///< left before the platform kills the process
 constexpr std::size_t MinZoneEntries = 2; ///< so that one may be lost
-constexpr double ConnectionShare = 0.9; ///< of an endpoint's connections; the rest is reserved for daemons that are not heard
-constexpr std::uint32_t MinConnections = 4; ///< from one daemon to one endpoint
+constexpr auto ContactSettleTime = std::chrono::seconds(3); ///< after contact was regained, until all daemons know and have closed connections
 
 std::unique_ptr<net::HttpServer> listen(boost::asio::io_context &context, const base::Address &address, std::function<void(net::ExchangePointer)> onRequest,
                                         std::function<void(net::UnansweredCause)> onUnanswered = {})
@@ -91,6 +91,7 @@
             router.expire(base::now());
             rejectionLimits.update(base::now());
             rateLimits.update(base::now());
+            setConnectionLimits();
             pool.closeExpired(base::now());
             streamOrigins.expire(base::now());
             forwarder.logOmittedLines();
@@ -324,8 +325,10 @@
         for (const auto &it : before) {
             if (!unreachableServices.contains(it)) {
                 logChange(LogLevel::Info, "some of a service reachable again", it);
+                contactRegainedAt[it] = base::now();
             }
         }
+        setConnectionLimits();
         peers.sendStatusToAll();
     }
 
@@ -362,7 +365,7 @@
     {
         const auto now = base::now();
         router.notePeerWork(status.from, allEndpointsWork(status), now);
-        router.setUnreportedWorkFactor(static_cast<double>(daemonCount()) / static_cast<double>(peers.groupPeerCount() + 1));
+        updateUnreportedWork();
         rejectionLimits.notePeerStatus(status, now);
         rateLimits.notePeerStatus(status, now);
         siteState.applyDraining(status.drainingEndpoints, now);
@@ -426,13 +429,40 @@
         if (!siteState.routes()) {
             return;
         }
+        const auto now = base::now();
         const auto &services = siteState.routes()->configuration().services;
+        std::map<base::ServiceName, std::uint32_t> shares;
         for (const auto &[id, entry] : siteState.endpoints()) {
-            const auto spec = services.find(entry.service);
-            const double serviceLimit = spec == services.end() ? 1 : spec->second.connectionLimit;
-            const auto daemonShare = static_cast<std::uint32_t>(serviceLimit * ConnectionShare / static_cast<double>(daemonCount()));
-            pool.setEndpoint(id, entry.service, entry.address, entry.incarnation, std::max(MinConnections, daemonShare));
+            auto [share, isNew] = shares.try_emplace(entry.service);
+            if (isNew) {
+                const auto spec = services.find(entry.service);
+                const double serviceLimit = spec == services.end() ? 1 : spec->second.connectionLimit;
+                const auto regainedAt = contactRegainedAt.find(entry.service);
+                const bool isSettled = regainedAt == contactRegainedAt.end() || now >= regainedAt->second + ContactSettleTime;
+                share->second = connectionShare(serviceLimit, serviceDaemons(entry.service), isSettled && !unreachableServices.contains(entry.service));
+            }
+            pool.setEndpoint(id, entry.service, entry.address, entry.incarnation, share->second);
+        }
+    }
+
+    ServiceDaemons serviceDaemons(const base::ServiceName &service) const
+    {
+        const std::size_t own = unreachableServices.contains(service) ? 0 : 1;
+        const auto [with, without] = peers.groupContact(service);
+        // The group's own statuses are newer than the lease holder's summary.
+        return {daemonCount(), std::max(peerContact.daemonsWithout(service, base::now()), without + 1 - own), with + own};
+    }
+
+    /// Work matters at engines only, so daemons that reach none have none to report.
+    void updateUnreportedWork()
+    {
+        double factor = 0;
+        if (siteState.routes()) {
+            for (const auto &[name, service] : siteState.routes()->configuration().services) {
+                factor = std::max(factor, service.engine ? unreportedWorkFactor(serviceDaemons(name)) : 0);
+            }
         }
+        router.setUnreportedWorkFactor(std::max(1.0, factor));
     }
 
     std::vector<EntryDaemon> entries() const
@@ -509,6 +539,7 @@
     base::StoreEra storeEra; ///< as reported by the store to this daemon
     base::StoreEra registrationEra; ///< latest era that this daemon or a peer has seen, in which its row has been or is being written
     std::set<base::ServiceName> unreachableServices; ///< of which this daemon reaches no endpoint, as peers were told
+    std::map<base::ServiceName, base::Time> contactRegainedAt;
     bool isDraining = false;
     bool isDrained = false;
 };
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -410,6 +410,17 @@
     return found;
 }
 
+std::pair<std::size_t, std::size_t> Peers::groupContact(const base::ServiceName &service) const
+{
+    std::pair<std::size_t, std::size_t> found;
+    for (const auto &[id, peer] : m_peers) {
+        if (peer.isInGroup && !peer.isSilent && peer.status) {
+            ++(reaches(*peer.status, service) ? found.first : found.second);
+        }
+    }
+    return found;
+}
+
 ForwardTargets Peers::forwardTargets(const base::ServiceName &service) const
 {
     ForwardTargets found;
--- a/src/turmericplank/gateway/sitecontact_test.cpp
+++ b/src/turmericplank/gateway/sitecontact_test.cpp
@@ -17,6 +17,7 @@
 constexpr auto MeasuredTime = 2000ms;
 constexpr auto EndTime = 2500ms; ///< until all calls have ended, which have 2 s
 constexpr std::size_t ZoneCount = 3;
+constexpr std::uint32_t ConnectionsPerDaemon = 7; ///< to one endpoint
 constexpr std::size_t MaxCallsPerSecond = 600; ///< of all callers together, since all parts share one thread
 
 bool allInContact(std::size_t, std::size_t)
@@ -93,6 +94,11 @@
 public:
     Site()
     {
+        const auto configuration = TestFleet::makeConfiguration(2, "/r/");
+        for (auto &[name, service] : configuration->services) {
+            service.connectionLimit = ConnectionsPerDaemon * siteSize();
+        }
+        fleet.store.put(configuration);
         fleet.runFor(StartTime);
         sendFor(500ms);
     }
