--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,7 @@
     void tick();
     bool isEndpointsReadDue(base::Time now) const;
     base::Duration retryPause(bool isForGroup, unsigned failures) const;
+    void logUnreadable(std::set<std::string> keys);
     void useEntries(const std::vector<discovery::EndpointEntry> &entries);
     bool isKnown(const discovery::EndpointEntry &entry) const;
     void applyAndRelay(const std::vector<discovery::EndpointEntry> &entries);
@@ -106,7 +108,7 @@
     std::uint64_t m_awaitNumber = 0; ///< of the current wait, or of the read in its place; of earlier ones, only changes are used
     std::uint64_t m_firstWaitOfEra = 0; ///< earlier waits began before the store came back from an older copy
     std::uint64_t m_readNumber = 0; ///< of the latest read of the entries
-    std::size_t m_unreadableCount = 0;
+    std::set<std::string> m_unreadable; ///< keys of entries that were skipped at the last read
     base::Time m_lastRequestAt; ///< when a read of the entries was last started
     base::Time m_lastUpdateAt; ///< when entries were last read or relayed
     base::Time m_lastRelayedAt; ///< when entries were last relayed
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -263,14 +263,23 @@
         return;
     }
     m_endpointFailures = 0;
-    if (result->unreadable.size() != m_unreadableCount) {
-        m_unreadableCount = result->unreadable.size();
-        telemetry::log(LogLevel::Warning, "endpoints", "skipping malformed entries",
-                       {{"entries", std::uint64_t(m_unreadableCount)}, {"first", result->unreadable.empty() ? "" : result->unreadable.front()}});
-    }
+    logUnreadable({result->unreadable.begin(), result->unreadable.end()});
     useEntries(result->entries);
 }
 
+/// Names each entry once, until it is readable again or gone.
+void SiteStateUpdater::logUnreadable(std::set<std::string> keys)
+{
+    constexpr int MaxLines = 20; ///< for one read
+    int lines = 0;
+    for (const auto &it : keys) {
+        if (!m_unreadable.contains(it) && ++lines <= MaxLines) {
+            telemetry::log(LogLevel::Warning, "endpoints", "skipping a malformed entry", {{"key", it}, {"entries", std::uint64_t(keys.size())}});
+        }
+    }
+    m_unreadable = std::move(keys);
+}
+
 /// Endpoints of a version that the store does not name yet are used a moment later: if all daemons ended, nobody would know that streams began there.
 void SiteStateUpdater::useEntries(const std::vector<discovery::EndpointEntry> &entries)
 {
