A refusal that names no call is not believed

Operators of other systems saw that a faulty endpoint wrote an earlier refusal once more on a kept connection: callers were told that a call had not run, or it ran at a second endpoint. Here a refusal with the Request-Id of another call was already skipped, and bytes between two calls end the connection. But one without a Request-Id was taken for that of the call in progress (repeatedrefusal_test, 503, 429 and 421: the call was refused with 503 and sent to a second endpoint). Endpoints echo the id in each response, so a refusal counts only with the id of its call. Without it the outcome is unknown, and the connection is closed, since the answer to the call may still come on it.

--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -220,7 +220,8 @@
     }
     const auto &head = *attempt.head;
     const bool isSuccess = head.status >= 200 && head.status < 300;
-    if (head.isNotRun) {
+    // A refusal that names no call may be that of an earlier one, written once more.
+    if (head.isNotRun && head.callId == m_call.id) {
         return head.isMisdirected ? SendResult::Misdirected : SendResult::Refused;
     }
     const bool belongsToCall = head.callId == m_call.id && (head.isAuthentic || !isSuccess);
@@ -255,7 +256,9 @@
     if (!failure && (outcome == net::SendOutcome::Complete || !attempt->isRelaying)) {
         recordProof(*attempt);
     }
-    releaseConnection(*attempt, net::isComplete(outcome) && attempt->head);
+    // The answer to this call may still come if another one was read.
+    const bool isInStep = net::isComplete(outcome) && attempt->head && failure != SendResult::Lost;
+    releaseConnection(*attempt, isInStep);
     if (failure && isSilentAttempt(number)) {
         dropSilentAttempt(*failure);
         return;
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -251,6 +251,10 @@
         route.sendLimit = sendLimit;
         route.services.push_back({service.name, 1});
         it->routes.push_back(route);
+        route.name = "o"; // calls that must not run twice
+        route.prefix = "/o/";
+        route.kind = {false, false, false};
+        it->routes.push_back(route);
         return it;
     }
 
