Streams of a version that appeared and left unseen are not resumed at another version

Operators of other systems saw streams go on at an endpoint of another software version at a daemon that had been out of step during a release. Here a daemon that was paused, or without store and peers, while a version appeared, began streams elsewhere and left, resumed these at the only version that it found listed (new case of streamversions_test: 200 instead of 503, paused and cut off).

Versions are recorded in a row of the store before they are used, but a running daemon read it only at its start. The read that a resumption of unknown origin waits for now includes that row; if either cannot be read, the daemon asks its peers as before.

It costs one call to the store for each such read, of which there is one in a while (EndpointRefresh).

--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -67,6 +67,10 @@
     /// @param onDone called once, with nothing if none of them knows it
     void findRemote(forwarding::CallDigest call, std::function<void(std::optional<std::string>)> onDone);
 
+    /// @brief Reads the row that names the versions which served lately, and notes them.
+    /// @param onDone called once, with whether the store has answered
+    void readRecordedVersions(std::function<void(bool)> onDone);
+
     /// @brief Asks other daemons which versions served lately, and notes what they say.
     /// @param onDone called once
     void refreshHistory(std::function<void()> onDone);
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -71,7 +71,9 @@
         , siteStateUpdater(context, siteStore, siteState, metrics, updaterCallbacks(), updaterOptions(settings.bounds))
         , placementRunner(placementDependencies(siteStore.table), settings)
         , peers(context, settings, siteStore.table, *mesh, peerCallbacks())
-        , endpointRefresh(context, siteStore.readEndpoints, [this](const auto &entries) { originExchange.noteEndpoints(entries); })
+        , endpointRefresh(
+              context, [this, read = siteStore.readEndpoints](const ReadCallback<EndpointsSnapshot> &onDone) { readVersions(read, onDone); },
+              [this](const auto &entries) { originExchange.noteEndpoints(entries); })
         , originExchange(context, streamOrigins, *mesh, peers, siteStore.table, settings.isFirstStart)
         , peerForwarder(*mesh, peers, peerContact, forwarder, siteState, pool, metrics, random)
         , contactExchange(context, *mesh, peers, peerContact)
@@ -286,6 +288,24 @@
         }
     }
 
+    /// A version that appeared and left while this daemon was paused or cut off is named by the row of versions only.
+    void readVersions(const EndpointRefresh::Read &readEndpoints, const ReadCallback<EndpointsSnapshot> &onDone)
+    {
+        readEndpoints([this, onDone](const tl::expected<EndpointsSnapshot, store::TableFailure> &result) {
+            if (!result) {
+                onDone(result);
+                return;
+            }
+            originExchange.readRecordedVersions([onDone, result](bool isRead) {
+                if (isRead) {
+                    onDone(result);
+                } else {
+                    onDone(tl::unexpected(store::TableFailure::Unavailable));
+                }
+            });
+        });
+    }
+
     /// While the store does not answer, versions are known for certain if most of the daemons are heard: what any of them has found, they
     /// tell. A few that hear only each other may be cut off from the store and from those that find a new version.
     void refreshVersions(std::function<void(bool)> onDone)
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -141,6 +141,19 @@
     });
 }
 
+void StreamOriginExchange::readRecordedVersions(std::function<void(bool)> onDone)
+{
+    m_table.readPrefix(HistoryRow, [this, onDone = std::move(onDone)](const store::ReadResult &rows) {
+        const auto now = base::now();
+        if (rows && !rows->empty()) {
+            if (const auto history = decodeVersionHistory(rows->front().value, now)) {
+                m_origins.noteHistory(*history, now);
+            }
+        }
+        onDone(rows.has_value());
+    });
+}
+
 void StreamOriginExchange::applyRow(const std::vector<store::Row> &rows)
 {
     const auto now = base::now();
--- a/src/turmericplank/gateway/streamversions_test.cpp
+++ b/src/turmericplank/gateway/streamversions_test.cpp
@@ -252,6 +252,29 @@
     CHECK(rollout.resumedAtOld == 0);
 }
 
+TEST_CASE("a daemon that was out of step while a version appeared and left does not resume its streams at the other version")
+{
+    constexpr auto Pause = 1500ms;
+    for (const bool isPaused : {true, false}) {
+        Rollout rollout(2, noneInContact);
+        if (isPaused) {
+            rollout.fleet.slowDown(1, Pause);
+            rollout.fleet.runFor(20ms);
+        } else {
+            rollout.fleet.store.hiddenRowsFor = {"1"};
+        }
+        rollout.newEndpoint().list("v2");
+        rollout.beginStreamAtNew(0);
+        rollout.newEndpoint().unlist();
+        rollout.fleet.slowDown(1, 0ms);
+        rollout.fleet.store.hiddenRowsFor = {};
+        const auto resumption = rollout.resumeStream(1);
+        rollout.fleet.runFor(Pause + StreamTime);
+        CHECK(resumption->status == 503);
+        CHECK(rollout.resumedAtOld == 0);
+    }
+}
+
 TEST_CASE("a daemon that reaches neither the store nor a peer does not resume a stream of an unknown version")
 {
     Rollout rollout(2, noneInContact);
