--- a/src/turmericplank/gateway/sitecontact_test.cpp
+++ b/src/turmericplank/gateway/sitecontact_test.cpp
@@ -18,18 +18,24 @@
 constexpr auto EndTime = 2500ms; ///< until all calls have ended, which have 2 s
 constexpr std::size_t ZoneCount = 3;
 constexpr std::uint32_t ConnectionsPerDaemon = 7; ///< to one endpoint
-constexpr std::size_t MaxCallsPerSecond = 600; ///< of all callers together, since all parts share one thread
+constexpr std::size_t DefaultCallsPerSecond = 600; ///< of all callers together, since all parts share one thread
 
 bool allInContact(std::size_t, std::size_t)
 {
     return true;
 }
 
+std::size_t numberFrom(const char *variable, std::size_t fallback)
+{
+    const auto *text = std::getenv(variable);
+    return text == nullptr ? fallback : std::stoul(text);
+}
+
 /// More daemons than form one mesh; by hand also other sizes.
 std::size_t siteSize()
 {
-    const auto *text = std::getenv("SITE_DAEMONS");
-    return text == nullptr ? 24 : std::stoul(text);
+    constexpr std::size_t DefaultDaemons = 24;
+    return numberFrom("SITE_DAEMONS", DefaultDaemons);
 }
 
 /// Two thirds of the daemons are in the first zone, which then has more than one group.
@@ -116,7 +122,7 @@
     void sendFor(base::Duration time)
     {
         const std::vector<std::string> targets = {"/r/x", "/o/x", "/t/x", "/s/x"};
-        const auto interval = std::chrono::milliseconds(1000 * siteSize() / MaxCallsPerSecond);
+        const auto interval = std::chrono::milliseconds(1000 * siteSize() / numberFrom("SITE_CALLS", DefaultCallsPerSecond));
         for (const auto end = base::now() + time; base::now() < end;) {
             for (std::size_t n = 0; n < siteSize(); ++n) {
                 const auto &target = targets[(m_calls.size() / siteSize() + n) % targets.size()];
@@ -146,6 +152,30 @@
         return it;
     }
 
+    /// Bytes that each daemon has sent to others and received from them.
+    std::vector<double> meshBytes()
+    {
+        std::vector<double> all(siteSize());
+        std::size_t left = siteSize();
+        for (std::size_t n = 0; n < siteSize(); ++n) {
+            net::HttpCallOptions options;
+            options.to = TestFleet::metricsAddress(n);
+            options.request = {"GET", "/metrics", {}, {}};
+            net::fetchResponse(fleet.callers(), std::move(options), [&all, &left, n](const tl::expected<net::HttpResponse, net::CallFailure> &response) {
+                constexpr std::string_view Name = "mesh_bytes ";
+                const auto text = response ? response->body : std::string();
+                const auto begin = text.rfind(Name);
+                REQUIRE(begin != std::string::npos);
+                all[n] = std::stod(text.substr(begin + Name.size()));
+                --left;
+            });
+        }
+        while (left > 0) {
+            fleet.runFor(1ms);
+        }
+        return all;
+    }
+
     /// Number of calls since the start that daemons refused for a reason.
     std::size_t refused(RejectionReason reason) const
     {
@@ -236,3 +266,36 @@
 {
     checkCut(cutOfBoth(allButTwo()), LinkState::RefusingNew, true);
 }
+
+TEST_CASE("what daemons tell each other takes less than 6 KB a second, and their contact to services adds less than that")
+{
+    constexpr double MaxBytesPerSecond = 6 * 1024;
+    static constexpr int Seconds = 3;
+    Site site;
+    const auto bytesPerSecond = [&site] {
+        const auto before = site.meshBytes();
+        site.fleet.runFor(std::chrono::seconds(Seconds));
+        auto bytes = site.meshBytes();
+        std::ranges::transform(bytes, before, bytes.begin(), [](double after, double earlier) { return (after - earlier) / Seconds; });
+        return bytes;
+    };
+    site.fleet.runFor(EndTime);
+    auto inContact = bytesPerSecond();
+    site.setLinks(mostOfEach(), LinkState::Resetting);
+    site.sendFor(1s);
+    site.fleet.runFor(EndTime);
+    const auto withCut = bytesPerSecond();
+    std::vector<double> added;
+    std::ranges::transform(withCut, inContact, std::back_inserter(added), std::minus<>());
+    for (auto *it : {&inContact, &added}) {
+        std::ranges::sort(*it); // the lease holder, which tells all others, comes last
+    }
+    const auto middle = siteSize() / 2;
+    const auto last = siteSize() - 1;
+    MESSAGE("bytes a second, median, second highest and highest: all in contact " << inContact[middle] << ", " << inContact[last - 1] << ", " << inContact[last]
+                                                                                  << "; added while most are cut off " << added[middle] << ", "
+                                                                                  << added[last - 1] << ", " << added[last]);
+    CHECK(added[last - 1] < MaxBytesPerSecond);
+    CHECK(inContact[middle] < MaxBytesPerSecond);
+    CHECK(inContact[last - 1] < MaxBytesPerSecond);
+}
