A peer that notices by a forwarded call that it is cut off lets the call go on to the next peer

Right after a loss of contact some daemons do not know of theirs yet. A call that was forwarded to one of these failed at its endpoints, and its refusal was returned as final although others could serve the call. The peer now rejects such a call as not processed, so that the next target gets it.

--- a/src/turmericplank/gateway/peerforward_test.cpp
+++ b/src/turmericplank/gateway/peerforward_test.cpp
@@ -305,6 +305,20 @@
     }
 }
 
+TEST_CASE("a call is served by another peer if the first one notices by it that it has lost contact as well")
+{
+    Site site(3, 2);
+    for (const std::size_t n : {LostDaemon, std::size_t(1)}) {
+        site.fleet.setLinks(n, LinkState::RefusingNew);
+    }
+    const auto calls = site.send(8, LostDaemon, "/o/x");
+    site.runUntilEnded(calls);
+    CHECK(countStatus(calls, 200) == calls.size());
+    for (const auto &it : calls) {
+        CHECK(site.timesReceived(*it) == 1);
+    }
+}
+
 TEST_CASE("no call that an endpoint has got is refused as not run while daemons lose contact and regain it")
 {
     constexpr std::size_t Rounds = 24;
--- a/src/turmericplank/gateway/peerforwarder.cpp
+++ b/src/turmericplank/gateway/peerforwarder.cpp
@@ -112,25 +112,23 @@
         responder.reject();
         return;
     }
-    const bool isTaken = mayServe(*request, now);
+    const auto service = m_forwarder.serviceOf(request->request);
+    const auto isCutOff = [this, isAlive = m_isAlive, service] {
+        return *isAlive && service && m_pool.contact().isCutOff(*service);
+    };
+    const bool isTaken = mayServe(*request, now) && !isCutOff();
     m_metrics.count(isTaken ? "calls_from_peers_total{taken=\"yes\"}" : "calls_from_peers_total{taken=\"no\"}");
     if (!isTaken) {
         responder.reject();
         return;
     }
-    const net::ExchangePointer exchange(new PeerForwardExchange(std::move(request->request), responder, m_isAlive));
+    const net::ExchangePointer exchange(new PeerForwardExchange(std::move(request->request), responder, m_isAlive, isCutOff));
     m_forwarder.handleCall(exchange, CallLimits{request->deadline, request->maxSends});
 }
 
-/// A call that is not taken can still be sent to another peer.
 bool PeerForwarder::mayServe(const PeerForwardRequest &request, base::Time now) const
 {
-    const bool isInForce = m_forwarder.acceptsCalls() && m_siteState.routes()->configuration().revision >= request.revision;
-    if (!isInForce || now >= request.deadline) {
-        return false;
-    }
-    const auto service = m_forwarder.serviceOf(request.request);
-    return !service || !m_pool.contact().isCutOff(*service);
+    return m_forwarder.acceptsCalls() && m_siteState.routes()->configuration().revision >= request.revision && now < request.deadline;
 }
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/peerforwardexchange.cpp
+++ b/src/turmericplank/gateway/peerforwardexchange.cpp
@@ -2,14 +2,17 @@
 
 #include <utility>
 
+#include "forwardedcall.hpp"
 #include "turmericplank/gateway/peerforwardmessage.hpp"
 
 namespace turmericplank::gateway {
 
-PeerForwardExchange::PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder, std::shared_ptr<const bool> isAlive)
+PeerForwardExchange::PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder, std::shared_ptr<const bool> isAlive,
+                                         std::function<bool()> isCutOff)
     : m_request(std::move(request))
     , m_responder(std::move(responder))
     , m_isAlive(std::move(isAlive))
+    , m_isCutOff(std::move(isCutOff))
 {
     *m_responder.onCancelled = [hasEnded = m_hasEnded] {
         *hasEnded = true;
@@ -32,6 +35,10 @@
     if (std::exchange(*m_hasEnded, true)) {
         return;
     }
+    if (impliesNotRun(response.status) && m_isCutOff()) {
+        m_responder.reject();
+        return;
+    }
     m_responder.write(headFrame({response.status, std::move(response.headers), false}) + bodyFrame(response.body) + endFrame());
     m_responder.end();
 }
--- a/src/turmericplank/gateway/peerforwardexchange.hpp
+++ b/src/turmericplank/gateway/peerforwardexchange.hpp
@@ -10,7 +10,8 @@
 {
 public:
     /// @param isAlive whether the forwarder that has the call still exists
-    PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder, std::shared_ptr<const bool> isAlive);
+    /// @param isCutOff whether this daemon reaches no endpoint of the call's service, so that another peer may serve a call that has not run here
+    PeerForwardExchange(net::HttpRequest request, peer::PeerResponder responder, std::shared_ptr<const bool> isAlive, std::function<bool()> isCutOff);
     ~PeerForwardExchange() override;
 
     const net::HttpRequest &request() const override;
@@ -27,6 +28,7 @@
     net::HttpRequest m_request;
     peer::PeerResponder m_responder;
     std::shared_ptr<const bool> m_isAlive;
+    std::function<bool()> m_isCutOff;
     std::shared_ptr<bool> m_hasEnded = std::make_shared<bool>(false); ///< or the peer has cancelled the call
 };
 
