--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -64,7 +64,7 @@
 {
     std::vector<ForwardTarget> inGroup; ///< say that they reach the service
     std::vector<ForwardTarget> outside; ///< of the group, so that their state is not known
-    bool isGroupShort = false; ///< fewer daemons of the group reach the service than don't
+    bool isGroupShort = false; ///< fewer other daemons of the group reach the service than don't, this one included
 
     friend bool operator==(const ForwardTargets &, const ForwardTargets &) = default;
 };
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -473,16 +473,18 @@
         return {daemonCount(), std::max(peerContact.daemonsWithout(service, base::now()), without + 1 - own), with + own};
     }
 
-    /// Work matters at engines only, so daemons that reach none have none to report.
+    /// By the engines, since only their calls are refused if they would be late.
     void updateUnreportedWork()
     {
-        double factor = 0;
+        std::optional<double> factor;
         if (siteState.routes()) {
             for (const auto &[name, service] : siteState.routes()->configuration().services) {
-                factor = std::max(factor, service.engine ? unreportedWorkFactor(serviceDaemons(name)) : 0);
+                if (service.engine) {
+                    factor = std::max(factor.value_or(0), unreportedWorkFactor(serviceDaemons(name)));
+                }
             }
         }
-        router.setUnreportedWorkFactor(std::max(1.0, factor));
+        router.setUnreportedWorkFactor(factor.value_or(unreportedWorkFactor({daemonCount(), 0, peers.groupPeerCount() + 1})));
     }
 
     std::vector<EntryDaemon> entries() const
@@ -559,7 +561,7 @@
     base::StoreEra storeEra; ///< as reported by the store to this daemon
     base::StoreEra registrationEra; ///< latest era that this daemon or a peer has seen, in which its row has been or is being written
     std::set<base::ServiceName> unreachableServices; ///< of which this daemon reaches no endpoint, as peers were told
-    std::map<base::ServiceName, base::Time> contactRegainedAt;
+    std::map<base::ServiceName, base::Time> contactRegainedAt; ///< of services that this daemon did not reach for some time
     bool isDraining = false;
     bool isDrained = false;
 };
