--- a/include/turmericplank/gateway/connectionpool.hpp
+++ b/include/turmericplank/gateway/connectionpool.hpp
@@ -76,7 +76,7 @@
     /// @param isAtMostOnce whether the call must not run twice
     void acquireConnection(const base::EndpointId &id, bool isAtMostOnce, base::Time now, const AcquireCallback &callback);
 
-    /// @brief Returns a connection, which is kept if it is still open and idle.
+    /// @brief Returns a connection, which is kept if it is still open and idle, or once it is idle while the rest of a request is being written.
     /// @param idleTimeout the endpoint's idle timeout, if it announced one
     void returnConnection(const PooledConnection &pooled, std::optional<base::Duration> idleTimeout, base::Time now);
 
--- a/include/turmericplank/net/clientconnection.hpp
+++ b/include/turmericplank/net/clientconnection.hpp
@@ -69,7 +69,8 @@
 
 /// @brief A persistent connection to an endpoint that carries one request at a time.
 ///
-/// It reads continuously; bytes received while no request is in progress close it.
+/// It reads continuously; bytes received while no request is in progress close it. An endpoint may answer before it has read the whole
+/// request and read on later: the rest of the request is still written, and the connection is idle only after that.
 class ClientConnection : public boost::intrusive_ref_counter<ClientConnection, boost::thread_unsafe_counter>
 {
 public:
@@ -83,10 +84,14 @@
     virtual void close() = 0;
     /// @brief Whether the next request may be sent.
     virtual bool isIdle() const = 0;
+    /// @brief Whether the response is complete while the rest of the request is still being written.
+    virtual bool isWritingRest() const = 0;
     /// @brief Why the connection has ended, if not by this side.
     virtual ConnectionError error() const = 0;
     /// @brief Sets the callback for a connection that ends while it is idle.
     virtual void setOnIdleClose(std::function<void()> callback) = 0;
+    /// @brief Sets the callback for the end of isWritingRest(), after which the connection is idle or closed; called at most once.
+    virtual void setOnRestWritten(std::function<void()> callback) = 0;
 };
 
 using ClientConnectionPointer = boost::intrusive_ptr<ClientConnection>;
--- a/src/turmericplank/gateway/connectionpool.cpp
+++ b/src/turmericplank/gateway/connectionpool.cpp
@@ -218,6 +218,18 @@
 
 void ConnectionPool::returnConnection(const PooledConnection &pooled, std::optional<base::Duration> idleTimeout, base::Time now)
 {
+    if (pooled.connection->isWritingRest()) {
+        // The endpoint still gets bytes of the last call, so that the connection is in use, also for the limit.
+        auto returned = pooled;
+        returned.connection = nullptr; // a connection whose callback holds it would never be released
+        pooled.connection->setOnRestWritten([this, isAlive = m_isAlive, returned, connection = pooled.connection.get(), idleTimeout]() mutable {
+            if (*isAlive) {
+                returned.connection = connection;
+                returnConnection(returned, idleTimeout, base::now());
+            }
+        });
+        return;
+    }
     const auto it = m_endpoints.find(pooled.endpoint);
     const bool isListed = it != m_endpoints.end() && !it->second.wasRemoved && it->second.incarnation == pooled.incarnation;
     const bool isKept = isListed && it->second.open <= it->second.limit && pooled.connection->isIdle();
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -163,11 +163,12 @@
     }
 
     /// Applies one read of the endpoints' entries.
-    void applyEntries(const std::vector<discovery::EndpointEntry> &entries)
+    /// @param connectionLimit of each endpoint
+    void applyEntries(const std::vector<discovery::EndpointEntry> &entries, std::uint32_t connectionLimit = 10)
     {
         m_siteState.applyEntries(entries, base::now());
         for (const auto &it : entries) {
-            m_pool.setEndpoint(it.id, it.service, it.address, it.incarnation, 10);
+            m_pool.setEndpoint(it.id, it.service, it.address, it.incarnation, connectionLimit);
         }
         std::map<base::ServiceName, std::set<std::string>> versions;
         for (const auto &[id, it] : m_siteState.endpoints()) {
@@ -177,9 +178,9 @@
     }
 
     /// Begins a call.
-    boost::intrusive_ptr<FakeExchange> begin(net::Headers headers, std::string target = "/r/x")
+    boost::intrusive_ptr<FakeExchange> begin(net::Headers headers, std::string target = "/r/x", std::string body = "question")
     {
-        const boost::intrusive_ptr<FakeExchange> exchange(new FakeExchange({"POST", std::move(target), std::move(headers), "question"}));
+        const boost::intrusive_ptr<FakeExchange> exchange(new FakeExchange({"POST", std::move(target), std::move(headers), std::move(body)}));
         m_forwarder.handleCall(exchange);
         return exchange;
     }
--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "turmericplank/net/clientconnection.hpp"
 
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -26,6 +27,7 @@
 constexpr int MaxSkippedResponses = 4; ///< if more late or interim responses precede a request's own, the connection is treated as corrupt
 constexpr int FirstFinalStatus = 200; ///< responses with a lower status precede the final response to the same request
 constexpr int TcpUserTimeoutMilliseconds = 4000; ///< TCP closes a connection whose peer acknowledges no data for this long
+constexpr auto RestTimeout = std::chrono::seconds(10); ///< in which an endpoint that answers early must read the rest of the request
 
 std::string serializeRequest(const HttpRequest &request, const std::string &host)
 {
@@ -93,12 +95,9 @@
         armDeadlineTimer();
         m_requestBytes = serializeRequest(m_current->request, m_host);
         m_current->request = {};
-        asio::async_write(m_socket, asio::buffer(m_requestBytes), [self = Pointer(this)](boost::system::error_code ec, std::size_t n) {
-            if (ec && !self->m_isClosed) {
-                self->m_error = connectionError(ec);
-                self->finish(n == 0 ? SendOutcome::NotSent : SendOutcome::ConnectionLost);
-            }
-        });
+        m_isWriting = true;
+        asio::async_write(m_socket, asio::buffer(m_requestBytes),
+                          [self = Pointer(this)](boost::system::error_code ec, std::size_t n) { self->onWritten(ec, n); });
     }
 
     void setDeadline(base::Time deadline) override
@@ -106,13 +105,46 @@
         const bool isEarlier = deadline < m_deadline;
         m_deadline = deadline;
         if (isEarlier) {
-            m_timer.cancel();
-            m_isTimerArmed = false;
+            stopTimer();
             armDeadlineTimer();
         }
     }
 
     void close() override
+    {
+        m_onRestWritten = nullptr;
+        closeSocket();
+    }
+
+    bool isIdle() const override
+    {
+        return !m_isClosed && !m_current && !m_isWriting;
+    }
+
+    bool isWritingRest() const override
+    {
+        return !m_isClosed && !m_current && m_isWriting;
+    }
+
+    ConnectionError error() const override
+    {
+        return m_error;
+    }
+
+    void setOnIdleClose(std::function<void()> callback) override
+    {
+        m_onIdleClose = std::move(callback);
+    }
+
+    void setOnRestWritten(std::function<void()> callback) override
+    {
+        m_onRestWritten = std::move(callback);
+    }
+
+private:
+    using Pointer = boost::intrusive_ptr<Connection>;
+
+    void closeSocket()
     {
         if (std::exchange(m_isClosed, true)) {
             return;
@@ -128,34 +160,42 @@
         });
     }
 
-    bool isIdle() const override
+    /// Called also when a write that is under way is cancelled, since the connection was closed.
+    void onWritten(boost::system::error_code ec, std::size_t n)
     {
-        return !m_isClosed && !m_current;
-    }
-
-    ConnectionError error() const override
-    {
-        return m_error;
+        m_isWriting = false;
+        m_requestBytes = {};
+        if (ec && !m_isClosed) {
+            m_error = connectionError(ec);
+            if (m_current) {
+                finish(n == 0 ? SendOutcome::NotSent : SendOutcome::ConnectionLost);
+            } else {
+                closeSocket();
+            }
+        }
+        if (!m_current) {
+            stopTimer();
+        }
+        if (const auto callback = std::exchange(m_onRestWritten, nullptr)) {
+            callback();
+        }
     }
 
-    void setOnIdleClose(std::function<void()> callback) override
+    void stopTimer()
     {
-        m_onIdleClose = std::move(callback);
+        m_timer.cancel();
+        m_isTimerArmed = false;
     }
 
-private:
-    using Pointer = boost::intrusive_ptr<Connection>;
-
     void onConnectDone(boost::system::error_code ec)
     {
         const auto callback = std::exchange(m_onOpen, nullptr);
         if (!callback) {
             return;
         }
-        m_timer.cancel();
-        m_isTimerArmed = false;
+        stopTimer();
         if (ec) {
-            close();
+            closeSocket();
             callback(tl::unexpected(connectionError(ec)));
             return;
         }
@@ -281,7 +321,7 @@
     void closeIdle()
     {
         const auto callback = std::exchange(m_onIdleClose, nullptr);
-        close();
+        closeSocket();
         if (callback) {
             callback();
         }
@@ -294,10 +334,12 @@
         }
         const auto ended = std::exchange(m_current, std::nullopt);
         if (!canReuse) {
-            close();
+            closeSocket();
+        } else if (m_isWriting) {
+            setDeadline(base::now() + RestTimeout);
+            armDeadlineTimer();
         } else {
-            m_timer.cancel();
-            m_isTimerArmed = false;
+            stopTimer();
         }
         if (ended->onEnd) {
             ended->onEnd(outcome);
@@ -306,6 +348,10 @@
 
     void onDeadline()
     {
+        if (isWritingRest()) {
+            closeSocket();
+            return;
+        }
         const auto extendedDeadline = m_current && m_current->onTimeout ? m_current->onTimeout() : base::Time();
         if (extendedDeadline > base::now()) {
             m_deadline = extendedDeadline;
@@ -342,10 +388,11 @@
     std::string m_host;
     std::function<void(tl::expected<ClientConnectionPointer, ConnectionError>)> m_onOpen;
     std::function<void()> m_onIdleClose;
+    std::function<void()> m_onRestWritten;
     std::optional<ClientRequest> m_current;
     std::optional<ResponseParser> m_parser;
     beast::flat_buffer m_buffer;
-    std::string m_requestBytes;
+    std::string m_requestBytes; ///< must not change while it is being written
     base::Time m_deadline;
     std::size_t m_bodyBytesLeft = 0; ///< that the response may still have
     ConnectionError m_error = ConnectionError::None;
@@ -353,6 +400,7 @@
     bool m_hasHeaders = false;
     bool m_isSkipping = false;
     bool m_isTimerArmed = false;
+    bool m_isWriting = false;
     bool m_isClosed = false;
 };
 
