--- a/src/turmericplank/gateway/peerforwardmessage.cpp
+++ b/src/turmericplank/gateway/peerforwardmessage.cpp
@@ -14,6 +14,8 @@
 constexpr char BodyType = 'B';
 constexpr char EndType = 'E';
 constexpr std::size_t FramePrefixBytes = 5; ///< the type and the size of the payload, most significant byte first
+constexpr int FirstFinalStatus = 200; ///< responses with a lower status are not relayed
+constexpr int LastStatus = 999; ///< of three digits
 constexpr std::size_t MaxPayloadBytes = net::MaxStreamBytes; ///< more than any response that a daemon takes from an endpoint
 
 std::string frame(char type, std::string_view payload)
@@ -144,6 +146,9 @@
             const auto handle = msgpack::unpack(payload.data(), payload.size());
             const auto parts = members(handle.get(), 3);
             PeerForwardHead head{parts[0].as<int>(), readHeaders(parts[2]), parts[1].as<bool>()};
+            if (head.status < FirstFinalStatus || head.status > LastStatus) {
+                return false;
+            }
             m_hasHead = true;
             onHead(std::move(head));
             return true;
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -2,7 +2,6 @@
 
 #include <deque>
 #include <optional>
-#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -27,7 +26,7 @@
 
 HttpResponse plainTextError(int status)
 {
-    return {status, {{"Content-Type", "text/plain"}}, std::string(http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)))) + '\n'};
+    return {status, {{"Content-Type", "text/plain"}}, reasonPhrase(status) + '\n'};
 }
 
 int statusForParseError(const beast::error_code &ec)
@@ -250,13 +249,11 @@
         m_closesAfterWrite = true;
         m_isResponseQueued = true;
         m_isRequestRejected = true;
-        http::response<http::string_body> message(http::int_to_status(static_cast<unsigned>(response.status)), 11, response.body);
+        http::response<http::empty_body> message;
         addHeaders(response.headers, message);
         message.keep_alive(false);
-        message.prepare_payload();
-        std::ostringstream buf;
-        buf << message;
-        write(buf.str());
+        message.content_length(response.body.size());
+        write(serializeResponseHead(response.status, message) + response.body);
     }
 
     /// While a response is in progress, the socket becomes readable when the caller disconnects or sends its next request.
--- a/src/turmericplank/net/serverexchange.cpp
+++ b/src/turmericplank/net/serverexchange.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cstdio>
-#include <sstream>
 #include <utility>
 
 #include <boost/beast/http.hpp>
@@ -31,7 +30,7 @@
 
 void ServerExchange::queueHeaders(int status, const Headers &headers, std::optional<std::size_t> length)
 {
-    http::response<http::empty_body> message(http::int_to_status(static_cast<unsigned>(status)), 11);
+    http::response<http::empty_body> message;
     addHeaders(headers, message);
     if (length) {
         message.content_length(*length);
@@ -39,9 +38,7 @@
         message.chunked(true);
     }
     message.keep_alive(m_sink->wantsKeepAlive() && (length || !m_sink->isHttp10()));
-    std::ostringstream buf;
-    buf << message.base();
-    m_sink->write(buf.str());
+    m_sink->write(serializeResponseHead(status, message));
 }
 
 void ServerExchange::respond(HttpResponse response)
