--- a/include/turmericplank/forwarding/eventcursor.hpp
+++ b/include/turmericplank/forwarding/eventcursor.hpp
@@ -35,6 +35,9 @@
     /// @brief What has come without a number since the last event; to be passed on at the end of the stream.
     std::string takeUnnumbered();
 
+    /// @brief Whether something has come without a number since the last event.
+    bool hasUnnumbered() const;
+
     /// @brief Starts another endpoint's stream and drops the incomplete event of the previous one.
     void restart();
 
--- a/src/turmericplank/forwarding/eventcursor.cpp
+++ b/src/turmericplank/forwarding/eventcursor.cpp
@@ -93,6 +93,11 @@
     return std::exchange(m_unnumbered, {});
 }
 
+bool EventCursor::hasUnnumbered() const
+{
+    return !m_unnumbered.empty();
+}
+
 void EventCursor::restart()
 {
     m_buffer.clear();
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -101,6 +101,9 @@
     void handleBodyChunk(std::uint64_t number, std::string_view chunk);
     void keepOnly(std::uint64_t number);
     void startStream(base::Time now);
+    bool continuesStream(const CallAttempt &attempt) const;
+    static bool isInsideEvent(const CallAttempt &attempt);
+    void recordBreak(const CallAttempt &attempt);
     void handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome);
     void recordEndpointLoss(const CallAttempt &attempt);
     void recordProof(CallAttempt &attempt);
@@ -151,6 +154,8 @@
     forwarding::Attempts m_attempts;
     std::optional<std::uint64_t> m_lastEvent; ///< last event that the caller has received
     std::uint64_t m_events = 0; ///< events relayed to the caller
+    int m_streamStatus = 0; ///< of the answer that began the stream
+    bool m_isInsideEvent = false; ///< the endpoint that brought the last event broke off in the next one
     std::optional<std::string> m_softwareVersion; ///< at which the stream began, and must go on
     boost::asio::steady_timer m_deadlineTimer;
     std::optional<CallAttempt> m_attempt;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -141,7 +141,8 @@
     applyEndpointNotices(*attempt, head);
     const bool isSuccess = status >= 200 && status < 300;
     const bool belongsToCall = head.callId == m_call.id && (head.isAuthentic || !isSuccess);
-    attempt->isRelaying = isSuccess && belongsToCall && m_route.kind.isStreamed;
+    const bool hasOtherStatus = m_isStreaming && status != m_streamStatus;
+    attempt->isRelaying = isSuccess && belongsToCall && m_route.kind.isStreamed && !hasOtherStatus;
     attempt->headers = m_forwarder.m_dependencies.wire.forwardedHeaders(headers);
     attempt->head = std::move(head);
     if (attempt->isRelaying && m_silentAttempt && !isSilentAttempt(number)) {
@@ -174,6 +175,7 @@
     keepOnly(number);
     m_events += m_attempt->events.events() - known;
     m_lastEvent = m_attempt->events.lastEvent();
+    m_isInsideEvent = false;
     const auto now = base::now();
     if (!m_attempt->hasFirstEvent) {
         m_attempt->hasFirstEvent = true;
@@ -203,7 +205,28 @@
         m_forwarder.m_dependencies.streamOrigins.record(
             m_service, {forwarding::callDigest(firstCall), *m_softwareVersion, m_attempts.deadline() + m_forwarder.m_options.originMargin}, now);
     }
-    m_exchange->startStream(m_attempt->head->status, m_attempt->headers);
+    m_streamStatus = m_attempt->head->status;
+    m_exchange->startStream(m_streamStatus, m_attempt->headers);
+}
+
+/// Whether a complete answer can be the rest of a stream that the caller has in part. One without a numbered event can be so only if it is empty
+/// and nothing is known to be missing; anything else is the text of an error.
+bool ForwardedCall::continuesStream(const CallAttempt &attempt) const
+{
+    const bool isEventMissing = m_isInsideEvent || (m_silentAttempt && isInsideEvent(*m_silentAttempt));
+    return attempt.events.events() > 0 || !(attempt.events.hasUnnumbered() || isEventMissing);
+}
+
+/// Whether an endpoint has brought events and begun another one.
+bool ForwardedCall::isInsideEvent(const CallAttempt &attempt)
+{
+    return attempt.isRelaying && attempt.events.events() > 0 && attempt.events.hasPartialEvent();
+}
+
+/// Remembers whether the last endpoint that brought events had begun another one.
+void ForwardedCall::recordBreak(const CallAttempt &attempt)
+{
+    m_isInsideEvent = m_isInsideEvent || isInsideEvent(attempt);
 }
 
 /// @return why the attempt has not brought the answer, or nothing if it has
@@ -234,7 +257,10 @@
     }
     const bool hasNothing = outcome == net::SendOutcome::CompleteByClose && attempt.events.events() == 0;
     const bool isTruncated = attempt.isRelaying && (attempt.events.hasPartialEvent() || hasNothing);
-    return isTruncated ? std::optional(SendResult::Lost) : std::nullopt;
+    if (isTruncated) {
+        return SendResult::Lost;
+    }
+    return m_isStreaming && !continuesStream(attempt) ? std::optional(SendResult::Failed) : std::nullopt;
 }
 
 void ForwardedCall::handleAttemptEnd(std::uint64_t number, net::SendOutcome outcome)
@@ -259,6 +285,9 @@
     // The answer to this call may still come if another one was read.
     const bool isInStep = net::isComplete(outcome) && attempt->head && failure != SendResult::Lost;
     releaseConnection(*attempt, isInStep);
+    if (failure) {
+        recordBreak(*attempt);
+    }
     if (failure && isSilentAttempt(number)) {
         dropSilentAttempt(*failure);
         return;
--- a/src/turmericplank/gateway/forwardedcallsilence.cpp
+++ b/src/turmericplank/gateway/forwardedcallsilence.cpp
@@ -62,6 +62,7 @@
         return;
     }
     m_attempts.recordEnd(end);
+    recordBreak(*m_silentAttempt);
     releaseConnection(*m_silentAttempt, false);
     reportAttemptEnd(*m_silentAttempt, routerOutcome(*m_silentAttempt, end));
     logAttemptEnd(*m_silentAttempt, end, true, "replaced");
