--- a/src/turmericplank/net/http_test.cpp
+++ b/src/turmericplank/net/http_test.cpp
@@ -335,3 +335,24 @@
     REQUIRE_FALSE(*result);
     CHECK(result->error() == CallFailure::Malformed);
 }
+
+// Guards against a stream that ends early and looks complete to a caller for whom only the end of the connection ends it.
+TEST_CASE("a stream that is aborted resets the connection of an HTTP/1.0 caller")
+{
+    TestServer testServer([](const ExchangePointer &exchange) {
+        exchange->startStream(200, {});
+        exchange->writeChunk("first");
+        exchange->abort();
+    });
+    boost::asio::ip::tcp::socket socket(testServer.context);
+    socket.connect({boost::asio::ip::make_address(testAddress.host), testAddress.port});
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /x HTTP/1.0\r\nHost: h\r\n\r\n")));
+    std::string response;
+    boost::system::error_code result;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(response), [&](boost::system::error_code ec, std::size_t) {
+        result = ec;
+        testServer.context.stop();
+    });
+    testServer.context.run_for(std::chrono::seconds(10));
+    CHECK((result == boost::asio::error::connection_reset));
+}
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -109,7 +109,9 @@
         m_isClosed = true;
         m_requestTimer.cancel();
         beast::error_code ec;
-        m_stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+        if (!m_isReset) {
+            m_stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+        }
         m_stream.close();
         if (const auto current = std::exchange(m_current, nullptr)) {
             const ExchangePointer guard(current);
@@ -118,8 +120,14 @@
         }
     }
 
+    /// A response without length and chunks looks complete if its connection ends in order, so the connection is reset.
     void abortConnection() override
     {
+        if (m_isHttp10 && !m_isClosed) {
+            beast::error_code ec;
+            m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+            m_isReset = true;
+        }
         m_current = nullptr;
         if (!m_isClosed) {
             reportUnanswered(m_hasCallerLeft ? UnansweredCause::CallerDisconnected : UnansweredCause::Aborted);
@@ -389,6 +397,7 @@
     bool m_closesAfterWrite = false;
     bool m_wantsKeepAlive = true;
     bool m_isHttp10 = false;
+    bool m_isReset = false; ///< instead of closed in order
     bool m_hasCallerLeft = false;
     bool m_isRequestRejected = false;
     bool m_isUnansweredReported = false;
