--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -106,9 +106,13 @@
     /// @brief The service that a call goes to; nothing without a route.
     std::optional<base::ServiceName> serviceOf(const net::HttpRequest &request) const;
 
-    /// @brief Rejects calls that arrive from now on; calls in progress continue.
+    /// @brief Rejects calls that arrive from now on, and those that have not run and would have to wait or to be sent again, since another daemon
+    /// takes them at once. Other calls in progress continue.
     void rejectNewCalls();
 
+    /// @brief Logs the calls in progress, which the end of the process cuts off.
+    void logCallsInProgress() const;
+
     /// @brief Retries endpoint selection for all waiting calls.
     void retryWaitingCalls();
 
@@ -123,6 +127,7 @@
 
 private:
     friend class ForwardedCall;
+    struct CallList;
     using WaitingList = boost::intrusive::list<ForwardedCall, boost::intrusive::constant_time_size<false>>;
 
     bool consumeRetryBudget(const base::ServiceName &service, base::Time now);
@@ -139,6 +144,7 @@
     placement::TokenCostEstimator m_tokenCosts;
     double m_uncountedMilliseconds = 0; ///< fraction carried over to the next call
     std::unique_ptr<WaitingList> m_waitingCalls;
+    std::unique_ptr<CallList> m_calls; ///< in progress
     bool m_isRejectingNewCalls = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< shared with answers of other daemons, which may come later
     /// Shared, since callbacks of late connections may outlive the forwarder.
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -121,9 +121,19 @@
     return request;
 }
 
+/// Whether the call ends here because the daemon is stopping: it has not run, so that another daemon can take it with all of its time.
+bool ForwardedCall::isLeftToOtherDaemons() const
+{
+    return m_forwarder.m_isRejectingNewCalls && !m_attempts.mayHaveRun() && !m_isStreaming && !m_silentAttempt;
+}
+
 void ForwardedCall::selectEndpoint()
 {
     const auto now = base::now();
+    if (isLeftToOtherDaemons()) {
+        reject(RejectionReason::Draining);
+        return;
+    }
     if (isRefusedForCrashes() && !beginTrial()) {
         m_pendingRejection = RejectionReason::CrashesEndpoints;
         rejectAfter(m_attempts.finalStep(now));
@@ -306,7 +316,9 @@
     const auto now = base::now();
     Rejection rejection{reason, std::nullopt};
     const bool mayBeServedLater = reason != RejectionReason::VersionUnavailable && reason != RejectionReason::CrashesEndpoints;
-    if (!m_attempts.mayHaveRun() && mayBeServedLater) {
+    if (reason == RejectionReason::Draining) {
+        rejection.retryAfter = base::Duration(0); // another daemon may take the call at once
+    } else if (!m_attempts.mayHaveRun() && mayBeServedLater) {
         const bool isPaused = m_pauseEnd && *m_pauseEnd > now;
         const auto recovery = isPaused ? *m_pauseEnd - now : forwarding::expectedRecovery(m_waitCause, m_isEngine, m_forwarder.m_options.wait);
         rejection.retryAfter =
@@ -382,6 +394,7 @@
     m_deadlineTimer.cancel();
     m_overlapTimer.cancel();
     unlink();
+    inProgressHook.unlink();
     const auto now = base::now();
     const auto total = now - m_arrivedAt;
     const auto first = m_isStreaming ? m_firstEventAt - m_arrivedAt : total;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
 #include <boost/intrusive/list_hook.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -59,6 +60,10 @@
     void retrySelection();
     /// @brief Ends the call without a response when the forwarder is destroyed.
     void abandon();
+    /// @brief Logs that the call is cut off by the end of the process.
+    void logCutOff() const;
+
+    boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> inProgressHook; ///< linked until the call has ended
 
 private:
     using Pointer = boost::intrusive_ptr<ForwardedCall>;
@@ -119,6 +124,7 @@
     void respondToCaller(net::HttpResponse response);
     void reject(RejectionReason reason);
     void rejectAfter(forwarding::NextStep step);
+    bool isLeftToOtherDaemons() const;
     bool forwardToPeer();
     void handlePeerHead(PeerForwardHead head);
     void handlePeerBody(std::string body);
@@ -175,4 +181,11 @@
     bool m_isFinished = false;
 };
 
+struct Forwarder::CallList
+    : boost::intrusive::list<ForwardedCall,
+                             boost::intrusive::member_hook<ForwardedCall, decltype(ForwardedCall::inProgressHook), &ForwardedCall::inProgressHook>,
+                             boost::intrusive::constant_time_size<false>>
+{
+};
+
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/forwardedcallcaller.cpp
+++ b/src/turmericplank/gateway/forwardedcallcaller.cpp
@@ -39,6 +39,19 @@
     return m_isStreaming ? "streaming" : "sent";
 }
 
+void ForwardedCall::logCutOff() const
+{
+    telemetry::log(LogLevel::Warning, "requests", "cut off by the stop",
+                   {{"request", m_call.id},
+                    {"route", m_route.name},
+                    {"stage", stage()},
+                    {"from_peer", m_isFromPeer ? "yes" : "no"},
+                    {"endpoint", m_attempt ? m_attempt->choice.endpoint.text() : "none"},
+                    {"sends", static_cast<int>(m_attempts.sends())},
+                    {"events", m_events},
+                    {"after_ms", base::millisecondsBetween(m_arrivedAt, base::now())}});
+}
+
 void ForwardedCall::handleCallerDisconnect()
 {
     if (m_isFinished) {
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -14,6 +14,7 @@
     , m_answeredLineBudget(options.maxAnsweredLinesPerSecond)
     , m_peerLineBudget(options.maxAnsweredLinesPerSecond)
     , m_waitingCalls(std::make_unique<WaitingList>())
+    , m_calls(std::make_unique<CallList>())
 {
 }
 
@@ -46,6 +47,7 @@
         return;
     }
     const boost::intrusive_ptr<ForwardedCall> forwardedCall(new ForwardedCall(*this, exchange, std::move(call), routes, *route, limits, base::now()));
+    m_calls->push_back(*forwardedCall);
     forwardedCall->start();
 }
 
@@ -65,6 +67,14 @@
 void Forwarder::rejectNewCalls()
 {
     m_isRejectingNewCalls = true;
+    retryWaitingCalls();
+}
+
+void Forwarder::logCallsInProgress() const
+{
+    for (const auto &it : *m_calls) {
+        it.logCutOff();
+    }
 }
 
 void Forwarder::retryWaitingCalls()
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -39,6 +39,7 @@
 constexpr auto DirectoryTimeToLive = std::chrono::seconds(1); ///< some callers cache a response for three times as long
 constexpr int MaxCacheFactor = 3; ///< times DirectoryTimeToLive, the longest time for which callers cache a response
 constexpr auto RejectionTime = std::chrono::milliseconds(500); ///< that follows the cache time; new calls in it are rejected rather than reset
+constexpr auto StopSignalDelay = std::chrono::milliseconds(250); ///< in which the signal reaches a daemon that is short of processor time
 constexpr auto ShutdownReserve = std::chrono::milliseconds(500); ///< left before the platform kills the process
 constexpr std::size_t MinZoneEntries = 2; ///< so that one may be lost
 constexpr auto ContactSettleTime = std::chrono::seconds(3); ///< after contact was regained, until all daemons know and have closed connections
@@ -590,13 +591,14 @@
     const auto cacheTime = std::min<base::Duration>(DirectoryTimeToLive, m_impl->settings.bounds.maxDirectoryTimeToLive) * MaxCacheFactor;
     const auto latestEnd = now + m_impl->settings.bounds.shutdownTime - ShutdownReserve;
     const auto earliestEnd = std::min(now + cacheTime + RejectionTime, latestEnd);
-    daemon::callAt(m_impl->context, std::min(now + cacheTime, latestEnd), [this] { m_impl->forwarder.rejectNewCalls(); });
+    daemon::callAt(m_impl->context, std::min(now + cacheTime - StopSignalDelay, latestEnd), [this] { m_impl->forwarder.rejectNewCalls(); });
     daemon::callEvery(m_impl->context, DrainCheckInterval, [this, earliestEnd, latestEnd, onDrained = std::move(onDrained)] {
         const auto left = m_impl->forwarder.callsInProgress();
         const bool isDone = base::now() >= earliestEnd && (left == 0 || base::now() >= latestEnd);
         if (!isDone || std::exchange(m_impl->isDrained, true)) {
             return;
         }
+        m_impl->forwarder.logCallsInProgress();
         telemetry::log(LogLevel::Info, "daemon", "drained", {{"cut_off", std::uint64_t(left)}});
         onDrained();
     });
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -210,6 +210,11 @@
         m_forwarder.retryWaitingCalls();
     }
 
+    void rejectNewCalls()
+    {
+        m_forwarder.rejectNewCalls();
+    }
+
     boost::asio::io_context &context()
     {
         return m_context;
