Client accounts: API keys, and limits that all daemons keep together

Cause: nothing decoded the accounts of a configuration.

Change: a slice `accounts` of decisions. AccountTable finds the account of a key by its digest; endpoints get the account's name instead of the caller's key. UsageLimiter keeps a daemon's part of each limit, UsageAllocator at the lease holder divides limits by the demand that daemons report. Sites whose configuration has no accounts exchange nothing and forward headers as before.

Result: accounts/usagelimits_test replays one account on 7 to 410 daemons: 95 in 100 of the use within the limit is admitted, and no window exceeds the bound, also with a third of the daemons cut off and while the lease holder is replaced.

--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -1,7 +1,7 @@
 # The library has two tiers: decision slices are pure logic and include no socket library; shell slices turn received bytes
 # into events for the decision slices and the resulting actions into bytes to send.
 set(TURMERICPLANK_DECISION_SLICES base store configuration membership routing requests placement routes discovery
-    forwarding)
+    forwarding accounts)
 set(TURMERICPLANK_SHELL_SLICES telemetry net peer daemon gateway)
 
 function(turmericplank_slice_sources output)
--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "turmericplank/accounts/account.hpp"
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/time.hpp"
 #include "turmericplank/net/httptypes.hpp"
@@ -34,6 +35,8 @@
     std::optional<base::Duration> callerTimeout; ///< how long the caller waits, counted from the arrival of the call
     std::optional<std::uint64_t> lastEventId; ///< last event that the caller has received of the stream that it resumes
     std::string resumedCall; ///< id of the call that brought the first event of that stream; empty if not given
+    std::optional<accounts::KeyDigest> key; ///< of the API key, if there is exactly one
+    std::optional<std::uint64_t> statedTokens; ///< of the prompt and the longest answer, if the call states them
 
     friend bool operator==(const Call &, const Call &) = default;
 };
@@ -55,6 +58,9 @@
     std::optional<base::Duration> remainingTime; ///< until the timeout of the caller or the route
     std::uint32_t urgency = 5; ///< 0 is admitted first, 9 last; used by engines only
     std::optional<std::uint64_t> lastEventId; ///< the stream resumes after this event
+    /// Account of the caller, or an empty name; it replaces the caller's key and what the caller states as its account. Nothing if the site has no
+    /// accounts: the caller's headers are forwarded then.
+    std::optional<base::CallerName> account;
 
     friend bool operator==(const AttemptHeaders &, const AttemptHeaders &) = default;
 };
@@ -82,6 +88,8 @@
     NoConfiguration, ///< not run; no configuration is in force yet
     NoRoute, ///< not run; no route matches
     BadRequest, ///< not run; the request is malformed
+    UnknownKey, ///< not run; the call has no API key of an account
+    LimitExceeded, ///< not run; the account has used up its limit
     NoEndpoint, ///< not run; no endpoint of the service has capacity
     NotResident, ///< not run; the model or adapter is not resident on any engine yet
     VersionUnavailable, ///< not run; the stream cannot be resumed, since the software version that began it is unknown or gone
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 
+#include "turmericplank/accounts/usagelimiter.hpp"
 #include "turmericplank/forwarding/retrydelay.hpp"
 #include "turmericplank/forwarding/streamorigins.hpp"
 #include "turmericplank/forwarding/waiting.hpp"
@@ -47,6 +48,7 @@
     base::Duration incarnationTimeout = std::chrono::milliseconds(200); ///< of an engine's answer for its incarnation; its calls do not delay it
     base::Duration originMargin = std::chrono::seconds(5); ///< how long the origin of a stream is kept after its call's deadline
     std::uint32_t maxAnsweredLinesPerSecond = 100; ///< log lines for answered calls; lines for other calls are not limited here
+    std::uint32_t maxUnknownKeyLinesPerSecond = 5; ///< log lines for calls without the key of an account
     forwarding::RetryDelayOptions retryDelay;
 };
 
@@ -87,6 +89,8 @@
     std::function<void(const base::EndpointId &, std::optional<std::uint32_t>)> onRejectionTolerance;
     /// Called for each answer with the calls per second that the endpoint takes, or nothing if it states no limit.
     std::function<void(const base::EndpointId &, std::optional<double>)> onRateLimit;
+    std::function<accounts::UsageDecision(const accounts::Account &, const Call &)> admitUse; ///< counts a call of an account with a limit
+    std::function<void(const accounts::Account &, const Call &)> giveBackUse; ///< of an admitted call that never ran
 };
 
 /// @brief Forwards callers' calls to endpoints and returns the responses.
@@ -130,6 +134,8 @@
     struct CallList;
     using WaitingList = boost::intrusive::list<ForwardedCall, boost::intrusive::constant_time_size<false>>;
 
+    void rejectUnknownKey(const net::ExchangePointer &exchange, const Call &call, const routes::Route &route);
+    bool rejectOverLimit(const net::ExchangePointer &exchange, const Call &call, const accounts::Account &account);
     bool consumeRetryBudget(const base::ServiceName &service, base::Time now);
     requests::RetryBudget &retryBudget(const base::ServiceName &service);
     void recordDemand(const base::ServiceName &service, const Call &call);
@@ -140,6 +146,7 @@
     std::map<base::ServiceName, requests::RetryBudget> m_retryBudgets;
     telemetry::LogRateLimiter m_answeredLineBudget;
     telemetry::LogRateLimiter m_peerLineBudget;
+    telemetry::LogRateLimiter m_unknownKeyLineBudget;
     placement::DemandCounters m_demand;
     placement::TokenCostEstimator m_tokenCosts;
     double m_uncountedMilliseconds = 0; ///< fraction carried over to the next call
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -94,6 +94,12 @@
     /// @brief Sends a message to one daemon, if its address is known.
     void sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body);
 
+    /// @brief Asks one daemon, if its address is known.
+    /// @param timeout until when it must answer
+    /// @param onAnswer gets the answer; not called without one
+    void ask(const base::DaemonId &id, const std::string &kind, const std::string &body, base::Duration timeout,
+             std::function<void(std::string_view)> onAnswer);
+
     /// @brief Writes this daemon's row again, since the store may have lost it.
     void registerAgain();
 
--- a/include/turmericplank/routes/routetable.hpp
+++ b/include/turmericplank/routes/routetable.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "turmericplank/accounts/accounttable.hpp"
 #include "turmericplank/routes/siteconfiguration.hpp"
 
 namespace turmericplank::routes {
@@ -23,12 +24,17 @@
     /// @return null if no route matches
     const Route *find(std::string_view host, std::string_view path) const;
 
+    /// @brief The account that has an API key.
+    /// @return null if no account has it
+    const accounts::Account *findAccount(const accounts::KeyDigest &key) const;
+
     /// @brief The configuration version that contains the routes.
     const SiteConfiguration &configuration() const;
 
 private:
     std::shared_ptr<const SiteConfiguration> m_configuration;
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost; ///< longest prefix first
+    accounts::AccountTable m_accounts;
 };
 
 /// @brief Chooses the service of a call by the weights of its route; the same for all attempts of one request.
--- a/include/turmericplank/routes/siteconfiguration.hpp
+++ b/include/turmericplank/routes/siteconfiguration.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "turmericplank/accounts/account.hpp"
 #include "turmericplank/base/identifier.hpp"
 #include "turmericplank/base/number.hpp"
 #include "turmericplank/base/time.hpp"
@@ -36,6 +37,7 @@
     std::uint32_t rank = 0; ///< priority; zero is the most urgent
     std::uint32_t sendLimit = 1; ///< max endpoints that one call may be sent to
     std::vector<WeightedService> services;
+    bool isPublic = false; ///< calls need no API key
 
     friend bool operator==(const Route &, const Route &) = default;
 };
@@ -93,6 +95,7 @@
     std::vector<Route> routes;
     std::map<base::ServiceName, ServiceSpec> services;
     CallerBounds bounds;
+    std::optional<std::vector<accounts::Account>> accounts; ///< if set, calls carry the API key of an account unless their route is public
 
     friend bool operator==(const SiteConfiguration &, const SiteConfiguration &) = default;
 };
--- /dev/null
+++ b/src/turmericplank/accounts/account.cpp
@@ -0,0 +1,24 @@
+#include "turmericplank/accounts/account.hpp"
+
+#include <openssl/sha.h>
+
+namespace turmericplank::accounts {
+
+static_assert(std::tuple_size_v<KeyDigest> == SHA256_DIGEST_LENGTH);
+
+KeyDigest digestKey(std::string_view key)
+{
+    KeyDigest digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.data());
+    return digest;
+}
+
+double usageOf(const UsageLimit &limit, std::optional<std::uint64_t> statedTokens)
+{
+    if (limit.unit == UsageUnit::Calls) {
+        return 1;
+    }
+    return statedTokens ? static_cast<double>(*statedTokens) : limit.plainCallTokens;
+}
+
+} // namespace turmericplank::accounts
--- /dev/null
+++ b/src/turmericplank/accounts/usageallocator.cpp
@@ -0,0 +1,200 @@
+#include "turmericplank/accounts/usageallocator.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericplank::accounts {
+
+namespace {
+
+constexpr double FullLevelPart = 0.75; ///< of the burst; all calls are admitted while the bucket holds more
+
+double inSeconds(base::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Counters of a process that has started again begin at zero.
+double increase(double before, double after)
+{
+    return after >= before ? after - before : after;
+}
+
+} // namespace
+
+UsageAllocator::UsageAllocator(UsageAllocatorOptions options)
+    : m_options(options)
+{
+}
+
+void UsageAllocator::setAccounts(const std::vector<Account> &accounts, base::Time now)
+{
+    std::map<base::CallerName, State> states;
+    for (const auto &it : accounts) {
+        if (!it.limit.isLimited() || states.contains(it.name)) {
+            continue;
+        }
+        State state;
+        if (const auto known = m_states.find(it.name); known != m_states.end()) {
+            refill(known->second, now);
+            state = known->second;
+            state.level = std::min(state.level, it.limit.burst);
+            if (it.limit.perSecond < state.limit.perSecond) {
+                state.chargedFrom = now + m_options.changeTime;
+            }
+        }
+        state.limit = it.limit;
+        state.levelAt = now;
+        states.emplace(it.name, state);
+    }
+    m_states = std::move(states);
+    for (auto &[id, daemon] : m_daemons) {
+        std::erase_if(daemon.demands, [this](const auto &it) { return !m_states.contains(it.first); });
+    }
+}
+
+void UsageAllocator::setDaemonCount(std::size_t count)
+{
+    m_daemonCount = std::max<std::size_t>(1, count);
+}
+
+void UsageAllocator::reset(base::Time now)
+{
+    m_daemons.clear();
+    for (auto &[name, state] : m_states) {
+        state.level = 0;
+        state.levelAt = now;
+    }
+}
+
+bool UsageAllocator::isHeard(const Daemon &daemon, base::Time now) const
+{
+    return now < daemon.heardAt + m_options.reportLifetime;
+}
+
+void UsageAllocator::refill(State &state, base::Time now) const
+{
+    state.level = std::min(state.limit.burst, state.level + state.limit.perSecond * std::max(0.0, 1 - state.reserved) * inSeconds(now - state.levelAt));
+    state.levelAt = now;
+}
+
+void UsageAllocator::noteReport(const base::DaemonId &from, const std::vector<AccountUse> &uses, base::Time now)
+{
+    const auto [position, isNew] = m_daemons.try_emplace(from);
+    auto &daemon = position->second;
+    const bool wasHeard = !isNew && isHeard(daemon, now);
+    const auto elapsed = isNew ? 0 : inSeconds(now - daemon.heardAt);
+    const auto weight = [elapsed](base::Duration time) {
+        return 1 - std::exp(-elapsed / inSeconds(time));
+    };
+    std::map<base::CallerName, Demand> demands;
+    for (const auto &it : uses) {
+        const auto state = m_states.find(it.account);
+        if (state == m_states.end()) {
+            continue;
+        }
+        const auto known = daemon.demands.find(it.account);
+        Demand demand;
+        if (known != daemon.demands.end()) {
+            demand = known->second;
+        }
+        // The counters of a daemon that is new to this allocator may cover any time.
+        if (!isNew && elapsed > 0) {
+            const auto requested = increase(demand.reported.requested, it.requested);
+            const auto admitted = increase(demand.reported.admitted, it.admitted);
+            demand.perSecond += (requested / elapsed - demand.perSecond) * weight(m_options.demandTime);
+            demand.recentPerSecond += (requested / elapsed - demand.recentPerSecond) * weight(m_options.totalTime);
+            refill(state->second, now);
+            // What an unheard daemon was expected to use has already been left out of the shares of others.
+            const auto expected = wasHeard ? 0 : reservedShare(daemon, it.account, now) * state->second.limit.perSecond * elapsed;
+            if (now >= state->second.chargedFrom) {
+                state->second.level -= std::max(0.0, admitted - expected);
+            }
+        }
+        demand.reported = it;
+        demands.emplace(it.account, demand);
+    }
+    daemon.demands = std::move(demands);
+    daemon.heardAt = now;
+}
+
+double UsageAllocator::reservedShare(const Daemon &daemon, const base::CallerName &account, base::Time now) const
+{
+    const auto even = 1 / static_cast<double>(m_daemonCount);
+    if (now >= daemon.heardAt + m_options.shareLifetime) {
+        return even;
+    }
+    const auto demand = daemon.demands.find(account);
+    return demand == daemon.demands.end() ? EvenPart * even : demand->second.share;
+}
+
+void UsageAllocator::sumDemand(base::Time now)
+{
+    if (m_summedAt && now < *m_summedAt + m_options.sumInterval) {
+        return;
+    }
+    m_summedAt = now;
+    std::erase_if(m_daemons, [&](const auto &it) { return now >= it.second.heardAt + m_options.removalTime; });
+    const auto even = 1 / static_cast<double>(m_daemonCount);
+    // Daemons that were never heard count with an even share.
+    double reserved = even * static_cast<double>(m_daemonCount - std::min(m_daemonCount, m_daemons.size()));
+    for (const auto &[id, daemon] : m_daemons) {
+        reserved += isHeard(daemon, now) ? 0 : reservedShare(daemon, {}, now);
+    }
+    for (auto &[account, state] : m_states) {
+        state.demand = 0;
+        state.recentDemand = 0;
+        state.reserved = reserved;
+    }
+    for (const auto &[id, daemon] : m_daemons) {
+        const bool isCounted = isHeard(daemon, now);
+        for (const auto &[account, demand] : daemon.demands) {
+            auto &state = m_states.at(account);
+            if (isCounted) {
+                state.demand += demand.perSecond;
+                state.recentDemand += demand.recentPerSecond;
+            } else {
+                state.reserved += reservedShare(daemon, account, now) - reservedShare(daemon, {}, now);
+            }
+        }
+    }
+}
+
+UsageGrant UsageAllocator::grant(const base::CallerName &account, double demand, State &state, base::Time now) const
+{
+    refill(state, now);
+    const auto even = 1 / static_cast<double>(m_daemonCount);
+    const auto available = std::max(0.0, 1 - state.reserved);
+    const auto byDemand = state.demand > 0 ? std::min(1.0, demand / state.demand) : even;
+    const auto target = std::max(0.0, state.limit.perSecond * available + state.level / inSeconds(m_options.payBackTime));
+    const bool isWithinLimit = state.recentDemand <= target || state.level > state.limit.burst * FullLevelPart;
+    return {account, available * ((1 - EvenPart) * byDemand + EvenPart * even), isWithinLimit ? 1 : target / state.recentDemand};
+}
+
+std::vector<UsageGrant> UsageAllocator::grants(const base::DaemonId &daemon, base::Time now)
+{
+    sumDemand(now);
+    std::vector<UsageGrant> grants;
+    const auto own = m_daemons.find(daemon);
+    if (own == m_daemons.end()) {
+        return grants;
+    }
+    auto &demands = own->second.demands;
+    for (auto &[account, state] : m_states) {
+        const auto demand = demands.find(account);
+        const bool isReported = demand != demands.end();
+        if (!isReported && state.recentDemand <= state.limit.perSecond) {
+            continue;
+        }
+        auto it = grant(account, isReported ? demand->second.perSecond : 0, state, now);
+        if (isReported) {
+            demand->second.share = it.share;
+        }
+        if (isReported || it.admittedFraction < 1) {
+            grants.push_back(std::move(it));
+        }
+    }
+    return grants;
+}
+
+} // namespace turmericplank::accounts
--- /dev/null
+++ b/src/turmericplank/accounts/usagelimiter.cpp
@@ -0,0 +1,182 @@
+#include "turmericplank/accounts/usagelimiter.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace turmericplank::accounts {
+
+namespace {
+
+constexpr double CostWeight = 0.1; ///< of a call in the mean cost
+constexpr double SpareCalls = 1; ///< of mean cost, that a bucket holds beyond its share of the burst while grants are fresh
+constexpr double ContendedPart = 0.25; ///< of a bucket's depth; grants are renewed often while the bucket holds less
+
+double inSeconds(base::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+UsageLimiter::UsageLimiter(UsageLimiterOptions options)
+    : m_options(options)
+{
+}
+
+void UsageLimiter::setAccounts(const std::vector<Account> &accounts, base::Time now)
+{
+    std::unordered_map<base::CallerName, State> states;
+    for (const auto &it : accounts) {
+        if (!it.limit.isLimited() || states.contains(it.name)) {
+            continue;
+        }
+        const auto known = m_states.find(it.name);
+        State state;
+        if (known != m_states.end()) {
+            state = known->second;
+            refill(state, now);
+        }
+        state.limit = it.limit;
+        state.use.account = it.name;
+        state.levelAt = now;
+        const auto depth = share(state, now) * it.limit.burst;
+        state.level = known == m_states.end() ? depth : std::min(state.level, depth);
+        states.emplace(it.name, std::move(state));
+    }
+    m_states = std::move(states);
+}
+
+void UsageLimiter::setDaemonCount(std::size_t count)
+{
+    m_daemonCount = std::max<std::size_t>(1, count);
+}
+
+void UsageLimiter::applyGrants(const std::vector<UsageGrant> &grants, base::Time now)
+{
+    for (auto &[name, state] : m_states) {
+        refill(state, now);
+        state.extra = 0;
+        state.share = EvenPart / static_cast<double>(m_daemonCount);
+        state.admittedFraction = 1;
+    }
+    for (const auto &it : grants) {
+        const auto state = m_states.find(it.account);
+        if (state != m_states.end()) {
+            state->second.share = std::clamp(it.share, 0.0, 1.0);
+            state->second.admittedFraction = std::clamp(it.admittedFraction, 0.0, 1.0);
+        }
+    }
+    m_grantedAt = now;
+}
+
+double UsageLimiter::share(const State &state, base::Time now) const
+{
+    const bool isKnown = m_grantedAt && now < *m_grantedAt + m_options.shareLifetime;
+    return isKnown ? state.share : 1 / static_cast<double>(m_daemonCount);
+}
+
+double UsageLimiter::extraPerSecond(const State &state, double share) const
+{
+    const auto perSecond = state.limit.perSecond * share;
+    const auto calls = state.meanCost > 0 ? perSecond / state.meanCost : 0;
+    const auto deviation = std::sqrt(calls * state.meanSquareCost / inSeconds(m_options.demandTime));
+    return perSecond * (m_options.refillFactor - 1) + deviation * m_options.refillDeviations;
+}
+
+/// Without fresh grants, the extra refill since the last one is taken back: nobody corrects it any more.
+void UsageLimiter::refill(State &state, base::Time now) const
+{
+    const auto elapsed = inSeconds(now - std::exchange(state.levelAt, now));
+    const auto part = share(state, now);
+    const bool isFresh = m_grantedAt && now < *m_grantedAt + m_options.grantLifetime;
+    const auto depth = state.limit.burst * part + (isFresh ? state.meanCost * SpareCalls : 0);
+    if (!isFresh && std::exchange(state.isGranted, false)) {
+        const auto meanDebt = state.meanCost > 0 ? state.meanSquareCost / state.meanCost : 0;
+        state.level = std::min(depth, state.level) - std::exchange(state.extra, 0) - 2 * meanDebt * m_options.phase;
+    }
+    state.isGranted = isFresh;
+    state.level = std::min(depth, state.level + state.limit.perSecond * part * elapsed);
+    if (isFresh) {
+        const auto extra = std::min(depth - state.level, extraPerSecond(state, part) * elapsed);
+        state.level += extra;
+        state.extra += extra;
+    }
+}
+
+base::Duration UsageLimiter::retryAfter(const State &state, double units, base::Time now) const
+{
+    const auto perSecond = state.limit.perSecond * share(state, now) * state.admittedFraction;
+    const auto seconds = perSecond > 0 ? units / perSecond : inSeconds(m_options.maxRetryAfter);
+    const auto limited = std::clamp(seconds, inSeconds(m_options.minRetryAfter), inSeconds(m_options.maxRetryAfter));
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(limited));
+}
+
+UsageDecision UsageLimiter::admit(const base::CallerName &account, double cost, base::Time now, std::mt19937_64 &random)
+{
+    const auto it = m_states.find(account);
+    if (it == m_states.end()) {
+        return {};
+    }
+    auto &state = it->second;
+    refill(state, now);
+    // The allocator has forgotten the counters of an account that was not reported.
+    if (state.isUsed && now >= state.usedAt + m_options.reportTime) {
+        state.use.requested = 0;
+        state.use.admitted = 0;
+    }
+    state.isUsed = true;
+    state.usedAt = now;
+    state.use.requested += cost;
+    const auto weight = state.meanCost > 0 ? CostWeight : 1;
+    state.meanCost += (cost - state.meanCost) * weight;
+    state.meanSquareCost += (cost * cost - state.meanSquareCost) * weight;
+    if (state.level < 0) {
+        return {false, retryAfter(state, -state.level, now)};
+    }
+    if (state.admittedFraction < 1 && std::uniform_real_distribution<double>()(random) >= state.admittedFraction) {
+        return {false, retryAfter(state, cost, now)};
+    }
+    state.level -= cost;
+    state.use.admitted += cost;
+    return {};
+}
+
+void UsageLimiter::giveBack(const base::CallerName &account, double cost)
+{
+    const auto it = m_states.find(account);
+    if (it != m_states.end()) {
+        it->second.level += cost;
+        it->second.use.admitted -= cost;
+    }
+}
+
+std::vector<AccountUse> UsageLimiter::report(base::Time now) const
+{
+    std::vector<AccountUse> report;
+    for (const auto &[name, state] : m_states) {
+        if (state.isUsed && now < state.usedAt + m_options.reportTime) {
+            report.push_back(state.use);
+        }
+    }
+    std::ranges::sort(report);
+    return report;
+}
+
+bool UsageLimiter::hasLimits() const
+{
+    return !m_states.empty();
+}
+
+bool UsageLimiter::isContended() const
+{
+    return std::ranges::any_of(
+        m_states, [](const auto &it) { return it.second.admittedFraction < 1 || it.second.level < it.second.limit.burst * it.second.share * ContendedPart; });
+}
+
+std::size_t UsageLimiter::limitedAccounts() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_states, [](const auto &it) { return it.second.admittedFraction < 1 || it.second.level < 0; }));
+}
+
+} // namespace turmericplank::accounts
--- /dev/null
+++ b/src/turmericplank/accounts/usagelimits_test.cpp
@@ -0,0 +1,294 @@
+#include <algorithm>
+#include <deque>
+
+#include <doctest/doctest.h>
+
+#include "turmericplank/accounts/usageallocator.hpp"
+#include "turmericplank/accounts/usagelimiter.hpp"
+
+using namespace turmericplank;
+using namespace turmericplank::accounts;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Window = 8s;
+constexpr double Overage = 0.1;
+constexpr double Slack = 17000;
+constexpr double MeanCost = 1100;
+constexpr auto Step = 10ms;
+constexpr auto ExchangeDelay = 10ms;
+
+Account limitedAccount(double perSecond, double burst)
+{
+    Account it;
+    it.name = base::CallerName("acme");
+    it.limit = {UsageUnit::Tokens, perSecond, burst, 200};
+    return it;
+}
+
+/// Daemons that divide the limit of one account, in simulated time; an allocator that all of them reach unless they are cut off.
+class Site
+{
+public:
+    Site(std::size_t count, double perSecond, std::uint64_t seed)
+        : m_accounts{limitedAccount(perSecond, perSecond)}
+        , m_random(seed)
+    {
+        m_allocator.setAccounts(m_accounts, m_now);
+        m_allocator.setDaemonCount(count);
+        for (std::size_t n = 0; n < count; ++n) {
+            m_daemons.emplace_back(static_cast<double>(n) / static_cast<double>(count));
+            m_daemons[n].limiter.setAccounts(m_accounts, m_now);
+            m_daemons[n].limiter.setDaemonCount(count);
+            m_daemons[n].lastExchange = m_now - Step * static_cast<int>(n % 100);
+        }
+    }
+
+    /// Plays calls that come at random.
+    /// @param demand units per second over all daemons
+    /// @param firstPart part of the demand that the first daemon gets; the rest is spread evenly
+    void play(base::Duration time, double demand, double firstPart)
+    {
+        const auto end = m_now + time;
+        const double perStep = demand / MeanCost * std::chrono::duration<double>(Step).count();
+        for (; m_now < end; m_now += Step) {
+            const int calls = std::poisson_distribution<int>(perStep)(m_random);
+            for (int n = 0; n < calls; ++n) {
+                const bool isFirst = std::uniform_real_distribution<double>()(m_random) < firstPart;
+                submit(isFirst ? 0 : m_random() % m_daemons.size());
+            }
+            exchange();
+        }
+    }
+
+    void cutOff(std::size_t count)
+    {
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            m_daemons[n].isCutOff = n < count;
+        }
+    }
+
+    /// The daemon that allocates dies; another one takes over after some time.
+    void replaceAllocator(base::Duration pause)
+    {
+        m_allocatorFrom = m_now + pause;
+        m_allocator.reset(m_now + pause);
+    }
+
+    void setLimit(double perSecond)
+    {
+        m_accounts = {limitedAccount(perSecond, perSecond)};
+        m_allocator.setAccounts(m_accounts, m_now);
+        for (auto &it : m_daemons) {
+            it.limiter.setAccounts(m_accounts, m_now);
+        }
+    }
+
+    /// Most units that were admitted in a window, in multiples of what the limit allows there.
+    double worstWindow() const
+    {
+        const auto &limit = m_accounts.front().limit;
+        const double seconds = std::chrono::duration<double>(Window).count();
+        return m_worst / ((limit.perSecond * seconds + limit.burst) * (1 + Overage) + Slack);
+    }
+
+    void restartMeasurement()
+    {
+        m_admitted.clear();
+        m_inWindow = m_worst = m_total = m_requested = 0;
+    }
+
+    double admittedPerSecond(base::Duration time) const
+    {
+        return m_total / std::chrono::duration<double>(time).count();
+    }
+
+    double admittedShare() const
+    {
+        return m_total / m_requested;
+    }
+
+private:
+    struct Daemon
+    {
+        explicit Daemon(double phase)
+            : limiter(optionsAt(phase))
+        {
+        }
+
+        static UsageLimiterOptions optionsAt(double phase)
+        {
+            UsageLimiterOptions it;
+            it.phase = phase;
+            return it;
+        }
+
+        UsageLimiter limiter;
+        base::Time lastExchange;
+        std::optional<std::pair<base::Time, std::vector<UsageGrant>>> grants; ///< on their way
+        bool isCutOff = false;
+    };
+
+    void submit(std::size_t index)
+    {
+        const double cost = std::min(8000.0, 300 + std::exponential_distribution<double>(1 / (MeanCost - 300))(m_random));
+        m_requested += cost;
+        if (!m_daemons[index].limiter.admit(m_accounts.front().name, cost, m_now, m_random).isAdmitted) {
+            return;
+        }
+        m_total += cost;
+        m_admitted.emplace_back(m_now, cost);
+        m_inWindow += cost;
+        while (m_admitted.front().first + Window <= m_now) {
+            m_inWindow -= m_admitted.front().second;
+            m_admitted.pop_front();
+        }
+        m_worst = std::max(m_worst, m_inWindow);
+    }
+
+    void exchange()
+    {
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            auto &it = m_daemons[n];
+            if (it.grants && m_now >= it.grants->first) {
+                it.limiter.applyGrants(it.grants->second, m_now);
+                it.grants.reset();
+            }
+            const auto contended = std::max<base::Duration>(250ms, 2ms * static_cast<int>(m_daemons.size()));
+            const auto interval = it.limiter.isContended() ? contended : std::max<base::Duration>(1s, contended);
+            if (m_now < it.lastExchange + interval) {
+                continue;
+            }
+            it.lastExchange = m_now;
+            if (!it.isCutOff && m_now >= m_allocatorFrom) {
+                const base::DaemonId id("d" + std::to_string(n));
+                m_allocator.noteReport(id, it.limiter.report(m_now), m_now);
+                it.grants.emplace(m_now + ExchangeDelay, m_allocator.grants(id, m_now));
+            }
+        }
+    }
+
+    std::vector<Account> m_accounts;
+    std::mt19937_64 m_random;
+    base::Time m_now = base::Time() + 100s;
+    UsageAllocator m_allocator;
+    base::Time m_allocatorFrom;
+    std::vector<Daemon> m_daemons;
+    std::deque<std::pair<base::Time, double>> m_admitted;
+    double m_inWindow = 0;
+    double m_worst = 0;
+    double m_total = 0;
+    double m_requested = 0;
+};
+
+} // namespace
+
+TEST_CASE("an account within its limit is served on all daemons, also if one of them gets half of its calls")
+{
+    for (const std::size_t count : {7, 86, 295, 410}) {
+        for (const double firstPart : {0.0, 0.5}) {
+            CAPTURE(count);
+            CAPTURE(firstPart);
+            Site site(count, 446000, 1);
+            site.play(5s, 0.9 * 446000, firstPart);
+            site.restartMeasurement();
+            site.play(20s, 0.9 * 446000, firstPart);
+            CHECK(site.admittedShare() >= 0.95);
+            CHECK(site.worstWindow() <= 1);
+        }
+    }
+}
+
+TEST_CASE("an account that suddenly sends many times its limit uses no more than it may, and all of that")
+{
+    for (const std::size_t count : {7, 86, 295, 410}) {
+        for (const double limit : {446000.0, 80000.0, 17000.0}) {
+            for (const double factor : {2.0, 4.7}) {
+                CAPTURE(count);
+                CAPTURE(limit);
+                CAPTURE(factor);
+                Site site(count, limit, 2);
+                site.play(10s, limit / 1.8, 0);
+                site.play(12s, factor * limit, 0);
+                CHECK(site.worstWindow() <= 1);
+                site.restartMeasurement();
+                site.play(20s, factor * limit, 0);
+                CHECK(site.admittedPerSecond(20s) >= 0.95 * limit);
+                CHECK(site.worstWindow() <= 1);
+            }
+        }
+    }
+}
+
+TEST_CASE("a small account within its limit is served although its share on one daemon is less than one call")
+{
+    for (const std::size_t count : {7, 86}) {
+        CAPTURE(count);
+        Site site(count, 17000, 3);
+        site.play(30s, 17000 / 1.8, 0);
+        CHECK(site.admittedShare() >= 0.95);
+    }
+}
+
+TEST_CASE("daemons without contact to the allocator do not take an account over its limit")
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        CAPTURE(seed);
+        Site site(86, 446000, seed);
+        site.play(10s, 446000 / 1.8, 0);
+        site.cutOff(29);
+        site.restartMeasurement();
+        site.play(10s, 0.9 * 446000, 0);
+        CHECK(site.admittedShare() >= 0.9);
+        site.play(15s, 4.7 * 446000, 0);
+        site.cutOff(0);
+        site.play(15s, 4.7 * 446000, 0);
+        CHECK(site.worstWindow() <= 1);
+    }
+}
+
+TEST_CASE("the limit holds while the allocator is replaced")
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        for (const double limit : {446000.0, 17000.0}) {
+            CAPTURE(seed);
+            CAPTURE(limit);
+            Site site(86, limit, seed);
+            site.play(10s, limit / 1.8, 0);
+            site.replaceAllocator(5s);
+            site.play(20s, 4.7 * limit, 0);
+            site.replaceAllocator(5s);
+            site.play(20s, 4.7 * limit, 0);
+            CHECK(site.worstWindow() <= 1);
+        }
+    }
+}
+
+TEST_CASE("a limit that falls to a tenth binds one window later")
+{
+    Site site(86, 446000, 5);
+    site.play(10s, 446000 / 1.8, 0);
+    site.setLimit(446000 / 18.0);
+    site.play(3s, 446000 / 1.8, 0);
+    site.restartMeasurement();
+    site.play(20s, 446000 / 1.8, 0);
+    CHECK(site.worstWindow() <= 1);
+    CHECK(site.admittedPerSecond(20s) >= 0.95 * 446000 / 18.0);
+}
+
+TEST_CASE("the cost of a call that never ran is given back")
+{
+    UsageLimiter limiter;
+    std::mt19937_64 random(1);
+    const base::Time now = base::Time() + 100s;
+    limiter.setAccounts({limitedAccount(100, 100)}, now);
+    const base::CallerName account("acme");
+    CHECK(limiter.admit(account, 150, now, random).isAdmitted);
+    const auto refused = limiter.admit(account, 150, now, random);
+    CHECK_FALSE(refused.isAdmitted);
+    CHECK(refused.retryAfter == 500ms);
+    limiter.giveBack(account, 150);
+    CHECK(limiter.admit(account, 150, now, random).isAdmitted);
+    CHECK(limiter.admit(base::CallerName("unlimited"), 1e9, now, random).isAdmitted);
+}
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -48,6 +48,10 @@
         return "no_route";
     case RejectionReason::BadRequest:
         return "bad_request";
+    case RejectionReason::UnknownKey:
+        return "unknown_key";
+    case RejectionReason::LimitExceeded:
+        return "limit_exceeded";
     case RejectionReason::NoEndpoint:
         return "no_endpoint";
     case RejectionReason::NotResident:
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -42,18 +42,19 @@
     return routes::chooseService(route, call.resumedCall.empty() ? call.id : call.resumedCall);
 }
 
-ForwardedCall::ForwardedCall(Forwarder &forwarder, net::ExchangePointer exchange, Call call, std::shared_ptr<const routes::RouteTable> routes,
-                             const routes::Route &route, const std::optional<CallLimits> &limits, base::Time now)
+ForwardedCall::ForwardedCall(Forwarder &forwarder, net::ExchangePointer exchange, Call call, CallContext context, const std::optional<CallLimits> &limits,
+                             base::Time now)
     : m_forwarder(forwarder)
     , m_callsInProgress(forwarder.m_callsInProgress)
     , m_exchange(std::move(exchange))
     , m_call(std::move(call))
     , m_contents(contentFingerprints(m_call, m_exchange->request()))
-    , m_routes(std::move(routes))
-    , m_route(route)
-    , m_service(chosenService(route, m_call))
+    , m_routes(std::move(context.routes))
+    , m_route(context.route)
+    , m_account(context.account)
+    , m_service(chosenService(m_route, m_call))
     , m_arrivedAt(now)
-    , m_attempts(route.kind, maxSends(route, limits), finalDeadline(route, m_call, limits, now))
+    , m_attempts(m_route.kind, maxSends(m_route, limits), finalDeadline(m_route, m_call, limits, now))
     , m_lastEvent(m_call.lastEventId)
     , m_deadlineTimer(forwarder.m_dependencies.context)
     , m_overlapTimer(forwarder.m_dependencies.context)
@@ -311,9 +312,20 @@
     }
 }
 
+/// Its account did not use what a call costs that never ran; another daemon's call was counted there.
+void ForwardedCall::giveBackUse() const
+{
+    if (m_account != nullptr && !m_isFromPeer) {
+        m_forwarder.m_dependencies.giveBackUse(*m_account, m_call);
+    }
+}
+
 void ForwardedCall::reject(RejectionReason reason)
 {
     const auto now = base::now();
+    if (!m_attempts.mayHaveRun()) {
+        giveBackUse();
+    }
     Rejection rejection{reason, std::nullopt};
     const bool mayBeServedLater = reason != RejectionReason::VersionUnavailable && reason != RejectionReason::CrashesEndpoints;
     if (reason == RejectionReason::Draining) {
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -46,12 +46,19 @@
     bool isRelaying = false; ///< events are forwarded to the caller as they arrive
 };
 
+/// @brief What the configuration says of a call when it arrives.
+struct CallContext
+{
+    std::shared_ptr<const routes::RouteTable> routes; ///< keeps the others alive
+    const routes::Route &route;
+    const accounts::Account *account = nullptr; ///< null if the site has no accounts or the route is public
+};
+
 /// @brief Forwards one call to an endpoint, with retries, and its response to the caller.
 class ForwardedCall : public boost::intrusive_ref_counter<ForwardedCall, boost::thread_unsafe_counter>, public WaitingListHook
 {
 public:
-    ForwardedCall(Forwarder &forwarder, net::ExchangePointer exchange, Call call, std::shared_ptr<const routes::RouteTable> routes, const routes::Route &route,
-                  const std::optional<CallLimits> &limits, base::Time now);
+    ForwardedCall(Forwarder &forwarder, net::ExchangePointer exchange, Call call, CallContext context, const std::optional<CallLimits> &limits, base::Time now);
     ~ForwardedCall();
 
     /// @brief Starts the first attempt, or waits for an endpoint.
@@ -122,6 +129,7 @@
     void recordPace();
     routing::AttemptOutcome routerOutcome(const CallAttempt &attempt, forwarding::SendResult end) const;
     void respondToCaller(net::HttpResponse response);
+    void giveBackUse() const;
     void reject(RejectionReason reason);
     void rejectAfter(forwarding::NextStep step);
     bool isLeftToOtherDaemons() const;
@@ -147,6 +155,7 @@
     std::vector<requests::Fingerprint> m_parts; ///< of the prompt, without the last one
     std::shared_ptr<const routes::RouteTable> m_routes; ///< keeps m_route alive
     const routes::Route &m_route;
+    const accounts::Account *m_account;
     base::ServiceName m_service;
     base::ModelName m_qualifiedModel;
     base::Time m_arrivedAt;
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -36,6 +36,9 @@
     if (m_route.kind.isStreamed) {
         head.lastEventId = m_lastEvent;
     }
+    if (m_routes->configuration().accounts) {
+        head.account = m_account == nullptr ? base::CallerName() : m_account->name;
+    }
     return head;
 }
 
--- a/src/turmericplank/gateway/forwardedcallpeer.cpp
+++ b/src/turmericplank/gateway/forwardedcallpeer.cpp
@@ -124,6 +124,7 @@
         return;
     }
     if (impliesNotRun(status)) {
+        giveBackUse();
         // The peer logs why, but its log may be lost with it.
         telemetry::log(LogLevel::Warning, "requests", "refused",
                        {{"request", m_call.id},
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -13,6 +13,7 @@
     , m_options(options)
     , m_answeredLineBudget(options.maxAnsweredLinesPerSecond)
     , m_peerLineBudget(options.maxAnsweredLinesPerSecond)
+    , m_unknownKeyLineBudget(options.maxUnknownKeyLinesPerSecond)
     , m_waitingCalls(std::make_unique<WaitingList>())
     , m_calls(std::make_unique<CallList>())
 {
@@ -46,11 +47,44 @@
         exchange->respond(m_dependencies.wire.makeRejection({reason, retryAfter}));
         return;
     }
-    const boost::intrusive_ptr<ForwardedCall> forwardedCall(new ForwardedCall(*this, exchange, std::move(call), routes, *route, limits, base::now()));
+    const auto *account = call.key ? routes->findAccount(*call.key) : nullptr;
+    if (account == nullptr && routes->configuration().accounts && !route->isPublic) {
+        rejectUnknownKey(exchange, call, *route);
+        return;
+    }
+    // The use of a call that another daemon forwards has been counted there.
+    if (account != nullptr && !limits && rejectOverLimit(exchange, call, *account)) {
+        return;
+    }
+    const boost::intrusive_ptr<ForwardedCall> forwardedCall(
+        new ForwardedCall(*this, exchange, std::move(call), {routes, *route, account}, limits, base::now()));
     m_calls->push_back(*forwardedCall);
     forwardedCall->start();
 }
 
+void Forwarder::rejectUnknownKey(const net::ExchangePointer &exchange, const Call &call, const routes::Route &route)
+{
+    const auto &configuration = m_dependencies.siteState.routes()->configuration();
+    if (m_unknownKeyLineBudget.tryAcquire(base::now())) {
+        telemetry::log(telemetry::LogLevel::Warning, "accounts", "unknown key",
+                       {{"request", call.id}, {"route", route.name}, {"key", call.key ? "unknown" : "none"}, {"revision", configuration.revision.value()}});
+    }
+    m_dependencies.metrics.count("requests_total{outcome=\"" + std::string(toString(RejectionReason::UnknownKey)) + "\"}");
+    exchange->respond(m_dependencies.wire.makeRejection({RejectionReason::UnknownKey, std::nullopt}));
+}
+
+/// @return whether the call is beyond the account's limit, and so was rejected
+bool Forwarder::rejectOverLimit(const net::ExchangePointer &exchange, const Call &call, const accounts::Account &account)
+{
+    const auto decision = m_dependencies.admitUse(account, call);
+    if (decision.isAdmitted) {
+        return false;
+    }
+    m_dependencies.metrics.count("requests_total{outcome=\"" + std::string(toString(RejectionReason::LimitExceeded)) + "\"}");
+    exchange->respond(m_dependencies.wire.makeRejection({RejectionReason::LimitExceeded, decision.retryAfter}));
+    return true;
+}
+
 std::optional<base::ServiceName> Forwarder::serviceOf(const net::HttpRequest &request) const
 {
     const auto call = m_dependencies.wire.decodeCall(request);
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "gatewayoptions.hpp"
 #include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/gateway/accountlimits.hpp"
 #include "turmericplank/gateway/contactexchange.hpp"
 #include "turmericplank/gateway/contactshares.hpp"
 #include "turmericplank/gateway/crashexchange.hpp"
@@ -75,6 +76,7 @@
         , endpointRefresh(
               context, [this, read = siteStore.readEndpoints](const ReadCallback<EndpointsSnapshot> &onDone) { readVersions(read, onDone); },
               [this](const auto &entries) { originExchange.noteEndpoints(entries); })
+        , accountLimits(context, settings.id, siteState, *mesh, peers, metrics, random)
         , originExchange(context, streamOrigins, *mesh, peers, siteStore.table, settings.isFirstStart)
         , peerForwarder(*mesh, peers, peerContact, forwarder, siteState, pool, metrics, random)
         , contactExchange(context, *mesh, peers, peerContact)
@@ -145,8 +147,10 @@
             },
             [this](const base::ServiceName &, const base::ModelName &) { peers.sendStatus(); },
             [this](const base::EndpointId &endpoint, std::optional<std::uint32_t> tolerance) { rejectionLimits.noteAnswer(endpoint, tolerance, base::now()); },
-            [this](const base::EndpointId &endpoint, std::optional<double> callsPerSecond) {
-                rateLimits.noteAnswer(endpoint, callsPerSecond, base::now());
+            [this](const base::EndpointId &endpoint, std::optional<double> callsPerSecond) { rateLimits.noteAnswer(endpoint, callsPerSecond, base::now()); },
+            [this](const accounts::Account &account, const Call &call) { return accountLimits.admit(account, call, base::now()); },
+            [this](const accounts::Account &account, const Call &call) {
+                accountLimits.giveBack(account, call);
             }};
     }
 
@@ -424,6 +428,7 @@
         const auto &bounds = siteState.routes()->configuration().bounds;
         callerServer->setLimits(bounds.headerBytes, bounds.bodyBytes, bounds.requestTimeout, bounds.idleTimeout);
         setConnectionLimits();
+        accountLimits.updateConfiguration(base::now());
         placementRunner.updateConfiguration();
         peers.sendStatus();
     }
@@ -550,6 +555,7 @@
     PlacementRunner placementRunner;
     Peers peers;
     EndpointRefresh endpointRefresh;
+    AccountLimits accountLimits;
     StreamOriginExchange originExchange;
     PeerContact peerContact;
     PeerForwarder peerForwarder;
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -212,6 +212,29 @@
     }
 }
 
+void Peers::ask(const base::DaemonId &id, const std::string &kind, const std::string &body, base::Duration timeout,
+                std::function<void(std::string_view)> onAnswer)
+{
+    const auto it = m_peers.find(id);
+    if (it == m_peers.end() || !it->second.record) {
+        return;
+    }
+    peer::PeerCall call;
+    call.kind = kind;
+    call.body = body;
+    call.timeout = timeout;
+    const auto answer = std::make_shared<std::string>();
+    call.onChunk = [answer](std::string_view chunk) {
+        answer->append(chunk);
+    };
+    call.onEnd = [answer, onAnswer = std::move(onAnswer)](const tl::expected<void, peer::PeerFailure> &result) {
+        if (result) {
+            onAnswer(*answer);
+        }
+    };
+    m_mesh.call(it->second.record->peerAddress, std::move(call));
+}
+
 /// Daemons that are listed and have not been heard yet are asked as well, since this one may have just started.
 void Peers::askNearby(const std::string &kind, const std::string &body, base::Duration timeout, std::function<bool(std::string_view)> onAnswer,
                       std::function<void()> onDone)
--- a/src/turmericplank/gateway/scriptedengine.hpp
+++ b/src/turmericplank/gateway/scriptedengine.hpp
@@ -94,6 +94,7 @@
 
     std::vector<std::vector<EngineStep>> scripts; ///< of the next calls; without one, a call is rejected
     std::vector<std::string> received; ///< Last-Event-Id of each call, empty if it had none
+    std::vector<net::Headers> receivedHeaders; ///< of each call
     int abandoned = 0; ///< calls whose connection was closed before the end of their script
     std::uint64_t incarnation = 1;
     bool answersStateRequests = true;
@@ -122,6 +123,7 @@
         run->steps = scripts.size() > received.size() ? scripts[received.size()] : step(EngineStep::Kind::Reject);
         run->lastEvent = last.empty() ? 0 : std::stoull(last);
         received.push_back(last);
+        receivedHeaders.push_back(exchange->request().headers);
         exchange->setOnClosed([this, run] {
             run->isAbandoned = true;
             ++abandoned;
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -93,6 +93,8 @@
         const std::string last(header(request.headers, "Last-Event-Id"));
         call.lastEventId = last.empty() ? std::optional<std::uint64_t>() : std::stoull(last);
         call.resumedCall = std::string(header(request.headers, "Resumes"));
+        const auto key = header(request.headers, "Key");
+        call.key = key.empty() ? std::nullopt : std::optional(accounts::digestKey(key));
         const std::string timeout(header(request.headers, "Timeout-Ms"));
         call.callerTimeout = timeout.empty() ? std::optional<base::Duration>() : std::chrono::milliseconds(std::stoll(timeout));
         std::istringstream parts{std::string(header(request.headers, "Prompt"))};
@@ -110,6 +112,9 @@
         if (head.remainingTime) {
             attempt.headers.push_back({"Remaining-Ms", std::to_string(base::inMilliseconds(*head.remainingTime))});
         }
+        if (head.account) {
+            attempt.headers.push_back({"Account", head.account->text()});
+        }
         if (head.lastEventId) {
             attempt.headers.push_back({"Last-Event-Id", std::to_string(*head.lastEventId)});
         }
@@ -131,6 +136,9 @@
         return headers;
     };
     wire.makeRejection = [](const Rejection &rejection) {
+        if (rejection.reason == RejectionReason::UnknownKey || rejection.reason == RejectionReason::LimitExceeded) {
+            return net::HttpResponse{rejection.reason == RejectionReason::UnknownKey ? 401 : 429, {}, std::string(toString(rejection.reason))};
+        }
         const bool mayHaveRun = rejection.reason == RejectionReason::OutcomeUnknown || rejection.reason == RejectionReason::TimedOut;
         return net::HttpResponse{mayHaveRun ? 502 : 503, {}, std::string(toString(rejection.reason))};
     };
@@ -177,6 +185,16 @@
         m_streamOrigins.noteVersions(versions, base::now());
     }
 
+    /// Puts a configuration with accounts in force, as a later revision than that of the site.
+    void setAccounts(std::uint64_t revision, std::vector<accounts::Account> accounts)
+    {
+        auto it = configuration(2);
+        it->revision = base::Revision(revision);
+        it->accounts = std::move(accounts);
+        it->routes.back().isPublic = true;
+        m_siteState.applyConfiguration(it, base::now());
+    }
+
     /// Begins a call.
     boost::intrusive_ptr<FakeExchange> begin(net::Headers headers, std::string target = "/r/x", std::string body = "question")
     {
@@ -291,7 +309,13 @@
                 [] {},
                 [](const base::ServiceName &, const base::ModelName &) {},
                 [](const base::EndpointId &, std::optional<std::uint32_t>) {},
-                [](const base::EndpointId &, std::optional<double>) {
+                [](const base::EndpointId &, std::optional<double>) {},
+                [this](const accounts::Account &account, const Call &) {
+                    ++admissions[account.name];
+                    return accounts::UsageDecision{!isLimitReached, std::chrono::milliseconds(250)};
+                },
+                [this](const accounts::Account &account, const Call &) {
+                    --admissions[account.name];
                 }};
     }
 
@@ -327,6 +351,8 @@
     std::map<forwarding::CallDigest, std::string> remoteOrigins; ///< known to daemons that are asked
     requests::CrashHistory crashHistory{crashHistoryOptions()};
     int refreshes = 0; ///< requests for a read of the entries
+    std::map<base::CallerName, int> admissions; ///< calls that count toward the limit of each account
+    bool isLimitReached = false; ///< of all accounts
 
 private:
     WireFormat m_wire = testWireFormat();
--- a/src/turmericplank/routes/routetable.cpp
+++ b/src/turmericplank/routes/routetable.cpp
@@ -15,6 +15,9 @@
     for (auto &[host, routes] : m_byHost) {
         std::ranges::stable_sort(routes, [](const auto *a, const auto *b) { return a->prefix.size() > b->prefix.size(); });
     }
+    if (m_configuration->accounts) {
+        m_accounts = accounts::AccountTable(*m_configuration->accounts);
+    }
 }
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
@@ -27,6 +30,11 @@
     return it == found->second.end() ? nullptr : *it;
 }
 
+const accounts::Account *RouteTable::findAccount(const accounts::KeyDigest &key) const
+{
+    return m_accounts.find(key);
+}
+
 const SiteConfiguration &RouteTable::configuration() const
 {
     return *m_configuration;
