One budget bounds the memory and the connections that callers occupy

Cause: nothing bounded what connections held in sum, nor what one of them held beside headers and body.

Change: net/callerbudget counts the bytes and uses of all connections of a process; incomplete requests without progress give way first, then the response of which most is unread. The buffer of a connection has a maximum, so that a trailer or a line of a chunk that does not end gets 431.

--- a/include/turmericplank/gateway/settings.hpp
+++ b/include/turmericplank/gateway/settings.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
 #include <string>
 
 #include "turmericplank/base/address.hpp"
@@ -36,6 +38,8 @@
     base::Address peerAddress; ///< accepts messages from other daemons
     base::Address metricsAddress;
     SiteBounds bounds;
+    std::optional<std::size_t> memoryBytes; ///< of the VM
+    std::optional<std::size_t> maxDescriptors; ///< that the process may open
     bool isFirstStart = true; ///< the whole system starts for the first time, so that missing rows were not written yet
 
     friend bool operator==(const Settings &, const Settings &) = default;
--- a/include/turmericplank/net/httpserver.hpp
+++ b/include/turmericplank/net/httpserver.hpp
@@ -9,6 +9,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "turmericplank/net/callerbudget.hpp"
 #include "turmericplank/net/httptypes.hpp"
 
 namespace turmericplank::net {
@@ -52,6 +53,7 @@
     CallerDisconnected, ///< the caller closed the connection before the end of the response
     WriteFailed, ///< the response could not be written
     Aborted, ///< the handler ended the response early
+    OverBudget, ///< the connection gave way to others
     CrossedClose, ///< bytes of another request arrived after the last response, which had announced the end of the connection
 };
 
@@ -67,6 +69,7 @@
     base::Duration requestTimeout = std::chrono::seconds(10); ///< from a request's first byte to its last; a slower request is answered with status 408
     base::Duration idleTimeout = std::chrono::seconds(75); ///< between two requests on a connection
     base::Duration writeTimeout = std::chrono::seconds(20); ///< for one write; the caller is disconnected if the socket has not accepted it by then
+    CallerBudgetPointer budget; ///< shared by the servers of a process; no bound if null
     std::function<void(ExchangePointer)> onRequest;
     /// Builds the response to a request that exceeds a limit or cannot be parsed, for a given HTTP status.
     std::function<HttpResponse(int status)> onBadRequest;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -42,14 +42,16 @@
 constexpr auto RejectionTime = std::chrono::milliseconds(500); ///< that follows the cache time; new calls in it are rejected rather than reset
 constexpr auto StopSignalDelay = std::chrono::milliseconds(250); ///< in which the signal reaches a daemon that is short of processor time
 constexpr auto ShutdownReserve = std::chrono::milliseconds(500); ///< left before the platform kills the process
+constexpr std::uint32_t MaxDroppedLinesPerSecond = 5;
 constexpr std::size_t MinZoneEntries = 2; ///< so that one may be lost
 constexpr auto ContactSettleTime = std::chrono::seconds(3); ///< after contact was regained, until all daemons know and have closed connections
 
-std::unique_ptr<net::HttpServer> listen(boost::asio::io_context &context, const base::Address &address, std::function<void(net::ExchangePointer)> onRequest,
-                                        std::function<void(net::UnansweredCause)> onUnanswered = {})
+std::unique_ptr<net::HttpServer> listen(boost::asio::io_context &context, const base::Address &address, const net::CallerBudgetPointer &budget,
+                                        std::function<void(net::ExchangePointer)> onRequest, std::function<void(net::UnansweredCause)> onUnanswered = {})
 {
     net::HttpServerOptions options;
     options.listen = address;
+    options.budget = budget;
     options.onRequest = std::move(onRequest);
     options.onUnanswered = std::move(onUnanswered);
     return net::listenHttp(context, options);
@@ -83,11 +85,11 @@
         , crashExchange(context, crashHistory, siteStore.table, [this](const std::string &body) { peers.sendToStatusPeers(CrashesKind, body); })
     {
         callerServer = listen(
-            context, settings.callerAddress, [this](const net::ExchangePointer &it) { forwarder.handleCall(it); },
+            context, settings.callerAddress, budget, [this](const net::ExchangePointer &it) { forwarder.handleCall(it); },
             [this](net::UnansweredCause cause) { metrics.count("caller_connections_unanswered_total{cause=\"" + std::string(toString(cause)) + "\"}"); });
-        readinessServer = listen(context, settings.readinessAddress, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
-        directoryServer = listen(context, settings.directoryAddress, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
-        metricsServer = listen(context, settings.metricsAddress, [this](const net::ExchangePointer &it) { answerMetrics(it); });
+        readinessServer = listen(context, settings.readinessAddress, budget, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
+        directoryServer = listen(context, settings.directoryAddress, budget, [this](const net::ExchangePointer &it) { answerEntryRequest(it); });
+        metricsServer = listen(context, settings.metricsAddress, budget, [this](const net::ExchangePointer &it) { answerMetrics(it); });
         daemon::callEvery(context, ForwarderOptions().waitingRetryInterval, [this] { forwarder.retryWaitingCalls(); });
         observeLoopDelay(context, metrics);
         daemon::callEvery(context, ContactInterval, [this] { checkContact(); });
@@ -219,6 +221,19 @@
         }
     }
 
+    net::CallerBudgetPointer makeCallerBudget()
+    {
+        auto options = callerBudgetOptions(settings);
+        options.onGiveWay = [this](net::GiveWayCause cause) {
+            metrics.count("caller_connections_dropped_total{cause=\"" + std::string(toString(cause)) + "\"}");
+            if (droppedLineBudget.tryAcquire(base::now())) {
+                telemetry::log(LogLevel::Warning, "callers", "dropped a connection to bound what callers occupy",
+                               {{"cause", toString(cause)}, {"bytes", std::uint64_t(budget->bytes())}, {"connections", std::uint64_t(budget->connections())}});
+            }
+        };
+        return net::CallerBudgetPointer(new net::CallerBudget(std::move(options)));
+    }
+
     Peers::Callbacks peerCallbacks()
     {
         Peers::Callbacks callbacks;
@@ -531,6 +546,8 @@
         metrics.setGauge("endpoint_connections", static_cast<double>(pool.openConnectionCount()));
         metrics.setGauge("endpoint_connections_opened", static_cast<double>(pool.openedTotal()));
         metrics.setGauge("endpoints_connections_fail", static_cast<double>(pool.failures().failingCount()));
+        metrics.setGauge("caller_bytes_held", static_cast<double>(budget->bytes()));
+        metrics.setGauge("caller_connections", static_cast<double>(budget->connections()));
         metrics.setGauge("mesh_bytes", static_cast<double>(mesh->bytesTransferred()));
         telemetry::updateProcessMetrics(metrics);
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text()});
@@ -561,6 +578,8 @@
     PeerForwarder peerForwarder;
     ContactExchange contactExchange;
     CrashExchange crashExchange;
+    telemetry::LogRateLimiter droppedLineBudget{MaxDroppedLinesPerSecond};
+    net::CallerBudgetPointer budget = makeCallerBudget();
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> readinessServer;
     std::unique_ptr<net::HttpServer> directoryServer;
--- a/src/turmericplank/gateway/gatewayoptions.cpp
+++ b/src/turmericplank/gateway/gatewayoptions.cpp
@@ -45,6 +45,20 @@
     return options;
 }
 
+net::CallerBudgetOptions callerBudgetOptions(const Settings &settings)
+{
+    constexpr std::size_t MemoryPart = 4; ///< the rest is for answers, other daemons and the process itself
+    constexpr std::size_t DescriptorPart = 2; ///< the rest is for endpoints and other daemons
+    net::CallerBudgetOptions options;
+    if (settings.memoryBytes) {
+        options.maxBytes = *settings.memoryBytes / MemoryPart;
+    }
+    if (settings.maxDescriptors) {
+        options.maxConnections = std::max<std::size_t>(1, *settings.maxDescriptors / DescriptorPart);
+    }
+    return options;
+}
+
 peer::MeshOptions meshOptions(const Settings &settings)
 {
     peer::MeshOptions options;
--- a/src/turmericplank/gateway/gatewayoptions.hpp
+++ b/src/turmericplank/gateway/gatewayoptions.hpp
@@ -2,6 +2,7 @@
 
 #include "turmericplank/gateway/settings.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
+#include "turmericplank/net/callerbudget.hpp"
 #include "turmericplank/peer/mesh.hpp"
 #include "turmericplank/routing/router.hpp"
 
@@ -13,6 +14,9 @@
 /// @brief Intervals of reads of the store, from the times in which changes must be in force.
 SiteStateUpdaterOptions updaterOptions(const SiteBounds &bounds);
 
+/// @brief Bounds of what callers occupy, from the memory and the descriptors of the VM.
+net::CallerBudgetOptions callerBudgetOptions(const Settings &settings);
+
 /// @brief Options of the connections to the other daemons.
 peer::MeshOptions meshOptions(const Settings &settings);
 
--- a/src/turmericplank/net/httpserver.cpp
+++ b/src/turmericplank/net/httpserver.cpp
@@ -66,6 +66,8 @@
         return "write_failed";
     case UnansweredCause::Aborted:
         return "aborted";
+    case UnansweredCause::OverBudget:
+        return "over_budget";
     case UnansweredCause::CrossedClose:
         return "crossed_close";
     }
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -1,5 +1,6 @@
 #include "turmericplank/net/serverconnection.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -31,7 +32,8 @@
 
 int statusForParseError(const beast::error_code &ec)
 {
-    if (ec == http::error::header_limit) {
+    // A line of a chunk or a trailer does not fit into the buffer.
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
         return 431;
     }
     if (ec == http::error::body_limit) {
@@ -48,7 +50,7 @@
 class Connection;
 using ConnectionPointer = boost::intrusive_ptr<Connection>;
 
-class Connection final : public ExchangeSink
+class Connection final : public ExchangeSink, private BudgetMember
 {
 public:
     Connection(tcp::socket socket, boost::intrusive_ptr<ServerState> serverState)
@@ -58,6 +60,16 @@
     {
     }
 
+    /// Begins to read, unless the budget has no room for one more connection.
+    void start()
+    {
+        if (m_serverState->options.budget && !m_serverState->options.budget->add(*this)) {
+            close();
+            return;
+        }
+        readRequest();
+    }
+
     void readRequest()
     {
         if (m_buffer.size() > 0) {
@@ -65,6 +77,8 @@
             return;
         }
         m_stream.expires_never();
+        m_buffer.shrink_to_fit();
+        noteProgress(m_hasServed ? ConnectionUse::Idle : ConnectionUse::Unproven);
         m_idleSince = base::now();
         armIdleTimer();
         m_stream.async_read_some(m_buffer.prepare(ReadSize), [self = ConnectionPointer(this)](beast::error_code ec, std::size_t n) {
@@ -89,12 +103,14 @@
         if (!m_isWriting) {
             writeNext();
         }
+        noteProgress(ConnectionUse::Answering);
     }
 
     void endExchange(bool keepsAlive) override
     {
         m_closesAfterWrite = !keepsAlive || m_serverState->isStopping;
         m_current = nullptr;
+        m_currentBytes = 0;
         m_isResponseQueued = true;
         if (!m_isWriting) {
             onResponseWritten();
@@ -200,13 +216,61 @@
     void readMessage()
     {
         m_parser.emplace();
+        m_parser->eager(true);
         m_parser->header_limit(static_cast<std::uint32_t>(m_serverState->options.maxHeaderBytes));
         m_parser->body_limit(m_serverState->options.maxBodyBytes);
+        // Headers, a line of a chunk or all trailers are parsed once they are in the buffer as a whole.
+        m_buffer.max_size(std::max(m_serverState->options.maxHeaderBytes, MaxReadAhead) + 2 * ReadSize);
         m_stream.expires_never();
         m_hasTimedOut = false;
         m_requestTimer.expires_after(m_serverState->options.requestTimeout);
         m_requestTimer.async_wait([self = ConnectionPointer(this)](beast::error_code ec) { self->onRequestTimeout(ec); });
-        http::async_read(m_stream, m_buffer, *m_parser, [self = ConnectionPointer(this)](beast::error_code ec, std::size_t) { self->onRead(ec); });
+        readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(m_stream, m_buffer, *m_parser, [self = ConnectionPointer(this)](beast::error_code ec, std::size_t) {
+            if (ec || self->m_parser->is_done()) {
+                self->onRead(ec);
+                return;
+            }
+            self->noteProgress(ConnectionUse::Incomplete);
+            if (self->m_hasGivenWay) {
+                self->onRead({});
+                return;
+            }
+            self->readSome();
+        });
+    }
+
+    std::size_t requestBytes() const
+    {
+        return m_buffer.capacity() + m_currentBytes + (m_parser ? m_parser->get().body().capacity() : 0);
+    }
+
+    void noteProgress(ConnectionUse use)
+    {
+        if (m_serverState->options.budget && !m_isClosed) {
+            m_serverState->options.budget->note(*this, use, requestBytes(), m_queuedBytes);
+        }
+    }
+
+    /// An incomplete request has not been run and never will be, so its caller is told; a response that is not read ends unfinished.
+    void giveWay(GiveWayCause cause) override
+    {
+        const auto guard = ConnectionPointer(this);
+        m_hasGivenWay = true;
+        if (cause == GiveWayCause::Memory && m_parser && !m_current) {
+            beast::error_code ignored;
+            m_stream.socket().cancel(ignored);
+            return;
+        }
+        if (m_parser || m_current) {
+            reportUnanswered(UnansweredCause::OverBudget);
+        }
+        // The response may be in the middle of being written.
+        asio::post(m_stream.get_executor(), [guard] { guard->close(); });
     }
 
     /// Cancels the read but keeps the socket open for the error response to the slow sender.
@@ -223,6 +287,10 @@
     void onRead(beast::error_code ec)
     {
         m_requestTimer.cancel();
+        if (m_hasGivenWay) {
+            rejectRequest(503);
+            return;
+        }
         if (ec && m_hasTimedOut) {
             rejectRequest(408);
             return;
@@ -237,9 +305,14 @@
             return;
         }
         auto message = m_parser->release();
+        m_parser.reset();
+        m_hasServed = true;
         m_wantsKeepAlive = message.keep_alive();
         m_isHttp10 = message.version() < 11;
         HttpRequest request{std::string(message.method_string()), std::string(message.target()), toHeaders(message), std::move(message.body())};
+        // The body is copied for each endpoint that the request is sent to.
+        m_currentBytes = 2 * request.body.capacity();
+        noteProgress(ConnectionUse::Answering);
         const auto exchange = boost::intrusive_ptr<ServerExchange>(new ServerExchange(SinkPointer(this), std::move(request)));
         m_current = exchange.get();
         watchForDisconnect();
@@ -254,6 +327,7 @@
     {
         const auto &callback = m_serverState->options.onBadRequest;
         const auto response = callback ? callback(status) : plainTextError(status);
+        m_parser.reset();
         m_closesAfterWrite = true;
         m_isResponseQueued = true;
         m_isRequestRejected = true;
@@ -306,6 +380,7 @@
                 return;
             }
             self->m_stream.expires_never();
+            self->noteProgress(ConnectionUse::Answering);
             if (!self->m_queue.empty()) {
                 self->writeNext();
             } else if (self->m_isResponseQueued) {
@@ -368,6 +443,7 @@
     void discardInput()
     {
         m_buffer.consume(m_buffer.size());
+        m_buffer.shrink_to_fit();
         m_stream.async_read_some(m_buffer.prepare(ReadSize), [self = ConnectionPointer(this)](beast::error_code ec, std::size_t n) {
             self->noteDiscarded(n);
             if (ec) {
@@ -390,8 +466,11 @@
     std::deque<std::string> m_queue;
     std::vector<std::string> m_inFlight;
     std::size_t m_queuedBytes = 0;
+    std::size_t m_currentBytes = 0; ///< of the request that is being answered
     bool m_isWriting = false;
     bool m_hasTimedOut = false;
+    bool m_hasGivenWay = false; ///< to other connections
+    bool m_hasServed = false; ///< has brought a whole request
     bool m_isClosed = false;
     bool m_isResponseQueued = false;
     bool m_closesAfterWrite = false;
@@ -408,7 +487,7 @@
 void startConnection(tcp::socket socket, boost::intrusive_ptr<ServerState> serverState)
 {
     const auto connection = ConnectionPointer(new Connection(std::move(socket), std::move(serverState)));
-    connection->readRequest();
+    connection->start();
 }
 
 } // namespace turmericplank::net
