--- a/src/turmericplank/gateway/accountlimits.cpp
+++ b/src/turmericplank/gateway/accountlimits.cpp
@@ -70,7 +70,8 @@
         telemetry::log(LogLevel::Info, "accounts", "in force",
                        {{"revision", m_siteState.routes()->configuration().revision.value()},
                         {"accounts", std::uint64_t(accounts->size())},
-                        {"limited", static_cast<std::uint64_t>(limited)}});
+                        {"limited", static_cast<std::uint64_t>(limited)},
+                        {"priorities", std::uint64_t(m_siteState.routes()->accountPriorities().size())}});
     }
 }
 
