--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -50,7 +50,8 @@
 /// store up to date.
 ///
 /// With models it is an engine that streams numbered events, each with a line that names its software version; without models it
-/// sends each answer in one piece. GET /runs returns the number of runs of each request; POST /drain makes the endpoint report
+/// sends each answer in one piece. GET /runs returns the number of runs of each request, GET /accounts that of each account, and how
+/// many calls came with a key; POST /drain makes the endpoint report
 /// that it is draining, POST /leave makes it say so in its answers only. POST /shed?seconds=N makes it reject calls and ask for a
 /// pause; GET /shed returns how many came. POST /pause?ms=N makes the streams in progress send nothing for this long, and then go on.
 /// POST /crash-part?id=ID makes an engine crash when it has begun to answer a prompt that has this part before its last one. POST
@@ -101,6 +102,10 @@
             exchange->respond(jsonResponse(200, m_runs));
             return;
         }
+        if (path == "/accounts") {
+            exchange->respond(jsonResponse(200, {{"runs", m_runsByAccount}, {"keys", m_keysSeen}}));
+            return;
+        }
         if (path == "/drain") {
             m_isDraining = true;
             exchange->respond({204, {}, {}});
@@ -322,6 +327,8 @@
             crash();
         }
         ++m_runs[id];
+        ++m_runsByAccount[std::string(header(request.headers, "Tenant"))];
+        m_keysSeen += header(request.headers, "Authorization").empty() ? 0 : 1;
         net::Headers headers{{"Request-Id", id}, {"Server-Seal", "seal-" + m_options.id}, {"Content-Type", isEngine() ? "text/event-stream" : "text/plain"}};
         if (m_isLeaving || m_isDraining) {
             headers.push_back({"Server-Leaving", "1"});
@@ -391,6 +398,8 @@
     Options m_options;
     std::map<std::string, std::set<std::string>> m_models;
     std::map<std::string, int> m_runs;
+    std::map<std::string, int> m_runsByAccount; ///< by the Tenant header
+    int m_keysSeen = 0; ///< calls that came with a key
     std::int64_t m_startedAt = base::toMilliseconds(base::now());
     std::uint64_t m_heartbeatSequence = 0;
     std::uint64_t m_orderSequence = 0;
