--- a/src/turmericplank/forwarding/callorder_test.cpp
+++ b/src/turmericplank/forwarding/callorder_test.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr CallPlace mostUrgent{0, 3};
-constexpr CallPlace leastUrgent{2, 3};
+constexpr CallPlace MostUrgent{0, 3};
+constexpr CallPlace LeastUrgent{2, 3};
 
 /// What became of the calls of one kind.
 struct Outcome
@@ -38,7 +38,7 @@
     constexpr std::size_t Places = 16;
     constexpr std::size_t QueueLimit = 33;
     constexpr std::array<double, 2> Objectives{0.4, 6.0};
-    constexpr std::array<CallPlace, 2> CallPlaces{mostUrgent, leastUrgent};
+    constexpr std::array<CallPlace, 2> CallPlaces{MostUrgent, LeastUrgent};
     const std::array<double, 2> rates{liveCallsPerSecond, batchCallsPerSecond};
     std::array<Outcome, 2> outcomes;
     std::array<std::deque<double>, 2> queues; // arrival times
@@ -103,11 +103,11 @@
 
 TEST_CASE("a call is sent wherever a place is free, and to a queue only if it begins within its objective")
 {
-    CHECK_FALSE(mustNotQueue(leastUrgent, {15.5, 16, 900ms}, 400ms));
-    CHECK_FALSE(mustNotQueue(mostUrgent, {18, 16, 200ms}, 400ms));
-    CHECK(mustNotQueue(mostUrgent, {18, 16, 300ms}, 400ms));
-    CHECK_FALSE(mustNotQueue(leastUrgent, {21, 16, 500ms}, 6s));
-    CHECK(mustNotQueue(leastUrgent, {22, 16, 500ms}, 6s));
+    CHECK_FALSE(mustNotQueue(LeastUrgent, {15.5, 16, 900ms}, 400ms));
+    CHECK_FALSE(mustNotQueue(MostUrgent, {18, 16, 200ms}, 400ms));
+    CHECK(mustNotQueue(MostUrgent, {18, 16, 300ms}, 400ms));
+    CHECK_FALSE(mustNotQueue(LeastUrgent, {21, 16, 500ms}, 6s));
+    CHECK(mustNotQueue(LeastUrgent, {22, 16, 500ms}, 6s));
 }
 
 TEST_CASE("services with fewer than three priorities keep no order")
