--- a/include/turmericplank/accounts/usageallocator.hpp
+++ b/include/turmericplank/accounts/usageallocator.hpp
@@ -20,6 +20,7 @@
     base::Duration reportLifetime = std::chrono::seconds(2); ///< a daemon that is not heard for longer counts as using its last share
     base::Duration shareLifetime = std::chrono::seconds(10); ///< after which such a daemon uses an even share
     base::Duration payBackTime = std::chrono::seconds(2); ///< in which use beyond the limit is made up for
+    base::Duration maxDebtTime = std::chrono::seconds(8); ///< of the limit, to which use beyond it is remembered
     base::Duration changeTime = std::chrono::seconds(3); ///< until a lower limit is in force on all daemons
     base::Duration settleTime = std::chrono::milliseconds(1500); ///< until a new allocator has two reports of each daemon
     base::Duration removalTime = std::chrono::seconds(60); ///< a daemon that is not heard for longer is forgotten
@@ -84,6 +85,7 @@
     bool isHeard(const Daemon &daemon, base::Time now) const;
     double reservedShare(const Daemon &daemon, const base::CallerName &account, base::Time now) const;
     void refill(State &state, base::Time now) const;
+    void charge(State &state, double units, base::Time now) const;
     void sumDemand(base::Time now);
     UsageGrant grant(const base::CallerName &account, double demand, State &state, base::Time now) const;
 
--- a/include/turmericplank/gateway/accountlimits.hpp
+++ b/include/turmericplank/gateway/accountlimits.hpp
@@ -48,6 +48,7 @@
     void giveBack(const accounts::Account &account, const Call &call);
 
 private:
+    bool updateRole(base::Time now);
     void exchange(base::Time now);
     void noteDecision(const base::CallerName &account, bool isAdmitted, base::Time now);
 
--- a/include/turmericplank/net/callerbudget.hpp
+++ b/include/turmericplank/net/callerbudget.hpp
@@ -36,9 +36,14 @@
 public:
     virtual ~BudgetMember();
 
-    /// @brief Ends the connection, or the request that it brings; called at most once. The bytes count as released.
+    /// @brief Ends the connection, or the request that it brings; called at most once. The bytes count as released, the
+    /// connection counts until it leaves the budget.
     virtual void giveWay(GiveWayCause cause) = 0;
 
+protected:
+    /// @brief Leaves the budget before the end of the object.
+    void leaveBudget();
+
 private:
     friend class CallerBudget;
 
@@ -84,6 +89,12 @@
     /// @brief Bytes that all connections hold.
     std::size_t bytes() const;
 
+    /// @brief Whether connections hold more than they may, although all that could give way have done so.
+    bool isExceeded() const;
+
+    /// @brief Bytes up to which a connection never gives way for memory.
+    std::size_t smallBytes() const;
+
     /// @brief Number of connections.
     std::size_t connections() const;
 
--- a/src/turmericplank/accounts/account.cpp
+++ b/src/turmericplank/accounts/account.cpp
@@ -1,5 +1,7 @@
 #include "turmericplank/accounts/account.hpp"
 
+#include <algorithm>
+
 #include <openssl/sha.h>
 
 namespace turmericplank::accounts {
@@ -18,7 +20,8 @@
     if (limit.unit == UsageUnit::Calls) {
         return 1;
     }
-    return statedTokens ? static_cast<double>(*statedTokens) : limit.plainCallTokens;
+    // No call is free, whatever it states.
+    return std::max(1.0, statedTokens ? static_cast<double>(*statedTokens) : limit.plainCallTokens);
 }
 
 } // namespace turmericplank::accounts
--- a/src/turmericplank/accounts/accounttable_test.cpp
+++ b/src/turmericplank/accounts/accounttable_test.cpp
@@ -58,5 +58,6 @@
     const UsageLimit tokens{UsageUnit::Tokens, 1000, 1000, 200};
     CHECK(usageOf(tokens, 1540) == 1540);
     CHECK(usageOf(tokens, std::nullopt) == 200);
+    CHECK(usageOf(tokens, 0) == 1);
     CHECK(usageOf(UsageLimit{UsageUnit::Calls, 10, 10, 200}, 1540) == 1);
 }
--- a/src/turmericplank/accounts/usageallocator.cpp
+++ b/src/turmericplank/accounts/usageallocator.cpp
@@ -14,10 +14,14 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/// Counters of a process that has started again begin at zero.
-double increase(double before, double after)
+/// What a daemon has counted since its last report. The counters of a process that has started again begin at zero, which the requested units
+/// show; the admitted ones fall as well when a call that never ran is given back.
+AccountUse increase(const AccountUse &before, const AccountUse &after)
 {
-    return after >= before ? after - before : after;
+    if (after.requested < before.requested) {
+        return after;
+    }
+    return {after.account, after.requested - before.requested, after.admitted - before.admitted};
 }
 
 } // namespace
@@ -70,7 +74,7 @@
 
 bool UsageAllocator::isSettled(base::Time now) const
 {
-    return !m_resetAt || now >= *m_resetAt + m_options.settleTime;
+    return m_resetAt && now >= *m_resetAt + m_options.settleTime;
 }
 
 /// Follows a rise at once, since a caller that comes to a daemon sends several calls before a longer average shows it.
@@ -112,16 +116,12 @@
         }
         // The counters of a daemon that is new to this allocator may cover any time.
         if (!isNew && elapsed > 0) {
-            const auto requested = increase(demand.reported.requested, it.requested);
-            const auto admitted = increase(demand.reported.admitted, it.admitted);
-            demand.perSecond += (requested / elapsed - demand.perSecond) * weight(m_options.demandTime);
-            demand.recentPerSecond += (requested / elapsed - demand.recentPerSecond) * weight(m_options.totalTime);
-            refill(state->second, now);
+            const auto use = increase(demand.reported, it);
+            demand.perSecond += (use.requested / elapsed - demand.perSecond) * weight(m_options.demandTime);
+            demand.recentPerSecond += (use.requested / elapsed - demand.recentPerSecond) * weight(m_options.totalTime);
             // What an unheard daemon was expected to use has already been left out of the shares of others.
             const auto expected = wasHeard ? 0 : reservedShare(daemon, it.account, now) * state->second.limit.perSecond * elapsed;
-            if (now >= state->second.chargedFrom) {
-                state->second.level -= std::max(0.0, admitted - expected);
-            }
+            charge(state->second, wasHeard ? use.admitted : std::max(0.0, use.admitted - expected), now);
         }
         demand.reported = it;
         demands.emplace(it.account, demand);
@@ -130,6 +130,16 @@
     daemon.heardAt = now;
 }
 
+/// Use beyond a few seconds of the limit is not remembered: one call may state any number of tokens.
+void UsageAllocator::charge(State &state, double units, base::Time now) const
+{
+    refill(state, now);
+    if (now >= state.chargedFrom) {
+        const auto lowest = -(state.limit.burst + state.limit.perSecond * inSeconds(m_options.maxDebtTime));
+        state.level = std::clamp(state.level - units, lowest, state.limit.burst);
+    }
+}
+
 double UsageAllocator::reservedShare(const Daemon &daemon, const base::CallerName &account, base::Time now) const
 {
     const auto even = 1 / static_cast<double>(m_daemonCount);
--- a/src/turmericplank/accounts/usagelimiter.cpp
+++ b/src/turmericplank/accounts/usagelimiter.cpp
@@ -150,7 +150,7 @@
     const auto it = m_states.find(account);
     if (it != m_states.end()) {
         it->second.level += cost;
-        it->second.use.admitted -= cost;
+        it->second.use.admitted = std::max(0.0, it->second.use.admitted - cost);
     }
 }
 
--- a/src/turmericplank/accounts/usagelimits_test.cpp
+++ b/src/turmericplank/accounts/usagelimits_test.cpp
@@ -37,6 +37,7 @@
     {
         m_allocator.setAccounts(m_accounts, m_now);
         m_allocator.setDaemonCount(count);
+        m_allocator.reset(m_now);
         for (std::size_t n = 0; n < count; ++n) {
             m_daemons.emplace_back(static_cast<double>(n) / static_cast<double>(count));
             m_daemons[n].limiter.setAccounts(m_accounts, m_now);
@@ -336,3 +337,49 @@
     CHECK(limiter.admit(account, 150, now, random).isAdmitted);
     CHECK(limiter.admit(base::CallerName("unlimited"), 1e9, now, random).isAdmitted);
 }
+
+TEST_CASE("a call that is given back after it was reported does not look like a restart of its daemon")
+{
+    UsageAllocator allocator;
+    base::Time now = base::Time() + 100s;
+    allocator.setAccounts({limitedAccount(1000, 1000)}, now);
+    allocator.setDaemonCount(1);
+    allocator.reset(now);
+    const base::DaemonId daemon("d1");
+    const base::CallerName account("acme");
+    const auto report = [&](double requested, double admitted) {
+        now += 1s;
+        allocator.noteReport(daemon, {{account, requested, admitted}}, now);
+    };
+    report(1e8, 1e8);
+    report(1e8 + 500, 1e8 + 500);
+    report(1e8 + 500, 1e8);
+    report(1e8 + 600, 1e8 + 100);
+    const auto grants = allocator.grants(daemon, now);
+    REQUIRE(grants.size() == 1);
+    CHECK(grants.front().admittedFraction == 1);
+}
+
+TEST_CASE("a call that states any number of tokens does not block its account for longer than a window")
+{
+    UsageAllocator allocator;
+    base::Time now = base::Time() + 100s;
+    allocator.setAccounts({limitedAccount(1000, 1000)}, now);
+    allocator.setDaemonCount(1);
+    allocator.reset(now);
+    const base::DaemonId daemon("d1");
+    const base::CallerName account("acme");
+    allocator.noteReport(daemon, {{account, 0, 0}}, now);
+    allocator.noteReport(daemon, {{account, 8e9, 8e9}}, now + 1s);
+    for (int n = 0; n < 12; ++n) {
+        allocator.noteReport(daemon, {{account, 8e9 + 500 * n, 8e9}}, now + 2s + n * 1s);
+    }
+    const auto grants = allocator.grants(daemon, now + 13s);
+    REQUIRE(grants.size() == 1);
+    CHECK(grants.front().admittedFraction == 1);
+}
+
+TEST_CASE("an allocator that was never told to begin grants nothing")
+{
+    CHECK_FALSE(UsageAllocator().isSettled(base::Time() + 100s));
+}
--- a/src/turmericplank/forwarding/callorder.cpp
+++ b/src/turmericplank/forwarding/callorder.cpp
@@ -32,7 +32,8 @@
         return false;
     }
     const auto part = static_cast<double>(place.levels - place.level) / static_cast<double>(place.levels);
-    return load.expectedFirst > std::chrono::duration_cast<base::Duration>(objective * ObjectivePart) || waiting >= part * load.concurrency;
+    const bool hasObjective = objective > base::Duration(0);
+    return (hasObjective && load.expectedFirst > std::chrono::duration_cast<base::Duration>(objective * ObjectivePart)) || waiting >= part * load.concurrency;
 }
 
 std::uint32_t urgency(const CallPlace &account, const CallPlace &place, bool isDeferrable)
--- a/src/turmericplank/forwarding/callorder_test.cpp
+++ b/src/turmericplank/forwarding/callorder_test.cpp
@@ -108,6 +108,7 @@
     CHECK(mustNotQueue(MostUrgent, {18, 16, 300ms}, 400ms));
     CHECK_FALSE(mustNotQueue(LeastUrgent, {21, 16, 500ms}, 6s));
     CHECK(mustNotQueue(LeastUrgent, {22, 16, 500ms}, 6s));
+    CHECK_FALSE(mustNotQueue(MostUrgent, {18, 16, 900ms}, 0s)); // a route without an objective
 }
 
 TEST_CASE("services with fewer than three priorities keep no order")
--- a/src/turmericplank/gateway/accountlimits.cpp
+++ b/src/turmericplank/gateway/accountlimits.cpp
@@ -43,11 +43,11 @@
         if (!uses) {
             telemetry::log(LogLevel::Warning, "accounts", "cannot decode a report", {{"daemon", from.text()}, {"bytes", std::uint64_t(body.size())}});
         }
-        if (!uses || !m_peers.isLeaseHolder()) {
+        const auto now = base::now();
+        if (!uses || !updateRole(now)) {
             answer.reject();
             return;
         }
-        const auto now = base::now();
         m_allocator.noteReport(from, *uses, now);
         if (!m_allocator.isSettled(now)) {
             answer.reject();
@@ -103,8 +103,24 @@
     }
 }
 
+/// A daemon that becomes the lease holder knows nothing of the use so far; reports may come before it notices by itself.
+/// @return whether this daemon divides the limits
+bool AccountLimits::updateRole(base::Time now)
+{
+    const auto isHolder = m_peers.isLeaseHolder();
+    if (isHolder) {
+        m_allocator.setDaemonCount(m_peers.otherDaemonCount() + 1);
+    }
+    if (isHolder && !m_isAllocating) {
+        m_allocator.reset(now);
+    }
+    m_isAllocating = isHolder;
+    return isHolder;
+}
+
 void AccountLimits::exchange(base::Time now)
 {
+    updateRole(now);
     std::erase_if(m_refusedAt, [now](const auto &it) {
         const bool isOver = now >= it.second + RefusalEndTime;
         if (isOver) {
@@ -124,14 +140,8 @@
     m_reportedAt = now;
     m_limiter.setDaemonCount(daemons);
     m_metrics.setGauge("accounts_limited", static_cast<double>(m_limiter.limitedAccounts()));
-    const auto isHolder = m_peers.isLeaseHolder();
-    if (isHolder && !m_isAllocating) {
-        m_allocator.reset(now);
-    }
-    m_isAllocating = isHolder;
     const auto report = m_limiter.report(now);
-    if (isHolder) {
-        m_allocator.setDaemonCount(daemons);
+    if (updateRole(now)) {
         m_allocator.noteReport(m_self, report, now);
         if (m_allocator.isSettled(now)) {
             m_limiter.applyGrants(m_allocator.grants(m_self, now), now);
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -323,7 +323,7 @@
 /// Its account did not use what a call costs that never ran; another daemon's call was counted there.
 void ForwardedCall::giveBackUse() const
 {
-    if (m_account != nullptr && !m_isFromPeer) {
+    if (m_account != nullptr && !m_isFromPeer && !m_route.isPublic) {
         m_forwarder.m_dependencies.giveBackUse(*m_account, m_call);
     }
 }
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -52,7 +52,7 @@
 {
     std::shared_ptr<const routes::RouteTable> routes; ///< keeps the others alive
     const routes::Route &route;
-    const accounts::Account *account = nullptr; ///< null if the site has no accounts or the route is public
+    const accounts::Account *account = nullptr; ///< null if the call has no key of an account, as on public routes
 };
 
 /// @brief Forwards one call to an endpoint, with retries, and its response to the caller.
--- a/src/turmericplank/gateway/forwardedcallcaller.cpp
+++ b/src/turmericplank/gateway/forwardedcallcaller.cpp
@@ -58,6 +58,10 @@
         return;
     }
     const auto lastStage = stage();
+    const bool isSent = lastStage != "waiting" && lastStage != "connecting";
+    if (!isSent && !m_attempts.mayHaveRun()) {
+        giveBackUse();
+    }
     abandonAttempts(routing::AttemptOutcome::Cancelled);
     m_forwarder.m_dependencies.metrics.count("callers_left_total{stage=\"" + std::string(lastStage) + "\"}");
     telemetry::log(LogLevel::Info, "requests", "caller disconnected",
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -52,8 +52,8 @@
         rejectUnknownKey(exchange, call, *route);
         return;
     }
-    // The use of a call that another daemon forwards has been counted there.
-    if (account != nullptr && !limits && rejectOverLimit(exchange, call, *account)) {
+    // The use of a call that another daemon forwards has been counted there; a public route is open to all callers.
+    if (account != nullptr && !limits && !route->isPublic && rejectOverLimit(exchange, call, *account)) {
         return;
     }
     const boost::intrusive_ptr<ForwardedCall> forwardedCall(
--- a/src/turmericplank/gateway/gatewayoptions.cpp
+++ b/src/turmericplank/gateway/gatewayoptions.cpp
@@ -56,6 +56,8 @@
     if (settings.maxDescriptors) {
         options.maxConnections = std::max<std::size_t>(1, *settings.maxDescriptors / DescriptorPart);
     }
+    constexpr std::size_t MinSmallBytes = 16U * 1024; // the largest headers
+    options.smallBytes = std::clamp(options.maxBytes / 2 / options.maxConnections, MinSmallBytes, options.smallBytes);
     return options;
 }
 
--- a/src/turmericplank/net/callerbudget.cpp
+++ b/src/turmericplank/net/callerbudget.cpp
@@ -11,6 +11,11 @@
 }
 
 BudgetMember::~BudgetMember()
+{
+    leaveBudget();
+}
+
+void BudgetMember::leaveBudget()
 {
     if (m_budget) {
         m_budget->remove(*this);
@@ -67,6 +72,16 @@
     return m_bytes;
 }
 
+bool CallerBudget::isExceeded() const
+{
+    return m_bytes > m_options.maxBytes;
+}
+
+std::size_t CallerBudget::smallBytes() const
+{
+    return m_options.smallBytes;
+}
+
 std::size_t CallerBudget::connections() const
 {
     return m_connections;
@@ -74,7 +89,8 @@
 
 BudgetMember *CallerBudget::oldest(ConnectionUse use, std::size_t minBytes)
 {
-    const auto it = std::ranges::find_if(m_members, [=](const auto &member) { return member.m_use == use && member.m_requestBytes >= minBytes; });
+    const auto it =
+        std::ranges::find_if(m_members, [=](const auto &member) { return !member.m_hasGivenWay && member.m_use == use && member.m_requestBytes >= minBytes; });
     return it == m_members.end() ? nullptr : &*it;
 }
 
@@ -87,7 +103,10 @@
 void CallerBudget::giveWay(BudgetMember &member, GiveWayCause cause)
 {
     member.m_hasGivenWay = true;
-    remove(member);
+    m_bytes -= std::exchange(member.m_requestBytes, 0) + std::exchange(member.m_unreadBytes, 0);
+    if (cause == GiveWayCause::Connections) {
+        remove(member);
+    }
     if (m_options.onGiveWay) {
         m_options.onGiveWay(cause);
     }
--- a/src/turmericplank/net/httpserver.cpp
+++ b/src/turmericplank/net/httpserver.cpp
@@ -22,6 +22,7 @@
         m_listener->close();
         m_serverState->options.onRequest = nullptr;
         m_serverState->options.onUnanswered = nullptr;
+        m_serverState->options.budget = nullptr;
     }
 
     void stopAccepting() override
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -123,6 +123,7 @@
             return;
         }
         m_isClosed = true;
+        leaveBudget();
         m_requestTimer.cancel();
         beast::error_code ec;
         if (!m_isReset) {
@@ -136,14 +137,9 @@
         }
     }
 
-    /// A response without length and chunks looks complete if its connection ends in order, so the connection is reset.
     void abortConnection() override
     {
-        if (m_isHttp10 && !m_isClosed) {
-            beast::error_code ec;
-            m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
-            m_isReset = true;
-        }
+        resetIfHttp10();
         m_current = nullptr;
         if (!m_isClosed) {
             reportUnanswered(m_hasCallerLeft ? UnansweredCause::CallerDisconnected : UnansweredCause::Aborted);
@@ -192,9 +188,20 @@
 
 private:
     static constexpr std::size_t ReadSize = 8 * 1024; ///< bytes
+    static constexpr std::size_t BodyReadSize = 64 * 1024; ///< bytes that are read at once of a request that did not arrive as a whole
     /// Bytes of later requests that are read during a response. The end of a caller that sends more is noticed after the response.
     static constexpr std::size_t MaxReadAhead = 64 * 1024;
 
+    /// A response without length and chunks looks complete if its connection ends in order, so the connection is reset.
+    void resetIfHttp10()
+    {
+        if (m_isHttp10 && !m_isClosed) {
+            beast::error_code ec;
+            m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+            m_isReset = true;
+        }
+    }
+
     /// The timeout is looked up again when it has passed, since it may have been raised meanwhile. Cancelling the read, rather than
     /// closing the socket, keeps a request that has just been received.
     void armIdleTimer()
@@ -225,25 +232,48 @@
         m_hasTimedOut = false;
         m_requestTimer.expires_after(m_serverState->options.requestTimeout);
         m_requestTimer.async_wait([self = ConnectionPointer(this)](beast::error_code ec) { self->onRequestTimeout(ec); });
-        readSome();
+        parse();
     }
 
+    /// Not http::async_read_some, which goes on by itself as long as a line is incomplete, so that the budget would not see what has arrived.
     void readSome()
     {
-        http::async_read_some(m_stream, m_buffer, *m_parser, [self = ConnectionPointer(this)](beast::error_code ec, std::size_t) {
-            if (ec || self->m_parser->is_done()) {
-                self->onRead(ec);
-                return;
-            }
-            self->noteProgress(ConnectionUse::Incomplete);
-            if (self->m_hasGivenWay) {
-                self->onRead({});
+        const auto room = m_buffer.max_size() - m_buffer.size();
+        if (room == 0) {
+            onRead(http::error::buffer_overflow);
+            return;
+        }
+        m_stream.async_read_some(m_buffer.prepare(std::min(room, BodyReadSize)), [self = ConnectionPointer(this)](beast::error_code ec, std::size_t n) {
+            self->m_buffer.commit(n);
+            const bool isCancelled = self->m_hasGivenWay || self->m_hasTimedOut;
+            if (ec || isCancelled) {
+                self->onRead(ec ? ec : beast::error_code(asio::error::operation_aborted));
                 return;
             }
-            self->readSome();
+            self->parse();
         });
     }
 
+    /// Parses what has arrived, and reads on if that is not the whole request.
+    void parse()
+    {
+        beast::error_code ec;
+        while (!ec && m_buffer.size() > 0 && !m_parser->is_done()) {
+            m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+        }
+        const bool isIncomplete = ec == http::error::need_more || (!ec && !m_parser->is_done());
+        if (!isIncomplete) {
+            onRead(ec);
+            return;
+        }
+        noteProgress(ConnectionUse::Incomplete);
+        if (m_hasGivenWay) {
+            onRead({});
+            return;
+        }
+        readSome();
+    }
+
     std::size_t requestBytes() const
     {
         return m_buffer.capacity() + m_currentBytes + (m_parser ? m_parser->get().body().capacity() : 0);
@@ -266,11 +296,16 @@
             m_stream.socket().cancel(ignored);
             return;
         }
-        if (m_parser || m_current) {
+        if (m_parser || m_current || m_queuedBytes > 0) {
             reportUnanswered(UnansweredCause::OverBudget);
         }
         // The response may be in the middle of being written.
-        asio::post(m_stream.get_executor(), [guard] { guard->close(); });
+        asio::post(m_stream.get_executor(), [guard] {
+            if (guard->m_current || guard->m_queuedBytes > 0) {
+                guard->resetIfHttp10();
+            }
+            guard->close();
+        });
     }
 
     /// Cancels the read but keeps the socket open for the error response to the slow sender.
@@ -313,6 +348,11 @@
         // The body is copied for each endpoint that the request is sent to.
         m_currentBytes = 2 * request.body.capacity();
         noteProgress(ConnectionUse::Answering);
+        const auto &budget = m_serverState->options.budget;
+        if (budget && budget->isExceeded() && m_currentBytes > budget->smallBytes()) {
+            rejectRequest(503);
+            return;
+        }
         const auto exchange = boost::intrusive_ptr<ServerExchange>(new ServerExchange(SinkPointer(this), std::move(request)));
         m_current = exchange.get();
         watchForDisconnect();
@@ -328,6 +368,7 @@
         const auto &callback = m_serverState->options.onBadRequest;
         const auto response = callback ? callback(status) : plainTextError(status);
         m_parser.reset();
+        m_currentBytes = 0;
         m_closesAfterWrite = true;
         m_isResponseQueued = true;
         m_isRequestRejected = true;
@@ -374,6 +415,7 @@
         m_stream.expires_after(m_serverState->options.writeTimeout);
         asio::async_write(m_stream, buffers, [self = ConnectionPointer(this)](beast::error_code ec, std::size_t n) {
             self->m_isWriting = false;
+            self->m_inFlight.clear();
             self->m_queuedBytes -= std::min(n, self->m_queuedBytes);
             if (ec) {
                 self->onWriteFailed();
@@ -434,6 +476,7 @@
     void closeGracefully()
     {
         noteDiscarded(m_buffer.size());
+        noteProgress(ConnectionUse::Idle);
         beast::error_code ec;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         m_stream.expires_after(std::chrono::seconds(1));
--- a/tests/callermemory_test.sh
+++ b/tests/callermemory_test.sh
@@ -56,6 +56,7 @@
     done
     wait "${senders[@]}"
     until_true 5 has_read_all "$address" # what still lies in the kernel does not show in the daemon's memory
+    step "$name: all connections were opened" [ "${#fds[@]}" = "$count" ]
     step "$name: the daemon lives" lives
     step "$name: open descriptors ($(open_fds)) stay within $max_fds" [ "$(open_fds)" -le $max_fds ]
     step "$name: an ordinary call is answered meanwhile" ordinary_call
@@ -82,6 +83,7 @@
 short_body_announced() { head_of POST "$1" "Content-Length: $body_bytes" && head -c $((body_bytes - 1)) /dev/zero; }
 dripping_headers() { printf 'GET / HTTP/1.1\r\nHost: site.example\r\nX-Pad: ' && for _ in $(seq 20); do printf x && sleep 0.05; done; }
 silence() { :; }
+partial_pipeline() { head_of GET "$1" 'X-Number: 1' && printf 'GET /check/c HTTP/1.1\r\nHost: site'; }
 unread_pipeline() { for n in $(seq 2000); do head_of GET "$1" "X-Number: $n"; done; }
 
 start store turmericplank-sitestore --listen "$store"
@@ -107,6 +109,7 @@
 crowd "headers that drip" 64 "$(caller 1)" dripping_headers
 crowd "connections that send nothing" 300 "$(caller 1)" silence
 crowd "pipelined calls whose answers are not read" 16 "$(caller 1)" unread_pipeline /check/b
+crowd "calls followed by a part of the next one" 100 "$(caller 1)" partial_pipeline /check/b
 for listener in directory ready metrics; do
     crowd "trailers without end to the $listener address" 4 "$($listener 1)" endless_trailers /
     crowd "bodies that stop short to the $listener address" 64 "$($listener 1)" short_body_announced /
