The order of calls by three priorities is taken out; the priority of accounts orders calls at engines

What remains of it is the priority of accounts: sites whose accounts have several priorities send it as the first part of the urgency; others as before.

--- a/include/turmericplank/accounts/account.hpp
+++ b/include/turmericplank/accounts/account.hpp
@@ -56,4 +56,11 @@
 /// @param statedTokens tokens of prompt and answer that the call states; nothing if it states none
 double usageOf(const UsageLimit &limit, std::optional<std::uint64_t> statedTokens);
 
+/// @brief Urgency of a call at an engine: accounts with a lower priority value first, and the calls of one account by the urgency of their route.
+/// @param priorities of all accounts, in ascending order; with fewer than two, the route's urgency is returned
+/// @param priority of the call's account; a call without an account yields to all others
+/// @param routeUrgency by the route alone, from 0 to 9
+/// @return 0 is admitted first, 9 last
+std::uint32_t urgencyOf(const std::vector<std::uint32_t> &priorities, std::optional<std::uint32_t> priority, std::uint32_t routeUrgency);
+
 } // namespace turmericplank::accounts
--- a/include/turmericplank/routes/routetable.hpp
+++ b/include/turmericplank/routes/routetable.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,9 +24,6 @@
     /// @return null if no route matches
     const Route *find(std::string_view host, std::string_view path) const;
 
-    /// @brief Priorities of the routes whose calls may go to a service, in ascending order.
-    const std::vector<std::uint32_t> &priorities(const base::ServiceName &service) const;
-
     /// @brief Priorities of the accounts, in ascending order; an account without one counts as the most urgent.
     const std::vector<std::uint32_t> &accountPriorities() const;
 
@@ -41,7 +37,6 @@
 private:
     std::shared_ptr<const SiteConfiguration> m_configuration;
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost; ///< longest prefix first
-    std::map<base::ServiceName, std::vector<std::uint32_t>> m_priorities;
     std::vector<std::uint32_t> m_accountPriorities;
     accounts::AccountTable m_accounts;
 };
--- a/include/turmericplank/routing/router.hpp
+++ b/include/turmericplank/routing/router.hpp
@@ -222,7 +222,6 @@
     {
         EndpointIndex index = 0;
         Cost cost;
-        double streams = 0; ///< estimated on the endpoint
         bool isLate = false; ///< the first token is expected after the request's deadline
         int healthClass = 0; ///< 0 healthy, 1 due for a probe, 2 suspect or blocked
     };
--- a/include/turmericplank/routing/routetypes.hpp
+++ b/include/turmericplank/routing/routetypes.hpp
@@ -72,8 +72,6 @@
     std::optional<base::EndpointId> runnerUp;
     base::Duration expectedFirstToken{0}; ///< from sending to the first token
     base::Duration runnerUpFirstToken{0};
-    double streams = 0; ///< estimated on the endpoint, running and waiting
-    std::uint32_t concurrency = 1; ///< of the endpoint
     std::uint32_t cachedTokens = 0; ///< prompt tokens expected to be in the endpoint's cache
     std::optional<CacheSource> cacheSource;
 
--- a/src/turmericplank/accounts/accounttable_test.cpp
+++ b/src/turmericplank/accounts/accounttable_test.cpp
@@ -61,3 +61,21 @@
     CHECK(usageOf(tokens, 0) == 1);
     CHECK(usageOf(UsageLimit{UsageUnit::Calls, 10, 10, 200}, 1540) == 1);
 }
+
+TEST_CASE("the priority of accounts goes before that of routes at engines")
+{
+    const std::vector<std::uint32_t> priorities{1, 4};
+    CHECK(urgencyOf(priorities, 1, 5) < urgencyOf(priorities, 4, 0));
+    CHECK(urgencyOf(priorities, 1, 0) < urgencyOf(priorities, 1, 1));
+    CHECK(urgencyOf(priorities, 4, 9) == 9);
+    CHECK(urgencyOf(priorities, std::nullopt, 0) == urgencyOf(priorities, 4, 0));
+    CHECK(urgencyOf({0, 1, 2}, 2, 9) == 8);
+}
+
+TEST_CASE("sites whose accounts have one priority, or none, order calls by their routes")
+{
+    for (const std::uint32_t route : {0, 3, 9}) {
+        CHECK(urgencyOf({}, std::nullopt, route) == route);
+        CHECK(urgencyOf({1}, 1, route) == route);
+    }
+}
--- a/src/turmericplank/gateway/forwardedcall.cpp
+++ b/src/turmericplank/gateway/forwardedcall.cpp
@@ -63,9 +63,6 @@
     const auto &services = m_routes->configuration().services;
     const auto spec = services.find(m_service);
     m_isEngine = spec != services.end() && spec->second.engine;
-    if (m_isEngine) {
-        m_place = forwarding::callPlace(m_routes->priorities(m_service), m_route.rank);
-    }
     m_qualifiedModel = qualifiedModelName(m_service, m_isEngine ? m_call.model : base::ModelName());
     m_parts = sharedPartFingerprints(m_service, m_call.prompt);
     ++*m_callsInProgress;
@@ -113,9 +110,7 @@
 {
     routing::RouteRequest request;
     request.model = m_qualifiedModel;
-    // The router tells two classes apart; with an order, only the least urgent calls yield to all others.
-    const bool isUrgent = m_place ? m_place->level + 1 < m_place->levels : m_route.rank == 0 && !isDeferrable(m_route);
-    request.priority = isUrgent ? base::Priority::Urgent : base::Priority::Normal;
+    request.priority = m_route.rank == 0 && !isDeferrable(m_route) ? base::Priority::Urgent : base::Priority::Normal;
     request.deadline = m_arrivedAt + std::max(m_route.objective, base::Duration(std::chrono::milliseconds(1)));
     request.prefixes = promptPrefixes(m_qualifiedModel, m_call.prompt);
     request.promptTokens = m_call.promptTokens;
@@ -199,9 +194,6 @@
     if (!isFirstAttempt) {
         return false;
     }
-    if (m_place && forwarding::mustNotQueue(*m_place, {choice.streams, choice.concurrency, choice.expectedFirstToken}, m_route.objective)) {
-        return true;
-    }
     const auto &wait = m_forwarder.m_options.wait;
     const auto maxWait = forwarding::callerPatience(m_route.objective, m_route.eventGapObjective, wait);
     return forwarding::exceedsPatience(choice.expectedFirstToken, std::min(maxWait, m_attempts.deadline() - base::now()), wait);
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -10,7 +10,6 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "turmericplank/forwarding/attempts.hpp"
-#include "turmericplank/forwarding/callorder.hpp"
 #include "turmericplank/forwarding/eventcursor.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
 #include "turmericplank/gateway/incarnationcheck.hpp"
@@ -164,7 +163,6 @@
     forwarding::WaitCause m_waitCause = forwarding::WaitCause::Full;
     std::optional<base::Time> m_pauseEnd; ///< when the first endpoint that asked for a pause takes calls again
     bool m_isEngine = false;
-    std::optional<forwarding::CallPlace> m_place; ///< if calls of the service are ordered by priority
     base::Time m_firstEventAt;
     base::Time m_lastEventAt;
     base::Duration m_maxEventGap{0}; ///< longest time between two chunks of a stream, for the log
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -32,12 +32,9 @@
     AttemptHeaders head;
     head.expectedInstance = m_attempt->choice.endpoint;
     head.remainingTime = m_attempts.deadline() - now;
-    if (m_place) {
-        const auto accountPriority = m_account == nullptr ? 0 : m_account->priority.value_or(0);
-        head.urgency = forwarding::urgency(forwarding::placeOf(m_routes->accountPriorities(), accountPriority), *m_place, isDeferrable(m_route));
-    } else {
-        head.urgency = std::min(m_route.rank + (isDeferrable(m_route) ? DeferrableUrgencyPenalty : 0), MaxUrgency);
-    }
+    const auto routeUrgency = std::min(m_route.rank + (isDeferrable(m_route) ? DeferrableUrgencyPenalty : 0), MaxUrgency);
+    const auto accountPriority = m_account == nullptr ? std::optional<std::uint32_t>() : m_account->priority.value_or(0);
+    head.urgency = accounts::urgencyOf(m_routes->accountPriorities(), accountPriority, routeUrgency);
     if (m_route.kind.isStreamed) {
         head.lastEventId = m_lastEvent;
     }
--- a/src/turmericplank/routes/routetable.cpp
+++ b/src/turmericplank/routes/routetable.cpp
@@ -16,15 +16,6 @@
     for (auto &[host, routes] : m_byHost) {
         std::ranges::stable_sort(routes, [](const auto *a, const auto *b) { return a->prefix.size() > b->prefix.size(); });
     }
-    std::map<base::ServiceName, std::set<std::uint32_t>> priorities;
-    for (const auto &route : m_configuration->routes) {
-        for (const auto &it : route.services) {
-            priorities[it.service].insert(route.rank);
-        }
-    }
-    for (const auto &[service, values] : priorities) {
-        m_priorities[service].assign(values.begin(), values.end());
-    }
     if (m_configuration->accounts) {
         m_accounts = accounts::AccountTable(*m_configuration->accounts);
         std::set<std::uint32_t> values;
@@ -45,13 +36,6 @@
     return it == found->second.end() ? nullptr : *it;
 }
 
-const std::vector<std::uint32_t> &RouteTable::priorities(const base::ServiceName &service) const
-{
-    static const std::vector<std::uint32_t> none;
-    const auto it = m_priorities.find(service);
-    return it == m_priorities.end() ? none : it->second;
-}
-
 const std::vector<std::uint32_t> &RouteTable::accountPriorities() const
 {
     return m_accountPriorities;
--- a/src/turmericplank/routing/routerchoice.cpp
+++ b/src/turmericplank/routing/routerchoice.cpp
@@ -154,7 +154,6 @@
         *it *= m_unreportedWorkFactor;
     }
     const double slowness = state.health.slowness(context.now, m_options.health);
-    candidate.streams = work.streams;
     cost.cachedTokens = std::min(cachedTokensOn(index), request.promptTokens);
     cost.work = waitMilliseconds(state, work, request.priority);
     scorePrompt(request, work, state.endpoint.concurrency, cost);
@@ -182,8 +181,6 @@
     choice.address = state.endpoint.address;
     choice.incarnation = state.incarnation;
     choice.expectedFirstToken = fromMilliseconds(best.cost.total);
-    choice.streams = best.streams;
-    choice.concurrency = state.endpoint.concurrency;
     choice.cachedTokens = best.cost.cachedTokens;
     if (best.cost.source) {
         const auto &source = m_endpoints[*best.cost.source].endpoint;
