Grants look at the accounts in use only; refused calls are counted by account

Change: the sum over all daemons, ten times a second, keeps the accounts beyond their limit; grants go over these and the reported ones. The counter has a label for up to 64 accounts.

Result: accounts_test and gateway_test pass, with a test of the grants among 10,000 accounts.

--- a/include/turmericplank/accounts/usageallocator.hpp
+++ b/include/turmericplank/accounts/usageallocator.hpp
@@ -93,6 +93,7 @@
     std::size_t m_daemonCount = 1;
     std::map<base::DaemonId, Daemon> m_daemons;
     std::map<base::CallerName, State> m_states;
+    std::vector<base::CallerName> m_overLimit; ///< accounts whose demand is above their limit
     std::optional<base::Time> m_summedAt;
     std::optional<base::Time> m_resetAt;
 };
--- a/include/turmericplank/gateway/accountlimits.hpp
+++ b/include/turmericplank/gateway/accountlimits.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -63,6 +64,7 @@
     base::Time m_reportedAt;
     bool m_isAllocating = false;
     std::map<base::CallerName, base::Time> m_refusedAt; ///< accounts whose calls were refused lately
+    std::set<base::CallerName> m_labels; ///< accounts with a label of their own in the metrics
 };
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/accounts/usageallocator.cpp
+++ b/src/turmericplank/accounts/usageallocator.cpp
@@ -180,6 +180,12 @@
             }
         }
     }
+    m_overLimit.clear();
+    for (const auto &[account, state] : m_states) {
+        if (state.recentDemand > state.limit.perSecond) {
+            m_overLimit.push_back(account);
+        }
+    }
 }
 
 UsageGrant UsageAllocator::grant(const base::CallerName &account, double demand, State &state, base::Time now) const
@@ -202,17 +208,16 @@
         return grants;
     }
     auto &demands = own->second.demands;
-    for (auto &[account, state] : m_states) {
-        const auto demand = demands.find(account);
-        const bool isReported = demand != demands.end();
-        if (!isReported && state.recentDemand <= state.limit.perSecond) {
+    for (auto &[account, demand] : demands) {
+        grants.push_back(grant(account, demandOf(demand), m_states.at(account), now));
+        demand.share = grants.back().share;
+    }
+    for (const auto &account : m_overLimit) {
+        const auto state = m_states.find(account);
+        if (state == m_states.end() || demands.contains(account)) {
             continue;
         }
-        auto it = grant(account, isReported ? demandOf(demand->second) : 0, state, now);
-        if (isReported) {
-            demand->second.share = it.share;
-        }
-        if (isReported || it.admittedFraction < 1) {
+        if (auto it = grant(account, 0, state->second, now); it.admittedFraction < 1) {
             grants.push_back(std::move(it));
         }
     }
--- a/src/turmericplank/accounts/usagelimits_test.cpp
+++ b/src/turmericplank/accounts/usagelimits_test.cpp
@@ -383,3 +383,33 @@
 {
     CHECK_FALSE(UsageAllocator().isSettled(base::Time() + 100s));
 }
+
+TEST_CASE("grants name the accounts that a daemon has reported and those beyond their limit, of ten thousand")
+{
+    UsageAllocator allocator;
+    base::Time now = base::Time() + 100s;
+    std::vector<Account> accounts;
+    for (int n = 0; n < 10000; ++n) {
+        accounts.push_back(limitedAccount(1000, 1000));
+        accounts.back().name = base::CallerName("a" + std::to_string(n));
+    }
+    allocator.setAccounts(accounts, now);
+    allocator.setDaemonCount(2);
+    allocator.reset(now);
+    const base::DaemonId first("d1");
+    const base::DaemonId second("d2");
+    for (double total = 0; total <= 50000; total += 5000) {
+        now += 1s;
+        allocator.noteReport(first, {{base::CallerName("a7"), total, total}}, now);
+        allocator.noteReport(second, {{base::CallerName("a8"), total / 10, total / 10}}, now);
+    }
+    const auto ofFirst = allocator.grants(first, now);
+    REQUIRE(ofFirst.size() == 1);
+    CHECK(ofFirst[0].account == base::CallerName("a7"));
+    CHECK(ofFirst[0].admittedFraction < 1);
+    const auto ofSecond = allocator.grants(second, now);
+    REQUIRE(ofSecond.size() == 2);
+    CHECK(ofSecond[0].account == base::CallerName("a8"));
+    CHECK(ofSecond[0].admittedFraction == 1);
+    CHECK(ofSecond[1].account == base::CallerName("a7"));
+}
--- a/src/turmericplank/gateway/accountlimits.cpp
+++ b/src/turmericplank/gateway/accountlimits.cpp
@@ -17,6 +17,7 @@
 constexpr const char *ReportKind = "gateway/accounts";
 constexpr auto AnswerTimeout = std::chrono::milliseconds(500); ///< a later answer describes earlier demand
 constexpr auto RefusalEndTime = std::chrono::seconds(2); ///< without a refused call, until the limit counts as no longer reached
+constexpr std::size_t MaxAccountLabels = 64; ///< further accounts share one label, so that metrics stay small
 constexpr double FingerprintRange = 18446744073709551616.0; ///< 2^64
 
 accounts::UsageLimiterOptions limiterOptions(const base::DaemonId &self)
@@ -97,7 +98,11 @@
     if (isAdmitted) {
         return;
     }
-    m_metrics.count("account_calls_refused_total");
+    const bool hasLabel = m_labels.contains(account) || m_labels.size() < MaxAccountLabels;
+    if (hasLabel) {
+        m_labels.insert(account);
+    }
+    m_metrics.count("account_calls_refused_total{account=\"" + (hasLabel ? account.text() : "other") + "\"}");
     if (m_refusedAt.insert_or_assign(account, now).second) {
         telemetry::log(LogLevel::Warning, "accounts", "limit reached", {{"account", account.text()}});
     }
