--- a/src/turmericplank/accounts/usagelimits_test.cpp
+++ b/src/turmericplank/accounts/usagelimits_test.cpp
@@ -261,7 +261,7 @@
 TEST_CASE("an account within its limit is served while its callers move from daemon to daemon")
 {
     for (const double limit : {446000.0, 80000.0, 17000.0}) {
-        // A burst of 17,000 tokens is two large calls, so that any bucket refuses some calls of such an account at 0.9 of its limit.
+        // The smallest account at 0.9 of its limit has a test case of its own.
         const double part = limit > 17000 ? 0.9 : 0.55;
         for (const std::uint64_t seed : {6, 7, 8}) {
             CAPTURE(limit);
@@ -413,3 +413,17 @@
     CHECK(ofSecond[0].admittedFraction == 1);
     CHECK(ofSecond[1].account == base::CallerName("a7"));
 }
+
+TEST_CASE("a small account at nine tenths of its limit is served while its callers move from daemon to daemon")
+{
+    constexpr double Limit = 17000;
+    for (const std::uint64_t seed : {6, 7, 8}) {
+        CAPTURE(seed);
+        Site site(86, Limit, seed);
+        site.playCallers(5s, 0.9 * Limit, 3s);
+        site.restartMeasurement();
+        site.playCallers(30s, 0.9 * Limit, 3s);
+        CHECK(site.admittedShare() >= 0.95);
+        CHECK(site.worstWindow() <= 1);
+    }
+}
