Show whether a daemon has fresh grants for the limits of accounts

Cause: without the lease holder, small accounts below their limits are refused, and nothing told an operator why.

Result: tests/accounts_test.sh passes with the new step that every daemon gets grants.

--- a/include/turmericplank/accounts/usagelimiter.hpp
+++ b/include/turmericplank/accounts/usagelimiter.hpp
@@ -70,6 +70,9 @@
     /// @brief Counters of the accounts that were used lately, for the allocator.
     std::vector<AccountUse> report(base::Time now) const;
 
+    /// @brief Whether the allocator has been heard lately; accounts are held to this daemon's part of their limits otherwise.
+    bool hasFreshGrants(base::Time now) const;
+
     /// @brief Whether any account has a limit.
     bool hasLimits() const;
 
@@ -97,7 +100,6 @@
     };
 
     static bool spendOnChance(State &state, double cost, std::mt19937_64 &random);
-    bool hasFreshGrants(base::Time now) const;
     double share(const State &state, base::Time now) const;
     double extraPerSecond(const State &state, double share) const;
     void refill(State &state, base::Time now) const;
--- a/include/turmericplank/gateway/accountlimits.hpp
+++ b/include/turmericplank/gateway/accountlimits.hpp
@@ -51,6 +51,7 @@
 private:
     bool updateRole(base::Time now);
     void exchange(base::Time now);
+    void noteGrants(base::Time now);
     void noteDecision(const base::CallerName &account, bool isAdmitted, base::Time now);
 
     base::DaemonId m_self;
@@ -63,6 +64,7 @@
     accounts::UsageAllocator m_allocator;
     base::Time m_reportedAt;
     bool m_isAllocating = false;
+    bool m_areGrantsFresh = false;
     std::map<base::CallerName, base::Time> m_refusedAt; ///< accounts whose calls were refused lately
     std::set<base::CallerName> m_labels; ///< accounts with a label of their own in the metrics
 };
--- a/src/turmericplank/gateway/accountlimits.cpp
+++ b/src/turmericplank/gateway/accountlimits.cpp
@@ -113,6 +113,15 @@
     return isHolder;
 }
 
+void AccountLimits::noteGrants(base::Time now)
+{
+    const auto areFresh = m_limiter.hasFreshGrants(now);
+    m_metrics.setGauge("accounts_grants_fresh", areFresh ? 1 : 0);
+    if (std::exchange(m_areGrantsFresh, areFresh) != areFresh) {
+        telemetry::log(areFresh ? LogLevel::Info : LogLevel::Warning, "accounts", areFresh ? "grants received" : "grants expired");
+    }
+}
+
 void AccountLimits::exchange(base::Time now)
 {
     updateRole(now);
@@ -126,6 +135,7 @@
     if (!m_limiter.hasLimits()) {
         return;
     }
+    noteGrants(now);
     const auto daemons = m_peers.otherDaemonCount() + 1;
     const auto shortest = std::max<base::Duration>(m_options.contendedInterval, m_options.intervalPerDaemon * static_cast<std::int64_t>(daemons));
     const auto interval = m_limiter.isContended() ? shortest : std::max(m_options.interval, shortest);
--- a/tests/accounts_test.sh
+++ b/tests/accounts_test.sh
@@ -64,6 +64,8 @@
 step "the limit is in force at all daemons" until_true 5 all_get acme-3 401
 before=$(seen runs.acme)
 load 60 acme-2 limited 1 2 3
+all_granted() { [ "$(grep -l 'accounts: grants received' "$work"/daemon-*.log | wc -l)" = 3 ]; }
+step "every daemon gets grants" until_true 10 all_granted
 step "calls beyond the limit get 429 ($(count limited 429) of 180)" [ "$(count limited 429)" -gt 0 ]
 step "... and those within it are served ($(count limited 200))" [ "$(count limited 200)" -gt 0 ]
 step "what runs is what was admitted" equals "$(($(seen runs.acme) - before))" "$(count limited 200)"
