A version of the configuration that keeps a limit leaves its account's bucket alone

Cause: each new version capped every bucket at the daemon's share of the burst, which is less than one call for a small account, and left counted what it had got beyond the share. The account's second call was refused, and for seconds all of them if grants expired then.

Change: only a changed limit caps the bucket; what it had beyond the share is forgotten with it.

--- a/src/turmericplank/accounts/usagelimiter.cpp
+++ b/src/turmericplank/accounts/usagelimiter.cpp
@@ -38,11 +38,14 @@
             state = known->second;
             refill(state, now);
         }
-        state.limit = it.limit;
         state.use.account = it.name;
         state.levelAt = now;
-        const auto depth = share(state, now) * it.limit.burst;
-        state.level = known == m_states.end() ? depth : std::min(state.level, depth);
+        if (state.limit != it.limit) {
+            state.limit = it.limit;
+            const auto depth = share(state, now) * it.limit.burst;
+            state.level = known == m_states.end() ? depth : std::min(state.level, depth);
+            state.extra = 0;
+        }
         states.emplace(it.name, std::move(state));
     }
     m_states = std::move(states);
--- a/src/turmericplank/accounts/usagelimits_test.cpp
+++ b/src/turmericplank/accounts/usagelimits_test.cpp
@@ -385,6 +385,30 @@
     CHECK(limiter.admit(base::CallerName("unlimited"), 1e9, now, random).isAdmitted);
 }
 
+TEST_CASE("a version of the configuration that keeps a limit takes nothing from its account")
+{
+    // Refused the second call, and all calls for seconds once the grants had expired.
+    UsageLimiter limiter;
+    std::mt19937_64 random(1);
+    base::Time now = base::Time() + 100s;
+    const std::vector accounts{limitedAccount(17000, 17000)};
+    const base::CallerName account("acme");
+    const std::vector<UsageGrant> grants{{account, EvenPart / 86, 1}};
+    limiter.setDaemonCount(86);
+    limiter.setAccounts(accounts, now);
+    limiter.applyGrants(grants, now);
+    CHECK(limiter.admit(account, 1000, now, random).isAdmitted);
+    limiter.applyGrants(grants, now);
+    limiter.setAccounts(accounts, now);
+    for (int n = 0; n < 3; ++n) {
+        CHECK(limiter.admit(account, 1000, now, random).isAdmitted);
+    }
+    limiter.applyGrants(grants, now);
+    limiter.setAccounts(accounts, now);
+    now += 2s;
+    CHECK(limiter.admit(account, 30, now, random).isAdmitted);
+}
+
 TEST_CASE("a call that is given back after it was reported does not look like a restart of its daemon")
 {
     UsageAllocator allocator;
