--- a/src/turmericplank/gateway/accountlimits.cpp
+++ b/src/turmericplank/gateway/accountlimits.cpp
@@ -113,6 +113,7 @@
     return isHolder;
 }
 
+/// Tells operators when limits are kept without the lease holder, since small accounts are refused more often then.
 void AccountLimits::noteGrants(base::Time now)
 {
     const auto areFresh = m_limiter.hasFreshGrants(now);
