--- a/src/turmericplank/accounts/usagelimits_test.cpp
+++ b/src/turmericplank/accounts/usagelimits_test.cpp
@@ -523,3 +523,23 @@
         CHECK(site.worstWindow() <= 1);
     }
 }
+
+TEST_CASE("the limit holds at 86 daemons when a surge begins without an allocator")
+{
+    for (const std::uint64_t seed : {300, 312}) {
+        CAPTURE(seed);
+        Site site(86, 17000, seed);
+        site.play(10s, 17000 / 1.8, 0);
+        site.replaceAllocator(5s);
+        site.play(3s, 17000 / 1.8, 0);
+        site.play(20s, 4.7 * 17000, 0);
+        CHECK(site.worstWindow() <= 1);
+    }
+    Site site(86, 4200, 317);
+    site.play(10s, 4200 / 1.8, 0);
+    for (int n = 0; n < 2; ++n) {
+        site.replaceAllocator(5s);
+        site.play(20s, 4.7 * 4200, 0);
+    }
+    CHECK(site.worstWindow() <= 1);
+}
