Log failed waits for the configuration, and who watches it

A wait that failed, the pause after it, and whether a daemon waits for changes beside those that do so for its group were not in the log, so that the hypotheses of the incident looked alike there. Failures in a row are named with growing distance, since an outage brings several a second.

--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -76,6 +76,7 @@
 private:
     void readConfiguration();
     void awaitConfiguration();
+    void logWaitFailure(base::Duration pause) const;
     void replaceAwait(base::Time now);
     void applyLateWait(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result);
     void rereadConfiguration();
@@ -115,6 +116,7 @@
     bool m_isReadingEndpoints = false;
     bool m_isAwaiting = false; ///< a wait, or a read in its place, is in progress
     base::Time m_awaitDeadline; ///< when another wait takes its place
+    bool m_isSelfWatching = false; ///< waits for changes although it does not do so for its group
     unsigned m_endpointFailures = 0; ///< in a row
     unsigned m_awaitFailures = 0; ///< in a row
     bool m_isRereading = false;
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/gateway/sitestateupdater.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <iterator>
 
 #include "turmericplank/daemon/timers.hpp"
@@ -43,6 +44,11 @@
     }
     // Watchers that are cut off from the store relay nothing; the others detect this in time to apply a change themselves.
     const bool mustWatchStore = m_callbacks.isConfigurationWatcher() || now >= m_lastRelayedAt + m_options.relayTimeout;
+    const bool isSelfWatching = mustWatchStore && !m_callbacks.isConfigurationWatcher();
+    if (std::exchange(m_isSelfWatching, isSelfWatching) != isSelfWatching) {
+        telemetry::log(LogLevel::Info, "configuration", isSelfWatching ? "no other daemon watches it, waiting for changes" : "watched by other daemons",
+                       {{"position", m_position}});
+    }
     if (!m_isAwaiting && m_siteState.routes() && mustWatchStore) {
         awaitConfiguration();
     } else if (m_isAwaiting && now >= m_awaitDeadline) {
@@ -101,7 +107,9 @@
         }
         applyConfiguration(result, ByWait);
         // The history may have been discarded, so everything is read again before the next wait.
-        const auto retryAt = base::now() + retryPause(m_callbacks.isConfigurationWatcher(), m_awaitFailures++);
+        const auto pause = retryPause(m_callbacks.isConfigurationWatcher(), m_awaitFailures++);
+        logWaitFailure(pause);
+        const auto retryAt = base::now() + pause;
         m_awaitDeadline = retryAt + m_options.awaitTimeout;
         daemon::callAt(m_context, retryAt, [this, number] {
             if (number == m_awaitNumber) {
@@ -111,6 +119,16 @@
     });
 }
 
+/// Names the first failures of an outage; later ones are further and further apart.
+void SiteStateUpdater::logWaitFailure(base::Duration pause) const
+{
+    if (std::has_single_bit(m_awaitFailures)) {
+        const auto pauseMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(pause).count();
+        telemetry::log(LogLevel::Warning, "configuration", "a wait for changes failed",
+                       {{"position", m_position}, {"failures", std::uint64_t(m_awaitFailures)}, {"pause_ms", pauseMilliseconds}});
+    }
+}
+
 /// The connection of a wait may fall silent while other calls are answered.
 void SiteStateUpdater::replaceAwait(base::Time now)
 {
