--- a/src/turmericplank/gateway/configurationchange_test.cpp
+++ b/src/turmericplank/gateway/configurationchange_test.cpp
@@ -10,6 +10,7 @@
 constexpr auto DrainTime = 2s;
 constexpr auto StartTime = 4500ms; ///< until all daemons know each other and the endpoints
 constexpr auto MaxChangeTime = 10s; ///< far more than any path of a change takes
+const std::set<std::string> AllOfFour{"0", "1", "2", "3"};
 
 /// Puts a configuration with another route, and runs until all daemons serve that route.
 /// @return daemons that never did
@@ -109,3 +110,71 @@
     fleet.runFor(3s);
     checkChangesInTime(fleet, {2, 3});
 }
+
+TEST_CASE("changes are in force in time although the daemons that wait for them are turned away for the configuration, but not for the endpoints")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.store.hiddenConfigurationFor = {"0", "1"};
+    checkChangesInTime(fleet, {0, 1, 2, 3});
+}
+
+TEST_CASE("changes are in force in time although no wait brings one, but each read does")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.store.silencedWaits = AllOfFour;
+    checkChangesInTime(fleet, {0, 1, 2, 3});
+}
+
+TEST_CASE("an outage of the store does not delay a later change at daemons whose position in the history is gone")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.store.hiddenConfigurationFor = AllOfFour;
+    fleet.store.hiddenRowsFor = AllOfFour;
+    fleet.runFor(7s);
+    fleet.store.hiddenConfigurationFor.clear();
+    fleet.store.hiddenRowsFor.clear();
+    fleet.runFor(4s);
+    CHECK(changeRoute(fleet, 2).empty());
+    fleet.store.firstKeptPosition = 2;
+    fleet.store.hiddenConfigurationFor = {"0", "1"};
+    fleet.store.hiddenRowsFor = {"0", "1"};
+    fleet.store.put(TestFleet::makeConfiguration(3, "/r3/"));
+    fleet.runFor(2s);
+    std::vector<std::shared_ptr<TestFleet::Result>> results;
+    for (const std::size_t n : {2, 3}) {
+        results.push_back(fleet.call(n, {}, "sound", "/r3/x"));
+    }
+    fleet.runFor(300ms);
+    for (const auto &it : results) {
+        CHECK(it->status == 200);
+    }
+}
+
+TEST_CASE("a daemon whose configuration may be out of date does not tell callers that a route is unknown")
+{
+    const std::string unknownRoute(toString(RejectionReason::NoRoute)); // callers do not try again after it
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    const auto unknown = fleet.call(2, {}, "sound", "/r2/x");
+    fleet.runFor(500ms);
+    CHECK(unknown->body == unknownRoute);
+    fleet.store.hiddenConfigurationFor = AllOfFour;
+    fleet.runFor(3s);
+    fleet.store.put(TestFleet::makeConfiguration(2, "/r2/"));
+    std::vector<std::shared_ptr<TestFleet::Result>> results;
+    for (std::size_t n = 0; n < fleet.daemonCount(); ++n) {
+        results.push_back(fleet.call(n, {}, "sound", "/r2/x"));
+    }
+    fleet.runFor(500ms);
+    for (const auto &it : results) {
+        CHECK(it->status == 503);
+        CHECK(it->body != unknownRoute);
+    }
+}
--- a/src/turmericplank/gateway/testfleetstore.hpp
+++ b/src/turmericplank/gateway/testfleetstore.hpp
@@ -26,7 +26,13 @@
     {
         SiteStore it;
         it.readConfiguration = [this, self, &context](const ReadCallback<ConfigurationSnapshot> &callback) {
-            answerLate(self, context, [this, callback] { callback(snapshot()); });
+            answerLate(self, context, [this, self, callback] {
+                if (hiddenConfigurationFor.contains(self)) {
+                    callback(tl::unexpected(TableFailure::Unavailable));
+                } else {
+                    callback(snapshot());
+                }
+            });
         };
         it.awaitConfiguration = [this, self, &context](std::uint64_t position, const ReadCallback<ConfigurationSnapshot> &callback) {
             awaitChange(self, context, position, base::now() + WaitTime,
@@ -102,6 +108,8 @@
     std::map<std::uint64_t, std::shared_ptr<const routes::SiteConfiguration>> configurations; ///< by revision
     std::set<std::string> hiddenRowsFor; ///< daemons whose calls about entries and rows are turned away
     bool refusesWrites = false;
+    std::set<std::string> hiddenConfigurationFor; ///< daemons whose reads of the configuration and waits for changes are turned away
+    std::uint64_t firstKeptPosition = 0; ///< in the history; waits from an earlier one fail
     std::set<std::string> silencedWaits; ///< daemons whose waits for a change never end; all their other calls are answered
     std::map<std::string, base::Duration> answerDelays; ///< of daemons that get the answers to reads and waits late
     std::map<base::EndpointId, discovery::EndpointEntry> entries;
@@ -138,7 +146,9 @@
         if (silencedWaits.contains(self)) {
             return;
         }
-        if (configurations.rbegin()->first > position) {
+        if (hiddenConfigurationFor.contains(self) || position < firstKeptPosition) {
+            boost::asio::post(context, [callback] { callback(tl::unexpected(TableFailure::Unavailable)); });
+        } else if (configurations.rbegin()->first > position) {
             callback(snapshot());
         } else if (base::now() >= end) {
             callback(ConfigurationSnapshot{nullptr, position, {}});
