A wait for the configuration that falls silent is followed by a read

What callers saw: 404 on an added route for as long as waits stayed silent, at all daemons. Cause: a silent wait was replaced by another wait, so that calls that were answered at once, reads, were never tried. Now a read takes the place of a silent wait, and a wait that of a silent read; a late answer of either kind is used if it holds a change.

--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -20,7 +21,7 @@
 {
     base::Duration endpointsInterval = std::chrono::milliseconds(1000); ///< half the time in which a draining endpoint may still get calls
     base::Duration relayTimeout = std::chrono::milliseconds(1450); ///< without relayed entries before reading directly; the read ends within the drain time
-    base::Duration awaitTimeout = std::chrono::milliseconds(1500); ///< of one wait for changes, then another one starts; less than changes may take
+    base::Duration awaitTimeout = std::chrono::milliseconds(1500); ///< of one wait for changes, then a read starts; less than changes may take
     base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration configurationRelayTime = std::chrono::milliseconds(500); ///< for a peer to relay its later revision before it is read directly
     base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a failed call, by the reader of a group
@@ -78,7 +79,7 @@
     void awaitConfiguration();
     void logWaitFailure(base::Duration pause) const;
     void replaceAwait(base::Time now);
-    void applyLateWait(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result);
+    void applyLateAnswer(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result, std::string_view source);
     void rereadConfiguration();
     void handleWaitEnd(const ConfigurationSnapshot &result);
     void sendToPeerBehind(const base::DaemonId &peer, base::Revision revision, base::Time now);
@@ -115,7 +116,8 @@
     base::Time m_lastRelayedAt; ///< when entries were last relayed
     bool m_isReadingEndpoints = false;
     bool m_isAwaiting = false; ///< a wait, or a read in its place, is in progress
-    base::Time m_awaitDeadline; ///< when another wait takes its place
+    bool m_isReadInPlace = false; ///< the call in progress is a read in place of a wait
+    base::Time m_awaitDeadline; ///< when a read takes the place of the wait, or a wait that of the read
     bool m_isSelfWatching = false; ///< waits for changes although it does not do so for its group
     unsigned m_endpointFailures = 0; ///< in a row
     unsigned m_awaitFailures = 0; ///< in a row
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -92,11 +92,12 @@
 void SiteStateUpdater::awaitConfiguration()
 {
     m_isAwaiting = true;
+    m_isReadInPlace = false;
     m_awaitDeadline = base::now() + m_options.awaitTimeout;
     m_metrics.count("store_calls_total{call=\"await_configuration\"}");
     m_siteStore.awaitConfiguration(m_position, [this, number = ++m_awaitNumber](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
         if (number != m_awaitNumber) {
-            applyLateWait(number, result);
+            applyLateAnswer(number, result, ByWait);
             return;
         }
         if (result) {
@@ -129,33 +130,41 @@
     }
 }
 
-/// The connection of a wait may fall silent while other calls are answered.
+/// The connection of a wait may fall silent while other calls are answered, so a read takes its place, and a wait that of a read.
 void SiteStateUpdater::replaceAwait(base::Time now)
 {
-    telemetry::log(LogLevel::Warning, "configuration", "a wait for changes does not end, starting another one",
+    telemetry::log(LogLevel::Warning, "configuration",
+                   m_isReadInPlace ? "a read does not end, waiting for changes" : "a wait for changes does not end, reading",
                    {{"position", m_position}, {"late_ms", base::millisecondsBetween(m_awaitDeadline, now)}});
     m_metrics.count("store_failures_total{call=\"await_configuration\"}");
-    awaitConfiguration();
+    if (m_isReadInPlace) {
+        awaitConfiguration();
+    } else {
+        rereadConfiguration();
+    }
 }
 
-/// The answer to a wait that another one has replaced may only have been late, and the other one is late as well then.
-void SiteStateUpdater::applyLateWait(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result)
+/// The answer to a call that another one has replaced may only have been late, and the other one is late as well then.
+void SiteStateUpdater::applyLateAnswer(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result, std::string_view source)
 {
     const bool isChange = result && !result->text.empty();
     if (isChange && number >= m_firstWaitOfEra) {
-        applyConfiguration(result, ByWait);
+        applyConfiguration(result, source);
     }
 }
 
 void SiteStateUpdater::rereadConfiguration()
 {
+    m_isReadInPlace = true;
     m_awaitDeadline = base::now() + m_options.awaitTimeout;
     m_metrics.count("store_calls_total{call=\"read_configuration\"}");
-    m_siteStore.readConfiguration([this, number = m_awaitNumber](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
-        if (number == m_awaitNumber) {
-            applyConfiguration(result, ByRead);
-            m_isAwaiting = false;
+    m_siteStore.readConfiguration([this, number = ++m_awaitNumber](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
+        if (number != m_awaitNumber) {
+            applyLateAnswer(number, result, ByRead);
+            return;
         }
+        applyConfiguration(result, ByRead);
+        m_isAwaiting = false;
     });
 }
 
