Pauses of an outage end with it, and a discarded history causes none

What callers saw: 404 on an added route at daemons that reached the store, 2 s after the change. Cause: the pause before the read that follows a failed wait grew with the failures in a row, and only a successful wait reset their number. A daemon that others relay changes to does not wait, so that its first wait after an outage, from a position that was long gone, failed and paused for 2 s.

The first failure in a row is now followed by a read at once, and the number is reset by a successful read and when a daemon begins to wait. The configuration is also sent again to a daemon that stays behind, since a message may be lost.

--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -25,7 +25,8 @@
     base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration configurationRelayTime = std::chrono::milliseconds(500); ///< for a peer to relay its later revision before it is read directly
     base::Duration retryInterval = std::chrono::milliseconds(300); ///< after a failed call, by the reader of a group
-    /// Between two reads because a peer has a later revision than the store, which may have come back from an older copy.
+    /// Between two reads because a peer has a later revision than the store, which may have come back from an older copy; and between two
+    /// messages to a daemon that is behind, since a message may be lost.
     base::Duration peerRereadInterval = std::chrono::milliseconds(1000);
     /// Upper bound of the exponential backoff of other daemons; within the time in which a daemon must be up to date again.
     base::Duration maxRetryInterval = std::chrono::milliseconds(2000);
@@ -126,7 +127,7 @@
     base::Time m_nextPeerReread; ///< not before this time the configuration is read because a peer has a later revision
     std::string m_text; ///< of the configuration in force
     base::Time m_inForceSince;
-    std::map<base::DaemonId, base::Revision> m_sentRevisions; ///< last revision sent to each daemon that was behind
+    std::map<base::DaemonId, base::Time> m_nextSendTo; ///< for each daemon that was behind, when the configuration may be sent to it again
     bool m_isStoreAvailable = true;
     base::Time m_storeStateSince;
 };
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -46,6 +46,7 @@
     const bool mustWatchStore = m_callbacks.isConfigurationWatcher() || now >= m_lastRelayedAt + m_options.relayTimeout;
     const bool isSelfWatching = mustWatchStore && !m_callbacks.isConfigurationWatcher();
     if (std::exchange(m_isSelfWatching, isSelfWatching) != isSelfWatching) {
+        m_awaitFailures = 0; // of an earlier outage
         telemetry::log(LogLevel::Info, "configuration", isSelfWatching ? "no other daemon watches it, waiting for changes" : "watched by other daemons",
                        {{"position", m_position}});
     }
@@ -107,8 +108,9 @@
             return;
         }
         applyConfiguration(result, ByWait);
-        // The history may have been discarded, so everything is read again before the next wait.
-        const auto pause = retryPause(m_callbacks.isConfigurationWatcher(), m_awaitFailures++);
+        // The history may have been discarded, so everything is read again before the next wait; at once, unless the store fails.
+        const auto pause = m_awaitFailures == 0 ? base::Duration(0) : retryPause(m_callbacks.isConfigurationWatcher(), m_awaitFailures - 1);
+        ++m_awaitFailures;
         logWaitFailure(pause);
         const auto retryAt = base::now() + pause;
         m_awaitDeadline = retryAt + m_options.awaitTimeout;
@@ -165,6 +167,8 @@
         }
         applyConfiguration(result, ByRead);
         m_isAwaiting = false;
+        // A read that ended with the outage must not leave its pauses to a later wait.
+        m_awaitFailures = result ? 0 : m_awaitFailures;
     });
 }
 
@@ -237,10 +241,11 @@
 {
     const auto inForce = m_siteState.routes()->configuration().revision;
     const bool hasHadTime = now >= m_inForceSince + m_options.configurationRelayTime;
-    if (revision == base::Revision() || revision >= inForce || !hasHadTime || m_sentRevisions[peer] == inForce) {
+    auto &nextSend = m_nextSendTo[peer];
+    if (revision == base::Revision() || revision >= inForce || !hasHadTime || now < nextSend) {
         return;
     }
-    m_sentRevisions[peer] = inForce;
+    nextSend = now + m_options.peerRereadInterval;
     telemetry::log(LogLevel::Info, "configuration", "sent to a daemon that is behind",
                    {{"daemon", peer.text()}, {"revision", inForce.value()}, {"its_revision", revision.value()}});
     m_callbacks.onPeerBehind(peer, m_text);
