Daemons tell their group whether they wait for changes of the configuration

What callers saw: 404 on an added route at all daemons of a group, without end, while the store turned away the calls for the configuration of the two daemons that wait for the group, and answered their reads of endpoints. Cause: the others took relayed endpoints for a sign that somebody waits for changes.

A status says now whether its sender waits for changes on behalf of its group and gets answers, and is sent at once when that changes. Without such a peer a daemon waits itself. Messages of earlier builds, which do not tell, count as before.

--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -113,6 +113,9 @@
     /// @brief Number of other daemons in the group that are heard.
     std::size_t groupPeerCount() const;
 
+    /// @brief Whether a daemon is known and belongs to this daemon's group.
+    bool isInGroup(const base::DaemonId &id) const;
+
     /// @brief Whether at least half of the daemons of the group that were heard lately, this one included, are heard now.
     bool isHalfHeard() const;
 
--- a/include/turmericplank/gateway/peerstatus.hpp
+++ b/include/turmericplank/gateway/peerstatus.hpp
@@ -77,6 +77,7 @@
     std::set<base::ServiceName> unreachableServices; ///< of which the sender reaches no endpoint
     base::Term term; ///< of the placement lease; zero if the sender does not hold it
     base::Revision revision; ///< of the configuration in force at the sender
+    bool isWatchingConfiguration = true; ///< the sender waits for changes on behalf of its group, and the store answers; earlier builds do not tell
     base::StoreEra storeEra; ///< as reported by the store to the sender
     std::vector<routing::EndpointWork> endpointWork;
     std::vector<DrainingEndpoint> drainingEndpoints; ///< draining or recently removed, as read by the sender
--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -20,7 +20,8 @@
 struct SiteStateUpdaterOptions
 {
     base::Duration endpointsInterval = std::chrono::milliseconds(1000); ///< half the time in which a draining endpoint may still get calls
-    base::Duration relayTimeout = std::chrono::milliseconds(1450); ///< without relayed entries before reading directly; the read ends within the drain time
+    /// Without relayed entries, or without a status of a peer that waits for changes, before the store is read directly; the read ends within the drain time.
+    base::Duration relayTimeout = std::chrono::milliseconds(1450);
     base::Duration awaitTimeout = std::chrono::milliseconds(1500); ///< of one wait for changes, then a read starts; less than changes may take
     base::Duration tickInterval = std::chrono::milliseconds(100);
     base::Duration configurationRelayTime = std::chrono::milliseconds(500); ///< for a peer to relay its later revision before it is read directly
@@ -42,6 +43,7 @@
         std::function<void(const std::vector<discovery::EndpointChange> &)> onEndpointsUpdated; ///< entries were read or relayed
         std::function<bool()> isStoreReader; ///< this daemon reads on behalf of its group
         std::function<bool()> isConfigurationWatcher; ///< this daemon waits for changes of the configuration on behalf of its group
+        std::function<void()> onWatchChanged; ///< isWatchingForGroup() may have changed
         std::function<void(const std::vector<discovery::EndpointEntry> &)> onEntriesRead; ///< entries to relay to the group
         std::function<void(const std::string &)> onConfigurationText; ///< a configuration to relay, as written by operators
         std::function<void(const base::DaemonId &, const std::string &)> onPeerBehind; ///< a daemon that needs the configuration in force, and its text
@@ -71,6 +73,12 @@
     /// example at a daemon that started while the store held an older copy, the configuration in force is sent to that daemon.
     void notePeerRevision(const base::DaemonId &from, base::Revision revision);
 
+    /// @brief Notes whether another daemon of the group waits for changes of the configuration on behalf of the group, as its status says.
+    void notePeerWatch(const base::DaemonId &from, bool isWatching);
+
+    /// @brief Whether this daemon waits for changes on behalf of its group, and the store answers its waits.
+    bool isWatchingForGroup() const;
+
     /// @brief Notes that the store has come back from an older copy: positions in its history are void, and endpoints that it no
     /// longer lists are expected to register again.
     void noteStoreRestored();
@@ -78,6 +86,8 @@
 private:
     void readConfiguration();
     void awaitConfiguration();
+    bool isWatchedByPeer(base::Time now) const;
+    void setWatchSound(bool isSound);
     void logWaitFailure(base::Duration pause) const;
     void replaceAwait(base::Time now);
     void applyLateAnswer(std::uint64_t number, const tl::expected<ConfigurationSnapshot, TableFailure> &result, std::string_view source);
@@ -119,6 +129,8 @@
     bool m_isAwaiting = false; ///< a wait, or a read in its place, is in progress
     bool m_isReadInPlace = false; ///< the call in progress is a read in place of a wait
     base::Time m_awaitDeadline; ///< when a read takes the place of the wait, or a wait that of the read
+    bool m_isWatchSound = false; ///< the last wait, or read in its place, brought an answer, and the current one is not late
+    std::map<base::DaemonId, base::Time> m_watchedUntil; ///< peers that wait for changes for the group, until their statuses would be too old
     bool m_isSelfWatching = false; ///< waits for changes although it does not do so for its group
     unsigned m_endpointFailures = 0; ///< in a row
     unsigned m_awaitFailures = 0; ///< in a row
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -164,6 +164,7 @@
                 [this](const auto &changes) { onEndpoints(changes); },
                 [this] { return peers.isStoreReader(); },
                 [this] { return peers.isConfigurationWatcher(); },
+                [this] { peers.sendStatus(); },
                 [this](const auto &entries) { peers.sendToGroup(EndpointsKind, encode(entries)); },
                 [this](const auto &text) {
                     peers.sendToAll(ConfigurationKind, text);
@@ -398,6 +399,7 @@
         status.unreachableServices = unreachableServices;
         status.isCutOff = !unreachableServices.empty() && unreachableServices == endpointServices();
         status.revision = siteState.routes() ? siteState.routes()->configuration().revision : base::Revision();
+        status.isWatchingConfiguration = siteStateUpdater.isWatchingForGroup();
         status.storeEra = storeEra;
         status.endpointWork = router.ownWork();
         status.drainingEndpoints = siteState.drainingEndpoints(base::now());
@@ -415,6 +417,7 @@
         rateLimits.notePeerStatus(status, now);
         siteState.applyDraining(status.drainingEndpoints, now);
         siteStateUpdater.notePeerRevision(status.from, status.revision);
+        siteStateUpdater.notePeerWatch(status.from, status.isWatchingConfiguration && !status.isDraining && peers.isInGroup(status.from));
         notePeerStoreEra(status.storeEra);
         placementRunner.handlePeerStatus(status);
         bool hasChanged = false;
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -374,6 +374,12 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_peers, [](const auto &it) { return !it.second.isSilent && it.second.isInGroup; }));
 }
 
+bool Peers::isInGroup(const base::DaemonId &id) const
+{
+    const auto it = m_peers.find(id);
+    return it != m_peers.end() && it->second.isInGroup;
+}
+
 /// Does not rely on detectSilentPeers(), which has not run yet when a process goes on after a pause.
 bool Peers::isHalfHeard() const
 {
--- a/src/turmericplank/gateway/peerstatus.cpp
+++ b/src/turmericplank/gateway/peerstatus.cpp
@@ -48,6 +48,7 @@
     }
     status.term = base::Term(json.at("term").get<std::uint64_t>());
     status.revision = base::Revision(json.at("rev").get<std::uint64_t>());
+    status.isWatchingConfiguration = json.value("watch", true); // absent in messages of earlier builds
     status.storeEra = base::StoreEra(json.value("era", std::uint64_t(0))); // absent in messages of earlier builds
     for (const auto &it : json.at("work")) {
         status.endpointWork.push_back({base::EndpointId(it.at(0).get<std::string>()), it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>(),
@@ -95,6 +96,7 @@
     for (const auto &it : status.unreachableServices) {
         json["unreachable"].push_back(it.text());
     }
+    json["watch"] = status.isWatchingConfiguration;
     json["era"] = status.storeEra.value();
     json["peers"] = toString(status.peerAddress);
     json["callers"] = toString(status.callerAddress);
--- a/src/turmericplank/gateway/peerstatus_test.cpp
+++ b/src/turmericplank/gateway/peerstatus_test.cpp
@@ -17,6 +17,7 @@
     status.isReady = true;
     status.term = base::Term(3);
     status.revision = base::Revision(9);
+    status.isWatchingConfiguration = false;
     status.storeEra = base::StoreEra(2);
     status.endpointWork = {{base::EndpointId("e1"), 4, 1, 2, 300, 400}};
     status.drainingEndpoints = {{base::EndpointId("e2"), base::Incarnation(4)}};
@@ -39,7 +40,7 @@
 TEST_CASE("a status of an earlier build, without members that were added since, is decoded")
 {
     auto json = nlohmann::json::from_msgpack(encode(PeerStatus()));
-    for (const auto *member : {"era", "cut_off", "unreachable", "tolerances", "rates"}) {
+    for (const auto *member : {"era", "cut_off", "unreachable", "tolerances", "rates", "watch"}) {
         json.erase(member);
     }
     json["added_later"] = {{"x", 1}};
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -42,8 +42,9 @@
     if (!m_isReadingEndpoints && isEndpointsReadDue(now)) {
         readEndpoints();
     }
-    // Watchers that are cut off from the store relay nothing; the others detect this in time to apply a change themselves.
-    const bool mustWatchStore = m_callbacks.isConfigurationWatcher() || now >= m_lastRelayedAt + m_options.relayTimeout;
+    // Relayed entries show that the reader reads, not that anybody waits for changes; earlier builds tell no more than this.
+    const bool isWatchedForGroup = isWatchedByPeer(now) && now < m_lastRelayedAt + m_options.relayTimeout;
+    const bool mustWatchStore = m_callbacks.isConfigurationWatcher() || !isWatchedForGroup;
     const bool isSelfWatching = mustWatchStore && !m_callbacks.isConfigurationWatcher();
     if (std::exchange(m_isSelfWatching, isSelfWatching) != isSelfWatching) {
         m_awaitFailures = 0; // of an earlier outage
@@ -55,6 +56,36 @@
     } else if (m_isAwaiting && now >= m_awaitDeadline) {
         replaceAwait(now);
     }
+    if (!m_isAwaiting && !mustWatchStore) {
+        setWatchSound(false);
+    }
+}
+
+bool SiteStateUpdater::isWatchingForGroup() const
+{
+    return m_isWatchSound && m_callbacks.isConfigurationWatcher();
+}
+
+void SiteStateUpdater::notePeerWatch(const base::DaemonId &from, bool isWatching)
+{
+    if (isWatching) {
+        m_watchedUntil[from] = base::now() + m_options.relayTimeout;
+    } else {
+        m_watchedUntil.erase(from);
+    }
+}
+
+bool SiteStateUpdater::isWatchedByPeer(base::Time now) const
+{
+    return std::ranges::any_of(m_watchedUntil, [now](const auto &it) { return now < it.second; });
+}
+
+/// The others of the group rely on this daemon's waits, so they are told at once.
+void SiteStateUpdater::setWatchSound(bool isSound)
+{
+    if (std::exchange(m_isWatchSound, isSound) != isSound) {
+        m_callbacks.onWatchChanged();
+    }
 }
 
 bool SiteStateUpdater::isEndpointsReadDue(base::Time now) const
@@ -105,8 +136,10 @@
             handleWaitEnd(*result);
             m_awaitFailures = 0;
             m_isAwaiting = false;
+            setWatchSound(true);
             return;
         }
+        setWatchSound(false);
         applyConfiguration(result, ByWait);
         // The history may have been discarded, so everything is read again before the next wait; at once, unless the store fails.
         const auto pause = m_awaitFailures == 0 ? base::Duration(0) : retryPause(m_callbacks.isConfigurationWatcher(), m_awaitFailures - 1);
@@ -139,6 +172,7 @@
                    m_isReadInPlace ? "a read does not end, waiting for changes" : "a wait for changes does not end, reading",
                    {{"position", m_position}, {"late_ms", base::millisecondsBetween(m_awaitDeadline, now)}});
     m_metrics.count("store_failures_total{call=\"await_configuration\"}");
+    setWatchSound(false);
     if (m_isReadInPlace) {
         awaitConfiguration();
     } else {
@@ -169,6 +203,7 @@
         m_isAwaiting = false;
         // A read that ended with the outage must not leave its pauses to a later wait.
         m_awaitFailures = result ? 0 : m_awaitFailures;
+        setWatchSound(result.has_value());
     });
 }
 
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -87,6 +87,8 @@
         it.isConfigurationWatcher = [this] {
             return isStoreReader || isSecondWatcher;
         };
+        it.onWatchChanged = [] {
+        };
         it.onEntriesRead = [this](const auto &) {
             ++relayCount;
         };
