Unknown routes and keys are looked up while the configuration may be out of date

What callers saw: 404, after which they do not try again, from a daemon that could not know whether the route had been added. Cause: a daemon refused a route from its configuration whatever the age of its knowledge.

A daemon now knows whether it would know of a later configuration: it or a peer waits for changes with answers, and no peer has a later revision. If not, a call on an unknown route or with an unknown key waits for one read (300 ms at most, shared by all such calls, two reads a second) and is refused with 503 and Retry-After if that fails. The sharing of reads moves from EndpointRefresh to SharedRead.

"while peers have a later revision than the store ..." ran a daemon without anybody who waits for it; its own silent wait is followed by a read since, which the test counted. A peer waits for it there now, and the bound on the reads because of peers stays.

--- a/include/turmericplank/gateway/call.hpp
+++ b/include/turmericplank/gateway/call.hpp
@@ -87,6 +87,7 @@
 enum class RejectionReason {
     NoConfiguration, ///< not run; no configuration is in force yet
     NoRoute, ///< not run; no route matches
+    ConfigurationUncertain, ///< not run; no route or account matches, but the configuration may have changed
     BadRequest, ///< not run; the request is malformed
     UnknownKey, ///< not run; the call has no API key of an account
     LimitExceeded, ///< not run; the account has used up its limit
--- a/include/turmericplank/gateway/endpointrefresh.hpp
+++ b/include/turmericplank/gateway/endpointrefresh.hpp
@@ -1,21 +1,17 @@
 #pragma once
 
 #include <functional>
-#include <memory>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "turmericplank/gateway/interface.hpp"
+#include "turmericplank/gateway/sharedread.hpp"
 
 namespace turmericplank::gateway {
 
 /// @brief Intervals and timeouts of EndpointRefresh.
-struct EndpointRefreshOptions
-{
-    base::Duration timeout = std::chrono::milliseconds(300); ///< while a caller waits; a slow store takes 240 ms
-    base::Duration minInterval = std::chrono::milliseconds(50); ///< between the starts of two reads, since many callers may ask at the same time
-};
+using EndpointRefreshOptions = SharedReadOptions;
 
 /// @brief Reads the endpoints' entries at once for calls that cannot wait for the next regular read.
 ///
@@ -35,22 +31,7 @@
     void refresh(std::function<void(bool)> onDone);
 
 private:
-    struct Waiter
-    {
-        std::function<void(bool)> onDone; ///< empty after it was called
-    };
-    using WaiterPointer = std::shared_ptr<Waiter>;
-
-    void startRead();
-    static void end(const WaiterPointer &waiter, bool isRead);
-
-    boost::asio::io_context &m_context;
-    Read m_read;
-    std::function<void(const std::vector<discovery::EndpointEntry> &)> m_onRead;
-    EndpointRefreshOptions m_options;
-    std::vector<WaiterPointer> m_waiters; ///< for the next read
-    base::Time m_nextReadFrom;
-    bool m_isScheduled = false;
+    SharedRead m_reads;
 };
 
 } // namespace turmericplank::gateway
--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -99,6 +99,12 @@
     std::function<void(const base::EndpointId &, std::optional<double>)> onRateLimit;
     std::function<accounts::UsageDecision(const accounts::Account &, const Call &)> admitUse; ///< counts a call of an account with a limit
     std::function<void(const accounts::Account &, const Call &)> giveBackUse; ///< of an admitted call that never ran
+    /// Whether this daemon would know of a later configuration than the one in force.
+    std::function<bool()> isConfigurationCertain = [] {
+        return true;
+    };
+    /// Reads the configuration; calls back once, with whether the latest one is in force now.
+    std::function<void(std::function<void(bool)>)> refreshConfiguration;
 };
 
 /// @brief Forwards callers' calls to endpoints and returns the responses.
@@ -142,6 +148,17 @@
     struct CallList;
     using WaitingList = boost::intrusive::list<ForwardedCall, boost::intrusive::constant_time_size<false>>;
 
+    /// How a request reached this daemon, and what is known when it is handled.
+    struct Arrival
+    {
+        std::optional<CallLimits> limits; ///< set by the daemon that forwarded it
+        base::Time at;
+        bool isConfigurationCertain = true;
+    };
+
+    void admit(const net::ExchangePointer &exchange, const Arrival &arrival);
+    bool matchesConfiguration(const net::HttpRequest &request) const;
+    void rejectUnmatched(const net::ExchangePointer &exchange, const Call &call, RejectionReason reason);
     void rejectUnknownKey(const net::ExchangePointer &exchange, const Call &call, const routes::Route &route);
     bool rejectOverLimit(const net::ExchangePointer &exchange, const Call &call, const accounts::Account &account);
     bool consumeRetryBudget(const base::ServiceName &service, base::Time now);
--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -79,6 +79,14 @@
     /// @brief Whether this daemon waits for changes on behalf of its group, and the store answers its waits.
     bool isWatchingForGroup() const;
 
+    /// @brief Whether this daemon would know of a later configuration than the one in force: it or a peer waits for changes, the store answers these
+    /// waits, and no peer has a later revision.
+    bool isConfigurationCertain() const;
+
+    /// @brief Reads the configuration beside the regular reads.
+    /// @param onDone called once with whether the latest configuration is in force now
+    void refreshConfiguration(std::function<void(bool)> onDone);
+
     /// @brief Notes that the store has come back from an older copy: positions in its history are void, and endpoints that it no
     /// longer lists are expected to register again.
     void noteStoreRestored();
--- a/src/turmericplank/gateway/call.cpp
+++ b/src/turmericplank/gateway/call.cpp
@@ -46,6 +46,8 @@
         return "no_configuration";
     case RejectionReason::NoRoute:
         return "no_route";
+    case RejectionReason::ConfigurationUncertain:
+        return "configuration_uncertain";
     case RejectionReason::BadRequest:
         return "bad_request";
     case RejectionReason::UnknownKey:
--- a/src/turmericplank/gateway/configurationchange_test.cpp
+++ b/src/turmericplank/gateway/configurationchange_test.cpp
@@ -178,3 +178,23 @@
         CHECK(it->body != unknownRoute);
     }
 }
+
+TEST_CASE("the first call on an added route is answered by a daemon that missed the change, once the store answers it")
+{
+    TestFleet fleet(
+        4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
+    fleet.runFor(StartTime);
+    fleet.store.hiddenConfigurationFor = AllOfFour;
+    fleet.runFor(3s);
+    fleet.store.put(TestFleet::makeConfiguration(2, "/r2/"));
+    fleet.runFor(500ms);
+    fleet.store.hiddenConfigurationFor.clear();
+    std::vector<std::shared_ptr<TestFleet::Result>> results;
+    for (std::size_t n = 0; n < fleet.daemonCount(); ++n) {
+        results.push_back(fleet.call(n, {}, "sound", "/r2/x"));
+    }
+    fleet.runFor(1s);
+    for (const auto &it : results) {
+        CHECK(it->status == 200);
+    }
+}
--- a/src/turmericplank/gateway/endpointrefresh.cpp
+++ b/src/turmericplank/gateway/endpointrefresh.cpp
@@ -1,55 +1,34 @@
 #include "turmericplank/gateway/endpointrefresh.hpp"
 
-#include <algorithm>
 #include <utility>
 
-#include "turmericplank/daemon/timers.hpp"
-
 namespace turmericplank::gateway {
 
-EndpointRefresh::EndpointRefresh(boost::asio::io_context &context, Read read, std::function<void(const std::vector<discovery::EndpointEntry> &)> onRead,
-                                 EndpointRefreshOptions options)
-    : m_context(context)
-    , m_read(std::move(read))
-    , m_onRead(std::move(onRead))
-    , m_options(options)
-{
-}
+namespace {
 
-void EndpointRefresh::refresh(std::function<void(bool)> onDone)
+SharedRead::Read readAndNote(EndpointRefresh::Read read, std::function<void(const std::vector<discovery::EndpointEntry> &)> onRead)
 {
-    const auto now = base::now();
-    const auto waiter = std::make_shared<Waiter>(Waiter{std::move(onDone)});
-    m_waiters.push_back(waiter);
-    daemon::callAt(m_context, now + m_options.timeout, [waiter] { end(waiter, false); });
-    if (!std::exchange(m_isScheduled, true)) {
-        daemon::callAt(m_context, std::max(now, m_nextReadFrom), [this] { startRead(); });
-    }
+    return [read = std::move(read), onRead = std::move(onRead)](const std::function<void(bool)> &onDone) {
+        read([onRead, onDone](const tl::expected<EndpointsSnapshot, TableFailure> &result) {
+            if (result) {
+                onRead(result->entries);
+            }
+            onDone(result.has_value());
+        });
+    };
 }
 
-void EndpointRefresh::startRead()
+} // namespace
+
+EndpointRefresh::EndpointRefresh(boost::asio::io_context &context, Read read, std::function<void(const std::vector<discovery::EndpointEntry> &)> onRead,
+                                 EndpointRefreshOptions options)
+    : m_reads(context, readAndNote(std::move(read), std::move(onRead)), options)
 {
-    m_isScheduled = false;
-    const auto waiters = std::exchange(m_waiters, {});
-    if (std::ranges::none_of(waiters, [](const auto &it) { return it->onDone != nullptr; })) {
-        return;
-    }
-    m_nextReadFrom = base::now() + m_options.minInterval;
-    m_read([this, waiters](const tl::expected<EndpointsSnapshot, TableFailure> &result) {
-        if (result) {
-            m_onRead(result->entries);
-        }
-        for (const auto &it : waiters) {
-            end(it, result.has_value());
-        }
-    });
 }
 
-void EndpointRefresh::end(const WaiterPointer &waiter, bool isRead)
+void EndpointRefresh::refresh(std::function<void(bool)> onDone)
 {
-    if (const auto onDone = std::exchange(waiter->onDone, nullptr)) {
-        onDone(isRead);
-    }
+    m_reads.request(std::move(onDone));
 }
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -29,40 +29,85 @@
     }
 }
 
+/// Callers do not try again after they were told that a route or a key is unknown, so an answer of this kind is not given from a
+/// configuration that may be out of date.
 void Forwarder::handleCall(const net::ExchangePointer &exchange, const std::optional<CallLimits> &limits)
+{
+    const Arrival arrival{limits, base::now(), true};
+    if (m_isRejectingNewCalls || matchesConfiguration(exchange->request()) || m_dependencies.isConfigurationCertain()) {
+        admit(exchange, arrival);
+        return;
+    }
+    ++*m_callsInProgress;
+    m_dependencies.metrics.count("configuration_lookups_total");
+    m_dependencies.refreshConfiguration([this, isAlive = m_isAlive, inProgress = m_callsInProgress, exchange, arrival](bool isCertain) {
+        --*inProgress;
+        if (*isAlive && exchange->isCallerConnected()) {
+            admit(exchange, {arrival.limits, arrival.at, isCertain});
+        }
+    });
+}
+
+/// @return whether there is no configuration yet, or the one in force has the route of a request and an account for its key
+bool Forwarder::matchesConfiguration(const net::HttpRequest &request) const
+{
+    const auto &routes = m_dependencies.siteState.routes();
+    if (!routes) {
+        return true;
+    }
+    const auto call = m_dependencies.wire.decodeCall(request);
+    const auto *route = routes->find(call.host, net::path(request.target));
+    if (route == nullptr) {
+        return false;
+    }
+    const bool needsNoKey = !routes->configuration().accounts || route->isPublic;
+    return needsNoKey || (call.key && routes->findAccount(*call.key) != nullptr);
+}
+
+void Forwarder::admit(const net::ExchangePointer &exchange, const Arrival &arrival)
 {
     const auto &request = exchange->request();
     auto call = m_dependencies.wire.decodeCall(request);
     const auto &routes = m_dependencies.siteState.routes();
     const auto *route = routes ? routes->find(call.host, net::path(request.target)) : nullptr;
+    const auto noRoute = arrival.isConfigurationCertain ? RejectionReason::NoRoute : RejectionReason::ConfigurationUncertain;
     if (route == nullptr || m_isRejectingNewCalls) {
-        const auto reason = m_isRejectingNewCalls ? RejectionReason::Draining : (routes ? RejectionReason::NoRoute : RejectionReason::NoConfiguration);
-        telemetry::log(telemetry::LogLevel::Warning, "requests", "refused",
-                       {{"request", call.id},
-                        {"reason", toString(reason)},
-                        {"target", request.target},
-                        {"revision", routes ? routes->configuration().revision.value() : std::uint64_t(0)}});
-        m_dependencies.metrics.count("requests_total{outcome=\"" + std::string(toString(reason)) + "\"}");
-        // Another daemon may accept the call at once, with a configuration or a route that is not in force here yet.
-        const auto retryAfter = reason == RejectionReason::NoRoute ? std::optional<base::Duration>() : std::optional(base::Duration(0));
-        exchange->respond(m_dependencies.wire.makeRejection({reason, retryAfter}));
+        rejectUnmatched(exchange, call, m_isRejectingNewCalls ? RejectionReason::Draining : (routes ? noRoute : RejectionReason::NoConfiguration));
         return;
     }
     const auto *account = call.key ? routes->findAccount(*call.key) : nullptr;
     if (account == nullptr && routes->configuration().accounts && !route->isPublic) {
-        rejectUnknownKey(exchange, call, *route);
+        if (arrival.isConfigurationCertain) {
+            rejectUnknownKey(exchange, call, *route);
+        } else {
+            rejectUnmatched(exchange, call, RejectionReason::ConfigurationUncertain);
+        }
         return;
     }
     // The use of a call that another daemon forwards has been counted there; a public route is open to all callers.
-    if (account != nullptr && !limits && !route->isPublic && rejectOverLimit(exchange, call, *account)) {
+    if (account != nullptr && !arrival.limits && !route->isPublic && rejectOverLimit(exchange, call, *account)) {
         return;
     }
     const boost::intrusive_ptr<ForwardedCall> forwardedCall(
-        new ForwardedCall(*this, exchange, std::move(call), {routes, *route, account}, limits, base::now()));
+        new ForwardedCall(*this, exchange, std::move(call), {routes, *route, account}, arrival.limits, arrival.at));
     m_calls->push_back(*forwardedCall);
     forwardedCall->start();
 }
 
+void Forwarder::rejectUnmatched(const net::ExchangePointer &exchange, const Call &call, RejectionReason reason)
+{
+    const auto &routes = m_dependencies.siteState.routes();
+    telemetry::log(telemetry::LogLevel::Warning, "requests", "refused",
+                   {{"request", call.id},
+                    {"reason", toString(reason)},
+                    {"target", exchange->request().target},
+                    {"revision", routes ? routes->configuration().revision.value() : std::uint64_t(0)}});
+    m_dependencies.metrics.count("requests_total{outcome=\"" + std::string(toString(reason)) + "\"}");
+    // Another daemon may accept the call at once, with a configuration or a route that is not in force here yet.
+    const auto retryAfter = reason == RejectionReason::NoRoute ? std::optional<base::Duration>() : std::optional(base::Duration(0));
+    exchange->respond(m_dependencies.wire.makeRejection({reason, retryAfter}));
+}
+
 void Forwarder::rejectUnknownKey(const net::ExchangePointer &exchange, const Call &call, const routes::Route &route)
 {
     const auto &configuration = m_dependencies.siteState.routes()->configuration();
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 #include "turmericplank/gateway/placementrunner.hpp"
 #include "turmericplank/gateway/ratelimits.hpp"
 #include "turmericplank/gateway/rejectionlimits.hpp"
+#include "turmericplank/gateway/sharedread.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
 #include "turmericplank/gateway/streamoriginexchange.hpp"
 #include "turmericplank/requests/lossreview.hpp"
@@ -44,6 +45,7 @@
 constexpr auto StopSignalDelay = std::chrono::milliseconds(250); ///< in which the signal reaches a daemon that is short of processor time
 constexpr auto ShutdownReserve = std::chrono::milliseconds(500); ///< left before the platform kills the process
 constexpr std::uint32_t MaxDroppedLinesPerSecond = 5;
+constexpr auto ConfigurationReadInterval = std::chrono::milliseconds(500); ///< between two reads for calls whose route or key is unknown
 constexpr std::size_t MinZoneEntries = 2; ///< so that one may be lost
 constexpr auto ContactSettleTime = std::chrono::seconds(3); ///< after contact was regained, until all daemons know and have closed connections
 
@@ -80,6 +82,8 @@
         , endpointRefresh(
               context, [this, read = siteStore.readEndpoints](const ReadCallback<EndpointsSnapshot> &onDone) { readVersions(read, onDone); },
               [this](const auto &entries) { originExchange.noteEndpoints(entries); })
+        , configurationRead(context, [this](auto onDone) { siteStateUpdater.refreshConfiguration(std::move(onDone)); },
+                            {.minInterval = ConfigurationReadInterval})
         , accountLimits(context, settings.id, siteState, *mesh, peers, metrics, random)
         , originExchange(context, streamOrigins, *mesh, peers, siteStore.table, settings.isFirstStart)
         , peerForwarder(*mesh, peers, peerContact, forwarder, siteState, pool, metrics, random)
@@ -153,8 +157,10 @@
             [this](const base::EndpointId &endpoint, std::optional<std::uint32_t> tolerance) { rejectionLimits.noteAnswer(endpoint, tolerance, base::now()); },
             [this](const base::EndpointId &endpoint, std::optional<double> callsPerSecond) { rateLimits.noteAnswer(endpoint, callsPerSecond, base::now()); },
             [this](const accounts::Account &account, const Call &call) { return accountLimits.admit(account, call, base::now()); },
-            [this](const accounts::Account &account, const Call &call) {
-                accountLimits.giveBack(account, call);
+            [this](const accounts::Account &account, const Call &call) { accountLimits.giveBack(account, call); },
+            [this] { return siteStateUpdater.isConfigurationCertain(); },
+            [this](auto onDone) {
+                configurationRead.request(std::move(onDone));
             }};
     }
 
@@ -550,6 +556,7 @@
     void answerMetrics(const net::ExchangePointer &exchange)
     {
         metrics.setGauge("daemons", static_cast<double>(daemonCount()));
+        metrics.setGauge("configuration_certain", siteStateUpdater.isConfigurationCertain() ? 1 : 0);
         metrics.setGauge("requests_in_progress", static_cast<double>(forwarder.callsInProgress()));
         metrics.setGauge("endpoint_connections", static_cast<double>(pool.openConnectionCount()));
         metrics.setGauge("endpoint_connections_opened", static_cast<double>(pool.openedTotal()));
@@ -582,6 +589,7 @@
     PlacementRunner placementRunner;
     Peers peers;
     EndpointRefresh endpointRefresh;
+    SharedRead configurationRead;
     AccountLimits accountLimits;
     StreamOriginExchange originExchange;
     PeerContact peerContact;
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -80,6 +80,20 @@
     return std::ranges::any_of(m_watchedUntil, [now](const auto &it) { return now < it.second; });
 }
 
+bool SiteStateUpdater::isConfigurationCertain() const
+{
+    return m_siteState.routes() && !m_peerAheadSince && (m_isWatchSound || isWatchedByPeer(base::now()));
+}
+
+void SiteStateUpdater::refreshConfiguration(std::function<void(bool)> onDone)
+{
+    m_metrics.count("store_calls_total{call=\"read_configuration\"}");
+    m_siteStore.readConfiguration([this, onDone = std::move(onDone)](const tl::expected<ConfigurationSnapshot, TableFailure> &result) {
+        applyConfiguration(result, ByRead);
+        onDone(result.has_value());
+    });
+}
+
 /// The others of the group rely on this daemon's waits, so they are told at once.
 void SiteStateUpdater::setWatchSound(bool isSound)
 {
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -294,6 +294,8 @@
     it.stopsWhenAwaiting = false;
     const auto end = base::now() + std::chrono::milliseconds(350);
     daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
+        it.updater.applyRelayedEntries({});
+        it.updater.notePeerWatch(peer, true); // so that it does not wait itself, which would add a read
         it.updater.notePeerRevision(peer, base::Revision(7));
         if (base::now() >= end) {
             it.context.stop();
@@ -356,3 +358,31 @@
     it.runUntilAwaiting();
     CHECK(it.awaitedFrom == std::vector<std::uint64_t>{1, 1});
 }
+
+TEST_CASE("a daemon waits for changes itself as soon as no peer does so for the group, although entries are relayed")
+{
+    Daemon it(false);
+    bool isWatched = true;
+    const auto end = base::now() + std::chrono::milliseconds(300);
+    daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
+        it.updater.applyRelayedEntries({});
+        it.updater.notePeerWatch(peer, isWatched);
+        if (isWatched && base::now() >= end) {
+            isWatched = false;
+            it.awaitedFrom.clear(); // of the start
+            it.context.stop();
+        }
+    });
+    it.stopsWhenAwaiting = false;
+    it.context.run();
+    CHECK_FALSE(it.updater.isWatchingForGroup());
+    it.stopsWhenAwaiting = true;
+    it.runUntilAwaiting();
+    CHECK(it.awaitedFrom.size() == 1);
+    CHECK_FALSE(it.updater.isConfigurationCertain());
+    it.awaiting(ConfigurationSnapshot{nullptr, 1, {}});
+    CHECK(it.updater.isConfigurationCertain());
+    CHECK_FALSE(it.updater.isWatchingForGroup()); // it waits for itself only
+    it.updater.notePeerRevision(peer, base::Revision(9));
+    CHECK_FALSE(it.updater.isConfigurationCertain());
+}
