The test of reads because of peers relies on a peer's wait from its start

"while peers have a later revision than the store ..." failed with 6 reads where 5 are allowed: the daemon began a wait of its own before the test's first message, and a silent wait ends in a read since. The peer now waits from the start. The bound on the reads is as before.

--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -292,10 +292,15 @@
 {
     Daemon it(false);
     it.stopsWhenAwaiting = false;
+    // A peer waits for changes, so that a wait of this daemon, which would end in a read, adds none.
+    const auto rely = [&it] {
+        it.updater.applyRelayedEntries({});
+        it.updater.notePeerWatch(peer, true);
+    };
+    rely();
     const auto end = base::now() + std::chrono::milliseconds(350);
     daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
-        it.updater.applyRelayedEntries({});
-        it.updater.notePeerWatch(peer, true); // so that it does not wait itself, which would add a read
+        rely();
         it.updater.notePeerRevision(peer, base::Revision(7));
         if (base::now() >= end) {
             it.context.stop();
