Responses without a status of HTTP fail the call

What callers saw or could see: through the own interface, an endpoint's answer of 000 as an answer with that number; through the gateway, a call that waited for its deadline after an endpoint had sent 000 and kept its connection open, since 000 to 199 were taken for interim responses. Cause: the HTTP client took any number for a status, and the kept connections any number below 200 for an interim one.

The client fails a call without a final status as malformed, and a kept connection ends at a number below 100.

--- a/include/turmericplank/net/httpclient.hpp
+++ b/include/turmericplank/net/httpclient.hpp
@@ -19,7 +19,7 @@
     NotSent, ///< no byte of the request was written to the connection
     ConnectionLost, ///< the connection broke after bytes were written
     TimedOut, ///< nothing was received within a timeout
-    Malformed, ///< the response cannot be parsed or exceeds a limit
+    Malformed, ///< the response cannot be parsed, has no final status or exceeds a limit
 };
 
 /// @brief One outgoing request; each uses its own connection, so that a stalled connection affects only one call.
--- a/src/turmericplank/net/clientconnection.cpp
+++ b/src/turmericplank/net/clientconnection.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t ReadSize = 4 * 1024; ///< bytes; enough for a few events of a streamed response
 constexpr std::size_t MaxFramingBytes = 8 * 1024; ///< of a header section, a chunk header or a trailer section
 constexpr int MaxSkippedResponses = 4; ///< if more late or interim responses precede a request's own, the connection is treated as corrupt
+constexpr int FirstStatus = 100; ///< lower ones are not defined by HTTP
 constexpr int FirstFinalStatus = 200; ///< responses with a lower status precede the final response to the same request
 constexpr int TcpUserTimeoutMilliseconds = 4000; ///< TCP closes a connection whose peer acknowledges no data for this long
 constexpr auto RestTimeout = std::chrono::seconds(10); ///< in which an endpoint that answers early must read the rest of the request
@@ -226,6 +227,10 @@
     void processHeaders()
     {
         m_hasHeaders = true;
+        if (m_parser->status() < FirstStatus) {
+            finish(SendOutcome::Malformed);
+            return;
+        }
         const bool isInterim = m_parser->status() < FirstFinalStatus;
         auto action = isInterim ? HeaderAction::Skip : HeaderAction::Accept;
         if (!isInterim && m_current && m_current->onHeaders) {
--- a/src/turmericplank/net/clientconnection_test.cpp
+++ b/src/turmericplank/net/clientconnection_test.cpp
@@ -241,6 +241,15 @@
     CHECK((sendToEndlessEndpoint(interim, interim).outcome == SendOutcome::Malformed));
 }
 
+// Guards against a call that waits for its deadline although its endpoint has sent bytes that are no answer.
+TEST_CASE("a status below those of HTTP ends the call at once, although the connection stays open")
+{
+    for (const std::string status : {"000", "001", "099"}) {
+        CAPTURE(status);
+        CHECK((sendRequest({"HTTP/1.1 " + status + " X\r\nRequest-Id: mine\r\nContent-Length: 2\r\n\r\nok"}).outcome == SendOutcome::Malformed));
+    }
+}
+
 TEST_CASE("an endless body is malformed and is passed on only up to the limit")
 {
     const std::string unframedHead = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n";
--- a/src/turmericplank/net/httpclient.cpp
+++ b/src/turmericplank/net/httpclient.cpp
@@ -62,6 +62,7 @@
 
 private:
     using Pointer = boost::intrusive_ptr<Call>;
+    static constexpr unsigned FirstFinalStatus = 200; ///< requests ask for no interim response
     static constexpr std::size_t ReadBufferBytes = 16 * 1024;
     static constexpr std::size_t MaxBufferBytes = 64 * 1024; ///< limits chunk headers and trailers, as the parser does not
 
@@ -115,6 +116,10 @@
 
     void onHeaders()
     {
+        if (m_parser.get().result_int() < FirstFinalStatus) {
+            finish(tl::make_unexpected(CallFailure::Malformed));
+            return;
+        }
         if (m_options.bodyTimeout) {
             m_bodyDeadline = base::now() + *m_options.bodyTimeout;
         }
