One budget bounds the answers that are collected before they are forwarded

What operators saw elsewhere: a faulty endpoint sent bytes without end, and the process that had called it ran out of memory. Cause here: each answer is bounded (1 MiB), all answers that are collected at the same time were not, and an answer that stops short of its end is held until its deadline.

The bodies of all calls share an eighth of the VM's memory, 32 MiB at most. When they exceed it, the largest one gives way and its attempt counts as lost.

--- a/include/turmericplank/gateway/forwarder.hpp
+++ b/include/turmericplank/gateway/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "turmericplank/forwarding/retrydelay.hpp"
 #include "turmericplank/forwarding/streamorigins.hpp"
 #include "turmericplank/forwarding/waiting.hpp"
+#include "turmericplank/gateway/collectedbody.hpp"
 #include "turmericplank/gateway/connectionpool.hpp"
 #include "turmericplank/gateway/interface.hpp"
 #include "turmericplank/gateway/peerforward.hpp"
@@ -57,6 +58,8 @@
     std::function<bool()> hasRoomForUnread = [] {
         return false;
     };
+    /// Bytes of all answers that are collected at the same time before they are forwarded; an answer has 1 MiB at most.
+    std::size_t maxCollectedBytes = 32U * 1024 * 1024;
     forwarding::RetryDelayOptions retryDelay;
 };
 
@@ -179,6 +182,7 @@
     double m_uncountedMilliseconds = 0; ///< fraction carried over to the next call
     std::unique_ptr<WaitingList> m_waitingCalls;
     std::unique_ptr<CallList> m_calls; ///< in progress
+    CollectionBudgetPointer m_collectionBudget;
     bool m_isRejectingNewCalls = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< shared with answers of other daemons, which may come later
     /// Shared, since callbacks of late connections may outlive the forwarder.
--- a/src/turmericplank/daemon/endpointattempt.cpp
+++ b/src/turmericplank/daemon/endpointattempt.cpp
@@ -12,6 +12,7 @@
 constexpr int NotFound = 404;
 constexpr int TooManyRequests = 429;
 constexpr int Unavailable = 503;
+constexpr std::size_t MaxAnswerBytes = 4U * 1024 * 1024; ///< that is collected before it is relayed; a message between daemons holds no more
 constexpr auto BackstopMargin = std::chrono::seconds(3);
 
 AttemptResult toAttemptResult(net::CallFailure failure)
@@ -50,6 +51,7 @@
     call.request = std::move(attempt->m_options.request);
     call.responseHeaderTimeout = attempt->m_options.progressTimeout + BackstopMargin;
     call.bodyIdleTimeout = call.responseHeaderTimeout;
+    call.maxBodyBytes = attempt->m_options.isStream ? call.maxBodyBytes : MaxAnswerBytes;
     call.onHeaders = [attempt](int status, const net::Headers &headers) {
         attempt->m_status = status;
         attempt->m_answer.status = status;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -11,6 +11,7 @@
 
 #include "turmericplank/forwarding/attempts.hpp"
 #include "turmericplank/forwarding/eventcursor.hpp"
+#include "turmericplank/gateway/collectedbody.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
 #include "turmericplank/gateway/incarnationcheck.hpp"
 
@@ -35,7 +36,7 @@
     std::optional<PooledConnection> pooled;
     std::optional<ResponseHead> head;
     net::Headers headers;
-    std::string body; ///< of a response that is forwarded as a whole
+    boost::intrusive_ptr<CollectedBody> body; ///< of a response that is forwarded as a whole; null before its first bytes
     forwarding::EventCursor events; ///< of a response whose events are forwarded as they arrive
     std::string softwareVersion; ///< of the endpoint
     net::ConnectionError connectionError = net::ConnectionError::None; ///< why there was no connection, or why it ended
@@ -112,6 +113,7 @@
     routing::RouteRequest routeRequest() const;
     net::HeaderAction handleResponseHead(std::uint64_t number, int status, const net::Headers &headers);
     void handleBodyChunk(std::uint64_t number, std::string_view chunk);
+    void collect(CallAttempt &attempt, std::string_view chunk);
     void keepOnly(std::uint64_t number);
     void startStream(base::Time now);
     void startPacing();
--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -1,5 +1,7 @@
 #include "forwardedcall.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -19,6 +21,11 @@
 constexpr std::uint32_t MaxUrgency = 9;
 constexpr std::uint32_t YieldingUrgency = 3; ///< added to the rank of deferrable routes, and of late calls; calls with higher numbers are admitted later
 
+std::string takeBody(CallAttempt &attempt)
+{
+    return attempt.body ? attempt.body->take() : std::string();
+}
+
 } // namespace
 
 /// Such a status is not relayed from an endpoint that does not state itself that the call has not run.
@@ -171,7 +178,7 @@
     }
     m_forwarder.m_dependencies.pool.noteReceived(attempt->choice.endpoint, base::now());
     if (!attempt->isRelaying) {
-        attempt->body.append(chunk);
+        collect(*attempt, chunk);
         return;
     }
     const auto known = attempt->events.events();
@@ -206,6 +213,24 @@
     paceReading();
 }
 
+/// A body that gives way ends its attempt later, since the attempt of another call may be in use now.
+void ForwardedCall::collect(CallAttempt &attempt, std::string_view chunk)
+{
+    if (!attempt.body) {
+        attempt.body.reset(new CollectedBody(m_forwarder.m_collectionBudget, [self = this, number = attempt.number] {
+            auto &dependencies = self->m_forwarder.m_dependencies;
+            dependencies.metrics.count("collected_bodies_dropped_total");
+            telemetry::log(LogLevel::Warning, "requests", "dropped an answer to bound what is collected", {{"request", self->m_call.id}});
+            boost::asio::post(dependencies.context, [call = Pointer(self), isAlive = self->m_forwarder.m_isAlive, number] {
+                if (*isAlive && !call->m_isFinished) {
+                    call->handleAttemptEnd(number, net::SendOutcome::Malformed);
+                }
+            });
+        }));
+    }
+    attempt.body->append(chunk);
+}
+
 void ForwardedCall::startStream(base::Time now)
 {
     m_isStreaming = true;
@@ -252,7 +277,8 @@
     if (outcome == net::SendOutcome::TimedOut) {
         return SendResult::Silent;
     }
-    if (!net::isComplete(outcome) || !attempt.head) {
+    const bool isBodyDropped = attempt.body && attempt.body->hasGivenWay();
+    if (!net::isComplete(outcome) || !attempt.head || isBodyDropped) {
         return SendResult::Lost;
     }
     const auto &head = *attempt.head;
@@ -322,7 +348,7 @@
     reportAttemptEnd(*m_attempt, routing::AttemptOutcome::Answered);
     m_forwarder.retryBudget(m_service).succeeded(base::now());
     if (!m_attempt->isRelaying) {
-        respondToCaller({status, std::move(m_attempt->headers), std::move(m_attempt->body)});
+        respondToCaller({status, std::move(m_attempt->headers), takeBody(*m_attempt)});
         return;
     }
     if (!m_isStreaming) {
@@ -381,7 +407,7 @@
         return;
     }
     if (step == NextStep::RelayFailure && !m_isStreaming) {
-        respondToCaller({m_attempt->head->status, std::move(m_attempt->headers), std::move(m_attempt->body)});
+        respondToCaller({m_attempt->head->status, std::move(m_attempt->headers), takeBody(*m_attempt)});
         return;
     }
     m_pendingRejection = RejectionReason::RejectedByEndpoints;
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -17,6 +17,7 @@
     , m_slowReaderLineBudget(options.maxSlowReaderLinesPerSecond)
     , m_waitingCalls(std::make_unique<WaitingList>())
     , m_calls(std::make_unique<CallList>())
+    , m_collectionBudget(new CollectionBudget(options.maxCollectedBytes))
 {
 }
 
--- a/src/turmericplank/gateway/gatewayoptions.cpp
+++ b/src/turmericplank/gateway/gatewayoptions.cpp
@@ -65,6 +65,10 @@
 {
     ForwarderOptions options;
     options.maxUnreadBytes = callerBudgetOptions(settings).smallBytes;
+    constexpr std::size_t MemoryPart = 8; ///< callers occupy up to a quarter
+    if (settings.memoryBytes) {
+        options.maxCollectedBytes = std::min(options.maxCollectedBytes, *settings.memoryBytes / MemoryPart);
+    }
     options.hasRoomForUnread = [budget] {
         return budget->hasAmpleRoom();
     };
--- a/standins/siteendpoint/main.cpp
+++ b/standins/siteendpoint/main.cpp
@@ -61,6 +61,7 @@
 /// time when it rejects more than N in a second, and state N in its answers; from the end of the notice, no calls wait for a slot.
 /// GET /limit returns the numbers of answered and rejected calls and of failures. POST /rate?per_second=R makes it state R in its answers, or nothing
 /// without R; GET /rate returns how many calls came since, and how many more than it tolerates.
+/// POST /flood?bytes=N makes each answer N bytes of a body that does not end, until N is zero.
 class Endpoint
 {
 public:
@@ -141,6 +142,11 @@
             exchange->respond({204, {}, {}});
             return;
         }
+        if (path == "/flood") {
+            m_floodBytes = std::stoull('0' + net::queryParameter(request.target, "bytes"));
+            exchange->respond({204, {}, {}});
+            return;
+        }
         if (path == "/pause") {
             m_pausedUntil = base::now() + std::chrono::milliseconds(std::stoll("0" + net::queryParameter(request.target, "ms")));
             exchange->respond({204, {}, {}});
@@ -340,6 +346,12 @@
         if (!m_statedRate.empty()) {
             headers.push_back({"Server-Limit", m_statedRate});
         }
+        if (m_floodBytes > 0) {
+            exchange->startStream(200, headers);
+            exchange->writeChunk(std::string(m_floodBytes, 'x'));
+            m_unended.push_back(exchange);
+            return;
+        }
         if (!isEngine() && m_room) {
             handleLimitedCall(exchange, headers);
             return;
@@ -416,6 +428,8 @@
     std::string m_crashingPart; ///< of prompts; empty for none
     bool m_breaksAtHead = false; ///< sends only the head of a stream
     std::uint64_t m_breakAfter = 0; ///< events of a stream; zero for not at all
+    std::size_t m_floodBytes = 0; ///< of answers that do not end; zero for ordinary answers
+    std::vector<net::ExchangePointer> m_unended; ///< answers that do not end
     std::string m_retryAfter; ///< seconds; while not empty, calls are rejected with this pause
     std::uint64_t m_shedCalls = 0;
     std::optional<LimitedRoom> m_room; ///< of a plain service; nothing for unlimited room
