A paused daemon does not take its wait for a sign that nothing has changed

Whether a daemon would know of a later configuration now ends at a stored deadline, so that calls which a paused process handles before its timers are looked up as well. Calls are decoded twice only while the configuration is uncertain. Expired entries of peers are removed.

--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -137,7 +137,8 @@
     bool m_isAwaiting = false; ///< a wait, or a read in its place, is in progress
     bool m_isReadInPlace = false; ///< the call in progress is a read in place of a wait
     base::Time m_awaitDeadline; ///< when a read takes the place of the wait, or a wait that of the read
-    bool m_isWatchSound = false; ///< the last wait, or read in its place, brought an answer, and the current one is not late
+    bool m_isWatchSound = false; ///< the last wait, or read in its place, brought an answer, and the current one is not known to be late
+    base::Time m_soundUntil; ///< when the current one is late, which a process that was paused notices only after calls have arrived
     std::map<base::DaemonId, base::Time> m_watchedUntil; ///< peers that wait for changes for the group, until their statuses would be too old
     bool m_isSelfWatching = false; ///< waits for changes although it does not do so for its group
     unsigned m_endpointFailures = 0; ///< in a row
--- a/src/turmericplank/gateway/forwarder.cpp
+++ b/src/turmericplank/gateway/forwarder.cpp
@@ -35,7 +35,7 @@
 void Forwarder::handleCall(const net::ExchangePointer &exchange, const std::optional<CallLimits> &limits)
 {
     const Arrival arrival{limits, base::now(), true};
-    if (m_isRejectingNewCalls || matchesConfiguration(exchange->request()) || m_dependencies.isConfigurationCertain()) {
+    if (m_isRejectingNewCalls || m_dependencies.isConfigurationCertain() || matchesConfiguration(exchange->request())) {
         admit(exchange, arrival);
         return;
     }
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -63,15 +63,15 @@
 
 bool SiteStateUpdater::isWatchingForGroup() const
 {
-    return m_isWatchSound && m_callbacks.isConfigurationWatcher();
+    return m_isWatchSound && base::now() < m_soundUntil && m_callbacks.isConfigurationWatcher();
 }
 
 void SiteStateUpdater::notePeerWatch(const base::DaemonId &from, bool isWatching)
 {
+    const auto now = base::now();
+    std::erase_if(m_watchedUntil, [&](const auto &it) { return it.first == from || it.second <= now; });
     if (isWatching) {
-        m_watchedUntil[from] = base::now() + m_options.relayTimeout;
-    } else {
-        m_watchedUntil.erase(from);
+        m_watchedUntil.emplace(from, now + m_options.relayTimeout);
     }
 }
 
@@ -82,7 +82,9 @@
 
 bool SiteStateUpdater::isConfigurationCertain() const
 {
-    return m_siteState.routes() && !m_peerAheadSince && (m_isWatchSound || isWatchedByPeer(base::now()));
+    const auto now = base::now();
+    const bool isWatchedHere = m_isWatchSound && now < m_soundUntil;
+    return m_siteState.routes() && !m_peerAheadSince && (isWatchedHere || isWatchedByPeer(now));
 }
 
 void SiteStateUpdater::refreshConfiguration(std::function<void(bool)> onDone)
@@ -97,6 +99,9 @@
 /// The others of the group rely on this daemon's waits, so they are told at once.
 void SiteStateUpdater::setWatchSound(bool isSound)
 {
+    if (isSound) {
+        m_soundUntil = base::now() + m_options.tickInterval + m_options.awaitTimeout;
+    }
     if (std::exchange(m_isWatchSound, isSound) != isSound) {
         m_callbacks.onWatchChanged();
     }
@@ -290,11 +295,10 @@
 {
     const auto inForce = m_siteState.routes()->configuration().revision;
     const bool hasHadTime = now >= m_inForceSince + m_options.configurationRelayTime;
-    auto &nextSend = m_nextSendTo[peer];
-    if (revision == base::Revision() || revision >= inForce || !hasHadTime || now < nextSend) {
+    if (revision == base::Revision() || revision >= inForce || !hasHadTime || now < m_nextSendTo[peer]) {
         return;
     }
-    nextSend = now + m_options.peerRereadInterval;
+    m_nextSendTo[peer] = now + m_options.peerRereadInterval;
     telemetry::log(LogLevel::Info, "configuration", "sent to a daemon that is behind",
                    {{"daemon", peer.text()}, {"revision", inForce.value()}, {"its_revision", revision.value()}});
     m_callbacks.onPeerBehind(peer, m_text);
