Test of a daemon that was paused while it waited for the configuration

A process that goes on after a pause handles calls before its timers, and must not take the wait that it began before the pause for knowledge.

--- a/src/turmericplank/gateway/forwardedcallattempt.cpp
+++ b/src/turmericplank/gateway/forwardedcallattempt.cpp
@@ -1,12 +1,12 @@
 #include "forwardedcall.hpp"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "turmericplank/telemetry/log.hpp"
 
 namespace turmericplank::gateway {
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -1,5 +1,7 @@
 #include "turmericplank/gateway/sitestateupdater.hpp"
 
+#include <thread>
+
 #include <doctest/doctest.h>
 
 #include "turmericplank/daemon/timers.hpp"
@@ -391,3 +393,17 @@
     it.updater.notePeerRevision(peer, base::Revision(9));
     CHECK_FALSE(it.updater.isConfigurationCertain());
 }
+
+// Guards against a process that refuses an added route for good after a pause, since it handles calls before its timers.
+TEST_CASE("after a pause a daemon is not certain of its configuration, although its wait has not ended yet")
+{
+    Daemon it(true);
+    it.runUntilAwaiting();
+    it.awaiting(ConfigurationSnapshot{nullptr, 1, {}});
+    it.runUntilAwaiting();
+    CHECK(it.updater.isConfigurationCertain());
+    CHECK(it.updater.isWatchingForGroup());
+    std::this_thread::sleep_for(Daemon::options().awaitTimeout + Daemon::options().tickInterval);
+    CHECK_FALSE(it.updater.isConfigurationCertain());
+    CHECK_FALSE(it.updater.isWatchingForGroup());
+}
