--- a/src/turmericplank/gateway/configurationchange_test.cpp
+++ b/src/turmericplank/gateway/configurationchange_test.cpp
@@ -10,7 +10,7 @@
 constexpr auto DrainTime = 2s;
 constexpr auto StartTime = 4500ms; ///< until all daemons know each other and the endpoints
 constexpr auto MaxChangeTime = 10s; ///< far more than any path of a change takes
-const std::set<std::string> AllOfFour{"0", "1", "2", "3"};
+const std::set<std::string> allOfFour{"0", "1", "2", "3"};
 
 /// Puts a configuration with another route, and runs until all daemons serve that route.
 /// @return daemons that never did
@@ -125,7 +125,7 @@
     TestFleet fleet(
         4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
     fleet.runFor(StartTime);
-    fleet.store.silencedWaits = AllOfFour;
+    fleet.store.silencedWaits = allOfFour;
     checkChangesInTime(fleet, {0, 1, 2, 3});
 }
 
@@ -134,8 +134,8 @@
     TestFleet fleet(
         4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
     fleet.runFor(StartTime);
-    fleet.store.hiddenConfigurationFor = AllOfFour;
-    fleet.store.hiddenRowsFor = AllOfFour;
+    fleet.store.hiddenConfigurationFor = allOfFour;
+    fleet.store.hiddenRowsFor = allOfFour;
     fleet.runFor(7s);
     fleet.store.hiddenConfigurationFor.clear();
     fleet.store.hiddenRowsFor.clear();
@@ -165,7 +165,7 @@
     const auto unknown = fleet.call(2, {}, "sound", "/r2/x");
     fleet.runFor(500ms);
     CHECK(unknown->body == unknownRoute);
-    fleet.store.hiddenConfigurationFor = AllOfFour;
+    fleet.store.hiddenConfigurationFor = allOfFour;
     fleet.runFor(3s);
     fleet.store.put(TestFleet::makeConfiguration(2, "/r2/"));
     std::vector<std::shared_ptr<TestFleet::Result>> results;
@@ -184,7 +184,7 @@
     TestFleet fleet(
         4, 2, [](std::size_t, std::size_t) { return true; }, DrainTime);
     fleet.runFor(StartTime);
-    fleet.store.hiddenConfigurationFor = AllOfFour;
+    fleet.store.hiddenConfigurationFor = allOfFour;
     fleet.runFor(3s);
     fleet.store.put(TestFleet::makeConfiguration(2, "/r2/"));
     fleet.runFor(500ms);
