The test of a daemon that begins to wait itself has no wait in progress before

Traced: the first tick came before the test's first message, so that a wait began; its read in place after 300 ms raced with the end of the phase, also after 300 ms, and an answered read makes the daemon certain, as it should. The peer waits from the start now.

--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -370,6 +370,8 @@
 {
     Daemon it(false);
     bool isWatched = true;
+    it.updater.applyRelayedEntries({});
+    it.updater.notePeerWatch(peer, isWatched); // before the first tick, so that no wait of its own is in progress
     const auto end = base::now() + std::chrono::milliseconds(300);
     daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
         it.updater.applyRelayedEntries({});
