Requests whose end is in doubt are rejected

Cause: Boost.Beast takes a request for one without a body if it has no length and its last transfer coding is not "chunked", and the connection handed on whatever the parser reported as whole. Trailing fields were merged with the head, so they changed requests in the same way.

Change: the parser of requests checks the codings at the end of the header section, for all listeners. Only a single "chunked" of HTTP/1.1 passes; anything else, and folded fields, gets 400 (501 if the body is chunked beneath another coding), and the connection is closed. Trailing fields are dropped. The fuzz target aborts on a request with another coding.

--- a/fuzz/requestreader_fuzz.cpp
+++ b/fuzz/requestreader_fuzz.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include "turmericplank/net/httpserver.hpp"
 
@@ -36,7 +37,9 @@
         options.maxBodyBytes = MaxBodyBytes;
         options.budget = m_budget;
         options.onRequest = [](const ExchangePointer &exchange) {
-            if (exchange->request().body.size() > MaxBodyBytes) {
+            const auto &request = exchange->request();
+            const std::string_view coding = header(request.headers, "Transfer-Encoding");
+            if (request.body.size() > MaxBodyBytes || (!coding.empty() && !boost::beast::iequals({coding.data(), coding.size()}, "chunked"))) {
                 std::abort();
             }
             exchange->respond({200, {}, "ok"});
@@ -92,8 +95,9 @@
 
 } // namespace
 
-/// Sends the input as a caller's bytes; its first byte sets the size of the pieces. Checks that no request above the limits reaches the handler,
-/// that an announced length reserves no memory beyond them, and that the connection is released when the caller is gone.
+/// Sends the input as a caller's bytes; its first byte sets the size of the pieces. Checks that no request above the limits or with an
+/// unsupported transfer coding reaches the handler, that an announced length reserves no memory beyond them, and that the connection is released
+/// when the caller is gone.
 extern "C" int LLVMFuzzerTestOneInput(const unsigned char *data, std::size_t size)
 {
     static Fixture fixture;
--- a/src/turmericplank/daemon/errorbody.cpp
+++ b/src/turmericplank/daemon/errorbody.cpp
@@ -40,6 +40,9 @@
         return errorResponse({status, "body_too_large", base::Outcome::NotRun, "the body exceeds the size limit"});
     case 431:
         return errorResponse({status, "headers_too_large", base::Outcome::NotRun, "the headers exceed the size limit"});
+    case 501:
+        return errorResponse(
+            {status, "unsupported_transfer_coding", base::Outcome::NotRun, "bodies have a length or are sent in chunks, without another coding"});
     default:
         return errorResponse({status, "malformed_http", base::Outcome::NotRun, "the request is not valid HTTP"});
     }
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include "turmericplank/net/beastconversion.hpp"
+#include "turmericplank/net/requestparser.hpp"
 #include "turmericplank/net/serverexchange.hpp"
 
 namespace turmericplank::net {
@@ -30,18 +31,6 @@
     return {status, {{"Content-Type", "text/plain"}}, reasonPhrase(status) + '\n'};
 }
 
-int statusForParseError(const beast::error_code &ec)
-{
-    // A line of a chunk or a trailer does not fit into the buffer.
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-        return 431;
-    }
-    if (ec == http::error::body_limit) {
-        return 413;
-    }
-    return 400;
-}
-
 bool isParseError(const beast::error_code &ec)
 {
     return ec.category() == http::make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream && ec != http::error::partial_message;
@@ -228,7 +217,6 @@
     void readMessage()
     {
         m_parser.emplace();
-        m_parser->eager(true);
         m_parser->header_limit(static_cast<std::uint32_t>(m_serverState->options.maxHeaderBytes));
         m_parser->body_limit(m_serverState->options.maxBodyBytes);
         // Headers, a line of a chunk or all trailers are parsed once they are in the buffer as a whole.
@@ -264,7 +252,7 @@
     {
         beast::error_code ec;
         while (!ec && m_buffer.size() > 0 && !m_parser->is_done()) {
-            m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+            m_buffer.consume(m_parser->parse(m_buffer.data(), ec));
         }
         const bool isIncomplete = ec == http::error::need_more || (!ec && !m_parser->is_done());
         if (!isIncomplete) {
@@ -341,7 +329,7 @@
             return;
         }
         if (ec) {
-            rejectRequest(statusForParseError(ec));
+            rejectRequest(m_parser->status(ec));
             return;
         }
         auto message = m_parser->release();
@@ -530,7 +518,7 @@
     boost::intrusive_ptr<ServerState> m_serverState;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<RequestParser> m_parser;
     asio::steady_timer m_requestTimer; ///< also for the time between two requests
     std::optional<base::Time> m_idleSince; ///< set while the next request is awaited
     ServerExchange *m_current = nullptr;
