Responses with an unsupported transfer coding fail the call

Change: kept connections and single calls treat such a response as malformed and close the connection; requests ask for no coding (no TE field), so endpoints may not use one.

--- a/src/turmericplank/net/httpclient.cpp
+++ b/src/turmericplank/net/httpclient.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include "turmericplank/net/beastconversion.hpp"
+#include "turmericplank/net/transfercoding.hpp"
 
 namespace turmericplank::net {
 
@@ -116,7 +117,8 @@
 
     void onHeaders()
     {
-        if (m_parser.get().result_int() < FirstFinalStatus) {
+        const auto &message = m_parser.get();
+        if (message.result_int() < FirstFinalStatus || checkTransferCodings(transferCodings(message), message.version() < 11)) {
             finish(tl::make_unexpected(CallFailure::Malformed));
             return;
         }
--- a/src/turmericplank/net/responseparser.hpp
+++ b/src/turmericplank/net/responseparser.hpp
@@ -4,12 +4,15 @@
 #include <string_view>
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include "turmericplank/net/httptypes.hpp"
+#include "turmericplank/net/transfercoding.hpp"
 
 namespace turmericplank::net {
 
-/// @brief Parses one HTTP/1.1 response and passes its body on in chunks.
+/// @brief Parses one HTTP/1.1 response and passes its body on in chunks. Fails on one with a transfer coding other than "chunked", since
+/// requests ask for none.
 class ResponseParser final : public boost::beast::http::basic_parser<false>
 {
 public:
@@ -41,9 +44,10 @@
     {
     }
 
-    void on_response_impl(int code, View, int, ErrorCode &) override
+    void on_response_impl(int code, View, int version, ErrorCode &) override
     {
         m_status = code;
+        m_isHttp10 = version < 11;
     }
 
     void on_field_impl(boost::beast::http::field, View name, View value, ErrorCode &) override
@@ -51,8 +55,12 @@
         m_headers.push_back({std::string(name), std::string(value)});
     }
 
-    void on_header_impl(ErrorCode &) override
+    void on_header_impl(ErrorCode &ec) override
     {
+        if (checkTransferCodings(transferCodings(m_headers), m_isHttp10)) {
+            ec = boost::beast::http::error::bad_transfer_encoding;
+            return;
+        }
         m_onHead();
     }
 
@@ -83,6 +91,7 @@
     std::function<void()> m_onHead;
     std::function<void(std::string_view)> m_onBody;
     int m_status = 0;
+    bool m_isHttp10 = false;
     Headers m_headers;
 };
 
