Two peers keep copies of the versions at which streams began

Cause: a daemon told others the versions of its streams only once it had itself read a second version. One that is killed before takes them with it, and the others refuse streams of unknown origin as soon as two versions are listed.

Change: each daemon sends the origins of services with one version to two peers every 300 ms, chosen by rendezvous hashing, one in another zone if the group has one. A peer that is new, has started again or missed a message gets all of them. An unknown origin is refused as before, so no streams of two versions can follow.

--- a/include/turmericplank/forwarding/streamorigins.hpp
+++ b/include/turmericplank/forwarding/streamorigins.hpp
@@ -56,8 +56,8 @@
 
 /// @brief Remembers at which software version each stream began, as far as this daemon and its peers have relayed it.
 ///
-/// While all endpoints of a service run one version, origins stay with the daemon that relayed the stream. While they run several,
-/// takeUnsent() returns those that the peers do not have yet, including the ones from before.
+/// While the endpoints of a service run several versions, all peers need its origins: takeUnsent() returns those that they do not have yet, including
+/// the ones from before. While all of them run one version, a few peers keep copies in case this daemon ends: takeUncopied().
 class StreamOrigins
 {
 public:
@@ -106,9 +106,18 @@
     /// @brief Own origins of mixed services that were not returned since the service became mixed, or are needed for longer now.
     std::vector<StreamOrigin> takeUnsent(base::Time now);
 
+    /// @brief Own origins of services that are not mixed, that were not returned before, or are needed for longer now.
+    std::vector<StreamOrigin> takeUncopied(base::Time now);
+
     /// @brief All own origins of mixed services, for a daemon that has just appeared.
     std::vector<StreamOrigin> ownOfMixedServices(base::Time now) const;
 
+    /// @brief Whether there are own origins.
+    bool hasOwn() const;
+
+    /// @brief All own origins, for a daemon that begins to keep copies of them.
+    std::vector<StreamOrigin> ownOrigins(base::Time now) const;
+
     /// @brief Drops origins that are no longer needed.
     void expire(base::Time now);
 
@@ -153,6 +162,7 @@
     Store m_own;
     Store m_fromPeers;
     std::unordered_set<CallDigest> m_unsent; ///< own origins of mixed services; may name some that were dropped
+    std::unordered_set<CallDigest> m_uncopied; ///< own origins of other services; may name some that were dropped
 };
 
 } // namespace turmericplank::forwarding
--- a/include/turmericplank/gateway/peers.hpp
+++ b/include/turmericplank/gateway/peers.hpp
@@ -93,7 +93,8 @@
     void sendStatusToAll();
 
     /// @brief Sends a message to one daemon, if its address is known.
-    void sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body);
+    /// @param onFailed called if the daemon may not have got it; may be null
+    void sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body, std::function<void()> onFailed = nullptr);
 
     /// @brief Asks one daemon, if its address is known.
     /// @param timeout until when it must answer
@@ -150,6 +151,9 @@
     /// @brief Record and last status of each peer in the group that is heard, ready and not draining.
     std::vector<std::pair<PeerRecord, PeerStatus>> servingPeers() const;
 
+    /// @brief The daemons of the group that keep copies of what must outlive this one, see chooseBackups().
+    std::vector<base::DaemonId> backups() const;
+
     /// @brief Number of other daemons in the group that are heard and reach a service, and of those that don't reach it.
     std::pair<std::size_t, std::size_t> groupContact(const base::ServiceName &service) const;
 
@@ -184,7 +188,7 @@
     bool isStatusDue(const Peer &peer, base::Time now) const;
     static bool isHolder(const Peer &peer);
     std::size_t servingPeersBefore() const;
-    void send(const Peer &peer, const std::string &kind, const std::string &body);
+    void send(const Peer &peer, const std::string &kind, const std::string &body, std::function<void()> onFailed = nullptr);
 
     boost::asio::io_context &m_context;
     PeerRecord m_self;
--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -22,6 +22,7 @@
 struct StreamOriginExchangeOptions
 {
     base::Duration sendInterval = std::chrono::milliseconds(100); ///< a daemon that ends without notice takes the origins of this time with it
+    base::Duration copyInterval = std::chrono::milliseconds(300); ///< the same while a service runs one version; a multiple of sendInterval
     base::Duration historyInterval = std::chrono::seconds(1); ///< between comparisons of the stored versions with the listed ones
     base::Duration historyPrecision = std::chrono::seconds(15); ///< by which times in the stored versions may be wrong
     base::Duration recordedTime = std::chrono::seconds(60); ///< that is left for a version that is about to be used, as for a listed one
@@ -34,6 +35,8 @@
 
 /// @brief Tells other daemons at which software versions streams began, and asks them.
 ///
+/// All daemons of the group are told while a service has several versions. Two of them keep copies at all times, as this daemon may end before it can
+/// tell the others that a new version has appeared.
 /// The versions that were listed lately are kept in a row of the store, for daemons that start after one of them was replaced.
 class StreamOriginExchange
 {
@@ -89,6 +92,7 @@
     void handleOrigins(const base::DaemonId &from, const std::string &body);
     void answerQuery(const std::string &body, const peer::PeerResponder &answer) const;
     void sendUnsent();
+    void sendCopies();
     std::optional<std::string> completeHistory() const;
     void handleHistory(const base::DaemonId &from, const std::string &body);
     void maintainHistory();
@@ -111,6 +115,8 @@
     bool m_isCallInProgress = false;
     std::vector<RecordingPointer> m_recordings;
     forwarding::ListedVersions m_listed; ///< versions of the endpoints that were listed last, for the log
+    std::vector<base::DaemonId> m_backups; ///< daemons that have copies of all own origins but those that are still to be copied
+    base::Time m_nextCopyAt;
 };
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/forwarding/streamorigins.cpp
+++ b/src/turmericplank/forwarding/streamorigins.cpp
@@ -64,8 +64,8 @@
 {
     const auto call = origin.call;
     m_own.expire(now);
-    if (m_own.add({service, std::move(origin)}, m_options.maxOrigins) && isMixed(service, now)) {
-        m_unsent.insert(call);
+    if (m_own.add({service, std::move(origin)}, m_options.maxOrigins)) {
+        (isMixed(service, now) ? m_unsent : m_uncopied).insert(call);
     }
 }
 
@@ -238,6 +238,35 @@
     return origins;
 }
 
+std::vector<StreamOrigin> StreamOrigins::takeUncopied(base::Time now)
+{
+    std::vector<StreamOrigin> origins;
+    // Those of services that have become mixed may go: they are unsent since then.
+    for (const auto call : std::exchange(m_uncopied, {})) {
+        const auto *it = m_own.find(call);
+        if (it != nullptr && it->origin.neededUntil > now && !isMixed(it->service, now)) {
+            origins.push_back(it->origin);
+        }
+    }
+    return origins;
+}
+
+bool StreamOrigins::hasOwn() const
+{
+    return !m_own.entries().empty();
+}
+
+std::vector<StreamOrigin> StreamOrigins::ownOrigins(base::Time now) const
+{
+    std::vector<StreamOrigin> origins;
+    for (const auto &[call, it] : m_own.entries()) {
+        if (it.origin.neededUntil > now) {
+            origins.push_back(it.origin);
+        }
+    }
+    return origins;
+}
+
 std::vector<StreamOrigin> StreamOrigins::ownOfMixedServices(base::Time now) const
 {
     std::vector<StreamOrigin> origins;
--- a/src/turmericplank/gateway/forwardedcall.hpp
+++ b/src/turmericplank/gateway/forwardedcall.hpp
@@ -81,6 +81,7 @@
     void findOrigin();
     void resumeAtOnlyVersion();
     void resumeAt(const std::string &softwareVersion);
+    void refuseResumption(std::string_view cause);
     bool isVersionServing(const std::string &softwareVersion) const;
     bool isServing(const base::EndpointId &endpoint) const;
     std::vector<requests::Fingerprint> refusedContents() const;
--- a/src/turmericplank/gateway/forwardedcallresumption.cpp
+++ b/src/turmericplank/gateway/forwardedcallresumption.cpp
@@ -48,23 +48,32 @@
 {
     const auto &dependencies = m_forwarder.m_dependencies;
     if (dependencies.streamOrigins.isMixed(m_service, base::now())) {
-        reject(RejectionReason::VersionUnavailable);
+        refuseResumption("several_versions");
         return;
     }
     dependencies.refreshVersions([self = Pointer(this), isAlive = m_forwarder.m_isAlive](bool isCertain) {
         if (!*isAlive || self->m_isFinished) {
             return;
         }
-        const auto version =
-            isCertain ? self->m_forwarder.m_dependencies.streamOrigins.onlyVersion(self->m_service, base::now()) : std::optional<std::string>();
-        if (version) {
+        const auto &origins = self->m_forwarder.m_dependencies.streamOrigins;
+        const auto now = base::now();
+        if (!isCertain) {
+            self->refuseResumption("versions_not_certain");
+        } else if (const auto version = origins.onlyVersion(self->m_service, now)) {
             self->resumeAt(*version);
         } else {
-            self->reject(RejectionReason::VersionUnavailable);
+            self->refuseResumption(origins.isMixed(self->m_service, now) ? "several_versions" : "earlier_versions_unknown");
         }
     });
 }
 
+void ForwardedCall::refuseResumption(std::string_view cause)
+{
+    telemetry::log(LogLevel::Info, "requests", "cannot resume a stream",
+                   {{"request", m_call.id}, {"begun_by", m_call.resumedCall}, {"service", m_service.text()}, {"cause", cause}});
+    reject(RejectionReason::VersionUnavailable);
+}
+
 void ForwardedCall::resumeAt(const std::string &softwareVersion)
 {
     m_softwareVersion = softwareVersion;
@@ -74,7 +83,7 @@
     if (mayAppear || isVersionServing(softwareVersion)) {
         selectEndpoint();
     } else {
-        reject(RejectionReason::VersionUnavailable);
+        refuseResumption("version_gone");
     }
 }
 
--- a/src/turmericplank/gateway/peers.cpp
+++ b/src/turmericplank/gateway/peers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "turmericplank/daemon/timers.hpp"
+#include "turmericplank/gateway/backups.hpp"
 #include "turmericplank/telemetry/log.hpp"
 
 namespace turmericplank::gateway {
@@ -130,11 +131,18 @@
     return peer.isInGroup || ((m_isHolder || isHolder(peer)) && now >= m_nextRemoteStatus);
 }
 
-void Peers::send(const Peer &peer, const std::string &kind, const std::string &body)
+void Peers::send(const Peer &peer, const std::string &kind, const std::string &body, std::function<void()> onFailed)
 {
     peer::PeerCall call;
     call.kind = kind;
     call.body = body;
+    if (onFailed) {
+        call.onEnd = [onFailed = std::move(onFailed)](const tl::expected<void, peer::PeerFailure> &result) {
+            if (!result) {
+                onFailed();
+            }
+        };
+    }
     m_mesh.call(peer.record->peerAddress, std::move(call));
 }
 
@@ -204,11 +212,11 @@
     }
 }
 
-void Peers::sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body)
+void Peers::sendTo(const base::DaemonId &id, const std::string &kind, const std::string &body, std::function<void()> onFailed)
 {
     const auto it = m_peers.find(id);
     if (it != m_peers.end() && it->second.record) {
-        send(it->second, kind, body);
+        send(it->second, kind, body, std::move(onFailed));
     }
 }
 
@@ -439,6 +447,17 @@
     return found;
 }
 
+std::vector<base::DaemonId> Peers::backups() const
+{
+    std::vector<BackupCandidate> candidates;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.isSilent && peer.isInGroup && peer.record && peer.status && !peer.status->isDraining) {
+            candidates.push_back({id, peer.record->zone});
+        }
+    }
+    return chooseBackups({m_self.id, m_self.zone}, std::move(candidates));
+}
+
 std::pair<std::size_t, std::size_t> Peers::groupContact(const base::ServiceName &service) const
 {
     std::pair<std::size_t, std::size_t> found;
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -63,7 +63,10 @@
         }
         answer.end();
     });
-    daemon::callEvery(context, m_options.sendInterval, [this] { sendUnsent(); });
+    daemon::callEvery(context, m_options.sendInterval, [this] {
+        sendUnsent();
+        sendCopies();
+    });
     daemon::callEvery(context, m_options.historyInterval, [this] { maintainHistory(); });
     readHistory();
 }
@@ -82,6 +85,8 @@
 
 void StreamOriginExchange::notePeerHeard(const base::DaemonId &id)
 {
+    // It may have started again, without the copies that it had.
+    std::erase(m_backups, id);
     const auto now = base::now();
     const auto mixed = m_origins.mixedServices(now);
     const auto origins = m_origins.ownOfMixedServices(now);
@@ -341,4 +346,23 @@
     }
 }
 
+void StreamOriginExchange::sendCopies()
+{
+    const auto now = base::now();
+    if (now < m_nextCopyAt || !m_origins.hasOwn()) {
+        return;
+    }
+    m_nextCopyAt = now + m_options.copyInterval;
+    const auto uncopied = m_origins.takeUncopied(now);
+    const auto complete = std::exchange(m_backups, m_peers.backups());
+    for (const auto &it : m_backups) {
+        const bool isNew = std::ranges::find(complete, it) == complete.end();
+        const auto origins = isNew ? m_origins.ownOrigins(now) : uncopied;
+        if (!origins.empty()) {
+            // Without the message, the copies are sent again as a whole.
+            m_peers.sendTo(it, OriginsKind, encode(StreamOriginsMessage{origins, {}}, now), [this, it] { std::erase(m_backups, it); });
+        }
+    }
+}
+
 } // namespace turmericplank::gateway
