Copies of origins have a timer of their own

With the 100 ms timer of unsent origins, an interval of 300 ms could take 400 ms, as the timer may be early by less than a millisecond. RequestParser::rejectionStatus() says what the status is of. gateway/streamoriginexchange_test and net_test pass.

--- a/include/turmericplank/gateway/streamoriginexchange.hpp
+++ b/include/turmericplank/gateway/streamoriginexchange.hpp
@@ -22,7 +22,7 @@
 struct StreamOriginExchangeOptions
 {
     base::Duration sendInterval = std::chrono::milliseconds(100); ///< a daemon that ends without notice takes the origins of this time with it
-    base::Duration copyInterval = std::chrono::milliseconds(300); ///< the same while a service runs one version; a multiple of sendInterval
+    base::Duration copyInterval = std::chrono::milliseconds(300); ///< the same while a service runs one version
     base::Duration historyInterval = std::chrono::seconds(1); ///< between comparisons of the stored versions with the listed ones
     base::Duration historyPrecision = std::chrono::seconds(15); ///< by which times in the stored versions may be wrong
     base::Duration recordedTime = std::chrono::seconds(60); ///< that is left for a version that is about to be used, as for a listed one
@@ -116,7 +116,6 @@
     std::vector<RecordingPointer> m_recordings;
     forwarding::ListedVersions m_listed; ///< versions of the endpoints that were listed last, for the log
     std::vector<base::DaemonId> m_backups; ///< daemons that have copies of all own origins but those that are still to be copied
-    base::Time m_nextCopyAt;
 };
 
 } // namespace turmericplank::gateway
--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -63,10 +63,8 @@
         }
         answer.end();
     });
-    daemon::callEvery(context, m_options.sendInterval, [this] {
-        sendUnsent();
-        sendCopies();
-    });
+    daemon::callEvery(context, m_options.sendInterval, [this] { sendUnsent(); });
+    daemon::callEvery(context, m_options.copyInterval, [this] { sendCopies(); });
     daemon::callEvery(context, m_options.historyInterval, [this] { maintainHistory(); });
     readHistory();
 }
@@ -348,11 +346,10 @@
 
 void StreamOriginExchange::sendCopies()
 {
-    const auto now = base::now();
-    if (now < m_nextCopyAt || !m_origins.hasOwn()) {
+    if (!m_origins.hasOwn()) {
         return;
     }
-    m_nextCopyAt = now + m_options.copyInterval;
+    const auto now = base::now();
     const auto uncopied = m_origins.takeUncopied(now);
     const auto complete = std::exchange(m_backups, m_peers.backups());
     for (const auto &it : m_backups) {
--- a/src/turmericplank/net/requestparser.hpp
+++ b/src/turmericplank/net/requestparser.hpp
@@ -32,8 +32,9 @@
         return n;
     }
 
-    /// @brief HTTP status that says why parsing has failed.
-    int status(const ErrorCode &ec) const
+    /// @brief HTTP status of the response to a request that cannot be parsed.
+    /// @param ec as set by parse()
+    int rejectionStatus(const ErrorCode &ec) const
     {
         namespace http = boost::beast::http;
         // A line of a chunk or a trailer does not fit into the buffer.
--- a/src/turmericplank/net/serverconnection.cpp
+++ b/src/turmericplank/net/serverconnection.cpp
@@ -329,7 +329,7 @@
             return;
         }
         if (ec) {
-            rejectRequest(m_parser->status(ec));
+            rejectRequest(m_parser->rejectionStatus(ec));
             return;
         }
         auto message = m_parser->release();
