--- a/src/turmericplank/gateway/backups.cpp
+++ b/src/turmericplank/gateway/backups.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 #include <xxhash.h>
--- a/src/turmericplank/net/requestframing_test.cpp
+++ b/src/turmericplank/net/requestframing_test.cpp
@@ -125,6 +125,18 @@
     }
 }
 
+TEST_CASE("malformed chunks and control characters are rejected")
+{
+    for (const std::string size : {"+5", "-5", "0x5", " 5", "", "g", "fffffffffffffffff", "5 5", "5\n"}) {
+        checkRejected(head("Transfer-Encoding: chunked\r\n") + size + "\r\nhello\r\n0\r\n\r\n" + hiddenRequest, "400");
+    }
+    checkRejected(head("Transfer-Encoding: chunked\r\n") + "5\r\nhello!\r\n0\r\n\r\n" + hiddenRequest, "400");
+    for (const std::string &field : {std::string("X-Note: a\rContent-Length: 5\r\n"), std::string("X-Note: a\nContent-Length: 5\r\n"),
+                                     std::string("X-Note: a\0b\r\n", 13), std::string("Content-Length\0: 5\r\n", 20)}) {
+        checkRejected(head(field) + hiddenRequest, "400");
+    }
+}
+
 TEST_CASE("requests whose end is certain are served, one after the other")
 {
     for (const std::string fields : {"Transfer-Encoding: chunked\r\n", "transfer-encoding:   CHUNKED \t\r\n"}) {
--- a/src/turmericplank/net/transfercoding.cpp
+++ b/src/turmericplank/net/transfercoding.cpp
@@ -1,6 +1,7 @@
 #include "turmericplank/net/transfercoding.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
