--- a/cmake/FuzzTargets.cmake
+++ b/cmake/FuzzTargets.cmake
@@ -6,7 +6,8 @@
 set(fuzz_accountheaders_sources platform/heldmodels.cpp platform/values.cpp platform/wireformat.cpp src/turmericplank/gateway/call.cpp
     src/turmericplank/net/httptypes.cpp)
 set(fuzz_requestreader_sources src/turmericplank/net/callerbudget.cpp src/turmericplank/net/httpserver.cpp src/turmericplank/net/httptypes.cpp
-    src/turmericplank/net/serverconnection.cpp src/turmericplank/net/serverexchange.cpp src/turmericplank/net/tcplistener.cpp)
+    src/turmericplank/net/serverconnection.cpp src/turmericplank/net/serverexchange.cpp src/turmericplank/net/tcplistener.cpp
+    src/turmericplank/net/transfercoding.cpp)
 
 if(TURMERICPLANK_FUZZ_TARGETS)
   target_compile_options(turmericplank_decisions PRIVATE -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all)
