Copies of origins that fail at once don't change the list that is walked through

Found while the diff was read: a message that fails while it is being sent, as on a connection that takes no more calls, removed its daemon from the list of backups in the loop over that list, so that another daemon could be left without its copies.

Change: the loop runs over a list of its own. The new case of gateway/streamoriginexchange_test failed before and passes now.

--- a/src/turmericplank/gateway/streamoriginexchange.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange.cpp
@@ -351,12 +351,13 @@
     }
     const auto now = base::now();
     const auto uncopied = m_origins.takeUncopied(now);
-    const auto complete = std::exchange(m_backups, m_peers.backups());
-    for (const auto &it : m_backups) {
+    const auto backups = m_peers.backups();
+    const auto complete = std::exchange(m_backups, backups);
+    for (const auto &it : backups) {
         const bool isNew = std::ranges::find(complete, it) == complete.end();
         const auto origins = isNew ? m_origins.ownOrigins(now) : uncopied;
         if (!origins.empty()) {
-            // Without the message, the copies are sent again as a whole.
+            // Without the message, the copies are sent again as a whole. The call may fail at once.
             m_peers.sendTo(it, OriginsKind, encode(StreamOriginsMessage{origins, {}}, now), [this, it] { std::erase(m_backups, it); });
         }
     }
--- a/src/turmericplank/gateway/streamoriginexchange_test.cpp
+++ b/src/turmericplank/gateway/streamoriginexchange_test.cpp
@@ -32,7 +32,9 @@
 
     void call(const base::Address &to, peer::PeerCall call) override
     {
-        if (call.kind == "gateway/origins") {
+        if (isBroken && call.onEnd) {
+            call.onEnd(tl::unexpected(peer::PeerFailure::NotProcessed));
+        } else if (call.kind == "gateway/origins") {
             messages.push_back({to, std::move(call)});
         }
     }
@@ -53,6 +55,7 @@
     }
 
     std::vector<Message> messages; ///< about origins
+    bool isBroken = false; ///< no message can be sent, and its sender is told at once
 
 private:
     std::map<std::string, std::function<void(base::DaemonId, std::string, peer::PeerResponder)>> m_handlers;
@@ -208,6 +211,24 @@
     CHECK(sent[Site::addressOf(2)] == std::vector<forwarding::CallDigest>{2});
 }
 
+// Guards against a list of daemons that changes while it is walked through.
+TEST_CASE("copies that fail while they are being sent are sent again to each daemon")
+{
+    Site site(3);
+    site.mesh.isBroken = true;
+    site.record(1);
+    site.runFor(CopyTime);
+    CHECK(site.takeSent().empty());
+    site.mesh.isBroken = false;
+    site.record(2);
+    site.runFor(CopyTime);
+    const auto sent = site.takeSent();
+    CHECK(sent.size() == 2);
+    for (const auto &[to, calls] : sent) {
+        CHECK(calls == std::vector<forwarding::CallDigest>{1, 2});
+    }
+}
+
 TEST_CASE("a daemon that becomes a backup gets all origins, also those that were recorded while there was none")
 {
     Site site(0);
