Tests of fleets reserve their ports

Cause: fleets take a range of ports by the process id modulo 140, so two tests that run at the same time have the same range if their ids differ by a multiple of 140.

Change: a process keeps the last port of its range open and takes the next range if that port is in use. With nine of ten ranges held by another process, rejectionlimits_test failed in three of three runs before, and three runs at the same time pass now. No check has changed.

--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 #include <unistd.h>
 
@@ -438,10 +439,45 @@
         base::Time nextPoll;
     };
 
+    static constexpr std::size_t PortRanges = 140;
+    static constexpr std::size_t PortsPerRange = 50;
+
+    /// A range of ports that no other process uses, as its last port is kept open until the end of the process.
+    class PortRange
+    {
+    public:
+        /// Begins at the range of the process id, which others may have as well.
+        PortRange()
+        {
+            using boost::asio::ip::tcp;
+            const auto start = static_cast<std::size_t>(getpid());
+            for (std::size_t n = 0; n < PortRanges && !m_reservation.is_open(); ++n) {
+                m_first = static_cast<std::uint16_t>(2500 + PortsPerRange * ((start + n) % PortRanges));
+                tcp::acceptor reservation(m_context, tcp::v4());
+                boost::system::error_code ec;
+                reservation.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(m_first + PortsPerRange - 1)}, ec);
+                if (!ec) {
+                    m_reservation = std::move(reservation);
+                }
+            }
+        }
+
+        std::uint16_t first() const
+        {
+            return m_first;
+        }
+
+    private:
+        boost::asio::io_context m_context;
+        boost::asio::ip::tcp::acceptor m_reservation{m_context};
+        std::uint16_t m_first = 0;
+    };
+
     /// Keeps parallel runs apart, also from the tests of whole programs, which use ports from 10000 on.
     static std::uint16_t port(std::size_t n)
     {
-        return static_cast<std::uint16_t>(2500 + 50 * (getpid() % 140) + n);
+        static const PortRange range;
+        return static_cast<std::uint16_t>(range.first() + n);
     }
 
     std::function<bool(std::size_t, std::size_t)> m_contacts;
