--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -439,7 +439,8 @@
         base::Time nextPoll;
     };
 
-    static constexpr std::size_t PortRanges = 140;
+    static constexpr std::size_t FirstPort = 2500;
+    static constexpr std::size_t PortRanges = 140; ///< end below the ports of the tests of whole programs
     static constexpr std::size_t PortsPerRange = 50;
 
     /// A range of ports that no other process uses, as its last port is kept open until the end of the process.
@@ -452,7 +453,7 @@
             using boost::asio::ip::tcp;
             const auto start = static_cast<std::size_t>(getpid());
             for (std::size_t n = 0; n < PortRanges && !m_reservation.is_open(); ++n) {
-                m_first = static_cast<std::uint16_t>(2500 + PortsPerRange * ((start + n) % PortRanges));
+                m_first = static_cast<std::uint16_t>(FirstPort + PortsPerRange * ((start + n) % PortRanges));
                 tcp::acceptor reservation(m_context, tcp::v4());
                 boost::system::error_code ec;
                 reservation.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(m_first + PortsPerRange - 1)}, ec);
