Logs tell by whom entries of endpoints came and which missing ones are kept

Cause: when a call reached an endpoint that had left, the daemon's log told neither whether its entries came by a relay or its own read, nor after which gap, nor that missing entries were kept, nor that reads failed.

Change: by= and gap_ms= on each change of an entry, lines for missing entries that are kept and for failed reads, and the distribution endpoint_updates_gap_seconds. No decision changes.

--- a/include/turmericplank/gateway/sitestateupdater.hpp
+++ b/include/turmericplank/gateway/sitestateupdater.hpp
@@ -62,7 +62,7 @@
     void start();
 
     /// @brief Applies entries that the reader of the group has relayed.
-    void applyRelayedEntries(const std::vector<discovery::EndpointEntry> &entries);
+    void applyRelayedEntries(const base::DaemonId &from, const std::vector<discovery::EndpointEntry> &entries);
 
     /// @brief Applies a configuration that another daemon has relayed.
     void applyRelayedConfiguration(const base::DaemonId &from, const std::string &text);
@@ -112,7 +112,9 @@
     void useEntries(const std::vector<discovery::EndpointEntry> &entries);
     bool isKnown(const discovery::EndpointEntry &entry) const;
     void applyAndRelay(const std::vector<discovery::EndpointEntry> &entries);
-    void applyEntries(const std::vector<discovery::EndpointEntry> &entries);
+    void applyEntries(const std::vector<discovery::EndpointEntry> &entries, std::string_view source);
+    void logKeptEntries(const std::vector<discovery::EndpointEntry> &entries, std::int64_t gap, std::string_view source) const;
+    void logReadFailure() const;
     bool activate(const std::shared_ptr<const routes::SiteConfiguration> &configuration, const std::string &text, std::string_view source);
     void setStoreAvailable(bool isAvailable);
 
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -277,7 +277,7 @@
     {
         const auto entries = decodeEndpointEntries(body);
         if (entries) {
-            siteStateUpdater.applyRelayedEntries(*entries);
+            siteStateUpdater.applyRelayedEntries(from, *entries);
         } else {
             telemetry::log(LogLevel::Warning, "peers", "cannot decode endpoint entries", {{"daemon", from.text()}, {"bytes", std::uint64_t(body.size())}});
         }
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::string_view ByWait = "wait";
 constexpr std::string_view ByRead = "read";
+constexpr double MillisecondsPerSecond = 1000;
 
 } // namespace
 
@@ -345,6 +346,7 @@
     if (!result) {
         ++m_endpointFailures;
         m_metrics.count("store_failures_total{call=\"endpoints\"}");
+        logReadFailure();
         return;
     }
     m_endpointFailures = 0;
@@ -352,6 +354,18 @@
     useEntries(result->entries);
 }
 
+/// Names the first failures of an outage; later ones are further and further apart.
+void SiteStateUpdater::logReadFailure() const
+{
+    if (std::has_single_bit(m_endpointFailures)) {
+        const auto now = base::now();
+        telemetry::log(LogLevel::Warning, "endpoints", "a read failed",
+                       {{"failures", std::uint64_t(m_endpointFailures)},
+                        {"after_ms", base::millisecondsBetween(m_lastRequestAt, now)},
+                        {"entries_age_ms", base::millisecondsBetween(m_lastUpdateAt, now)}});
+    }
+}
+
 /// Names each entry once, until it is readable again or gone.
 void SiteStateUpdater::logUnreadable(std::set<std::string> keys)
 {
@@ -389,23 +403,27 @@
 
 void SiteStateUpdater::applyAndRelay(const std::vector<discovery::EndpointEntry> &entries)
 {
-    applyEntries(entries);
+    applyEntries(entries, ByRead);
     if (m_callbacks.isStoreReader()) {
         m_callbacks.onEntriesRead(entries);
     }
 }
 
-void SiteStateUpdater::applyRelayedEntries(const std::vector<discovery::EndpointEntry> &entries)
+void SiteStateUpdater::applyRelayedEntries(const base::DaemonId &from, const std::vector<discovery::EndpointEntry> &entries)
 {
     m_lastRelayedAt = base::now();
     m_metrics.count("endpoints_passed_on_total");
-    applyEntries(entries);
+    applyEntries(entries, from.text());
 }
 
-void SiteStateUpdater::applyEntries(const std::vector<discovery::EndpointEntry> &entries)
+void SiteStateUpdater::applyEntries(const std::vector<discovery::EndpointEntry> &entries, std::string_view source)
 {
+    const bool isFirst = m_lastUpdateAt == base::Time();
+    const auto gap = isFirst ? 0 : base::millisecondsBetween(m_lastUpdateAt, base::now());
     m_lastUpdateAt = base::now();
+    m_metrics.observe("endpoint_updates_gap_seconds", static_cast<double>(gap) / MillisecondsPerSecond);
     const auto changes = m_siteState.applyEntries(entries, m_lastUpdateAt);
+    logKeptEntries(entries, gap, source);
     for (const auto &it : changes) {
         telemetry::log(LogLevel::Info, "endpoints", toString(it.event),
                        {{"endpoint", it.entry.id.text()},
@@ -414,11 +432,28 @@
                         {"incarnation", it.entry.incarnation.value()},
                         {"version", it.entry.softwareVersion},
                         {"heartbeat", it.entry.heartbeat},
-                        {"models", std::uint64_t(it.entry.models.size())}});
+                        {"models", std::uint64_t(it.entry.models.size())},
+                        {"by", source},
+                        {"gap_ms", gap}});
     }
     m_callbacks.onEndpointsUpdated(changes);
 }
 
+/// Names how many endpoints get calls although the entries in use do not list them.
+void SiteStateUpdater::logKeptEntries(const std::vector<discovery::EndpointEntry> &entries, std::int64_t gap, std::string_view source) const
+{
+    std::set<base::EndpointId> listed;
+    std::ranges::transform(entries, std::inserter(listed, listed.end()), &discovery::EndpointEntry::id);
+    const auto kept = std::ranges::count_if(m_siteState.endpoints(), [&](const auto &it) { return !listed.contains(it.first); });
+    if (kept > 0) {
+        telemetry::log(LogLevel::Info, "endpoints", "missing entries are kept",
+                       {{"entries", std::uint64_t(kept)},
+                        {"by", source},
+                        {"gap_ms", gap},
+                        {"for_ms", base::millisecondsBetween(m_lastUpdateAt, m_siteState.missingEntriesKeptUntil())}});
+    }
+}
+
 void SiteStateUpdater::setStoreAvailable(bool isAvailable)
 {
     if (isAvailable == m_isStoreAvailable) {
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -262,7 +262,7 @@
     it.stored = 2;
     const auto end = base::now() + std::chrono::milliseconds(120);
     daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
-        it.updater.applyRelayedEntries({});
+        it.updater.applyRelayedEntries(peer, {});
         it.updater.notePeerRevision(base::DaemonId("reader"), base::Revision(2));
         it.updater.notePeerRevision(peer, base::Revision(1));
         if (base::now() >= end) {
@@ -296,7 +296,7 @@
     it.stopsWhenAwaiting = false;
     // A peer waits for changes, so that a wait of this daemon, which would end in a read, adds none.
     const auto rely = [&it] {
-        it.updater.applyRelayedEntries({});
+        it.updater.applyRelayedEntries(peer, {});
         it.updater.notePeerWatch(peer, true);
     };
     rely();
@@ -317,7 +317,7 @@
 {
     Daemon it(false);
     it.isSecondWatcher = true;
-    daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] { it.updater.applyRelayedEntries({}); });
+    daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] { it.updater.applyRelayedEntries(peer, {}); });
     it.runUntilAwaiting();
     it.awaiting(ConfigurationSnapshot{configurationOf(2), 2, "2"});
     CHECK(it.revision() == 2);
@@ -370,11 +370,11 @@
 {
     Daemon it(false);
     bool isWatched = true;
-    it.updater.applyRelayedEntries({});
+    it.updater.applyRelayedEntries(peer, {});
     it.updater.notePeerWatch(peer, isWatched); // before the first tick, so that no wait of its own is in progress
     const auto end = base::now() + std::chrono::milliseconds(300);
     daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
-        it.updater.applyRelayedEntries({});
+        it.updater.applyRelayedEntries(peer, {});
         it.updater.notePeerWatch(peer, isWatched);
         if (isWatched && base::now() >= end) {
             isWatched = false;
