--- a/src/turmericplank/gateway/sitestate_test.cpp
+++ b/src/turmericplank/gateway/sitestate_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "gatewayoptions.hpp"
+
 using namespace turmericplank;
 using namespace turmericplank::gateway;
 
@@ -35,6 +37,31 @@
     return it;
 }
 
+constexpr std::int64_t HeartbeatMilliseconds = 1200; ///< between two writes of an endpoint's entry
+
+/// Entries of endpoints that write at regular intervals, each at another moment, as they are in the table at some time.
+/// @param silentFor milliseconds before that time in which nothing was written
+std::vector<discovery::EndpointEntry> renewedEntries(std::size_t count, std::int64_t milliseconds, std::int64_t silentFor = 0)
+{
+    std::vector<discovery::EndpointEntry> entries;
+    for (std::size_t n = 0; n < count; ++n) {
+        const auto phase = static_cast<std::int64_t>(n) * HeartbeatMilliseconds / static_cast<std::int64_t>(count);
+        entries.push_back(entry("e" + std::to_string(n)));
+        entries.back().heartbeat = static_cast<std::uint64_t>((milliseconds - silentFor + phase) / HeartbeatMilliseconds);
+    }
+    return entries;
+}
+
+/// Milliseconds between the last relay of a reader that ends and the read of a daemon of its group.
+std::int64_t unrelayedMilliseconds(base::Duration drainTime)
+{
+    SiteBounds bounds;
+    bounds.drainTime = drainTime;
+    bounds.configurationTime = drainTime;
+    const auto options = updaterOptions(bounds);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(options.relayTimeout + options.tickInterval).count();
+}
+
 struct Daemon
 {
     Daemon()
@@ -144,3 +171,22 @@
     it.siteState.applyEntries({entry("e", 3)}, at(5000));
     CHECK_FALSE(it.isRoutable("m", at(5000)));
 }
+
+TEST_CASE("an endpoint whose entry is removed as the reader of the group ends gets no calls after the drain time")
+{
+    for (const auto drainTime : {std::chrono::seconds(2), std::chrono::seconds(3), std::chrono::seconds(4)}) {
+        for (const std::size_t count : {1U, 3U, 166U, 7200U}) {
+            CAPTURE(drainTime.count());
+            CAPTURE(count);
+            constexpr std::int64_t Start = 60000;
+            const auto readAt = Start + unrelayedMilliseconds(drainTime);
+            REQUIRE(readAt < Start + drainTime / std::chrono::milliseconds(1));
+            Daemon it;
+            auto entries = renewedEntries(count, Start);
+            entries.push_back(entry("removed"));
+            it.siteState.applyEntries(entries, at(Start));
+            it.siteState.applyEntries(renewedEntries(count, readAt), at(readAt));
+            CHECK(it.siteState.endpoints().size() == count);
+        }
+    }
+}
