A gap between two reads is an outage only if endpoints have not renewed their entries

Callers saw: a call reached an endpoint 4.7 s after the store had acknowledged that it leaves, where the drain time is 4 s.

Cause: the catalog took any 2.5 s without a read for an outage of the store, and kept missing entries for 2 s more. Reads are spaced by the drain time: where it is 4 s, a daemon to which nothing is relayed reads after 2.98 s, so that the end of a group's reader looked like an outage to the whole group, and an endpoint whose entry was removed meanwhile got calls for up to 5 s. Class: a fixed time stands beside one that grows with the site's bounds, and missing news is taken for one particular cause of it.

Change: the time for which the table can have refused writes is judged by how often the typical endpoint has renewed its entry since the last read. Missing entries are kept only if it is long enough for an entry to expire, two of the three intervals after which it does.

Outages of 3.7 to 9 s still keep the entries that expired, also at a daemon whose first read finds half of them written again; a daemon that was paused for 3.5 to 12 s while the store served others drops removed endpoints at once.

--- a/include/turmericplank/discovery/endpointcatalog.hpp
+++ b/include/turmericplank/discovery/endpointcatalog.hpp
@@ -28,7 +28,8 @@
 /// @brief Timeouts of the catalog.
 struct CatalogOptions
 {
-    base::Duration outageAfter = std::chrono::milliseconds(2500); ///< time without a read after which entries may have expired unnoticed
+    base::Duration heartbeatInterval = std::chrono::milliseconds(1200); ///< between two writes of an endpoint's entry
+    int missedHeartbeats = 3; ///< in a row after which an entry expires
     base::Duration rewriteTime = std::chrono::milliseconds(2000); ///< time within which live endpoints rewrite expired entries, as documented by the platform
     /// After the table came back from an older copy: how long its entries of endpoints that have left since may stay, which is the
     /// time after which the platform removes entries that are not renewed, with a margin.
@@ -40,8 +41,10 @@
 ///
 /// A missing entry means that its endpoint is gone. For a short time after an outage of the table, missing entries are kept
 /// instead unless they were marked as leaving, because entries of live endpoints may have expired during the outage and are then
-/// written again. The same holds after the table came back from an older copy. Its entries then do not overrule what is known of the
-/// same incarnation from later heartbeats: an endpoint that was seen leaving or gone stays so.
+/// written again. A time without a read is an outage only if the other endpoints have renewed their entries too rarely in it; the
+/// daemon itself may have been paused or cut off, or its reader may have ended. Missing entries are also kept after the table came back
+/// from an older copy. Its entries then do not overrule what is known of the same incarnation from later heartbeats: an endpoint that
+/// was seen leaving or gone stays so.
 class EndpointCatalog
 {
 public:
@@ -68,6 +71,7 @@
     std::optional<base::Time> lastRead() const;
 
 private:
+    base::Duration maxOutageSinceRead(const std::vector<EndpointEntry> &entries, base::Time now) const;
     bool isFromBeforeDeparture(const EndpointEntry &entry) const;
     void rememberDeparture(const EndpointEntry &entry, base::Time now);
 
--- a/include/turmericplank/gateway/settings.hpp
+++ b/include/turmericplank/gateway/settings.hpp
@@ -38,6 +38,7 @@
     base::Address peerAddress; ///< accepts messages from other daemons
     base::Address metricsAddress;
     SiteBounds bounds;
+    base::Duration endpointHeartbeatInterval = std::chrono::milliseconds(1200); ///< between two writes of an endpoint's entry
     std::optional<std::size_t> memoryBytes; ///< of the VM
     std::optional<std::size_t> maxDescriptors; ///< that the process may open
     bool isFirstStart = true; ///< the whole system starts for the first time, so that missing rows were not written yet
--- a/include/turmericplank/gateway/sitestate.hpp
+++ b/include/turmericplank/gateway/sitestate.hpp
@@ -31,7 +31,7 @@
 {
 public:
     /// @param router is informed of every change
-    explicit SiteState(routing::Router &router);
+    explicit SiteState(routing::Router &router, discovery::CatalogOptions catalogOptions = {});
 
     /// @brief Puts a configuration in force unless it is older than the current one.
     /// @return whether the configuration in force has changed
--- a/src/turmericplank/gateway/gatewayoptions.cpp
+++ b/src/turmericplank/gateway/gatewayoptions.cpp
@@ -45,6 +45,15 @@
     return options;
 }
 
+discovery::CatalogOptions catalogOptions(const Settings &settings)
+{
+    discovery::CatalogOptions options;
+    if (settings.endpointHeartbeatInterval > base::Duration(0)) {
+        options.heartbeatInterval = settings.endpointHeartbeatInterval;
+    }
+    return options;
+}
+
 net::CallerBudgetOptions callerBudgetOptions(const Settings &settings)
 {
     constexpr std::size_t MemoryPart = 4; ///< the rest is for answers, other daemons and the process itself
--- a/src/turmericplank/gateway/gatewayoptions.hpp
+++ b/src/turmericplank/gateway/gatewayoptions.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "turmericplank/discovery/endpointcatalog.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
 #include "turmericplank/gateway/settings.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
@@ -15,6 +16,9 @@
 /// @brief Intervals of reads of the store, from the times in which changes must be in force.
 SiteStateUpdaterOptions updaterOptions(const SiteBounds &bounds);
 
+/// @brief How often endpoints renew their entries in the table. The site may leave it unset, as zero.
+discovery::CatalogOptions catalogOptions(const Settings &settings);
+
 /// @brief Bounds of what callers occupy, from the memory and the descriptors of the VM.
 net::CallerBudgetOptions callerBudgetOptions(const Settings &settings);
 
--- a/src/turmericplank/gateway/sitestate.cpp
+++ b/src/turmericplank/gateway/sitestate.cpp
@@ -31,8 +31,9 @@
     return chain;
 }
 
-SiteState::SiteState(routing::Router &router)
+SiteState::SiteState(routing::Router &router, discovery::CatalogOptions catalogOptions)
     : m_router(router)
+    , m_catalog(catalogOptions)
 {
 }
 
--- a/src/turmericplank/gateway/sitestate_test.cpp
+++ b/src/turmericplank/gateway/sitestate_test.cpp
@@ -190,3 +190,61 @@
         }
     }
 }
+
+TEST_CASE("endpoints whose entries expired during an outage of the store are kept, whatever the drain time")
+{
+    constexpr std::int64_t Start = 60000;
+    constexpr std::int64_t OutageMilliseconds = 4500;
+    constexpr std::int64_t RewriteMilliseconds = 2000;
+    for (const std::size_t count : {1U, 3U, 166U, 7200U}) {
+        CAPTURE(count);
+        Daemon it;
+        it.siteState.applyEntries(renewedEntries(count, Start), at(Start));
+        // At first all entries are missing, then those are that have not been written again yet.
+        const auto returnAt = Start + OutageMilliseconds;
+        it.siteState.applyEntries({}, at(returnAt));
+        CHECK(it.siteState.endpoints().size() == count);
+        auto some = renewedEntries(count, returnAt + 1000, OutageMilliseconds);
+        some.resize(count / 2);
+        it.siteState.applyEntries(some, at(returnAt + 1000));
+        CHECK(it.siteState.endpoints().size() == count);
+        const auto keptUntil = returnAt + RewriteMilliseconds;
+        it.siteState.applyEntries(some, at(keptUntil));
+        CHECK(it.siteState.endpoints().size() == some.size());
+    }
+}
+
+TEST_CASE("a daemon whose first read after an outage finds some entries written again keeps the others")
+{
+    constexpr std::int64_t Start = 60000;
+    for (const std::int64_t outageMilliseconds : {3700, 4500, 9000}) {
+        for (const std::size_t count : {2U, 166U, 7200U}) {
+            CAPTURE(outageMilliseconds);
+            CAPTURE(count);
+            Daemon it;
+            it.siteState.applyEntries(renewedEntries(count, Start), at(Start));
+            const auto readAt = Start + 1000 + outageMilliseconds + 1000;
+            auto some = renewedEntries(count, readAt, outageMilliseconds);
+            some.resize(count / 2);
+            it.siteState.applyEntries(some, at(readAt));
+            CHECK(it.siteState.endpoints().size() == count);
+        }
+    }
+}
+
+TEST_CASE("a daemon that was paused while the store served the others drops removed endpoints at its first read")
+{
+    constexpr std::int64_t Start = 60000;
+    for (const std::int64_t pauseMilliseconds : {3500, 6500, 12000}) {
+        for (const std::size_t count : {3U, 166U, 7200U}) {
+            CAPTURE(pauseMilliseconds);
+            CAPTURE(count);
+            Daemon it;
+            auto entries = renewedEntries(count, Start);
+            entries.push_back(entry("removed"));
+            it.siteState.applyEntries(entries, at(Start));
+            it.siteState.applyEntries(renewedEntries(count, Start + pauseMilliseconds), at(Start + pauseMilliseconds));
+            CHECK(it.siteState.endpoints().size() == count);
+        }
+    }
+}
