Entries that come out of order do not bring back endpoints that are leaving or gone

Cause: heartbeats were compared only after the table had come back from an older copy.

Change: an entry that is older than what is known of its incarnation never overrules it, and an entry of an incarnation that is gone counts only once it has been renewed.

--- a/include/turmericplank/discovery/endpointcatalog.hpp
+++ b/include/turmericplank/discovery/endpointcatalog.hpp
@@ -31,9 +31,6 @@
     base::Duration heartbeatInterval = std::chrono::milliseconds(1200); ///< between two writes of an endpoint's entry
     int missedHeartbeats = 3; ///< in a row after which an entry expires
     base::Duration rewriteTime = std::chrono::milliseconds(2000); ///< time within which live endpoints rewrite expired entries, as documented by the platform
-    /// After the table came back from an older copy: how long its entries of endpoints that have left since may stay, which is the
-    /// time after which the platform removes entries that are not renewed, with a margin.
-    base::Duration restoredCopyTime = std::chrono::seconds(10);
     base::Duration departureMemory = std::chrono::seconds(60); ///< how long a removed incarnation is remembered, well above the age of a copy
 };
 
@@ -43,8 +40,10 @@
 /// instead unless they were marked as leaving, because entries of live endpoints may have expired during the outage and are then
 /// written again. A time without a read is an outage only if the other endpoints have renewed their entries too rarely in it; the
 /// daemon itself may have been paused or cut off, or its reader may have ended. Missing entries are also kept after the table came back
-/// from an older copy. Its entries then do not overrule what is known of the same incarnation from later heartbeats: an endpoint that
-/// was seen leaving or gone stays so.
+/// from an older copy.
+///
+/// Entries may come out of order: relayed late by another daemon, written late to the table, or from an older copy of it. They do not
+/// overrule what is known of the same incarnation from later heartbeats: an endpoint that was seen leaving or gone stays so.
 class EndpointCatalog
 {
 public:
@@ -52,7 +51,7 @@
 
     /// @brief Applies a complete read of the table.
     ///
-    /// Entries that an older copy of the table lists of endpoints that have left since are ignored.
+    /// Entries that are older than what is known of their incarnation are ignored.
     /// @param entries all readable entries
     /// @param now current time
     /// @return the changes: first those of endpoints in the table, in the given order, then those that are gone
@@ -79,7 +78,6 @@
     std::map<base::EndpointId, EndpointEntry> m_entries;
     std::optional<base::Time> m_lastRead;
     base::Time m_keepsMissingUntil;
-    base::Time m_copyIsOldUntil; ///< entries of the table may be older than what is known
     struct Departure
     {
         base::Incarnation incarnation;
--- a/src/turmericplank/discovery/endpointcatalog.cpp
+++ b/src/turmericplank/discovery/endpointcatalog.cpp
@@ -56,17 +56,16 @@
     }
     m_lastRead = now;
     std::erase_if(m_departures, [now](const auto &it) { return it.second.rememberedUntil <= now; });
-    const bool isOldCopy = now < m_copyIsOldUntil;
     std::vector<EndpointChange> changes;
     std::map<base::EndpointId, EndpointEntry> next;
     for (const auto &it : entries) {
         const auto known = m_entries.find(it.id);
         const bool isOlderHeartbeat = known != m_entries.end() && it.incarnation == known->second.incarnation && it.heartbeat < known->second.heartbeat;
-        if (isOldCopy && isOlderHeartbeat) {
+        if (isOlderHeartbeat) {
             next.insert(*known);
             continue;
         }
-        if (known == m_entries.end() && isOldCopy && isFromBeforeDeparture(it)) {
+        if (known == m_entries.end() && isFromBeforeDeparture(it)) {
             continue;
         }
         if (known == m_entries.end()) {
@@ -123,7 +122,6 @@
 void EndpointCatalog::noteRestored(base::Time now)
 {
     m_keepsMissingUntil = std::max(m_keepsMissingUntil, now + m_options.rewriteTime);
-    m_copyIsOldUntil = now + m_options.restoredCopyTime;
 }
 
 bool EndpointCatalog::isFromBeforeDeparture(const EndpointEntry &entry) const
