Reports of other daemons hold until entries that include them are applied

Suspected: where the drain time is 3 or 4 s, calls for models and adapters that have just been loaded are refused or sent elsewhere for a moment.

Three fixed times of 3 s stood for "a heartbeat, a read and a margin", while the reads are spaced by the drain time: an entry from before an engine's order may be applied 4.2 s after it where the drain time is 4 s, and then overruled the order.

Change: the lag of entries is the heartbeat interval and the drain time, the lifetime of reports the drain time and a second.

Result: the test failed before for 3 s and 4 s, and passes for 2, 3 and 4 s. Where the drain time is 2 s, the lag is 3.2 s instead of 3.0 s and the lifetime is unchanged.

--- a/include/turmericplank/gateway/sitestate.hpp
+++ b/include/turmericplank/gateway/sitestate.hpp
@@ -23,6 +23,16 @@
 /// @param model qualified name of the model
 routing::PrefixChain promptPrefixes(const base::ModelName &model, const std::vector<PromptPart> &prompt);
 
+/// @brief Times for which SiteState believes other daemons rather than entries. Entries are applied within the drain time after a change.
+struct SiteStateOptions
+{
+    discovery::CatalogOptions catalog;
+    /// Upper bound of the time from an engine's order until the entry that includes it is applied: a heartbeat and the drain time.
+    base::Duration maxEntryLag = std::chrono::milliseconds(3200);
+    /// Of a report that an endpoint is draining or was removed; until it ends, this daemon's own entries confirm or refute it.
+    base::Duration reportLifetime = std::chrono::seconds(3);
+};
+
 /// @brief This daemon's view of the site: routes, endpoints and the models resident on each engine.
 ///
 /// Resident models are reported by the engine's entry in the platform's table, which lags by a heartbeat and a read, and by
@@ -31,7 +41,7 @@
 {
 public:
     /// @param router is informed of every change
-    explicit SiteState(routing::Router &router, discovery::CatalogOptions catalogOptions = {});
+    explicit SiteState(routing::Router &router, SiteStateOptions options = {});
 
     /// @brief Puts a configuration in force unless it is older than the current one.
     /// @return whether the configuration in force has changed
@@ -52,7 +62,7 @@
     /// @return whether this was not known before
     bool noteLeavingAnswer(const DrainingEndpoint &endpoint, base::Time now);
 
-    /// @brief Marks endpoints as draining for a few seconds, since another daemon reports that they are draining or were removed.
+    /// @brief Marks endpoints as draining for the lifetime of a report, since another daemon reports that they are draining or were removed.
     void applyDraining(const std::vector<DrainingEndpoint> &endpoints, base::Time now);
 
     /// @brief Routes in force; null before the first configuration.
@@ -85,6 +95,7 @@
     void reportToRouter(const discovery::EndpointEntry &entry, base::Time now);
 
     routing::Router &m_router;
+    SiteStateOptions m_options;
     std::shared_ptr<const routes::RouteTable> m_routes;
     base::Time m_routesSince;
     discovery::EndpointCatalog m_catalog;
--- a/src/turmericplank/gateway/gateway.cpp
+++ b/src/turmericplank/gateway/gateway.cpp
@@ -70,7 +70,7 @@
         , settings(std::move(gatewaySettings))
         , wire(std::move(wireFormat))
         , router(routerOptions(settings.zone))
-        , siteState(router, catalogOptions(settings))
+        , siteState(router, siteStateOptions(settings))
         , rejectionLimits(settings.id, siteState, router, [this] { return peers.otherDaemons(); })
         , rateLimits(settings.id, siteState, router.rateAllowance(), [this] { return peers.otherDaemons(); })
         , pool(context, std::move(poolOptions))
--- a/src/turmericplank/gateway/gatewayoptions.cpp
+++ b/src/turmericplank/gateway/gatewayoptions.cpp
@@ -45,12 +45,15 @@
     return options;
 }
 
-discovery::CatalogOptions catalogOptions(const Settings &settings)
+SiteStateOptions siteStateOptions(const Settings &settings)
 {
-    discovery::CatalogOptions options;
+    constexpr auto ReportMargin = std::chrono::seconds(1); ///< two status messages and a retried read
+    SiteStateOptions options;
     if (settings.endpointHeartbeatInterval > base::Duration(0)) {
-        options.heartbeatInterval = settings.endpointHeartbeatInterval;
+        options.catalog.heartbeatInterval = settings.endpointHeartbeatInterval;
     }
+    options.maxEntryLag = options.catalog.heartbeatInterval + settings.bounds.drainTime;
+    options.reportLifetime = settings.bounds.drainTime + ReportMargin;
     return options;
 }
 
--- a/src/turmericplank/gateway/gatewayoptions.hpp
+++ b/src/turmericplank/gateway/gatewayoptions.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "turmericplank/discovery/endpointcatalog.hpp"
 #include "turmericplank/gateway/forwarder.hpp"
 #include "turmericplank/gateway/settings.hpp"
 #include "turmericplank/gateway/sitestateupdater.hpp"
@@ -16,8 +15,8 @@
 /// @brief Intervals of reads of the store, from the times in which changes must be in force.
 SiteStateUpdaterOptions updaterOptions(const SiteBounds &bounds);
 
-/// @brief How often endpoints renew their entries in the table. The site may leave it unset, as zero.
-discovery::CatalogOptions catalogOptions(const Settings &settings);
+/// @brief Times of the view of the site, from the endpoints' heartbeat interval, which the site may leave unset as zero, and the drain time.
+SiteStateOptions siteStateOptions(const Settings &settings);
 
 /// @brief Bounds of what callers occupy, from the memory and the descriptors of the VM.
 net::CallerBudgetOptions callerBudgetOptions(const Settings &settings);
--- a/src/turmericplank/gateway/sitestate.cpp
+++ b/src/turmericplank/gateway/sitestate.cpp
@@ -6,10 +6,7 @@
 
 namespace {
 
-constexpr auto DrainingReportLifetime = std::chrono::seconds(3); ///< within this time this daemon's own read of the table confirms or refutes a report
-constexpr auto RemovalReportTime = std::chrono::seconds(3); ///< long enough that a daemon whose reads of the table fail gets several reports
 constexpr auto SelfDeclaredMemory = std::chrono::seconds(60); ///< an entry that expired while its endpoint was cut off from the table may come back
-constexpr auto MaxEntryLag = std::chrono::milliseconds(3000); ///< a heartbeat of the endpoint, a read of the table and a margin
 
 } // namespace
 
@@ -31,9 +28,10 @@
     return chain;
 }
 
-SiteState::SiteState(routing::Router &router, discovery::CatalogOptions catalogOptions)
+SiteState::SiteState(routing::Router &router, SiteStateOptions options)
     : m_router(router)
-    , m_catalog(catalogOptions)
+    , m_options(options)
+    , m_catalog(options.catalog)
 {
 }
 
@@ -57,7 +55,7 @@
         if (it.event == discovery::EndpointEvent::Gone) {
             m_router.setStatus(it.entry.id, routing::EndpointStatus::Gone, now);
             m_engines.erase(it.entry.id);
-            m_recentlyRemoved[{it.entry.id, it.entry.incarnation}] = now + RemovalReportTime;
+            m_recentlyRemoved[{it.entry.id, it.entry.incarnation}] = now + m_options.reportLifetime;
         }
     }
     for (auto &[endpoint, keptUntil] : m_selfDeclared) {
@@ -98,7 +96,7 @@
     if (!isNewer) {
         return false;
     }
-    known->second = {update, now + MaxEntryLag};
+    known->second = {update, now + m_options.maxEntryLag};
     reportToRouter(entry->second, now);
     return true;
 }
@@ -106,7 +104,7 @@
 void SiteState::applyDraining(const std::vector<DrainingEndpoint> &endpoints, base::Time now)
 {
     for (const auto &it : endpoints) {
-        m_reportedDraining[it] = now + DrainingReportLifetime;
+        m_reportedDraining[it] = now + m_options.reportLifetime;
         const auto entry = m_catalog.entries().find(it.endpoint);
         const bool isSameIncarnation = entry != m_catalog.entries().end() && entry->second.incarnation == it.incarnation;
         if (isSameIncarnation && !entry->second.isLeaving) {
--- a/src/turmericplank/gateway/sitestate_test.cpp
+++ b/src/turmericplank/gateway/sitestate_test.cpp
@@ -64,7 +64,8 @@
 
 struct Daemon
 {
-    Daemon()
+    explicit Daemon(SiteStateOptions options = {})
+        : siteState(router, options)
     {
         siteState.applyConfiguration(site(1), at(0));
     }
@@ -78,7 +79,7 @@
     }
 
     routing::Router router;
-    SiteState siteState{router};
+    SiteState siteState;
 };
 
 } // namespace
@@ -134,6 +135,27 @@
     CHECK_FALSE(it.siteState.applyEngineUpdate({base::EndpointId("e"), base::Incarnation(1), 9, {{base::ModelName("m"), {"a1"}}}}, at(5100)));
 }
 
+TEST_CASE("what other daemons report holds until entries that include it are applied, whatever the drain time")
+{
+    constexpr std::int64_t Start = 60000;
+    for (const auto drainTime : {std::chrono::seconds(2), std::chrono::seconds(3), std::chrono::seconds(4)}) {
+        CAPTURE(drainTime.count());
+        Settings settings;
+        settings.bounds.drainTime = drainTime;
+        Daemon it(siteStateOptions(settings));
+        it.siteState.applyEntries({entry("e"), entry("leaving")}, at(Start));
+        it.siteState.applyEngineUpdate({base::EndpointId("e"), base::Incarnation(1), 1, {{base::ModelName("m"), {"a1"}}}}, at(Start));
+        it.siteState.applyDraining({{base::EndpointId("leaving"), base::Incarnation(1)}}, at(Start));
+        // The engine wrote its entry right before the order, and this daemon had read it right before that.
+        const auto lag = HeartbeatMilliseconds + unrelayedMilliseconds(drainTime);
+        it.siteState.applyEntries({entry("e"), entry("leaving")}, at(Start + lag));
+        CHECK(it.isRoutable("m/a1", at(Start + lag)));
+        const auto readAt = Start + unrelayedMilliseconds(drainTime);
+        it.siteState.applyDraining({}, at(readAt));
+        CHECK(it.siteState.isDraining(base::EndpointId("leaving")));
+    }
+}
+
 TEST_CASE("an endpoint that says in an answer that it is leaving gets no more calls, and peers are told")
 {
     Daemon it;
