Endpoints that late entries do not list are used again at the next read

Cause: took an entry of an incarnation that is gone for an old one until its heartbeat has grown.

Change: as before, departures count only after the table has come back from an older copy. A late relay may still bring back a removed endpoint until the next read.

--- a/include/turmericplank/discovery/endpointcatalog.hpp
+++ b/include/turmericplank/discovery/endpointcatalog.hpp
@@ -31,6 +31,9 @@
     base::Duration heartbeatInterval = std::chrono::milliseconds(1200); ///< between two writes of an endpoint's entry
     int missedHeartbeats = 3; ///< in a row after which an entry expires
     base::Duration rewriteTime = std::chrono::milliseconds(2000); ///< time within which live endpoints rewrite expired entries, as documented by the platform
+    /// After the table came back from an older copy: how long its entries of endpoints that have left since may stay, which is the
+    /// time after which the platform removes entries that are not renewed, with a margin.
+    base::Duration restoredCopyTime = std::chrono::seconds(10);
     base::Duration departureMemory = std::chrono::seconds(60); ///< how long a removed incarnation is remembered, well above the age of a copy
 };
 
@@ -43,7 +46,8 @@
 /// from an older copy.
 ///
 /// Entries may come out of order: relayed late by another daemon, written late to the table, or from an older copy of it. They do not
-/// overrule what is known of the same incarnation from later heartbeats: an endpoint that was seen leaving or gone stays so.
+/// overrule what is known of the same incarnation from later heartbeats: an endpoint that was seen leaving stays so, and one that is
+/// gone does not come back from an older copy.
 class EndpointCatalog
 {
 public:
@@ -51,7 +55,8 @@
 
     /// @brief Applies a complete read of the table.
     ///
-    /// Entries that are older than what is known of their incarnation are ignored.
+    /// Entries that are older than what is known of their incarnation are ignored, and so are those that an older copy of the table lists of
+    /// endpoints that have left since.
     /// @param entries all readable entries
     /// @param now current time
     /// @return the changes: first those of endpoints in the table, in the given order, then those that are gone
@@ -78,6 +83,7 @@
     std::map<base::EndpointId, EndpointEntry> m_entries;
     std::optional<base::Time> m_lastRead;
     base::Time m_keepsMissingUntil;
+    base::Time m_copyIsOldUntil; ///< entries of the table may be those of endpoints that have left
     struct Departure
     {
         base::Incarnation incarnation;
--- a/src/turmericplank/discovery/endpointcatalog.cpp
+++ b/src/turmericplank/discovery/endpointcatalog.cpp
@@ -65,7 +65,7 @@
             next.insert(*known);
             continue;
         }
-        if (known == m_entries.end() && isFromBeforeDeparture(it)) {
+        if (known == m_entries.end() && now < m_copyIsOldUntil && isFromBeforeDeparture(it)) {
             continue;
         }
         if (known == m_entries.end()) {
@@ -122,6 +122,7 @@
 void EndpointCatalog::noteRestored(base::Time now)
 {
     m_keepsMissingUntil = std::max(m_keepsMissingUntil, now + m_options.rewriteTime);
+    m_copyIsOldUntil = now + m_options.restoredCopyTime;
 }
 
 bool EndpointCatalog::isFromBeforeDeparture(const EndpointEntry &entry) const
