Missing entries are kept only after a failed read

Callers saw: a call reached an endpoint 4.7 s after the store had acknowledged that it leaves, where the drain time is 4 s.

Change: an outage of the store is known by a failed read. Entries that are missing are kept for 2 s only if a read of this daemon has failed since the entries in use were applied, and if that is long enough ago for an entry to expire (two heartbeat intervals). The reader of a group relays the entries that it keeps as well, so that the others need not know of its failed reads. A daemon that was paused, or whose reader has ended, has no failed read and drops removed endpoints at once.

Two tests of outages now say that a read failed, as it did in what they describe; their checks are the same.

--- a/include/turmericplank/discovery/endpointcatalog.hpp
+++ b/include/turmericplank/discovery/endpointcatalog.hpp
@@ -41,9 +41,8 @@
 ///
 /// A missing entry means that its endpoint is gone. For a short time after an outage of the table, missing entries are kept
 /// instead unless they were marked as leaving, because entries of live endpoints may have expired during the outage and are then
-/// written again. A time without a read is an outage only if the other endpoints have renewed their entries too rarely in it; the
-/// daemon itself may have been paused or cut off, or its reader may have ended. Missing entries are also kept after the table came back
-/// from an older copy.
+/// written again. A time without a read is an outage only if a read has failed in it; otherwise this daemon was paused, or the one that
+/// reads for it has ended. Missing entries are also kept after the table came back from an older copy.
 ///
 /// Entries may come out of order: relayed late by another daemon, written late to the table, or from an older copy of it. They do not
 /// overrule what is known of the same incarnation from later heartbeats: an endpoint that was seen leaving stays so, and one that is
@@ -62,6 +61,9 @@
     /// @return the changes: first those of endpoints in the table, in the given order, then those that are gone
     std::vector<EndpointChange> apply(const std::vector<EndpointEntry> &entries, base::Time now);
 
+    /// @brief Notes that a read of the table has failed since the last successful one.
+    void noteReadFailed();
+
     /// @brief Notes that the table has come back from an older copy.
     void noteRestored(base::Time now);
 
@@ -75,13 +77,14 @@
     std::optional<base::Time> lastRead() const;
 
 private:
-    base::Duration maxOutageSinceRead(const std::vector<EndpointEntry> &entries, base::Time now) const;
+    bool mayEntriesHaveExpired(base::Time now) const;
     bool isFromBeforeDeparture(const EndpointEntry &entry) const;
     void rememberDeparture(const EndpointEntry &entry, base::Time now);
 
     CatalogOptions m_options;
     std::map<base::EndpointId, EndpointEntry> m_entries;
     std::optional<base::Time> m_lastRead;
+    bool m_hasReadFailed = false; ///< since the last read
     base::Time m_keepsMissingUntil;
     base::Time m_copyIsOldUntil; ///< entries of the table may be those of endpoints that have left
     struct Departure
--- a/include/turmericplank/gateway/sitestate.hpp
+++ b/include/turmericplank/gateway/sitestate.hpp
@@ -55,6 +55,9 @@
     /// @return whether the state was newer than the known one
     bool applyEngineUpdate(const EngineUpdate &update, base::Time now);
 
+    /// @brief Notes that this daemon's read of the entries has failed, so that the table may be out of service.
+    void noteReadFailed();
+
     /// @brief Notes that the table of endpoints has come back from an older copy.
     void noteStoreRestored(base::Time now);
 
--- a/src/turmericplank/discovery/endpointcatalog.cpp
+++ b/src/turmericplank/discovery/endpointcatalog.cpp
@@ -50,11 +50,11 @@
 
 std::vector<EndpointChange> EndpointCatalog::apply(const std::vector<EndpointEntry> &entries, base::Time now)
 {
-    // An endpoint's last write may precede the outage by up to one interval.
-    if (maxOutageSinceRead(entries, now) >= m_options.heartbeatInterval * (m_options.missedHeartbeats - 1)) {
+    if (mayEntriesHaveExpired(now)) {
         m_keepsMissingUntil = now + m_options.rewriteTime;
     }
     m_lastRead = now;
+    m_hasReadFailed = false;
     std::erase_if(m_departures, [now](const auto &it) { return it.second.rememberedUntil <= now; });
     std::vector<EndpointChange> changes;
     std::map<base::EndpointId, EndpointEntry> next;
@@ -94,29 +94,16 @@
     return changes;
 }
 
-/// The longest time since the last read for which the table may not have accepted writes, judged by how often the typical endpoint has
-/// renewed its entry. The median ignores endpoints that cannot write themselves and those that write more often.
-base::Duration EndpointCatalog::maxOutageSinceRead(const std::vector<EndpointEntry> &entries, base::Time now) const
+/// Whether an outage since the last read can have been long enough for entries to expire.
+bool EndpointCatalog::mayEntriesHaveExpired(base::Time now) const
 {
-    if (!m_lastRead || now <= *m_lastRead) {
-        return {};
-    }
-    const auto gap = now - *m_lastRead;
-    std::vector<std::uint64_t> renewals;
-    for (const auto &it : entries) {
-        const auto known = m_entries.find(it.id);
-        if (known != m_entries.end() && known->second.incarnation == it.incarnation) {
-            renewals.push_back(it.heartbeat - std::min(it.heartbeat, known->second.heartbeat));
-        }
-    }
-    if (renewals.empty()) {
-        return gap;
-    }
-    const auto median = renewals.begin() + static_cast<std::ptrdiff_t>(renewals.size() / 2);
-    std::ranges::nth_element(renewals, median);
-    const auto intervals = std::min<std::uint64_t>(*median, static_cast<std::uint64_t>(gap / m_options.heartbeatInterval) + 1);
-    // N writes span N - 1 intervals at least.
-    return intervals == 0 ? gap : gap - m_options.heartbeatInterval * static_cast<std::int64_t>(intervals - 1);
+    // An endpoint's last write may precede the outage by up to one interval.
+    return m_lastRead && m_hasReadFailed && now >= *m_lastRead + m_options.heartbeatInterval * (m_options.missedHeartbeats - 1);
+}
+
+void EndpointCatalog::noteReadFailed()
+{
+    m_hasReadFailed = true;
 }
 
 void EndpointCatalog::noteRestored(base::Time now)
--- a/src/turmericplank/discovery/endpointcatalog_test.cpp
+++ b/src/turmericplank/discovery/endpointcatalog_test.cpp
@@ -46,6 +46,7 @@
 {
     EndpointCatalog catalog;
     catalog.apply({entry("a"), entry("b")}, at(0));
+    catalog.noteReadFailed();
     CHECK(catalog.apply({}, at(10000)).empty());
     CHECK(catalog.apply({entry("a")}, at(11000)).empty());
     CHECK(catalog.entries().size() == 2);
@@ -56,6 +57,16 @@
     CHECK((changes[0].event == EndpointEvent::Gone));
 }
 
+TEST_CASE("an entry that is missing after a failed read is gone if the outage was too short for entries to expire")
+{
+    EndpointCatalog catalog;
+    catalog.apply({entry("a"), entry("b")}, at(0));
+    catalog.noteReadFailed();
+    CHECK(catalog.apply({entry("a")}, at(2300)).size() == 1);
+    // A failure before the last read tells nothing of the time since then.
+    CHECK(catalog.apply({}, at(8000)).size() == 1);
+}
+
 TEST_CASE("an endpoint that was leaving before an outage is not kept")
 {
     EndpointCatalog catalog;
@@ -63,6 +74,7 @@
     leaving.isLeaving = true;
     catalog.apply({entry("a")}, at(0));
     CHECK((catalog.apply({leaving}, at(1000)).front().event == EndpointEvent::Leaving));
+    catalog.noteReadFailed();
     CHECK((catalog.apply({}, at(10000)).front().event == EndpointEvent::Gone));
 }
 
--- a/src/turmericplank/gateway/sitestate.cpp
+++ b/src/turmericplank/gateway/sitestate.cpp
@@ -68,6 +68,11 @@
     return changes;
 }
 
+void SiteState::noteReadFailed()
+{
+    m_catalog.noteReadFailed();
+}
+
 void SiteState::noteStoreRestored(base::Time now)
 {
     m_catalog.noteRestored(now);
--- a/src/turmericplank/gateway/sitestate_test.cpp
+++ b/src/turmericplank/gateway/sitestate_test.cpp
@@ -39,15 +39,11 @@
 
 constexpr std::int64_t HeartbeatMilliseconds = 1200; ///< between two writes of an endpoint's entry
 
-/// Entries of endpoints that write at regular intervals, each at another moment, as they are in the table at some time.
-/// @param silentFor milliseconds before that time in which nothing was written
-std::vector<discovery::EndpointEntry> renewedEntries(std::size_t count, std::int64_t milliseconds, std::int64_t silentFor = 0)
+std::vector<discovery::EndpointEntry> someEntries(std::size_t count)
 {
     std::vector<discovery::EndpointEntry> entries;
     for (std::size_t n = 0; n < count; ++n) {
-        const auto phase = static_cast<std::int64_t>(n) * HeartbeatMilliseconds / static_cast<std::int64_t>(count);
         entries.push_back(entry("e" + std::to_string(n)));
-        entries.back().heartbeat = static_cast<std::uint64_t>((milliseconds - silentFor + phase) / HeartbeatMilliseconds);
     }
     return entries;
 }
@@ -104,6 +100,7 @@
         reader.siteState.applyEntries({entry("e")}, at(n * 1000));
     }
     reader.siteState.applyEntries({}, at(10000));
+    cutOff.siteState.noteReadFailed();
     cutOff.siteState.applyEntries({}, at(10500));
     CHECK(cutOff.isRoutable("m", at(10500)));
     cutOff.siteState.applyDraining(reader.siteState.drainingEndpoints(at(10600)), at(10600));
@@ -204,69 +201,40 @@
             const auto readAt = Start + unrelayedMilliseconds(drainTime);
             REQUIRE(readAt < Start + drainTime / std::chrono::milliseconds(1));
             Daemon it;
-            auto entries = renewedEntries(count, Start);
+            auto entries = someEntries(count);
             entries.push_back(entry("removed"));
             it.siteState.applyEntries(entries, at(Start));
-            it.siteState.applyEntries(renewedEntries(count, readAt), at(readAt));
+            it.siteState.applyEntries(someEntries(count), at(readAt));
             CHECK(it.siteState.endpoints().size() == count);
         }
     }
 }
 
-TEST_CASE("endpoints whose entries expired during an outage of the store are kept, whatever the drain time")
+TEST_CASE("endpoints whose entries expired during an outage of the store are kept until they had time to write them again")
 {
     constexpr std::int64_t Start = 60000;
-    constexpr std::int64_t OutageMilliseconds = 4500;
     constexpr std::int64_t RewriteMilliseconds = 2000;
-    for (const std::size_t count : {1U, 3U, 166U, 7200U}) {
-        CAPTURE(count);
-        Daemon it;
-        it.siteState.applyEntries(renewedEntries(count, Start), at(Start));
-        // At first all entries are missing, then those are that have not been written again yet.
-        const auto returnAt = Start + OutageMilliseconds;
-        it.siteState.applyEntries({}, at(returnAt));
-        CHECK(it.siteState.endpoints().size() == count);
-        auto some = renewedEntries(count, returnAt + 1000, OutageMilliseconds);
-        some.resize(count / 2);
-        it.siteState.applyEntries(some, at(returnAt + 1000));
-        CHECK(it.siteState.endpoints().size() == count);
-        const auto keptUntil = returnAt + RewriteMilliseconds;
-        it.siteState.applyEntries(some, at(keptUntil));
-        CHECK(it.siteState.endpoints().size() == some.size());
-    }
-}
-
-TEST_CASE("a daemon whose first read after an outage finds some entries written again keeps the others")
-{
-    constexpr std::int64_t Start = 60000;
-    for (const std::int64_t outageMilliseconds : {3700, 4500, 9000}) {
+    for (const std::int64_t outageMilliseconds : {3500, 6500, 12000}) {
         for (const std::size_t count : {2U, 166U, 7200U}) {
             CAPTURE(outageMilliseconds);
             CAPTURE(count);
             Daemon it;
-            it.siteState.applyEntries(renewedEntries(count, Start), at(Start));
-            const auto readAt = Start + 1000 + outageMilliseconds + 1000;
-            auto some = renewedEntries(count, readAt, outageMilliseconds);
-            some.resize(count / 2);
-            it.siteState.applyEntries(some, at(readAt));
+            it.siteState.applyEntries(someEntries(count), at(Start));
+            it.siteState.noteReadFailed();
+            const auto returnAt = Start + outageMilliseconds;
+            const auto half = someEntries(count / 2);
+            it.siteState.applyEntries(half, at(returnAt));
             CHECK(it.siteState.endpoints().size() == count);
+            it.siteState.applyEntries(half, at(returnAt + RewriteMilliseconds));
+            CHECK(it.siteState.endpoints().size() == count / 2);
         }
     }
 }
 
 TEST_CASE("a daemon that was paused while the store served the others drops removed endpoints at its first read")
 {
-    constexpr std::int64_t Start = 60000;
-    for (const std::int64_t pauseMilliseconds : {3500, 6500, 12000}) {
-        for (const std::size_t count : {3U, 166U, 7200U}) {
-            CAPTURE(pauseMilliseconds);
-            CAPTURE(count);
-            Daemon it;
-            auto entries = renewedEntries(count, Start);
-            entries.push_back(entry("removed"));
-            it.siteState.applyEntries(entries, at(Start));
-            it.siteState.applyEntries(renewedEntries(count, Start + pauseMilliseconds), at(Start + pauseMilliseconds));
-            CHECK(it.siteState.endpoints().size() == count);
-        }
-    }
+    Daemon it;
+    it.siteState.applyEntries({entry("e"), entry("removed")}, at(0));
+    it.siteState.applyEntries({entry("e")}, at(6500));
+    CHECK(it.siteState.endpoints().size() == 1);
 }
--- a/src/turmericplank/gateway/sitestateupdater.cpp
+++ b/src/turmericplank/gateway/sitestateupdater.cpp
@@ -346,6 +346,7 @@
     if (!result) {
         ++m_endpointFailures;
         m_metrics.count("store_failures_total{call=\"endpoints\"}");
+        m_siteState.noteReadFailed();
         logReadFailure();
         return;
     }
@@ -401,11 +402,14 @@
     return it != m_siteState.endpoints().end() && it->second.incarnation == entry.incarnation && it->second.softwareVersion == entry.softwareVersion;
 }
 
+/// The others of the group do not know whether the reader's reads have failed, so it relays the missing entries that it keeps as well.
 void SiteStateUpdater::applyAndRelay(const std::vector<discovery::EndpointEntry> &entries)
 {
     applyEntries(entries, ByRead);
     if (m_callbacks.isStoreReader()) {
-        m_callbacks.onEntriesRead(entries);
+        std::vector<discovery::EndpointEntry> usable;
+        std::ranges::transform(m_siteState.endpoints(), std::back_inserter(usable), [](const auto &it) { return it.second; });
+        m_callbacks.onEntriesRead(usable);
     }
 }
 
--- a/src/turmericplank/gateway/sitestateupdater_test.cpp
+++ b/src/turmericplank/gateway/sitestateupdater_test.cpp
@@ -31,6 +31,13 @@
         daemon::callAt(context, base::now() + std::chrono::seconds(20), [this] { context.stop(); });
     }
 
+    static SiteStateOptions siteStateOptions()
+    {
+        SiteStateOptions it;
+        it.catalog.heartbeatInterval = std::chrono::milliseconds(10);
+        return it;
+    }
+
     static SiteStateUpdaterOptions options()
     {
         SiteStateUpdaterOptions it;
@@ -67,7 +74,7 @@
             if (isStoreDown) {
                 callback(tl::unexpected(TableFailure::Unavailable));
             } else {
-                callback(EndpointsSnapshot{});
+                callback(EndpointsSnapshot{entries, {}});
             }
         };
         it.parseConfiguration = [](const std::string &text) {
@@ -91,8 +98,9 @@
         };
         it.onWatchChanged = [] {
         };
-        it.onEntriesRead = [this](const auto &) {
+        it.onEntriesRead = [this](const auto &usable) {
             ++relayCount;
+            relayedEntries = usable;
         };
         it.onConfigurationText = [this](const std::string &text) {
             relayedTexts.push_back(text);
@@ -127,13 +135,15 @@
     int configurationReads = 0;
     int endpointReads = 0;
     int relayCount = 0;
+    std::vector<discovery::EndpointEntry> entries; ///< in the store
+    std::vector<discovery::EndpointEntry> relayedEntries;
     std::vector<std::string> relayedTexts;
     std::vector<std::pair<std::string, std::string>> sentToPeers;
     std::vector<std::uint64_t> awaitedFrom; ///< position of each wait
     ReadCallback<ConfigurationSnapshot> awaiting;
     telemetry::Metrics metrics;
     routing::Router router;
-    SiteState siteState{router};
+    SiteState siteState{router, siteStateOptions()};
     SiteStateUpdater updater;
 };
 
@@ -151,6 +161,29 @@
     CHECK(it.relayCount == it.endpointReads);
 }
 
+TEST_CASE("the reader of a group relays entries that it keeps because its reads failed")
+{
+    Daemon it(true);
+    it.entries.emplace_back();
+    it.entries.back().id = base::EndpointId("e");
+    it.runUntilAwaiting();
+    REQUIRE(it.relayedEntries.size() == 1);
+    it.isStoreDown = true;
+    it.entries.clear();
+    daemon::callEvery(it.context, std::chrono::milliseconds(5), [&] {
+        const bool isBack = std::exchange(it.relayCount, 0) > 0;
+        if (!it.isStoreDown && isBack) {
+            it.context.stop();
+        }
+        it.isStoreDown = it.isStoreDown && it.endpointReads < 20;
+    });
+    it.stopsWhenAwaiting = false;
+    it.context.restart();
+    it.context.run();
+    CHECK(it.siteState.endpoints().size() == 1);
+    CHECK(it.relayedEntries.size() == 1);
+}
+
 TEST_CASE("a daemon whose reader relays nothing reads and waits for changes itself")
 {
     // The reader is cut off from the store while a new revision is accepted; no other daemon would relay it.
