--- a/src/turmericplank/gateway/testfleet.hpp
+++ b/src/turmericplank/gateway/testfleet.hpp
@@ -71,7 +71,6 @@
         entry.softwareVersion = softwareVersion;
         entry.slots = 16;
         entry.incarnation = base::Incarnation(m_incarnation);
-        entry.heartbeat = ++m_heartbeat;
         m_store.entries[entry.id] = entry;
     }
 
@@ -182,7 +181,6 @@
     std::unique_ptr<boost::asio::io_context> m_context; ///< its end closes all connections
     std::unique_ptr<net::HttpServer> m_server;
     std::vector<net::ExchangePointer> m_kept; ///< calls without a response
-    std::uint64_t m_heartbeat = 0; ///< of the entry, of all incarnations together
     std::optional<base::Time> m_crashAt;
     base::Time m_startsAt; ///< after a crash
     base::Time m_silentUntil;
--- a/src/turmericplank/gateway/testsite.hpp
+++ b/src/turmericplank/gateway/testsite.hpp
@@ -189,14 +189,10 @@
         applyEntries({a.entry(), b.entry()});
     }
 
-    /// Applies one read of the endpoints' entries, which all endpoints have renewed since the read before.
+    /// Applies one read of the endpoints' entries.
     /// @param connectionLimit of each endpoint
-    void applyEntries(std::vector<discovery::EndpointEntry> entries, std::uint32_t connectionLimit = 10)
+    void applyEntries(const std::vector<discovery::EndpointEntry> &entries, std::uint32_t connectionLimit = 10)
     {
-        ++m_heartbeat;
-        for (auto &it : entries) {
-            it.heartbeat = m_heartbeat;
-        }
         m_siteState.applyEntries(entries, base::now());
         for (const auto &it : entries) {
             m_pool.setEndpoint(it.id, it.service, it.address, it.incarnation, connectionLimit);
@@ -390,7 +386,6 @@
     telemetry::Metrics m_metrics;
     std::mt19937_64 m_random{1};
     routing::Router m_router{routerOptions()};
-    std::uint64_t m_heartbeat = 0; ///< of the entries applied last
     SiteState m_siteState{m_router};
     ConnectionPool m_pool{m_context, {}};
     forwarding::StreamOrigins m_streamOrigins;
