earlyresponse_test: reading a long body takes no longer than a connection may be idle

Cause: the test's condition copied up to 3.5 MB after each kilobyte that it read, which took 1.4 s on the loaded machine. The kernel has taken the whole body long before that, so the connection is idle meanwhile, and calls that must not run twice use no connection that has been idle for over 1.5 s (ConnectionPoolOptions::maxIdleTimeAtMostOnce). The gateway rightly opened another one.

Change: the condition looks at a view. All checks and bounds are as before.

--- a/src/turmericplank/gateway/earlyresponse_test.cpp
+++ b/src/turmericplank/gateway/earlyresponse_test.cpp
@@ -49,11 +49,11 @@
     RawEndpoint raw{site.context(), static_cast<std::uint16_t>(firstPort + RawPortOffset)};
 };
 
-/// What follows the header section of the first request that was read from a connection.
-std::string afterHead(const std::string &received)
+/// What follows the header section of the first request that was read from a connection. A view: the conditions of readUntil() are checked after each kilobyte.
+std::string_view afterHead(std::string_view received)
 {
     const auto end = received.find("\r\n\r\n");
-    return end == std::string::npos ? std::string() : received.substr(end + 4);
+    return end == std::string_view::npos ? std::string_view() : received.substr(end + 4);
 }
 
 } // namespace
