--- a/src/turmericplank/gateway/earlyresponse_test.cpp
+++ b/src/turmericplank/gateway/earlyresponse_test.cpp
@@ -49,7 +49,8 @@
     RawEndpoint raw{site.context(), static_cast<std::uint16_t>(firstPort + RawPortOffset)};
 };
 
-/// What follows the header section of the first request that was read from a connection. A view: the conditions of readUntil() are checked after each kilobyte.
+/// What follows the header section of the first request that was read from a connection.
+/// Without a copy, since readUntil() checks its condition after each kilobyte of a long body.
 std::string_view afterHead(std::string_view received)
 {
     const auto end = received.find("\r\n\r\n");
